--- /dev/null
+++ b/pkg/config/keys.go
@@ -0,0 +1,59 @@
+package config
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+)
+
+// saltBytes is the length of a random salt.
+const saltBytes = 16
+
+// HashKey makes the declaration of a bearer key.
+func HashKey(key string) KeyHash {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt) // crypto/rand.Read never returns an error.
+	sum := saltedSum(salt, key)
+	return KeyHash{
+		Prefix: keyPrefix(key),
+		Salt:   base64.StdEncoding.EncodeToString(salt),
+		Hash:   base64.StdEncoding.EncodeToString(sum),
+	}
+}
+
+// MemberByKey returns the member that owns the bearer key, or nil. Hashes are compared in constant time.
+func (s *Snapshot) MemberByKey(key string) *Member {
+	for _, owner := range s.keysByPrefix[keyPrefix(key)] {
+		if owner.key.matches(key) {
+			return owner.member
+		}
+	}
+	return nil
+}
+
+func (k KeyHash) matches(key string) bool {
+	salt, err := base64.StdEncoding.DecodeString(k.Salt)
+	if err != nil {
+		return false
+	}
+	want, err := base64.StdEncoding.DecodeString(k.Hash)
+	if err != nil {
+		return false
+	}
+	return subtle.ConstantTimeCompare(saltedSum(salt, key), want) == 1
+}
+
+func saltedSum(salt []byte, key string) []byte {
+	h := sha256.New()
+	h.Write(salt)
+	h.Write([]byte(key))
+	return h.Sum(nil)
+}
+
+func keyPrefix(key string) string {
+	if len(key) <= KeyPrefixLength {
+		return key
+	}
+	return key[:KeyPrefixLength]
+}
--- /dev/null
+++ b/pkg/kvstore/kvstore.go
@@ -0,0 +1,146 @@
+// Package kvstore is the interface of the platform's key-value service: conditional writes, leases and watches.
+// Adapters translate it to a wire protocol; nothing else in the system knows that protocol.
+package kvstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxValueBytes is the largest value that the service accepts.
+const MaxValueBytes = 1 << 20
+
+var (
+	// ErrUnavailable means that the service could not be reached or refused the call; nothing took effect.
+	ErrUnavailable = errors.New("key-value store unavailable")
+	// ErrOutcomeUnknown means that a write may have taken effect. The caller reads back; it never guesses.
+	ErrOutcomeUnknown = errors.New("key-value store write outcome unknown")
+	// ErrLeaseNotFound means that the lease expired or was revoked.
+	ErrLeaseNotFound = errors.New("lease not found")
+	// ErrCompacted means that a watch asked for a revision the service no longer has; the caller reads and restarts.
+	ErrCompacted = errors.New("watch revision compacted")
+	// ErrValueTooLarge means that a value exceeds MaxValueBytes; nothing took effect.
+	ErrValueTooLarge = errors.New("value exceeds the store's limit")
+)
+
+// Revision is the store-wide, strictly increasing number of a committed write. Zero means "does not exist".
+type Revision int64
+
+// LeaseID identifies a lease. Zero means "no lease".
+type LeaseID int64
+
+// KeyValue is one stored key.
+type KeyValue struct {
+	Key   string
+	Value []byte
+	// CreateRevision is the revision of the write that created the key; it changes when a key is deleted and recreated.
+	CreateRevision Revision
+	// ModRevision is the revision of the last write to the key.
+	ModRevision Revision
+	// Lease is the lease whose expiry deletes the key.
+	Lease LeaseID
+}
+
+// Condition compares one revision of a key. A revision of zero holds when the key does not exist.
+type Condition struct {
+	Key string
+	// Field selects the revision that is compared.
+	Field RevisionField
+	// Equals is the required revision.
+	Equals Revision
+}
+
+// RevisionField names the revision that a Condition compares.
+type RevisionField int
+
+const (
+	// ModRevision compares the revision of the last write.
+	ModRevision RevisionField = iota
+	// CreateRevision compares the revision of the write that created the key.
+	CreateRevision
+)
+
+// Put sets a key. A non-zero Lease deletes the key when the lease expires.
+type Put struct {
+	Key   string
+	Value []byte
+	Lease LeaseID
+}
+
+// ConditionalWrite applies its puts and deletes atomically if all conditions hold.
+type ConditionalWrite struct {
+	Conditions []Condition
+	Puts       []Put
+	Deletes    []string
+	// ReadOnFailure lists keys whose current values are returned when a condition does not hold.
+	ReadOnFailure []string
+}
+
+// WriteResult is the result of one ConditionalWrite.
+type WriteResult struct {
+	// Applied is false when a condition did not hold.
+	Applied bool
+	// Revision is the store revision of the commit when Applied.
+	Revision Revision
+	// Current holds the keys of ReadOnFailure that exist, when not Applied.
+	Current []KeyValue
+}
+
+// Reader has the queries. Reads are linearizable.
+type Reader interface {
+	// Get returns the key, whether it exists, and the store's current revision. Errors: ErrUnavailable.
+	Get(ctx context.Context, key string) (kv KeyValue, found bool, at Revision, err error)
+	// Range returns all keys with the prefix, in key order, read at one revision. Errors: ErrUnavailable.
+	Range(ctx context.Context, prefix string) (kvs []KeyValue, at Revision, err error)
+}
+
+// Writer has the conditional writes.
+type Writer interface {
+	// Commit carries independent conditional writes in one call, each with its own result, in the same order. No key may
+	// be written twice in one call. Errors: ErrUnavailable, ErrOutcomeUnknown, ErrValueTooLarge; with an error the
+	// results are nil.
+	Commit(ctx context.Context, writes []ConditionalWrite) ([]WriteResult, error)
+}
+
+// Leaser has the lease commands.
+type Leaser interface {
+	// Grant creates a lease. The service may grant a longer time to live than asked for. Errors: ErrUnavailable,
+	// ErrOutcomeUnknown (a lease that nobody uses may remain until it expires).
+	Grant(ctx context.Context, ttl time.Duration) (LeaseID, time.Duration, error)
+	// KeepAlive extends the lease to its full time to live, counted from the service's receipt of the call. Errors:
+	// ErrLeaseNotFound, ErrUnavailable.
+	KeepAlive(ctx context.Context, id LeaseID) (time.Duration, error)
+	// Revoke ends the lease and deletes its keys. Errors: ErrUnavailable, ErrOutcomeUnknown; a missing lease is no error.
+	Revoke(ctx context.Context, id LeaseID) error
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	KeyValue
+	Deleted bool
+}
+
+// Watch is a stream of changes of one prefix. A pending watch counts as one call of the service's budget.
+type Watch interface {
+	// Next blocks until the next batch of changes, in revision order. An empty batch is a progress notification. Errors:
+	// ErrUnavailable when the stream broke, ErrCompacted, or the context's error.
+	Next(ctx context.Context) ([]Event, error)
+	// Close ends the watch.
+	Close()
+}
+
+// Watcher opens watches.
+type Watcher interface {
+	// Watch streams changes of keys with the prefix whose revision is at least from. Errors: ErrUnavailable.
+	Watch(ctx context.Context, prefix string, from Revision) (Watch, error)
+}
+
+// Store is the whole service. Components take only the part they need.
+type Store interface {
+	Reader
+	Writer
+	Leaser
+	Watcher
+}
