--- /dev/null
+++ b/cmd/mulberrygladed/main.go
@@ -0,0 +1,4 @@
+// Command mulberrygladed is the entry daemon.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/telemetry/telemetry.go
@@ -0,0 +1,58 @@
+// Package telemetry builds the logger and the metrics scope that all components share.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// reportInterval is how often tally flushes counters to the Prometheus registry.
+const reportInterval = time.Second
+
+// NewLogger returns a JSON logger that writes to standard error. Level is debug, info, warn or error.
+func NewLogger(level string) (*zap.Logger, error) {
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log level %q", level)
+	}
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(parsed)
+	// Sampling would drop decision lines, of which every one is wanted.
+	cfg.Sampling = nil
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	log, err := cfg.Build()
+	return log, errors.Wrap(err, "build logger")
+}
+
+// Metrics is a root scope and the handler that serves it as Prometheus text.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// NewMetrics returns a scope whose metrics begin with "mulberryglade_".
+func NewMetrics() *Metrics {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "mulberryglade",
+		CachedReporter:  reporter,
+		Separator:       tallyprom.DefaultSeparator,
+		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close flushes the metrics.
+func (m *Metrics) Close() error {
+	return m.closer.Close()
+}
