Add the memory ledger and a placement controller for declared copies

The ledger reserves accelerator memory by compare-and-swap together with the lease's condition before an order is sent. The controller runs one worker per endpoint that fences its session, reconciles the ledger with the engine's report and sends one order at a time. The static planner places the declared minimum of copies and one copy of each adapter in each data centre.

--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -3,6 +3,7 @@
 package engine
 
 import (
+	"sort"
 	"sync"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
@@ -105,6 +106,9 @@
 	used := make([]int64, len(m.capacity))
 	for _, a := range m.artifacts {
 		for _, index := range a.Accelerators {
+			if index < 0 || index >= len(used) {
+				return true
+			}
 			used[index] += a.BytesPerAccelerator
 		}
 	}
@@ -162,5 +166,17 @@
 	for _, a := range m.artifacts {
 		report.Artifacts = append(report.Artifacts, a)
 	}
+	// Map order would make the runs of a seeded test differ.
+	sort.Slice(report.Artifacts, func(i, j int) bool { return less(report.Artifacts[i].Artifact, report.Artifacts[j].Artifact) })
 	return report
 }
+
+func less(a, b engine.Artifact) bool {
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	if a.Name != b.Name {
+		return a.Name < b.Name
+	}
+	return a.Version < b.Version
+}
--- /dev/null
+++ b/pkg/placement/controller_test.go
@@ -0,0 +1,206 @@
+package placement
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	standinengine "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/decisions"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+)
+
+// directEngines executes orders at once on the stand-in memories.
+type directEngines struct {
+	memories map[string]*standinengine.Memory
+
+	mu     sync.Mutex
+	orders []string
+}
+
+func (d *directEngines) DialOrders(_ context.Context, target engine.Target) (engine.OrderSession, error) {
+	memory := d.memories[target.Name]
+	return &directSession{engines: d, endpoint: target.Name, memory: memory, incarnation: memory.Incarnation()}, nil
+}
+
+func (d *directEngines) sent() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.orders)
+}
+
+type directSession struct {
+	engines     *directEngines
+	endpoint    string
+	memory      *standinengine.Memory
+	incarnation string
+}
+
+func (s *directSession) Incarnation() string { return s.incarnation }
+
+func (s *directSession) Close() {}
+
+func (s *directSession) Report(context.Context) (engine.Report, error) {
+	if s.memory.Incarnation() != s.incarnation {
+		return engine.Report{}, engine.ErrSessionClosed
+	}
+	return s.memory.Report(), nil
+}
+
+func (s *directSession) Send(_ context.Context, order engine.Order) error {
+	if s.memory.Incarnation() != s.incarnation {
+		return engine.ErrSessionClosed
+	}
+	if err := s.memory.Begin(order); err != nil {
+		return err
+	}
+	s.memory.Finish(order)
+	if order.Verb != engine.VerbFence {
+		s.engines.mu.Lock()
+		defer s.engines.mu.Unlock()
+		s.engines.orders = append(s.engines.orders, string(order.Verb)+" "+order.Artifact.Name+"@"+order.Artifact.Version+" "+s.endpoint)
+	}
+	return nil
+}
+
+// switchGuard is a lease that a test takes away.
+type switchGuard struct {
+	mu   sync.Mutex
+	held bool
+	at   kvstore.Revision
+}
+
+func (g *switchGuard) Condition() (kvstore.Condition, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return kvstore.Condition{Key: "holder", Field: kvstore.CreateRevision, Equals: g.at}, g.held
+}
+
+func (g *switchGuard) set(held bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.held = held
+}
+
+type noPacing struct{}
+
+func (noPacing) Acquire(ctx context.Context) (func(), error) { return func() {}, ctx.Err() }
+
+// bench is a controller with stand-ins for everything around it.
+type bench struct {
+	store    *kv.Memory
+	guard    *switchGuard
+	engines  *directEngines
+	snapshot *config.Snapshot
+	demand   []Demand
+	leaving  map[string]bool
+	*Controller
+}
+
+func newBench(planner Planner, records config.Records) *bench {
+	b := &bench{
+		store:    kv.NewMemory(),
+		engines:  &directEngines{memories: make(map[string]*standinengine.Memory)},
+		snapshot: config.NewSnapshot(1, time.Time{}, records),
+		leaving:  make(map[string]bool),
+	}
+	results, err := b.store.Commit(context.Background(), []kvstore.ConditionalWrite{{Puts: []kvstore.Put{{Key: "holder"}}}})
+	if err != nil {
+		panic(err)
+	}
+	b.guard = &switchGuard{held: true, at: results[0].Revision}
+	for i := range records.Endpoints {
+		e := &records.Endpoints[i]
+		b.engines.memories[e.Name] = standinengine.NewMemory(capacityOf(e), e.Name+"-1", e.ChecksFencing)
+	}
+	b.Controller = NewController(Options{
+		DataCentre:   "kathmandu-a",
+		Ledger:       ledger.New(b.store, "t/"),
+		Guard:        b.guard,
+		Dialer:       b.engines,
+		Planner:      planner,
+		Snapshot:     func() *config.Snapshot { return b.snapshot },
+		Status:       func(endpoint string) Status { return Status{Leaving: b.leaving[endpoint]} },
+		Demand:       func() []Demand { return b.demand },
+		ModelPacer:   noPacing{},
+		AdapterPacer: noPacing{},
+		Recorder:     decisions.NewRecorder(zap.NewNop(), 100),
+		Log:          zap.NewNop(),
+		Scope:        tally.NoopScope,
+	})
+	return b
+}
+
+func declareEndpoint(name string, memoryBytes ...int64) config.Endpoint {
+	e := config.Endpoint{Service: "kitchen-assist", DataCentre: "kathmandu-a", URL: "http://127.0.0.1:1", MaxConcurrentRequests: 8}
+	e.Name = name
+	for _, bytes := range memoryBytes {
+		e.Accelerators = append(e.Accelerators, config.Accelerator{MemoryBytes: bytes})
+	}
+	return e
+}
+
+func declareModel(name, version string, bytes int64, copies int) config.Model {
+	m := config.Model{Service: "kitchen-assist", Version: version, WeightBytes: bytes, AcceleratorsPerCopy: 1, MinCopies: copies, MaxCopies: 4}
+	m.Name = name
+	return m
+}
+
+func declareAdapter(name, model string, bytes int64) config.Adapter {
+	a := config.Adapter{Model: model, Version: "1", Bytes: bytes}
+	a.Name = name
+	return a
+}
+
+func artifact(kind engine.ArtifactKind, name, version string) engine.Artifact {
+	return engine.Artifact{Kind: kind, Name: name, Version: version}
+}
+
+// Guards against declared models and adapters that no data centre endpoint ever loads, and against orders that are sent
+// after the lease was lost.
+func TestControllerLoadsDeclaredCopiesWhileTheLeaseIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t).Expect
+		b := newBench(Static{}, config.Records{
+			Endpoints: []config.Endpoint{declareEndpoint("e1", 100), declareEndpoint("e2", 100)},
+			Models:    []config.Model{declareModel("menus", "1", 60, 2), declareModel("notes", "1", 30, 1), declareModel("large", "1", 500, 1)},
+			Adapters:  []config.Adapter{declareAdapter("menus-ilam", "menus", 5)},
+		})
+		ended := make(chan error, 1)
+		go func() { ended <- b.Run(context.Background()) }()
+		time.Sleep(5 * time.Second)
+		loaded := 0
+		for _, memory := range b.engines.memories {
+			expect(memory.Loaded(artifact(engine.KindModel, "menus", "1"))).To(gomega.BeTrue())
+			for _, held := range memory.Report().Artifacts {
+				if held.Name == "notes" || held.Name == "menus-ilam" {
+					loaded++
+				}
+			}
+			expect(memory.Violations()).To(gomega.BeZero())
+		}
+		expect(loaded).To(gomega.Equal(2), "one copy of notes and one of the adapter")
+		expect(b.Unplaced()).To(gomega.HaveLen(1))
+		expect(b.Unplaced()[0].Artifact.Name).To(gomega.Equal("large"))
+
+		before := len(b.engines.sent())
+		expect(before).To(gomega.Equal(4), strconv.Itoa(before))
+		b.guard.set(false)
+		b.engines.memories["e1"].Restart("e1-2")
+		time.Sleep(5 * time.Second)
+		expect(<-ended).To(gomega.MatchError(ledger.ErrLeaseNotHeld))
+		expect(b.engines.sent()).To(gomega.HaveLen(before))
+	})
+}
--- /dev/null
+++ b/pkg/placement/grid.go
@@ -0,0 +1,201 @@
+package placement
+
+import (
+	"slices"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+)
+
+// name identifies a model or adapter in any version.
+type name struct {
+	kind engine.ArtifactKind
+	id   string
+}
+
+func nameOf(artifact engine.Artifact) name { return name{kind: artifact.Kind, id: artifact.Name} }
+
+// grid is the planner's working copy of a data centre: what each accelerator holds now and after the planned steps.
+type grid struct {
+	state State
+	slots []*slot
+	// bySlot finds a slot by endpoint name, byService lists the usable slots of a service.
+	bySlot    map[string]*slot
+	byService map[string][]*slot
+	holders   map[name][]*slot
+	steps     []Step
+	unplaced  []Unplaced
+}
+
+// slot is one endpoint.
+type slot struct {
+	EndpointState
+	// free is the unreserved memory of each accelerator; memory of planned unloads is not counted as free for other
+	// endpoints' sake only: steps of one endpoint run in order, so that a load may follow the unload that makes room.
+	free []int64
+	held []copyOf
+}
+
+// copyOf is an artifact on a slot.
+type copyOf struct {
+	artifact     engine.Artifact
+	base         string
+	accelerators []int
+	bytes        int64
+	state        ledger.State
+	verb         engine.OrderVerb
+	// planned is true for a load of this plan; leaves is true when this plan unloads the copy.
+	planned bool
+	leaves  bool
+}
+
+// serves tells whether the copy can answer calls now and stays.
+func (c *copyOf) serves() bool { return c.state == ledger.Loaded && !c.planned && !c.leaves }
+
+// counts tells whether the copy serves or is on its way.
+func (c *copyOf) counts() bool {
+	if c.leaves {
+		return false
+	}
+	return c.planned || c.state == ledger.Loaded || c.verb == engine.VerbLoad
+}
+
+func newGrid(state State) *grid {
+	g := &grid{
+		state:     state,
+		bySlot:    make(map[string]*slot, len(state.Endpoints)),
+		byService: make(map[string][]*slot),
+		holders:   make(map[name][]*slot),
+	}
+	for _, endpoint := range state.Endpoints {
+		g.addSlot(endpoint)
+	}
+	return g
+}
+
+func (g *grid) addSlot(endpoint EndpointState) {
+	s := &slot{EndpointState: endpoint, free: capacityOf(endpoint.Declaration)}
+	for _, held := range endpoint.Record.Reservations {
+		s.held = append(s.held, copyOf{
+			artifact:     held.Artifact,
+			base:         g.baseOf(held),
+			accelerators: held.Accelerators,
+			bytes:        held.BytesPerAccelerator,
+			state:        held.State,
+			verb:         held.Verb,
+		})
+		s.take(held.Accelerators, held.BytesPerAccelerator)
+		g.addHolder(nameOf(held.Artifact), s)
+	}
+	g.slots = append(g.slots, s)
+	g.bySlot[endpoint.Declaration.Name] = s
+	if s.usable() {
+		g.byService[endpoint.Declaration.Service] = append(g.byService[endpoint.Declaration.Service], s)
+	}
+}
+
+// baseOf finds the model of an adopted adapter, which the engine's report does not name.
+func (g *grid) baseOf(held ledger.Reservation) string {
+	if held.Base != "" || held.Artifact.Kind != engine.KindAdapter {
+		return held.Base
+	}
+	if declared := g.state.Snapshot.Adapter(held.Artifact.Name); declared != nil {
+		return declared.Model
+	}
+	return ""
+}
+
+func (g *grid) addHolder(n name, s *slot) {
+	if !slices.Contains(g.holders[n], s) {
+		g.holders[n] = append(g.holders[n], s)
+	}
+}
+
+func (s *slot) take(accelerators []int, bytes int64) {
+	for _, index := range accelerators {
+		if index < len(s.free) {
+			s.free[index] -= bytes
+		}
+	}
+}
+
+// any returns a copy of the named model or adapter in any version that satisfies the test, or nil.
+func (s *slot) any(n name, test func(*copyOf) bool) *copyOf {
+	for i := range s.held {
+		if nameOf(s.held[i].artifact) == n && test(&s.held[i]) {
+			return &s.held[i]
+		}
+	}
+	return nil
+}
+
+// count returns the number of usable endpoints with a copy that satisfies the test.
+func (g *grid) count(n name, test func(*copyOf) bool) int {
+	found := 0
+	for _, s := range g.holders[n] {
+		if s.usable() && s.any(n, test) != nil {
+			found++
+		}
+	}
+	return found
+}
+
+// pickAccelerators returns the accelerators with the least free memory that suffices, as the ledger does; nil when the
+// load does not fit.
+func (s *slot) pickAccelerators(count int, bytes int64) []int {
+	return tightest(s.free, count, bytes)
+}
+
+func tightest(free []int64, count int, bytes int64) []int {
+	var fitting []int
+	for index, available := range free {
+		if available >= bytes {
+			fitting = append(fitting, index)
+		}
+	}
+	if count <= 0 || len(fitting) < count {
+		return nil
+	}
+	slices.SortStableFunc(fitting, func(a, b int) int {
+		if free[a] < free[b] {
+			return -1
+		}
+		if free[a] > free[b] {
+			return 1
+		}
+		return 0
+	})
+	return fitting[:count]
+}
+
+// load plans a load on the slot.
+func (g *grid) load(s *slot, step Step, accelerators []int, bytesEach int64) {
+	step.Endpoint = s.Declaration.Name
+	step.Kind = StepLoad
+	g.steps = append(g.steps, step)
+	s.take(accelerators, bytesEach)
+	s.held = append(s.held, copyOf{
+		artifact:     step.Artifact,
+		base:         step.Base,
+		accelerators: accelerators,
+		bytes:        bytesEach,
+		state:        ledger.Loading,
+		verb:         engine.VerbLoad,
+		planned:      true,
+	})
+	g.addHolder(nameOf(step.Artifact), s)
+}
+
+func modelStep(m *config.Model, reason string) Step {
+	return Step{
+		Artifact:         ModelArtifact(m),
+		AcceleratorCount: m.AcceleratorsPerCopy,
+		Bytes:            m.WeightBytes + m.KVReserveBytes,
+		Reason:           reason,
+	}
+}
+
+func adapterStep(a *config.Adapter, reason string) Step {
+	return Step{Artifact: AdapterArtifact(a), Base: a.Model, Bytes: a.Bytes, Reason: reason}
+}
