--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -44,7 +44,9 @@
 	// Status tells what routing knows of an endpoint.
 	Status func(endpoint string) Status
 	// Demand returns the current demand in the data centre.
-	Demand       func() []Demand
+	Demand func() []Demand
+	// Elsewhere counts loaded copies of models in other data centres; nil when that is not known.
+	Elsewhere    func() map[string]int
 	ModelPacer   Pacer
 	AdapterPacer Pacer
 	Recorder     *decisions.Recorder
@@ -221,6 +223,9 @@
 // state collects the planner's input: all engine endpoints of the data centre, of all shards.
 func (c *Controller) state(snapshot *config.Snapshot) State {
 	state := State{DataCentre: c.DataCentre, Snapshot: snapshot, Demand: c.averages.Snapshot()}
+	if c.Elsewhere != nil {
+		state.Elsewhere = c.Elsewhere()
+	}
 	records := snapshot.Records()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/placement/controller_test.go
+++ b/pkg/placement/controller_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -103,19 +104,23 @@
 	store    *kv.Memory
 	guard    *switchGuard
 	engines  *directEngines
-	snapshot *config.Snapshot
-	demand   []Demand
-	leaving  map[string]bool
+	snapshot atomic.Pointer[config.Snapshot]
+	leaving  sync.Map
 	*Controller
 }
 
+func (b *bench) declare(records config.Records) {
+	b.snapshot.Store(config.NewSnapshot(1, time.Time{}, records))
+}
+
+func (b *bench) leave(endpoint string) { b.leaving.Store(endpoint, true) }
+
 func newBench(planner Planner, records config.Records) *bench {
 	b := &bench{
-		store:    kv.NewMemory(),
-		engines:  &directEngines{memories: make(map[string]*standinengine.Memory)},
-		snapshot: config.NewSnapshot(1, time.Time{}, records),
-		leaving:  make(map[string]bool),
+		store:   kv.NewMemory(),
+		engines: &directEngines{memories: make(map[string]*standinengine.Memory)},
 	}
+	b.declare(records)
 	results, err := b.store.Commit(context.Background(), []kvstore.ConditionalWrite{{Puts: []kvstore.Put{{Key: "holder"}}}})
 	if err != nil {
 		panic(err)
@@ -131,9 +136,9 @@
 		Guard:        b.guard,
 		Dialer:       b.engines,
 		Planner:      planner,
-		Snapshot:     func() *config.Snapshot { return b.snapshot },
-		Status:       func(endpoint string) Status { return Status{Leaving: b.leaving[endpoint]} },
-		Demand:       func() []Demand { return b.demand },
+		Snapshot:     b.snapshot.Load,
+		Status:       func(endpoint string) Status { _, leaving := b.leaving.Load(endpoint); return Status{Leaving: leaving} },
+		Demand:       func() []Demand { return nil },
 		ModelPacer:   noPacing{},
 		AdapterPacer: noPacing{},
 		Recorder:     decisions.NewRecorder(zap.NewNop(), 100),
@@ -204,3 +209,41 @@
 		expect(b.engines.sent()).To(gomega.HaveLen(before))
 	})
 }
+
+// Guards against a version change that leaves a model without a copy, orders to leaving endpoints, a restart that nobody
+// notices, and loads without the store.
+func TestControllerFollowsChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		expect := gomega.NewWithT(t).Expect
+		records := config.Records{
+			Endpoints: []config.Endpoint{declareEndpoint("e1", 100), declareEndpoint("e2", 100)},
+			Models:    []config.Model{declareModel("menus", "1", 60, 1)},
+		}
+		b := newBench(Weighted{}, records)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		ended := make(chan error, 1)
+		go func() { ended <- b.Run(ctx) }()
+		settle := func(want ...string) {
+			before := len(b.engines.sent())
+			time.Sleep(20 * time.Second)
+			expect(b.engines.sent()[before:]).To(gomega.Equal(append([]string{}, want...)))
+		}
+		settle("load menus@1 e1")
+		changed := records
+		changed.Models = []config.Model{declareModel("menus", "2", 60, 1)}
+		b.declare(changed)
+		settle("load menus@2 e2", "unload menus@1 e1")
+		b.leave("e2")
+		settle("load menus@2 e1")
+		b.engines.memories["e1"].Restart("e1-2")
+		settle("load menus@2 e1")
+		b.store.Faults.SetDown(true)
+		b.engines.memories["e1"].Restart("e1-3")
+		settle()
+		b.store.Faults.SetDown(false)
+		settle("load menus@2 e1")
+		cancel()
+		expect(<-ended).To(gomega.MatchError(context.Canceled))
+	})
+}
--- a/pkg/placement/grid.go
+++ b/pkg/placement/grid.go
@@ -31,10 +31,10 @@
 // slot is one endpoint.
 type slot struct {
 	EndpointState
-	// free is the unreserved memory of each accelerator; memory of planned unloads is not counted as free for other
-	// endpoints' sake only: steps of one endpoint run in order, so that a load may follow the unload that makes room.
+	// free is the unreserved memory of each accelerator. Memory of planned unloads counts as free, because the steps of
+	// one endpoint run in order: a load may follow the unload that makes room for it.
 	free []int64
-	held []copyOf
+	held []*copyOf
 }
 
 // copyOf is an artifact on a slot.
@@ -44,7 +44,6 @@
 	accelerators []int
 	bytes        int64
 	state        ledger.State
-	verb         engine.OrderVerb
 	// planned is true for a load of this plan; leaves is true when this plan unloads the copy.
 	planned bool
 	leaves  bool
@@ -53,12 +52,10 @@
 // serves tells whether the copy can answer calls now and stays.
 func (c *copyOf) serves() bool { return c.state == ledger.Loaded && !c.planned && !c.leaves }
 
-// counts tells whether the copy serves or is on its way.
+// counts tells whether the copy serves or is on its way. An unresolved load does not count, because on an engine that
+// ignores fencing numbers it can stay unresolved until the next restart.
 func (c *copyOf) counts() bool {
-	if c.leaves {
-		return false
-	}
-	return c.planned || c.state == ledger.Loaded || c.verb == engine.VerbLoad
+	return !c.leaves && (c.state == ledger.Loaded || c.state == ledger.Loading)
 }
 
 func newGrid(state State) *grid {
@@ -77,13 +74,12 @@
 func (g *grid) addSlot(endpoint EndpointState) {
 	s := &slot{EndpointState: endpoint, free: capacityOf(endpoint.Declaration)}
 	for _, held := range endpoint.Record.Reservations {
-		s.held = append(s.held, copyOf{
+		s.held = append(s.held, &copyOf{
 			artifact:     held.Artifact,
 			base:         g.baseOf(held),
 			accelerators: held.Accelerators,
 			bytes:        held.BytesPerAccelerator,
 			state:        held.State,
-			verb:         held.Verb,
 		})
 		s.take(held.Accelerators, held.BytesPerAccelerator)
 		g.addHolder(nameOf(held.Artifact), s)
@@ -120,11 +116,21 @@
 	}
 }
 
+// find returns the slot's copy of an artifact, or nil.
+func (s *slot) find(artifact engine.Artifact) *copyOf {
+	for _, c := range s.held {
+		if c.artifact == artifact {
+			return c
+		}
+	}
+	return nil
+}
+
 // any returns a copy of the named model or adapter in any version that satisfies the test, or nil.
 func (s *slot) any(n name, test func(*copyOf) bool) *copyOf {
-	for i := range s.held {
-		if nameOf(s.held[i].artifact) == n && test(&s.held[i]) {
-			return &s.held[i]
+	for _, c := range s.held {
+		if nameOf(c.artifact) == n && test(c) {
+			return c
 		}
 	}
 	return nil
@@ -175,18 +181,63 @@
 	step.Kind = StepLoad
 	g.steps = append(g.steps, step)
 	s.take(accelerators, bytesEach)
-	s.held = append(s.held, copyOf{
+	s.held = append(s.held, &copyOf{
 		artifact:     step.Artifact,
 		base:         step.Base,
 		accelerators: accelerators,
 		bytes:        bytesEach,
 		state:        ledger.Loading,
-		verb:         engine.VerbLoad,
 		planned:      true,
 	})
 	g.addHolder(nameOf(step.Artifact), s)
 }
 
+// unload plans an unload; the witness keeps a loaded copy.
+func (g *grid) unload(s *slot, c *copyOf, witness, reason string) {
+	g.steps = append(g.steps, Step{
+		Endpoint: s.Declaration.Name,
+		Kind:     StepUnload,
+		Artifact: c.artifact,
+		Witness:  witness,
+		Reason:   reason,
+	})
+	c.leaves = true
+	s.take(c.accelerators, -c.bytes)
+}
+
+// witness returns the endpoint that still serves the model or adapter after the copy on s is unloaded, and false for a
+// last copy. An empty name stands for another version on s itself.
+func (g *grid) witness(s *slot, c *copyOf) (string, bool) {
+	n := nameOf(c.artifact)
+	if s.any(n, func(other *copyOf) bool { return other.artifact != c.artifact && other.serves() }) != nil {
+		return "", true
+	}
+	for _, other := range g.holders[n] {
+		if other != s && other.usable() && other.any(n, (*copyOf).serves) != nil {
+			return other.Declaration.Name, true
+		}
+	}
+	return "", false
+}
+
+// adaptersOf returns the slot's adapters of a model that would lose their model when the copy is unloaded.
+func (s *slot) adaptersOf(c *copyOf) []*copyOf {
+	if c.artifact.Kind != engine.KindModel {
+		return nil
+	}
+	other := func(held *copyOf) bool { return held.artifact != c.artifact && held.serves() }
+	if s.any(nameOf(c.artifact), other) != nil {
+		return nil
+	}
+	var found []*copyOf
+	for _, held := range s.held {
+		if held.artifact.Kind == engine.KindAdapter && held.base == c.artifact.Name && !held.leaves {
+			found = append(found, held)
+		}
+	}
+	return found
+}
+
 func modelStep(m *config.Model, reason string) Step {
 	return Step{
 		Artifact:         ModelArtifact(m),
--- a/pkg/placement/plan.go
+++ b/pkg/placement/plan.go
@@ -47,6 +47,9 @@
 	Endpoints []EndpointState
 	// Demand holds moving averages by model or adapter id.
 	Demand map[string]Average
+	// Elsewhere counts the loaded copies of models in other data centres. When not all models fit, those without a copy
+	// elsewhere are placed first.
+	Elsewhere map[string]int
 }
 
 func sortEndpoints(endpoints []EndpointState) {
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -141,7 +141,7 @@
 // roomForAdapter returns the accelerators of a serving copy of the adapter's model, the adapter's bytes on each and the
 // free bytes on the fullest; zero free bytes when the adapter cannot be loaded.
 func (s *slot) roomForAdapter(a *config.Adapter) ([]int, int64, int64) {
-	if !s.usable() || s.any(name{kind: engine.KindAdapter, id: a.Name}, func(*copyOf) bool { return true }) != nil {
+	if !s.usable() || s.find(AdapterArtifact(a)) != nil {
 		return nil, 0, 0
 	}
 	base := s.any(name{kind: engine.KindModel, id: a.Model}, (*copyOf).serves)
--- /dev/null
+++ b/pkg/placement/planner_test.go
@@ -0,0 +1,250 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+)
+
+func TestPlacement(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "placement")
+}
+
+// written is a planner's input in short form.
+type written struct {
+	// endpoints are "name memory: artifact@version*bytes ...", with one accelerator each; "~" after the version stands for
+	// an order in flight, a leading "-" for a leaving and "?" for an unreachable endpoint, adapters are in parentheses.
+	endpoints []string
+	models    []config.Model
+	adapters  []config.Adapter
+	demand    map[string]Average
+	weights   config.Deployment
+}
+
+func (w written) state() State {
+	records := config.Records{Deployment: w.weights, Models: w.models, Adapters: w.adapters}
+	state := State{DataCentre: "kathmandu-a", Demand: w.demand}
+	for _, line := range w.endpoints {
+		head, held, _ := strings.Cut(line, ":")
+		var label string
+		var memory int64
+		_, _ = fmt.Sscan(head, &label, &memory)
+		e := declareEndpoint(strings.TrimLeft(label, "-?"), memory)
+		endpoint := EndpointState{Declaration: &e, Leaving: label[0] == '-', Unreachable: label[0] == '?'}
+		for _, word := range strings.Fields(held) {
+			endpoint.Record.Reservations = append(endpoint.Record.Reservations, parseHeld(word))
+		}
+		state.Endpoints = append(state.Endpoints, endpoint)
+	}
+	state.Snapshot = config.NewSnapshot(1, time.Time{}, records)
+	return state
+}
+
+func parseHeld(word string) ledger.Reservation {
+	r := ledger.Reservation{Accelerators: []int{0}, State: ledger.Loaded, Artifact: artifact(engine.KindModel, "", "")}
+	if strings.HasPrefix(word, "(") {
+		word = strings.Trim(word, "()")
+		r.Artifact.Kind = engine.KindAdapter
+		r.Base, _, _ = strings.Cut(word, "-")
+	}
+	named, size, _ := strings.Cut(word, "*")
+	_, _ = fmt.Sscan(size, &r.BytesPerAccelerator)
+	if strings.HasSuffix(named, "~") {
+		named, r.State = strings.TrimSuffix(named, "~"), ledger.Loading
+	}
+	r.Artifact.Name, r.Artifact.Version, _ = strings.Cut(named, "@")
+	return r
+}
+
+func shortSteps(plan Plan) []string {
+	steps := []string{}
+	for _, s := range plan.Steps {
+		short := fmt.Sprintf("%s %s@%s on %s", s.Kind, s.Artifact.Name, s.Artifact.Version, s.Endpoint)
+		if s.Kind == StepSetRole {
+			short = "set_role " + s.Role + " on " + s.Endpoint
+		}
+		if s.Witness != "" {
+			short += " while " + s.Witness
+		}
+		steps = append(steps, short)
+	}
+	return steps
+}
+
+func minimum(names ...config.Model) []config.Model { return names }
+
+var heavyMoves = config.Deployment{AttainmentWeight: 1, MoveWeight: 1e6}
+
+// The rates of a model whose one copy runs six of its six requests at once, and of tenfold that.
+var (
+	noisy = Average{FastRequests: 3.5, SlowRequests: 3, FastTokens: 210, SlowTokens: 180}
+	shift = Average{FastRequests: 30, SlowRequests: 3, FastTokens: 1800, SlowTokens: 180}
+)
+
+var _ = ginkgo.DescribeTable("Weighted plans",
+	func(w written, want []string, unplaced int) {
+		plan := Weighted{}.Plan(w.state())
+		gomega.Expect(shortSteps(plan)).To(gomega.Equal(want))
+		gomega.Expect(plan.Unplaced).To(gomega.HaveLen(unplaced))
+		gomega.Expect(Weighted{}.Plan(w.state())).To(gomega.Equal(plan), "deterministic")
+	},
+	ginkgo.Entry("the new version beside the old one", written{endpoints: []string{"e1 100: menus@1*45"},
+		models: minimum(declareModel("menus", "2", 50, 1))}, []string{"load menus@2 on e1"}, 0),
+	ginkgo.Entry("nothing while the new version loads", written{endpoints: []string{"e1 100: menus@1*45 menus@2~*50"},
+		models: minimum(declareModel("menus", "2", 50, 1))}, []string{}, 0),
+	ginkgo.Entry("to unload the old version when the new one serves", written{endpoints: []string{"e1 100: menus@1*45 menus@2*50"},
+		models: minimum(declareModel("menus", "2", 50, 1))}, []string{"unload menus@1 on e1"}, 0),
+	ginkgo.Entry("a version change through another endpoint", written{endpoints: []string{"e1 100: menus@1*60", "e2 100:"},
+		models: minimum(declareModel("menus", "2", 60, 1))}, []string{"load menus@2 on e2"}, 0),
+	ginkgo.Entry("to unload the old version while another endpoint serves", written{endpoints: []string{"e1 100: menus@1*60", "e2 100: menus@2*60"},
+		models: minimum(declareModel("menus", "2", 60, 1))}, []string{"unload menus@1 on e1 while e2"}, 0),
+	ginkgo.Entry("to keep an old version that nothing can replace", written{endpoints: []string{"e1 100: menus@1*60"},
+		models: minimum(declareModel("menus", "2", 60, 1))}, []string{}, 1),
+	ginkgo.Entry("a swap in place while the second copy serves", written{endpoints: []string{"e1 100: menus@1*60", "e2 100: menus@1*60"},
+		models: minimum(declareModel("menus", "2", 60, 2))}, []string{"unload menus@1 on e1 while e2", "load menus@2 on e1"}, 0),
+	ginkgo.Entry("a leaving endpoint's copy elsewhere", written{endpoints: []string{"-e1 100: menus@1*60", "e2 100:"},
+		models: minimum(declareModel("menus", "1", 60, 1))}, []string{"load menus@1 on e2"}, 0),
+	ginkgo.Entry("an unreachable endpoint's copy elsewhere", written{endpoints: []string{"?e1 100: menus@1*60", "e2 100:"},
+		models: minimum(declareModel("menus", "1", 60, 1))}, []string{"load menus@1 on e2"}, 0),
+	ginkgo.Entry("a waiting model in place of the least valuable spare copy", written{
+		endpoints: []string{"e1 100: menus@1*60 notes@1*40", "e2 100: notes@1*40 menus@1*60"},
+		models:    minimum(declareModel("menus", "1", 60, 1), declareModel("notes", "1", 40, 1), declareModel("orders", "1", 40, 1)),
+		demand:    map[string]Average{"menus": shift, "notes": {}, "orders": {Waiting: 3}},
+	}, []string{"unload notes@1 on e1 while e2", "load orders@1 on e1"}, 0),
+	ginkgo.Entry("a move that makes room", written{endpoints: []string{"e1 60: notes@1*40", "e2 40:"},
+		models: minimum(declareModel("notes", "1", 40, 1), declareModel("large", "1", 60, 1))}, []string{"load notes@1 on e2"}, 0),
+	ginkgo.Entry("the end of a move that makes room", written{endpoints: []string{"e1 60: notes@1*40", "e2 40: notes@1*40"},
+		models: minimum(declareModel("notes", "1", 40, 1), declareModel("large", "1", 60, 1))},
+		[]string{"unload notes@1 on e1 while e2", "load large@1 on e1"}, 0),
+	ginkgo.Entry("never to unload a last copy", written{endpoints: []string{"e1 60: notes@1*40"},
+		models: minimum(declareModel("notes", "1", 40, 1), declareModel("large", "1", 60, 1)),
+		demand: map[string]Average{"large": {Waiting: 9}}}, []string{}, 1),
+	ginkgo.Entry("never to unload the model of an adapter's last copy", written{
+		endpoints: []string{"e1 60: menus@1*40 (menus-ilam@1*5)", "e2 60: menus@1*40 notes@1*20"},
+		models:    minimum(declareModel("menus", "1", 40, 1), declareModel("notes", "1", 20, 1), declareModel("orders", "1", 40, 1)),
+		adapters:  []config.Adapter{declareAdapter("menus-ilam", "menus", 5)},
+	}, []string{"unload menus@1 on e2 while e1", "load orders@1 on e2"}, 0),
+	ginkgo.Entry("an adapter where its model serves", written{endpoints: []string{"e1 60: notes@1*40", "e2 60: menus@1*40"},
+		models:   minimum(declareModel("menus", "1", 40, 1), declareModel("notes", "1", 40, 1)),
+		adapters: []config.Adapter{declareAdapter("menus-ilam", "menus", 5)}}, []string{"load menus-ilam@1 on e2"}, 0),
+	ginkgo.Entry("to unload what is no longer declared, adapters first", written{endpoints: []string{"e1 60: menus@1*40 (menus-ilam@1*5)"}},
+		[]string{"unload menus-ilam@1 on e1", "unload menus@1 on e1"}, 0),
+	ginkgo.Entry("copies for a shift of demand", written{endpoints: []string{"e1 60: menus@1*40", "e2 60:", "e3 60:"},
+		models: minimum(declareModel("menus", "1", 40, 1)), demand: map[string]Average{"menus": shift}},
+		[]string{"load menus@1 on e2", "load menus@1 on e3"}, 0),
+	ginkgo.Entry("nothing for noise", written{endpoints: []string{"e1 60: menus@1*40", "e2 60:"},
+		models: minimum(declareModel("menus", "1", 40, 1)), demand: map[string]Average{"menus": noisy}}, []string{}, 0),
+	ginkgo.Entry("nothing for a shift when moves weigh more", written{endpoints: []string{"e1 60: menus@1*40", "e2 60:"}, weights: heavyMoves,
+		models: minimum(declareModel("menus", "1", 40, 1)), demand: map[string]Average{"menus": shift}}, []string{}, 0),
+	ginkgo.Entry("no unload of idle copies that nothing else needs", written{endpoints: []string{"e1 60: menus@1*40", "e2 60: menus@1*40"},
+		models: minimum(declareModel("menus", "1", 40, 1))}, []string{}, 0),
+)
+
+// applyPlan carries steps out at once on a copy of the state; a step that breaks a rule is an error.
+func applyPlan(state State, plan Plan) (State, error) {
+	next := state
+	next.Endpoints = nil
+	for _, e := range state.Endpoints {
+		e.Record = e.Record.Clone()
+		next.Endpoints = append(next.Endpoints, e)
+	}
+	for _, step := range plan.Steps {
+		at := slices.IndexFunc(next.Endpoints, func(e EndpointState) bool { return e.Declaration.Name == step.Endpoint })
+		if err := applyStep(next, &next.Endpoints[at], step); err != nil {
+			return next, fmt.Errorf("%s: %w", step, err)
+		}
+	}
+	return next, nil
+}
+
+func applyStep(state State, e *EndpointState, step Step) error {
+	if !e.usable() {
+		return fmt.Errorf("order for an endpoint that is leaving or unreachable")
+	}
+	if step.Kind == StepUnload {
+		held := len(e.Record.Reservations)
+		e.Record.Reservations = slices.DeleteFunc(e.Record.Reservations, func(r ledger.Reservation) bool { return r.Artifact == step.Artifact })
+		if held == len(e.Record.Reservations) || !step.Withdrawn && newGrid(state).count(nameOf(step.Artifact), (*copyOf).counts) == 0 {
+			return fmt.Errorf("last copy, or not loaded")
+		}
+		return nil
+	}
+	s := newGrid(State{Snapshot: state.Snapshot, Endpoints: []EndpointState{*e}}).slots[0]
+	count := max(step.AcceleratorCount, 1)
+	each := ledger.SplitBytes(step.Bytes, count)
+	accelerators := s.pickAccelerators(count, each)
+	if accelerators == nil {
+		return fmt.Errorf("does not fit")
+	}
+	e.Record.Reservations = append(e.Record.Reservations, ledger.Reservation{
+		Artifact: step.Artifact, Base: step.Base, Accelerators: accelerators, BytesPerAccelerator: each, State: ledger.Loaded,
+	})
+	return nil
+}
+
+// Guards against plans that overcommit, that unload a last copy, that order leaving endpoints, and against plans that
+// change back and forth while the demand stays the same.
+func TestPlansKeepTheRulesAndComeToRest(t *testing.T) {
+	// A plan takes far less time than a simulated interleaving, so that more states are tried.
+	simulated := flag.Lookup("rapid.checks").Value.String()
+	gomega.NewWithT(t).Expect(flag.Set("rapid.checks", "5000")).To(gomega.Succeed())
+	defer func() { _ = flag.Set("rapid.checks", simulated) }()
+	rapid.Check(t, func(t *rapid.T) {
+		state := drawState(t)
+		var history []string
+		for round := 0; ; round++ {
+			plan := Weighted{}.Plan(state)
+			if len(plan.Steps) == 0 {
+				return
+			}
+			if round == 60 {
+				t.Fatalf("still moving: %s", strings.Join(history, "\n"))
+			}
+			history = append(history, fmt.Sprint(plan.Steps))
+			next, err := applyPlan(state, plan)
+			if err != nil {
+				t.Fatal(err)
+			}
+			state = next
+		}
+	})
+}
+
+func drawState(t *rapid.T) State {
+	w := written{weights: config.Deployment{AttainmentWeight: 1, MoveWeight: rapid.Float64Range(0, 100).Draw(t, "move weight")}}
+	w.weights.ConcurrentModelLoads = rapid.IntRange(0, 4).Draw(t, "load limit")
+	w.demand = make(map[string]Average)
+	for i := range rapid.IntRange(1, 8).Draw(t, "models") {
+		name := fmt.Sprintf("m%d", i)
+		version := rapid.SampledFrom([]string{"1", "2"}).Draw(t, "version")
+		w.models = append(w.models, declareModel(name, version, rapid.Int64Range(10, 60).Draw(t, "bytes"), rapid.IntRange(0, 2).Draw(t, "minimum")))
+		rate := rapid.Float64Range(0, 20).Draw(t, "rate")
+		w.demand[name] = Average{FastRequests: rate, SlowRequests: rate, FastTokens: 60 * rate, SlowTokens: 60 * rate, Waiting: rapid.IntRange(0, 2).Draw(t, "waiting")}
+		if rapid.Bool().Draw(t, "has adapter") {
+			w.adapters = append(w.adapters, declareAdapter(name+"-a", name, 2))
+		}
+	}
+	for i := range rapid.IntRange(1, 6).Draw(t, "endpoints") {
+		w.endpoints = append(w.endpoints, fmt.Sprintf("%se%d %d:", rapid.SampledFrom([]string{"", "", "", "-", "?"}).Draw(t, "status"), i, rapid.IntRange(40, 130).Draw(t, "memory")))
+	}
+	state := w.state()
+	for i := range state.Endpoints {
+		m := rapid.SampledFrom(w.models).Draw(t, "loaded")
+		if m.WeightBytes <= state.Endpoints[i].Declaration.Accelerators[0].MemoryBytes {
+			state.Endpoints[i].Record.Reservations = []ledger.Reservation{parseHeld(fmt.Sprintf("%s@1*%d", m.Name, m.WeightBytes))}
+		}
+	}
+	return state
+}
