Measure the planner and keep its time within the control budget

Planning is held to a fiftieth of a core. Adapters follow their own demand, which also counts for their model. A step that waited for pacing is dropped when the latest plan no longer has it. Endpoints with an unreadable ledger record get no orders and their copies do not count.

--- /dev/null
+++ b/pkg/placement/bench_test.go
@@ -0,0 +1,140 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+)
+
+// fleet is a data centre with room for about five copies on each endpoint of two accelerators.
+func fleet(models, endpoints int, weights config.Deployment) State {
+	records := config.Records{Deployment: weights}
+	state := State{DataCentre: "kathmandu-a", Demand: make(map[string]Average)}
+	for i := range models {
+		m := declareModel(fmt.Sprintf("m%04d", i), "1", int64(8+i%25), 1)
+		m.MaxCopies = 8
+		records.Models = append(records.Models, m)
+	}
+	for i := range endpoints {
+		e := declareEndpoint(fmt.Sprintf("e%04d", i), 50, 50)
+		e.MaxConcurrentRequests = 64
+		state.Endpoints = append(state.Endpoints, EndpointState{Declaration: &e})
+	}
+	state.Snapshot = config.NewSnapshot(1, time.Time{}, records)
+	return state
+}
+
+// ratesAt is a seeded trace: each model has a base rate with noise, and shifts tenfold up and down at its own times.
+func ratesAt(random *rand.Rand, models, second int, shifts bool) []Demand {
+	rates := make([]Demand, models)
+	for i := range rates {
+		base := 0.5 + 4*float64(i*7919%100)/100
+		if shifts && (second+i*37)/600%6 == 0 {
+			base *= 10
+		}
+		arrivals := math.Max(0, base+math.Sqrt(base)*random.NormFloat64())
+		rates[i] = Demand{Model: fmt.Sprintf("m%04d", i), RequestsPerSecond: arrivals, TokensPerSecond: 60 * arrivals}
+	}
+	return rates
+}
+
+// BenchmarkPlan gives the planning time of a data centre that is in use, for the capacity page.
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ models, endpoints int }{{17, 10}, {170, 40}, {425, 100}, {850, 195}, {1700, 390}} {
+		b.Run(fmt.Sprintf("models=%d/endpoints=%d", size.models, size.endpoints), func(b *testing.B) {
+			state := inUse(b, size.models, size.endpoints)
+			b.ReportAllocs()
+			for b.Loop() {
+				Weighted{}.Plan(state)
+			}
+		})
+	}
+}
+
+// BenchmarkPlanEmpty gives the planning time of a data centre that holds nothing, the longest plan.
+func BenchmarkPlanEmpty(b *testing.B) {
+	state := fleet(1700, 390, config.Deployment{})
+	for b.Loop() {
+		Weighted{}.Plan(state)
+	}
+}
+
+func inUse(b *testing.B, models, endpoints int) State {
+	state := fleet(models, endpoints, config.Deployment{AttainmentWeight: 1, MoveWeight: 1, ConcurrentModelLoads: 12})
+	averages := NewAverages()
+	random := rand.New(rand.NewPCG(1, 1))
+	for second := range 200 {
+		averages.Observe(time.Second, ratesAt(random, models, second, true))
+		state.Demand = averages.Snapshot()
+		state = mustApply(b, state, Weighted{}.Plan(state))
+	}
+	return state
+}
+
+func mustApply(b *testing.B, state State, plan Plan) State {
+	next, err := applyPlan(state, plan)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return next
+}
+
+// BenchmarkMoves compares the planners on one trace of an hour: steps sent and requests answered in time, as ratios to
+// those of the baselines. Loads take effect at once for all of them.
+func BenchmarkMoves(b *testing.B) {
+	for _, c := range []struct {
+		attainment, move float64
+		shifts           bool
+		endpoints        int
+	}{{4, 1, true, 24}, {1, 100, true, 24}, {1, 1000, true, 24}, {1, 4000, true, 24}, {1, 1, false, 24}, {4, 1, true, 15}, {1, 100, true, 15}} {
+		weights := config.Deployment{AttainmentWeight: c.attainment, MoveWeight: c.move, ConcurrentModelLoads: 12}
+		b.Run(fmt.Sprintf("attainment=%g/move=%g/shifts=%t/endpoints=%d", c.attainment, c.move, c.shifts, c.endpoints), func(b *testing.B) {
+			for b.Loop() {
+				reactive := runTrace(b, Reactive{}, weights, c.shifts, c.endpoints)
+				static := runTrace(b, Static{}, weights, c.shifts, c.endpoints)
+				weighted := runTrace(b, Weighted{}, weights, c.shifts, c.endpoints)
+				b.ReportMetric(weighted.moves/reactive.moves, "moves/reactive")
+				b.ReportMetric(weighted.attained/reactive.attained, "attained/reactive")
+				b.ReportMetric(weighted.moves/static.moves, "moves/static")
+				b.ReportMetric(weighted.attained/static.attained, "attained/static")
+				b.ReportMetric(weighted.moves, "moves")
+			}
+		})
+	}
+}
+
+type outcome struct{ moves, attained float64 }
+
+func runTrace(b *testing.B, planner Planner, weights config.Deployment, shifts bool, endpoints int) outcome {
+	const models, seconds = 60, 3600
+	state := fleet(models, endpoints, weights)
+	averages := NewAverages()
+	random := rand.New(rand.NewPCG(7, 7))
+	var total outcome
+	for second := range seconds {
+		rates := ratesAt(random, models, second, shifts)
+		averages.Observe(time.Second, rates)
+		state.Demand = averages.Snapshot()
+		plan := planner.Plan(state)
+		state = mustApply(b, state, plan)
+		total.moves += float64(len(plan.Steps))
+		total.attained += attained(state, rates)
+	}
+	return total
+}
+
+// attained sums the requests of one second that the loaded copies answer in time.
+func attained(state State, rates []Demand) float64 {
+	g := newGrid(state)
+	sum := 0.0
+	for _, rate := range rates {
+		m := state.Snapshot.Model(rate.Model)
+		copies := g.count(nameOf(ModelArtifact(m)), (*copyOf).serves)
+		sum += loadOf(rate.RequestsPerSecond, rate.TokensPerSecond, m).served(copies, perCopy(m, g.byService[m.Service]))
+	}
+	return sum
+}
--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,6 +27,8 @@
 	DefaultOrderTimeout = 2 * time.Minute
 	// verifyInterval keeps the reports of 390 endpoints at 78 per second.
 	verifyInterval = 5 * time.Second
+	// maxPlanShare bounds planning to one fiftieth of a core, within the 3.6% that an instance may use for control.
+	maxPlanShare = 50
 	// guardInterval is how often a lost lease is noticed while orders run.
 	guardInterval = 200 * time.Millisecond
 	// refreshInterval is how often the records of other shards are read.
@@ -70,17 +74,20 @@
 
 	mu      sync.Mutex
 	workers map[string]*runner
-	// others holds the last read records of the data centre's other shards.
-	others   map[string]ledger.Record
-	unplaced []Unplaced
+	// read holds the records of the data centre as they were last read; own workers' records can be newer.
+	read map[string]ledger.Record
+	// unreadable holds the endpoints whose record a newer build wrote; they get no orders and their copies do not count.
+	unreadable map[string]error
+	unplaced   []Unplaced
 }
 
 // runner is a worker with its mailbox. The worker outlives a lost lease, because it keeps outcomes of its own orders.
 type runner struct {
 	worker *worker
 	// plan holds the latest work; a newer one replaces an older one that was not started.
-	plan chan work
-	stop context.CancelFunc
+	plan   chan work
+	latest atomic.Pointer[work]
+	stop   context.CancelFunc
 }
 
 type work struct {
@@ -100,7 +107,6 @@
 		Options:  options,
 		averages: NewAverages(),
 		workers:  make(map[string]*runner),
-		others:   make(map[string]ledger.Record),
 	}
 }
 
@@ -119,7 +125,7 @@
 	defer wg.Wait()
 	defer cancel()
 	wg.Go(func() { c.cancelWithoutLease(ctx, cancel) })
-	planned, refreshed := time.Time{}, time.Time{}
+	planned, refreshed, pause := time.Time{}, time.Time{}, time.Duration(0)
 	ticker := time.NewTicker(c.PlanInterval)
 	defer ticker.Stop()
 	for {
@@ -130,9 +136,10 @@
 		if now.Sub(refreshed) >= refreshInterval && c.refresh(ctx) == nil {
 			refreshed = now
 		}
-		if !refreshed.IsZero() {
+		if !refreshed.IsZero() && now.Sub(planned) >= pause {
 			c.plan(ctx, &wg, now, planned)
 			planned = now
+			pause = maxPlanShare * time.Since(now)
 		}
 		select {
 		case <-ctx.Done():
@@ -178,9 +185,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.others = make(map[string]ledger.Record, len(records))
+	c.unreadable = unreadable
+	c.read = make(map[string]ledger.Record, len(records))
 	for _, record := range records {
-		c.others[record.Endpoint.Name] = record
+		c.read[record.Endpoint.Name] = record
 	}
 	return nil
 }
@@ -194,7 +202,7 @@
 	if !planned.IsZero() {
 		elapsed = now.Sub(planned)
 	}
-	c.averages.Observe(elapsed, c.Demand())
+	c.averages.Observe(elapsed, withAdapters(snapshot, c.Demand()))
 	state := c.state(snapshot)
 	plan := c.Planner.Plan(state)
 	c.report(plan)
@@ -245,11 +253,16 @@
 	endpoint := EndpointState{
 		Declaration: declared,
 		Leaving:     status.Leaving || declared.Leaving,
-		Unreachable: status.Unreachable,
-		Record:      c.others[declared.Name],
+		Unreachable: status.Unreachable || c.unreadable[declared.Name] != nil,
+		Record:      c.read[declared.Name],
 	}
-	if r := c.workers[declared.Name]; r != nil {
-		endpoint.Record = r.worker.Record()
+	r := c.workers[declared.Name]
+	if r == nil {
+		return endpoint
+	}
+	// A worker that was stopped or lost the lease can have an older record than the last read one.
+	if own := r.worker.Record(); own.Revision >= endpoint.Record.Revision {
+		endpoint.Record = own
 		endpoint.Role = r.worker.Role()
 	}
 	return endpoint
@@ -282,6 +295,7 @@
 	if r == nil {
 		id := ledger.Endpoint{DataCentre: c.DataCentre, Name: name}
 		r = &runner{worker: newWorker(c.tools(), id, endpoint.Record)}
+		r.worker.wanted = r.wanted
 		c.workers[name] = r
 	}
 	if r.stop == nil {
@@ -324,14 +338,22 @@
 	}
 	c.Scope.Counter("placement_round_errors").Inc(1)
 	level := c.Log.Warn
-	if errors.Is(err, ledger.ErrReportTooOld) || errors.Is(err, kvstore.ErrUnavailable) {
+	if errors.IsAny(err, ledger.ErrReportTooOld, kvstore.ErrUnavailable, errSuperseded) {
 		level = c.Log.Debug
 	}
 	level("placement round ended early", zap.String("endpoint", next.declared.Name), zap.Error(err))
 }
 
+// wanted tells whether the latest plan still has the step.
+func (r *runner) wanted(step Step) bool {
+	return slices.ContainsFunc(r.latest.Load().steps, func(planned Step) bool {
+		return planned.Kind == step.Kind && planned.Artifact == step.Artifact
+	})
+}
+
 // post replaces work that was not started.
 func (r *runner) post(next work) {
+	r.latest.Store(&next)
 	select {
 	case <-r.plan:
 	default:
--- a/pkg/placement/demand.go
+++ b/pkg/placement/demand.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
 )
 
 const (
@@ -19,6 +21,34 @@
 	Waiting                    int
 }
 
+// withAdapters adds the demand for adapters to that for their models, whose copies answer the calls.
+func withAdapters(snapshot *config.Snapshot, rates []Demand) []Demand {
+	total := make(map[string]Demand, len(rates))
+	var order []string
+	add := func(model string, rate Demand) {
+		sum, known := total[model]
+		if !known {
+			order = append(order, model)
+		}
+		sum.Model = model
+		sum.RequestsPerSecond += rate.RequestsPerSecond
+		sum.TokensPerSecond += rate.TokensPerSecond
+		sum.Waiting += rate.Waiting
+		total[model] = sum
+	}
+	for _, rate := range rates {
+		add(rate.Model, rate)
+		if a := snapshot.Adapter(rate.Model); a != nil {
+			add(a.Model, rate)
+		}
+	}
+	summed := make([]Demand, 0, len(order))
+	for _, model := range order {
+		summed = append(summed, total[model])
+	}
+	return summed
+}
+
 // Averages turns rates observed at intervals into moving averages. It is not safe for concurrent use.
 type Averages struct {
 	byModel map[string]Average
--- a/pkg/placement/grid.go
+++ b/pkg/placement/grid.go
@@ -25,7 +25,9 @@
 	byService map[string][]*slot
 	holders   map[name][]*slot
 	steps     []Step
-	unplaced  []Unplaced
+	// unloads counts planned unloads, the only steps that change which copies can be spared.
+	unloads  int
+	unplaced []Unplaced
 }
 
 // slot is one endpoint.
@@ -201,6 +203,7 @@
 		Witness:  witness,
 		Reason:   reason,
 	})
+	g.unloads++
 	c.leaves = true
 	s.take(c.accelerators, -c.bytes)
 }
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -3,6 +3,8 @@
 import (
 	"flag"
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -139,6 +141,9 @@
 	ginkgo.Entry("an adapter where its model serves", written{endpoints: []string{"e1 60: notes@1*40", "e2 60: menus@1*40"},
 		models:   minimum(declareModel("menus", "1", 40, 1), declareModel("notes", "1", 40, 1)),
 		adapters: []config.Adapter{declareAdapter("menus-ilam", "menus", 5)}}, []string{"load menus-ilam@1 on e2"}, 0),
+	ginkgo.Entry("a second copy of a busy adapter", written{endpoints: []string{"e1 60: menus@1*40 (menus-ilam@1*5)", "e2 60: menus@1*40"},
+		models: minimum(declareModel("menus", "1", 40, 1)), adapters: []config.Adapter{declareAdapter("menus-ilam", "menus", 5)},
+		demand: map[string]Average{"menus-ilam": shift}}, []string{"load menus-ilam@1 on e2"}, 0),
 	ginkgo.Entry("to unload what is no longer declared, adapters first", written{endpoints: []string{"e1 60: menus@1*40 (menus-ilam@1*5)"}},
 		[]string{"unload menus-ilam@1 on e1", "unload menus@1 on e1"}, 0),
 	ginkgo.Entry("copies for a shift of demand", written{endpoints: []string{"e1 60: menus@1*40", "e2 60:", "e3 60:"},
@@ -234,6 +239,7 @@
 		w.demand[name] = Average{FastRequests: rate, SlowRequests: rate, FastTokens: 60 * rate, SlowTokens: 60 * rate, Waiting: rapid.IntRange(0, 2).Draw(t, "waiting")}
 		if rapid.Bool().Draw(t, "has adapter") {
 			w.adapters = append(w.adapters, declareAdapter(name+"-a", name, 2))
+			w.demand[name+"-a"] = w.demand[name]
 		}
 	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "endpoints") {
@@ -248,3 +254,25 @@
 	}
 	return state
 }
+
+// Guards against a shift that takes minutes to be seen, and against moves for noise.
+func TestShiftsActWithinSecondsAndNoiseDoesNot(t *testing.T) {
+	expect := gomega.NewWithT(t).Expect
+	random := rand.New(rand.NewPCG(3, 3))
+	averages := NewAverages()
+	state := written{endpoints: []string{"e1 60: menus@1*40", "e2 60:", "e3 60:"}, models: minimum(declareModel("menus", "1", 40, 1))}.state()
+	observe := func(mean float64) []string {
+		rate := math.Max(0, mean+math.Sqrt(mean)*random.NormFloat64())
+		averages.Observe(time.Second, []Demand{{Model: "menus", RequestsPerSecond: rate, TokensPerSecond: 60 * rate}})
+		state.Demand = averages.Snapshot()
+		return shortSteps(Weighted{}.Plan(state))
+	}
+	for range 3600 {
+		expect(observe(2)).To(gomega.BeEmpty())
+	}
+	seconds := 1
+	for len(observe(20)) == 0 {
+		seconds++
+	}
+	expect(seconds).To(gomega.BeNumerically("<=", 3))
+}
--- a/pkg/placement/room.go
+++ b/pkg/placement/room.go
@@ -32,9 +32,29 @@
 	witness string
 }
 
+type spareKey struct {
+	slot *slot
+	keep int
+}
+
+type spareCopies struct {
+	unloads int
+	victims []victim
+}
+
 // victims returns the slot's copies that can be unloaded, cheapest first. A model keeps at least the given number of
-// copies; respectMinimum stands for its declared minimum.
+// copies; respectMinimum stands for its declared minimum. Callers do not modify the result.
 func (p *planning) victims(s *slot, keep int) []victim {
+	key := spareKey{slot: s, keep: keep}
+	if known, ok := p.spare[key]; ok && known.unloads == p.unloads {
+		return known.victims
+	}
+	found := p.findVictims(s, keep)
+	p.spare[key] = spareCopies{unloads: p.unloads, victims: found}
+	return found
+}
+
+func (p *planning) findVictims(s *slot, keep int) []victim {
 	var found []victim
 	for _, c := range s.held {
 		if c.artifact.Kind != engine.KindModel || !c.serves() {
--- a/pkg/placement/versions.go
+++ b/pkg/placement/versions.go
@@ -138,12 +138,14 @@
 	return false
 }
 
-// placeAdapter keeps one copy of the adapter's declared version, and removes old versions once it serves.
+// placeAdapter keeps one copy of the adapter's declared version, and removes old versions once it serves. More copies
+// follow the demand.
 func (p *planning) placeAdapter(a *config.Adapter) {
 	artifact := AdapterArtifact(a)
 	n := nameOf(artifact)
 	if p.count(n, func(c *copyOf) bool { return c.artifact == artifact && c.serves() }) > 0 {
 		p.retireOldAdapters(artifact)
+		p.followAdapterDemand(a)
 		return
 	}
 	if p.count(n, func(c *copyOf) bool { return c.artifact == artifact && c.counts() }) > 0 || p.adapterLoads <= 0 {
@@ -160,6 +162,21 @@
 	p.adapterLoads--
 }
 
+// followAdapterDemand loads the adapter on more of its model's copies by the same rule as copies of models.
+func (p *planning) followAdapterDemand(a *config.Adapter) {
+	m := p.state.Snapshot.Model(a.Model)
+	if m == nil || p.adapterLoads <= 0 {
+		return
+	}
+	copies := p.count(nameOf(AdapterArtifact(a)), (*copyOf).counts)
+	if p.worthAnother(expected(p.state.Demand[a.Name], m), copies, m) <= 0 {
+		return
+	}
+	if p.loadAdapterAnywhere(a, "requests answered in time outweigh the moves") {
+		p.adapterLoads--
+	}
+}
+
 func (p *planning) retireOldAdapters(artifact engine.Artifact) {
 	n := nameOf(artifact)
 	for _, s := range p.holders[n] {
--- a/pkg/placement/weighted.go
+++ b/pkg/placement/weighted.go
@@ -29,6 +29,8 @@
 	loads, adapterLoads int
 	// relocating is true while a copy is being moved to make room; another move waits for its result.
 	relocating bool
+	// spare caches the victims of a slot until the next planned unload.
+	spare map[spareKey]spareCopies
 }
 
 // Plan implements Planner.
@@ -65,6 +67,7 @@
 		prices:   pricesOf(state.Snapshot.Deployment()),
 		models:   modelsBySize(state.Snapshot),
 		adapters: adaptersByName(state.Snapshot),
+		spare:    make(map[spareKey]spareCopies),
 	}
 	p.sortByNeedHere()
 	deployment := state.Snapshot.Deployment()
@@ -257,22 +260,30 @@
 // followDemand loads a copy when the requests that it lets answer in time are worth more than the moves.
 func (p *planning) followDemand(m *config.Model) {
 	n := name{kind: engine.KindModel, id: m.Name}
-	each := perCopy(m, p.byService[m.Service])
 	demand := expected(p.state.Demand[m.Name], m)
 	copies := p.count(n, (*copyOf).counts)
 	for copies < m.MaxCopies && p.loads > 0 && copies > 0 {
-		worth := p.prices.worth(demand.gain(copies+1, each))
-		if demand.concurrency < growthMargin*float64(copies)*each || worth <= p.prices.move {
+		surplus := p.worthAnother(demand, copies, m)
+		if surplus <= 0 {
 			return
 		}
 		const reason = "requests answered in time outweigh the moves"
-		if !p.tryLoad(m, reason) && !p.replace(m, reason, respectMinimum, (worth-p.prices.move)/evictionMargin) {
+		if !p.tryLoad(m, reason) && !p.replace(m, reason, respectMinimum, surplus/evictionMargin) {
 			return
 		}
 		copies++
 	}
 }
 
+// worthAnother is by how much one more copy is worth more than its load; zero or less when it is not.
+func (p *planning) worthAnother(demand load, copies int, m *config.Model) float64 {
+	each := perCopy(m, p.byService[m.Service])
+	if demand.concurrency < growthMargin*float64(copies)*each {
+		return 0
+	}
+	return p.prices.worth(demand.gain(copies+1, each)) - p.prices.move
+}
+
 // byGain orders the models with demand by the worth of one more copy.
 func (p *planning) byGain() []*config.Model {
 	type candidate struct {
--- a/pkg/placement/worker.go
+++ b/pkg/placement/worker.go
@@ -24,6 +24,10 @@
 // errUnresolved means that an order's outcome is unknown; the endpoint's remaining steps are dropped.
 var errUnresolved = errors.New("order outcome unknown")
 
+// errSuperseded means that the latest plan no longer has the step, for example because another endpoint has loaded the
+// model while this one waited.
+var errSuperseded = errors.New("step is no longer planned")
+
 // tools are the dependencies of the workers.
 type tools struct {
 	ledger       *ledger.Ledger
@@ -45,6 +49,8 @@
 type worker struct {
 	tools
 	endpoint ledger.Endpoint
+	// wanted tells whether the latest plan still has a step that waited for pacing; nil means that it has.
+	wanted func(Step) bool
 
 	session engine.OrderSession
 	fence   ledger.FenceOrder
@@ -119,6 +125,7 @@
 	ledger.ErrLastCopy,
 	ledger.ErrBaseNotLoaded,
 	engine.ErrOrderRejected,
+	errSuperseded,
 	kvstore.ErrUnavailable,
 }
 
@@ -251,6 +258,9 @@
 		return err
 	}
 	defer release()
+	if w.wanted != nil && !w.wanted(step) {
+		return errSuperseded
+	}
 	order, err := w.reserve(ctx, declared, step)
 	if err != nil {
 		w.decide(step, order, "refused", err)
