--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -157,6 +158,24 @@
 		gomega.Expect(err).To(gomega.MatchError(ErrStaleSession))
 	})
 
+	// Guards against an older report that arrives after the one which showed a late order.
+	ginkgo.It("of a late order outlives an older report", func() {
+		f := newFixture()
+		_, _, err := f.ledger.Reserve(ctx, f.guard, here, loadOf(menus, 1, 40))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		fenced, err := f.ledger.Fence(ctx, f.guard, here, "f2", []int64{100, 50})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		arrived := observation(fenced, loadedOn(menus, 40, 1))
+		arrived.LastFencingNumber = fenced.Fence.FencingNumber
+		older := arrived
+		older.Report.Artifacts = nil
+		arrived.Report.LastOrders = []string{"f2", "o1"}
+		record, err := f.ledger.Reconcile(ctx, f.guard, fenced, arrived)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = f.ledger.Reconcile(ctx, f.guard, record, older)
+		gomega.Expect(err).To(gomega.MatchError(ErrFenceNeeded))
+	})
+
 	// Guards against a store read for every report.
 	ginkgo.It("that a report confirms costs no store call", func() {
 		f := newFixture(loadedOn(menus, 40, 0))
@@ -190,3 +209,33 @@
 		gomega.Expect(err).To(gomega.MatchError(ErrSchemaTooNew))
 	})
 })
+
+// BenchmarkOrder gives the store traffic of one order, reserved and resolved, against the artifacts on an endpoint.
+func BenchmarkOrder(b *testing.B) {
+	gomega.RegisterTestingT(b)
+	ctx := context.Background()
+	for _, artifacts := range []int{4, 16, 64} {
+		b.Run(fmt.Sprintf("artifacts=%d", artifacts), func(b *testing.B) {
+			var held []engine.LoadedArtifact
+			for i := range artifacts {
+				held = append(held, loadedOn(engine.Artifact{Kind: engine.KindAdapter, Name: fmt.Sprintf("adapter-%d", i), Version: "1"}, 1, 0))
+			}
+			f := newFixture(held...)
+			reads, writes := f.store.Faults.Count(kv.CallGet), f.store.Faults.Count(kv.CallCommit)
+			orders := 0
+			for b.Loop() {
+				orders++
+				request := edited(loadOf(menus, 1, 10), func(r *Request) { r.OrderID = fmt.Sprint(orders) })
+				_, _, err := f.ledger.Reserve(ctx, f.guard, here, request)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = f.ledger.Resolve(ctx, f.guard, here, request.OrderID, NotRun)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			kv, _, _, err := f.store.Get(ctx, "t/ledger/kathmandu-a/e1")
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			b.ReportMetric(float64(len(kv.Value)), "record-bytes")
+			b.ReportMetric(float64(f.store.Faults.Count("get")-reads)/float64(orders), "reads/order")
+			b.ReportMetric(float64(f.store.Faults.Count("commit")-writes)/float64(orders), "writes/order")
+		})
+	}
+}
--- a/pkg/placement/controller_test.go
+++ b/pkg/placement/controller_test.go
@@ -210,6 +210,28 @@
 	})
 }
 
+type blockedPacer struct{}
+
+func (blockedPacer) Acquire(ctx context.Context) (func(), error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a holder that goes on waiting for the weight store after the lease was lost.
+func TestControllerStopsWaitingWhenTheLeaseIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(Static{}, config.Records{
+			Endpoints: []config.Endpoint{declareEndpoint("e1", 100)}, Models: []config.Model{declareModel("menus", "1", 60, 1)},
+		})
+		b.ModelPacer = blockedPacer{}
+		time.AfterFunc(10*time.Second, func() { b.guard.set(false) })
+		began := time.Now()
+		gomega.NewWithT(t).Expect(b.Run(context.Background())).To(gomega.MatchError(ledger.ErrLeaseNotHeld))
+		gomega.NewWithT(t).Expect(time.Since(began)).To(gomega.BeNumerically("<=", 11*time.Second))
+		gomega.NewWithT(t).Expect(b.engines.sent()).To(gomega.BeEmpty())
+	})
+}
+
 // Guards against a version change that leaves a model without a copy, orders to leaving endpoints, a restart that nobody
 // notices, and loads without the store.
 func TestControllerFollowsChanges(t *testing.T) {
@@ -243,6 +265,10 @@
 		settle()
 		b.store.Faults.SetDown(false)
 		settle("load menus@2 e1")
+		changed.Endpoints = slices.Clone(records.Endpoints)
+		changed.Endpoints[0].Role = "prefill"
+		b.declare(changed)
+		settle("set_role @ e1")
 		cancel()
 		expect(<-ended).To(gomega.MatchError(context.Canceled))
 	})
