--- /dev/null
+++ b/pkg/httpconn/conn.go
@@ -0,0 +1,263 @@
+// Package httpconn sends HTTP/1.1 requests on connections that it dials itself. It uses fasthttp's message codec but not
+// its client: that client repeats some requests on its own after a broken connection and does not tell whether a byte
+// of the request was written. Here a request is written at most once, and each error says whether it may have left.
+package httpconn
+
+import (
+	"bufio"
+	"context"
+	"crypto/tls"
+	"io"
+	"net"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+)
+
+// readBufferBytes also bounds the size of a response header.
+const readBufferBytes = 16 << 10
+
+// contentLengthIdentity is fasthttp's content length of a body that ends with the connection.
+const contentLengthIdentity = -2
+
+// errUnframed means that a body has neither a length nor chunks, so that its completeness cannot be checked.
+var errUnframed = errors.New("response body has no length")
+
+// Conn is one connection. It is not safe for concurrent use.
+type Conn struct {
+	address   string
+	raw       *countingConn
+	stream    net.Conn
+	reader    *bufio.Reader
+	writer    *bufio.Writer
+	idleSince time.Time
+	broken    bool
+}
+
+// countingConn counts the bytes that the kernel accepted.
+type countingConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// Dial connects to the host of a URL. The error wraps engine.ErrNotSent.
+func Dial(ctx context.Context, baseURL string, timeout time.Duration, tlsConfig *tls.Config) (*Conn, error) {
+	parsed, err := url.Parse(baseURL)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	dialer := net.Dialer{Timeout: timeout}
+	raw, err := dialer.DialContext(ctx, "tcp", parsed.Host)
+	if err != nil {
+		return nil, notSent(err)
+	}
+	counting := &countingConn{Conn: raw}
+	conn := &Conn{address: baseURL, raw: counting, stream: counting}
+	if parsed.Scheme == "https" {
+		secured := tls.Client(counting, configFor(tlsConfig, parsed.Hostname()))
+		handshakeCtx, cancel := context.WithTimeout(ctx, timeout)
+		defer cancel()
+		if err := secured.HandshakeContext(handshakeCtx); err != nil {
+			_ = raw.Close()
+			return nil, notSent(err)
+		}
+		conn.stream = secured
+	}
+	conn.reader = bufio.NewReaderSize(conn.stream, readBufferBytes)
+	conn.writer = bufio.NewWriter(conn.stream)
+	return conn, nil
+}
+
+func configFor(base *tls.Config, host string) *tls.Config {
+	if base == nil {
+		return &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12}
+	}
+	cfg := base.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName = host
+	}
+	return cfg
+}
+
+func notSent(cause error) error {
+	return errors.Wrapf(engine.ErrNotSent, "%v", cause)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() {
+	c.broken = true
+	_ = c.raw.Conn.Close()
+}
+
+// Body is the body of a response that is read while it arrives.
+type Body struct {
+	conn   *Conn
+	ctx    context.Context
+	stop   func() bool
+	resp   *fasthttp.Response
+	reader io.Reader
+	ended  bool
+	done   func(reusable bool)
+}
+
+// Do writes the request once and reads the complete response into resp. Errors: engine.ErrNotSent when no byte was
+// written; engine.ErrConnectionLost when the connection broke before the response header was complete;
+// engine.ErrTruncated when the body ended early, has no length or exceeds maxBytes; context.Canceled or
+// context.DeadlineExceeded when time ran out after bytes were written.
+func (c *Conn) Do(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
+	stop, err := c.send(ctx, deadline, req, resp)
+	if err != nil {
+		return err
+	}
+	err = c.readBody(ctx, resp, maxBytes)
+	if !stop() {
+		c.broken = true
+	}
+	return err
+}
+
+// Open is like Do but returns the body while it arrives. Body.Close must follow a nil error.
+func (c *Conn) Open(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) (*Body, error) {
+	stop, err := c.send(ctx, deadline, req, resp)
+	if err != nil {
+		return nil, err
+	}
+	resp.StreamBody = true
+	if err := resp.ReadBody(c.reader, 0); err != nil {
+		stop()
+		c.broken = true
+		return nil, errors.Wrapf(engine.ErrTruncated, "%v", err)
+	}
+	return &Body{conn: c, ctx: ctx, stop: stop, resp: resp, reader: resp.BodyStream()}, nil
+}
+
+// send writes the request and reads the response header. After an error the connection is broken.
+func (c *Conn) send(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) (func() bool, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, notSent(err)
+	}
+	before := c.raw.written.Load()
+	if err := c.raw.SetDeadline(deadline); err != nil {
+		c.broken = true
+		return nil, notSent(err)
+	}
+	// A deadline in the past ends reads and writes in progress without a race on closing the connection.
+	stop := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	err := c.exchangeHeader(req, resp)
+	if err == nil {
+		return stop, nil
+	}
+	stop()
+	c.broken = true
+	if c.raw.written.Load() == before {
+		return nil, notSent(err)
+	}
+	if timeErr := timeError(ctx, err); timeErr != nil {
+		return nil, timeErr
+	}
+	return nil, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
+}
+
+func (c *Conn) exchangeHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := req.Write(c.writer); err != nil {
+		return err
+	}
+	if err := c.writer.Flush(); err != nil {
+		return err
+	}
+	resp.SkipBody = req.Header.IsHead()
+	if err := resp.Header.Read(c.reader); err != nil {
+		return err
+	}
+	// An interim response would need a second header; no endpoint of this system sends one.
+	if status := resp.StatusCode(); status < fasthttp.StatusOK {
+		return errors.Newf("unexpected interim status %d", status)
+	}
+	return nil
+}
+
+func timeError(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	var netErr net.Error
+	if errors.As(err, &netErr) && netErr.Timeout() {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+func bodyless(resp *fasthttp.Response) bool {
+	status := resp.StatusCode()
+	return resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
+}
+
+func (c *Conn) readBody(ctx context.Context, resp *fasthttp.Response, maxBytes int) error {
+	if resp.ConnectionClose() {
+		c.broken = true
+	}
+	if bodyless(resp) {
+		return nil
+	}
+	length := resp.Header.ContentLength()
+	if length == contentLengthIdentity {
+		c.broken = true
+		return errors.Wrapf(engine.ErrTruncated, "%v", errUnframed)
+	}
+	err := resp.ReadBody(c.reader, maxBytes)
+	if err == nil && length == -1 {
+		err = resp.Header.ReadTrailer(c.reader)
+	}
+	if err == nil {
+		return nil
+	}
+	c.broken = true
+	if timeErr := timeError(ctx, err); timeErr != nil {
+		return timeErr
+	}
+	return errors.Wrapf(engine.ErrTruncated, "%v", err)
+}
+
+// Read implements io.Reader. io.EOF follows the framed end of the body. Errors: as Conn.Do after the header.
+func (b *Body) Read(p []byte) (int, error) {
+	n, err := b.reader.Read(p)
+	switch {
+	case err == nil:
+		return n, nil
+	case errors.Is(err, io.EOF):
+		b.ended = true
+		return n, io.EOF
+	}
+	b.conn.broken = true
+	if timeErr := timeError(b.ctx, err); timeErr != nil {
+		return n, timeErr
+	}
+	return n, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
+}
+
+// Close releases the connection; it is reused only when the body was read to its end.
+func (b *Body) Close() {
+	if b.conn == nil {
+		return
+	}
+	stopped := b.stop()
+	if !b.ended || !stopped || b.resp.ConnectionClose() {
+		b.conn.broken = true
+	}
+	if b.done != nil {
+		b.done(!b.conn.broken)
+	}
+	b.conn = nil
+}
--- /dev/null
+++ b/pkg/httpconn/httpconn_test.go
@@ -0,0 +1,153 @@
+package httpconn_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+)
+
+func TestHTTPConn(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "httpconn", suite, reporter)
+}
+
+const maxBytes = 1 << 20
+
+// rawServer answers each request on a connection with the next of the given byte strings and closes the connection after
+// the last one. It counts the requests that it read.
+type rawServer struct {
+	listener net.Listener
+	requests atomic.Int64
+	closed   chan struct{}
+}
+
+func newRawServer(replies ...string) *rawServer {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	server := &rawServer{listener: listener, closed: make(chan struct{}, 16)}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go server.serve(conn, replies)
+		}
+	}()
+	DeferCleanup(func() { _ = listener.Close() })
+	return server
+}
+
+func (s *rawServer) serve(conn net.Conn, replies []string) {
+	reader := bufio.NewReader(conn)
+	for _, reply := range replies {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			break
+		}
+		_ = request.Body.Close()
+		s.requests.Add(1)
+		_, _ = conn.Write([]byte(reply))
+	}
+	_ = conn.Close()
+	s.closed <- struct{}{}
+}
+
+func (s *rawServer) url() string { return "http://" + s.listener.Addr().String() }
+
+func do(ctx context.Context, pool *httpconn.Pool, method, url string) (*fasthttp.Response, error) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI(url + "/x")
+	req.Header.SetMethod(method)
+	return resp, pool.Do(ctx, url, time.Now().Add(time.Minute), req, resp, maxBytes)
+}
+
+var _ = Describe("Pool", func() {
+	var pool *httpconn.Pool
+	BeforeEach(func() {
+		pool = httpconn.NewPool(httpconn.Options{IdleTimeout: time.Minute})
+		DeferCleanup(pool.Close)
+	})
+
+	// Guards against a hidden retry, in particular of methods that HTTP calls idempotent, and against a failure class
+	// that lets a dispatcher report not_run for a request that was read.
+	DescribeTable("writes a request once",
+		func(method, reply string, want error) {
+			server := newRawServer(reply)
+			_, err := do(context.Background(), pool, method, server.url())
+			Expect(err).To(MatchError(want))
+			Expect(server.requests.Load()).To(BeEquivalentTo(1))
+		},
+		Entry("GET, closed without a byte", "GET", "", engine.ErrConnectionLost),
+		Entry("POST, closed without a byte", "POST", "", engine.ErrConnectionLost),
+		Entry("PUT, closed in the header", "PUT", "HTTP/1.1 200 OK\r\nContent-", engine.ErrConnectionLost),
+		Entry("GET, not HTTP", "GET", "hello\r\n\r\n", engine.ErrConnectionLost),
+		Entry("GET, body short of its length", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", engine.ErrTruncated),
+		Entry("GET, last chunk missing", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", engine.ErrTruncated),
+		Entry("GET, length unknown", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nabc", engine.ErrTruncated),
+		Entry("GET, body too large", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n"+strings.Repeat("a", 2000000), engine.ErrTruncated),
+	)
+
+	// Guards against reporting a refused connection as a possible execution.
+	It("reports a refused connection as not sent", func() {
+		server := newRawServer()
+		Expect(server.listener.Close()).To(Succeed())
+		_, err := do(context.Background(), pool, "GET", server.url())
+		Expect(err).To(MatchError(engine.ErrNotSent))
+	})
+
+	// Guards against waiting for a reply that the caller no longer wants, and against calling its outcome known.
+	It("ends with the context's error once bytes were written", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() {
+			conn, _ := listener.Accept()
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			cancel()
+		}()
+		_, err = do(ctx, pool, "POST", "http://"+listener.Addr().String())
+		Expect(err).To(MatchError(context.Canceled))
+		_, err = do(ctx, pool, "POST", "http://"+listener.Addr().String())
+		Expect(err).To(MatchError(engine.ErrNotSent))
+	})
+
+	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+
+	// Guards against a reply that came without or after its request being taken as the reply to the next request.
+	It("drops a connection with bytes that no request waits for", func() {
+		server := newRawServer(ok+"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nB", ok)
+		for range 2 {
+			resp, err := do(context.Background(), pool, "GET", server.url())
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(resp.Body())).To(Equal("a"))
+		}
+		Expect(pool.Unsolicited()).To(BeNumerically(">", 0))
+	})
+
+	// Guards against sending on a connection that the endpoint has closed while it was idle.
+	It("does not reuse a connection that the endpoint closed", func() {
+		server := newRawServer(ok)
+		for range 3 {
+			_, err := do(context.Background(), pool, "GET", server.url())
+			Expect(err).NotTo(HaveOccurred())
+			<-server.closed
+		}
+		Expect(server.requests.Load()).To(BeEquivalentTo(3))
+	})
+})
