--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -71,6 +71,9 @@
 	Status      int
 	ContentType string
 	Body        []byte
+	// InputTokens and OutputTokens are the engine's counts, zero when it named none.
+	InputTokens  int
+	OutputTokens int
 }
 
 // Chunk is one server-sent event of a stream.
@@ -102,6 +105,20 @@
 	Open(ctx context.Context, target Target, call Call, offset int) (Stream, error)
 }
 
+// Canceller ends requests whose connection is already gone.
+type Canceller interface {
+	// Cancel asks the engine in the background to stop the request; it does not report whether that succeeded.
+	Cancel(target Target, requestID string)
+}
+
+// CacheTransfer moves KV cache blocks between engines.
+type CacheTransfer interface {
+	// ExportCache returns the blocks of a prefix in the engine's own format. Errors: as Inference.Complete.
+	ExportCache(ctx context.Context, target Target, model string, prefixHashes []uint64) ([]byte, error)
+	// ImportCache stores exported blocks. Errors: as Inference.Complete.
+	ImportCache(ctx context.Context, target Target, model string, blocks []byte) error
+}
+
 // ArtifactKind tells models from adapters.
 type ArtifactKind string
 
--- /dev/null
+++ b/pkg/engine/openaihttp/orders.go
@@ -0,0 +1,153 @@
+package openaihttp
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+)
+
+// orderTimeout bounds an order when the context has no deadline; loading a large model takes minutes.
+const orderTimeout = 15 * time.Minute
+
+// dialTimeout bounds connecting an order session when the context has no deadline.
+const dialTimeout = time.Second
+
+// Codes in the JSON body of a refused order, sent with status 409.
+const (
+	CodeStaleFencingNumber = "stale_fencing_number"
+	CodeRejected           = "rejected"
+)
+
+// OrderReply is the JSON body of the reply to an order.
+type OrderReply struct {
+	OrderID     string `json:"orderId"`
+	Incarnation string `json:"incarnation"`
+	Code        string `json:"code,omitempty"`
+	Detail      string `json:"detail,omitempty"`
+}
+
+// session implements engine.OrderSession.
+type session struct {
+	target      engine.Target
+	conn        *httpconn.Conn
+	incarnation string
+	closed      bool
+}
+
+// DialOrders implements engine.OrderDialer.
+func (c *Client) DialOrders(ctx context.Context, target engine.Target) (engine.OrderSession, error) {
+	conn, err := httpconn.Dial(ctx, target.URL, dialTimeout, c.options.Connections.TLSConfig)
+	if err != nil {
+		return nil, err
+	}
+	s := &session{target: target, conn: conn}
+	report, err := s.Report(ctx)
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	if report.Incarnation == "" {
+		s.Close()
+		return nil, errors.Wrap(engine.ErrSessionClosed, "engine reports no incarnation")
+	}
+	s.incarnation = report.Incarnation
+	return s, nil
+}
+
+// Incarnation implements engine.OrderSession.
+func (s *session) Incarnation() string {
+	return s.incarnation
+}
+
+// Report implements engine.OrderSession.
+func (s *session) Report(ctx context.Context) (engine.Report, error) {
+	status, body, err := s.exchange(ctx, fasthttp.MethodGet, PathReport, nil, controlDeadline(ctx))
+	if err != nil {
+		return engine.Report{}, s.lost(err)
+	}
+	var report engine.Report
+	if err := json.Unmarshal(body, &report); err != nil || status != fasthttp.StatusOK {
+		return engine.Report{}, s.lost(errors.Newf("report has status %d", status))
+	}
+	// One connection belongs to one process, so another incarnation means that something between redirects connections.
+	if s.incarnation != "" && report.Incarnation != s.incarnation {
+		return engine.Report{}, s.lost(errors.Newf("incarnation changed to %q", report.Incarnation))
+	}
+	return report, nil
+}
+
+// Send implements engine.OrderSession.
+func (s *session) Send(ctx context.Context, order engine.Order) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return errors.Wrapf(engine.ErrNotSent, "encode order: %v", err)
+	}
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		deadline = time.Now().Add(orderTimeout)
+	}
+	status, text, err := s.exchange(ctx, fasthttp.MethodPost, PathOrders, body, deadline)
+	switch {
+	case errors.Is(err, engine.ErrNotSent), isTimeError(err):
+		s.Close()
+		return err
+	case err != nil:
+		return s.lost(err)
+	}
+	var reply OrderReply
+	if err := json.Unmarshal(text, &reply); err != nil {
+		return s.lost(errors.Newf("order reply with status %d is not JSON", status))
+	}
+	return s.checkReply(order, status, reply)
+}
+
+// checkReply accepts only a reply to this order from this incarnation; anything else leaves the outcome unknown.
+func (s *session) checkReply(order engine.Order, status int, reply OrderReply) error {
+	if reply.OrderID != order.ID || reply.Incarnation != s.incarnation {
+		return s.lost(errors.Newf("reply belongs to order %q of incarnation %q", reply.OrderID, reply.Incarnation))
+	}
+	switch {
+	case status == fasthttp.StatusOK:
+		return nil
+	case status == fasthttp.StatusConflict && reply.Code == CodeStaleFencingNumber:
+		return errors.Wrap(engine.ErrStaleFencingNumber, reply.Detail)
+	case status == fasthttp.StatusConflict && reply.Code == CodeRejected:
+		return errors.Wrap(engine.ErrOrderRejected, reply.Detail)
+	}
+	return s.lost(errors.Newf("order reply has status %d and code %q", status, reply.Code))
+}
+
+// exchange sends one request on the session's connection. A reply that announces the end of the connection is valid, but
+// the session cannot be used after it.
+func (s *session) exchange(ctx context.Context, method, path string, body []byte, deadline time.Time) (int, []byte, error) {
+	if s.closed {
+		return 0, nil, errors.Wrap(engine.ErrNotSent, "session is closed")
+	}
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	fill(req, method, s.target, path, body)
+	if err := s.conn.Do(ctx, deadline, req, resp, maxReportBytes); err != nil {
+		return 0, nil, err
+	}
+	if resp.ConnectionClose() {
+		s.Close()
+	}
+	return resp.StatusCode(), resp.Body(), nil
+}
+
+// lost closes the session and reports it as closed.
+func (s *session) lost(cause error) error {
+	s.Close()
+	return errors.Wrapf(engine.ErrSessionClosed, "%v", cause)
+}
+
+// Close implements engine.OrderSession.
+func (s *session) Close() {
+	s.closed = true
+	s.conn.Close()
+}
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -109,7 +109,7 @@
 	resp   *fasthttp.Response
 	reader io.Reader
 	ended  bool
-	done   func(reusable bool)
+	done   func()
 }
 
 // Do writes the request once and reads the complete response into resp. Errors: engine.ErrNotSent when no byte was
@@ -247,6 +247,16 @@
 	return n, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
 }
 
+// Drain reads the framed end of a body whose content is complete, so that the connection can be reused. It waits at most
+// for the timeout.
+func (b *Body) Drain(timeout time.Duration) {
+	_ = b.conn.raw.SetDeadline(time.Now().Add(timeout))
+	n, err := b.Read(make([]byte, 1))
+	if n > 0 || !errors.Is(err, io.EOF) {
+		b.conn.broken = true
+	}
+}
+
 // Close releases the connection; it is reused only when the body was read to its end.
 func (b *Body) Close() {
 	if b.conn == nil {
@@ -257,7 +267,7 @@
 		b.conn.broken = true
 	}
 	if b.done != nil {
-		b.done(!b.conn.broken)
+		b.done()
 	}
 	b.conn = nil
 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -112,7 +112,7 @@
 		p.put(conn)
 		return nil, err
 	}
-	body.done = func(bool) { p.put(conn) }
+	body.done = func() { p.put(conn) }
 	return body, nil
 }
 
