--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -3,15 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"io"
-	"log"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-	"github.com/valyala/fasthttp"
-
+	"github.com/mulberryglade/mulberryglade/internal/standin/process"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 )
 
@@ -84,33 +80,19 @@
 	faults  *Faults
 	cache   *prefixCache
 	batch   *batch
-	server  conc.WaitGroup
+	server  *process.Server
+	// first is the incarnation before any restart.
+	first string
 
 	mu       sync.Mutex
-	process  *process
 	starts   int
 	runs     map[string]*run
 	executed map[string]int
 	leaving  bool
-	closed   bool
-	address  string
-	started  chan *process
 	report   engine.Report
 	reported time.Time
 }
 
-// process is what ends with one incarnation: its context, connections and goroutines.
-type process struct {
-	ctx      context.Context
-	cancel   context.CancelFunc
-	workers  conc.WaitGroup
-	listener net.Listener
-
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	down  bool
-}
-
 // New returns an engine; Serve runs it.
 func New(options Options) *Engine {
 	if options.Memory == nil {
@@ -134,8 +116,9 @@
 		runs:     make(map[string]*run),
 		executed: make(map[string]int),
 		leaving:  options.Leaving,
-		started:  make(chan *process, 1),
+		first:    options.Memory.Incarnation(),
 	}
+	e.server = process.NewServer(e.handle)
 	e.cache = newPrefixCache(options.CacheBlocks, options.CacheEventLoss, options.Seed)
 	return e
 }
@@ -185,165 +168,36 @@
 }
 
 // Serve accepts connections until Close. After Down it listens on the same address again at Up.
-func (e *Engine) Serve(listener net.Listener) error {
-	e.mu.Lock()
-	e.address = listener.Addr().String()
-	e.startProcess(listener)
-	e.mu.Unlock()
-	e.serve()
-	return nil
-}
-
-// Start serves on a free loopback port and returns the base URL; Close ends it.
-func (e *Engine) Start() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	e.mu.Lock()
-	e.address = listener.Addr().String()
-	e.startProcess(listener)
-	e.mu.Unlock()
-	e.server.Go(e.serve)
-	return "http://" + listener.Addr().String(), nil
-}
-
-// startProcess hands a new process to serve. The caller holds e.mu.
-func (e *Engine) startProcess(listener net.Listener) {
-	ctx, cancel := context.WithCancel(context.Background())
-	e.process = &process{ctx: ctx, cancel: cancel, listener: listener, conns: make(map[net.Conn]struct{})}
-	e.started <- e.process
-}
+func (e *Engine) Serve(listener net.Listener) error { return e.server.Serve(listener) }
 
-// serve runs one process after the other until Close.
-func (e *Engine) serve() {
-	for p := range e.started {
-		server := &fasthttp.Server{
-			Handler:               func(ctx *fasthttp.RequestCtx) { e.handle(p, ctx) },
-			MaxRequestBodySize:    256 << 20,
-			NoDefaultServerHeader: true,
-			Logger:                log.New(io.Discard, "", 0),
-			CloseOnShutdown:       true,
-		}
-		_ = server.Serve(&trackedListener{Listener: p.listener, process: p})
-	}
-}
+// Start serves on a free loopback port and returns the base URL.
+func (e *Engine) Start() (string, error) { return e.server.Start() }
 
 // Down ends the process: connections break, new ones are refused, requests in progress are lost and the memory is empty
 // under a new incarnation.
 func (e *Engine) Down() {
-	e.mu.Lock()
-	p := e.process
-	e.process = nil
-	e.mu.Unlock()
-	if p == nil {
-		return
-	}
-	p.stop()
-	p.workers.Wait()
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.starts++
-	e.memory.Restart(fmt.Sprintf("%s+%d", e.address, e.starts))
-	e.runs = make(map[string]*run)
-	e.reported = time.Time{}
-	e.cache.reset()
+	e.server.Down(func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.starts++
+		e.memory.Restart(fmt.Sprintf("%s+%d", e.first, e.starts))
+		e.runs = make(map[string]*run)
+		e.reported = time.Time{}
+		e.cache.reset()
+	})
 }
 
 // Up starts a process after Down; it does nothing while one runs or after Close.
-func (e *Engine) Up() error {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.closed || e.process != nil {
-		return nil
-	}
-	listener, err := net.Listen("tcp", e.address)
-	if err != nil {
-		return err
-	}
-	e.startProcess(listener)
-	return nil
-}
+func (e *Engine) Up() error { return e.server.Up() }
 
-// Close ends the process for good and makes Serve return. It waits for the server that Start began.
-func (e *Engine) Close() {
-	e.Down()
-	e.mu.Lock()
-	if !e.closed {
-		e.closed = true
-		close(e.started)
-	}
-	e.mu.Unlock()
-	e.Down()
-	e.server.Wait()
-}
+// Close ends the process for good, makes Serve return and waits for what Start began.
+func (e *Engine) Close() { e.server.Close() }
 
 // sleep waits for a span of model time; it returns false when the context ended first.
 func (e *Engine) sleep(ctx context.Context, span time.Duration) bool {
-	wall := e.wall(span)
-	if wall <= 0 {
-		return ctx.Err() == nil
-	}
-	return wait(ctx, wall)
+	return process.Wait(ctx, e.wall(span))
 }
 
 func (e *Engine) wall(span time.Duration) time.Duration {
 	return time.Duration(float64(span) * e.options.TimeScale)
 }
-
-func wait(ctx context.Context, wall time.Duration) bool {
-	timer := time.NewTimer(wall)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
-func (p *process) stop() {
-	p.cancel()
-	_ = p.listener.Close()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.down = true
-	for conn := range p.conns {
-		_ = conn.Close()
-	}
-}
-
-// trackedListener registers connections with their process, so that they break when it ends.
-type trackedListener struct {
-	net.Listener
-	process *process
-}
-
-// Accept implements net.Listener.
-func (l *trackedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	l.process.mu.Lock()
-	defer l.process.mu.Unlock()
-	if l.process.down {
-		_ = conn.Close()
-		return nil, net.ErrClosed
-	}
-	l.process.conns[conn] = struct{}{}
-	return &trackedConn{Conn: conn, process: l.process}, nil
-}
-
-type trackedConn struct {
-	net.Conn
-	process *process
-}
-
-// Close implements net.Conn.
-func (c *trackedConn) Close() error {
-	c.process.mu.Lock()
-	delete(c.process.conns, c.Conn)
-	c.process.mu.Unlock()
-	return c.Conn.Close()
-}
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -1,8 +1,8 @@
 package engine
 
 import (
+	"context"
 	"encoding/json"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mulberryglade/mulberryglade/internal/standin/process"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/engine/openaihttp"
 	"github.com/mulberryglade/mulberryglade/pkg/prompt"
@@ -24,7 +25,7 @@
 	statusCancelled = 499
 )
 
-func (e *Engine) handle(p *process, ctx *fasthttp.RequestCtx) {
+func (e *Engine) handle(p *process.Process, ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
 	case path == pathChat || path == pathCompletion:
@@ -47,17 +48,17 @@
 }
 
 // applyBefore runs the part of a fault that comes before the call's effect; it returns false when the call ends there.
-func (e *Engine) applyBefore(p *process, ctx *fasthttp.RequestCtx, fault Fault) bool {
+func (e *Engine) applyBefore(p *process.Process, ctx *fasthttp.RequestCtx, fault Fault) bool {
 	if fault.Hook != nil {
 		fault.Hook()
 	}
-	if fault.Delay > 0 && !wait(p.ctx, fault.Delay) {
-		drop(ctx)
+	if fault.Delay > 0 && !p.Wait(fault.Delay) {
+		process.Drop(ctx)
 		return false
 	}
 	switch {
 	case fault.Lose:
-		drop(ctx)
+		process.Drop(ctx)
 	case fault.Refuse:
 		replyNotRun(ctx, fasthttp.StatusServiceUnavailable, "refused")
 	case fault.Status > 0:
@@ -68,26 +69,6 @@
 	return false
 }
 
-// drop closes the connection without a response.
-func drop(ctx *fasthttp.RequestCtx) {
-	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(net.Conn) {})
-}
-
-// truncate replaces the response by its header and half of its body.
-func truncate(ctx *fasthttp.RequestCtx) {
-	header := append([]byte(nil), ctx.Response.Header.Header()...)
-	body := append([]byte(nil), ctx.Response.Body()...)
-	if ctx.Response.Header.ContentLength() != len(body) {
-		ctx.Response.Header.SetContentLength(len(body))
-		header = append([]byte(nil), ctx.Response.Header.Header()...)
-	}
-	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(conn net.Conn) {
-		_, _ = conn.Write(append(header, body[:len(body)/2]...))
-	})
-}
-
 func replyJSON(ctx *fasthttp.RequestCtx, status int, value any) {
 	ctx.SetStatusCode(status)
 	ctx.SetContentType("application/json")
@@ -114,7 +95,7 @@
 	Stream              bool `json:"stream"`
 }
 
-func (e *Engine) serveInference(p *process, ctx *fasthttp.RequestCtx, chat bool) {
+func (e *Engine) serveInference(p *process.Process, ctx *fasthttp.RequestCtx, chat bool) {
 	fault := e.faults.take(CallInference)
 	id := string(ctx.Request.Header.Peek(openaihttp.HeaderRequestID))
 	echoed := id
@@ -150,7 +131,7 @@
 }
 
 // start begins an execution; it returns nil after a reply that the request was not run.
-func (e *Engine) start(p *process, ctx *fasthttp.RequestCtx, id string, chat bool, body inferenceBody, fault Fault) *run {
+func (e *Engine) start(p *process.Process, ctx *fasthttp.RequestCtx, id string, chat bool, body inferenceBody, fault Fault) *run {
 	if !e.options.ServeAll && !e.serves(body.Model) {
 		replyNotRun(ctx, fasthttp.StatusServiceUnavailable, "model is not loaded")
 		return nil
@@ -178,7 +159,7 @@
 	r.cachedTokens = min(e.cache.use(body.Model, digest.PrefixHashes)*tokensPerBlock, r.inputTokens)
 	if !e.spawn(p, r, w) {
 		e.batch.leave(w)
-		drop(ctx)
+		process.Drop(ctx)
 		return nil
 	}
 	return r
@@ -196,17 +177,15 @@
 }
 
 // spawn registers the run and starts it, unless the process has ended.
-func (e *Engine) spawn(p *process, r *run, w *waiter) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.process != p {
-		return false
-	}
-	r.ctx, r.cancel = contextOf(p)
-	e.runs[r.id] = r
-	e.executed[r.id]++
-	p.workers.Go(func() { e.execute(r, w) })
-	return true
+func (e *Engine) spawn(p *process.Process, r *run, w *waiter) bool {
+	return e.server.WhileAlive(p, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		r.ctx, r.cancel = context.WithCancel(p.Context)
+		e.runs[r.id] = r
+		e.executed[r.id]++
+		p.Go(func() { e.execute(r, w) })
+	})
 }
 
 func (e *Engine) serves(name string) bool {
@@ -227,13 +206,13 @@
 	}
 	e.forget(r)
 	if fault.DropReply {
-		drop(ctx)
+		process.Drop(ctx)
 		return
 	}
 	ctx.SetContentType("application/json")
 	ctx.SetBody(r.body())
 	if fault.TruncateBody {
-		truncate(ctx)
+		process.Truncate(ctx)
 	}
 }
 
@@ -270,7 +249,7 @@
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
-func (e *Engine) serveReport(p *process, ctx *fasthttp.RequestCtx) {
+func (e *Engine) serveReport(p *process.Process, ctx *fasthttp.RequestCtx) {
 	if e.applyBefore(p, ctx, e.faults.take(CallReport)) {
 		replyJSON(ctx, fasthttp.StatusOK, e.Report())
 	}
@@ -309,7 +288,7 @@
 	}
 }
 
-func (e *Engine) serveCacheEvents(p *process, ctx *fasthttp.RequestCtx) {
+func (e *Engine) serveCacheEvents(p *process.Process, ctx *fasthttp.RequestCtx) {
 	if !e.applyBefore(p, ctx, e.faults.take(CallCacheEvents)) {
 		return
 	}
@@ -319,7 +298,7 @@
 
 // serveOrder executes an order. An order that is read takes effect even when its connection breaks, unless the process
 // ends first.
-func (e *Engine) serveOrder(p *process, ctx *fasthttp.RequestCtx) {
+func (e *Engine) serveOrder(p *process.Process, ctx *fasthttp.RequestCtx) {
 	fault := e.faults.take(CallOrder)
 	var order engine.Order
 	if err := json.Unmarshal(ctx.PostBody(), &order); err != nil {
@@ -344,7 +323,7 @@
 		reply.Code = openaihttp.CodeStaleFencingNumber
 		replyJSON(ctx, fasthttp.StatusConflict, reply)
 	case errors.Is(err, engine.ErrSessionClosed), fault.DropReply:
-		drop(ctx)
+		process.Drop(ctx)
 	case err != nil:
 		reply.Code = openaihttp.CodeRejected
 		replyJSON(ctx, fasthttp.StatusConflict, reply)
@@ -353,34 +332,23 @@
 	}
 }
 
-func (e *Engine) execOrder(p *process, order engine.Order) error {
+func (e *Engine) execOrder(p *process.Process, order engine.Order) error {
 	begun, err := false, error(nil)
-	if e.whileAlive(p, func() { err = e.memory.Begin(order); begun = true }); !begun {
+	if e.server.WhileAlive(p, func() { err = e.memory.Begin(order); begun = true }); !begun {
 		return engine.ErrSessionClosed
 	}
 	if err != nil {
 		return err
 	}
-	if !e.sleep(p.ctx, e.orderTime(order)) {
+	if !e.sleep(p.Context, e.orderTime(order)) {
 		return engine.ErrSessionClosed
 	}
-	if !e.whileAlive(p, func() { e.memory.Finish(order) }) {
+	if !e.server.WhileAlive(p, func() { e.memory.Finish(order) }) {
 		return engine.ErrSessionClosed
 	}
 	return nil
 }
 
-// whileAlive runs a change of the memory unless the process has ended; Down empties the memory after that.
-func (e *Engine) whileAlive(p *process, change func()) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.process != p {
-		return false
-	}
-	change()
-	return true
-}
-
 func (e *Engine) orderTime(order engine.Order) time.Duration {
 	timing := e.options.Timing
 	switch {
@@ -402,7 +370,7 @@
 }
 
 // serveCache exports and imports blocks; a block is exported as its hash.
-func (e *Engine) serveCache(p *process, ctx *fasthttp.RequestCtx, export bool) {
+func (e *Engine) serveCache(p *process.Process, ctx *fasthttp.RequestCtx, export bool) {
 	if !e.applyBefore(p, ctx, e.faults.take(CallCache)) {
 		return
 	}
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,10 +14,6 @@
 // errBroken makes fasthttp close the connection without the end of the body.
 var errBroken = errors.New("stream is broken by a fault")
 
-func contextOf(p *process) (context.Context, context.CancelFunc) {
-	return context.WithCancel(p.ctx)
-}
-
 // streamReader produces the server-sent events of a run. fasthttp flushes after each Read.
 type streamReader struct {
 	engine   *Engine
--- /dev/null
+++ b/pkg/engine/plainhttp/reporter_test.go
@@ -0,0 +1,41 @@
+package plainhttp_test
+
+import (
+	"context"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/service"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/plainhttp"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+)
+
+func TestPlainHTTP(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "plainhttp", suite, reporter)
+}
+
+var _ = Describe("Reporter", func() {
+	// Guards against load reports that lose a field, and against a service that is down being read as idle.
+	It("reads the load of a service", func() {
+		standin := service.New(service.Options{MaxRunning: 7, Incarnation: "i1"})
+		url, err := standin.Start()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(standin.Close)
+		reporter := plainhttp.NewReporter(httpconn.Options{})
+		DeferCleanup(reporter.Close)
+		standin.SetLeaving(true)
+		target := engine.Target{Name: "s1", URL: url}
+		report, err := reporter.Report(context.Background(), target)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report).To(Equal(engine.Report{Incarnation: "i1", MaxRunning: 7, Leaving: true}))
+		standin.Down()
+		_, err = reporter.Report(context.Background(), target)
+		Expect(err).To(HaveOccurred())
+	})
+})
