--- a/internal/standin/engine/runs.go
+++ b/internal/standin/engine/runs.go
@@ -147,6 +147,16 @@
 	r.finish()
 }
 
+// ChatChunks returns the chunks that the engine produces for a streamed chat call without a token limit.
+func (e *Engine) ChatChunks(id, model string, inputTokens int) []string {
+	r := &run{id: id, model: model, chat: true, inputTokens: inputTokens, outputTokens: e.options.OutputTokens}
+	var chunks []string
+	for i := range r.outputTokens {
+		chunks = append(chunks, string(r.chunk(e.token(id, i), "")))
+	}
+	return append(chunks, string(r.chunk("", r.reason())))
+}
+
 // token is determined by the seed, the request id and the position, so that a test can tell responses apart.
 func (e *Engine) token(id string, position int) string {
 	return fmt.Sprintf("%x.%d ", xxhash.Sum64String(fmt.Sprintf("%d/%s", e.options.Seed, id))>>48, position)
--- a/pkg/engine/openaihttp/contract_test.go
+++ b/pkg/engine/openaihttp/contract_test.go
@@ -149,6 +149,20 @@
 		Expect(f.scope.Snapshot().Counters()["engine.repeated_chunks+"].Value()).To(BeEquivalentTo(1))
 	})
 
+	// Guards against a late response to an abandoned call being taken as the response to the next call.
+	It("drops a response that comes after its call was given up", func() {
+		f := newFixture(standin.Options{})
+		ctx, cancel := context.WithCancel(background())
+		f.engine.Faults().Next(standin.CallInference, standin.Fault{Hook: cancel})
+		_, err := f.client.Complete(ctx, f.target, call(false))
+		Expect(err).To(MatchError(context.Canceled))
+		next := call(false)
+		next.RequestID = "r2"
+		response, err := f.client.Complete(background(), f.target, next)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(response.Body)).To(ContainSubstring(`"id":"r2"`))
+	})
+
 	// Guards against a resumed stream that runs the request again, repeats or loses chunks.
 	It("resumes a broken stream at its offset", func() {
 		f := newFixture(standin.Options{})
--- a/pkg/engine/openaihttp/stream.go
+++ b/pkg/engine/openaihttp/stream.go
@@ -153,12 +153,13 @@
 			return engine.Chunk{}, err
 		}
 		s.finished = s.finished || finished
-		return engine.Chunk{Offset: offset, Data: ev.data, Tokens: tokens}, nil
+		return engine.Chunk{Offset: offset, Data: ev.data, Tokens: tokens, Finish: finished}, nil
 	}
 }
 
 // checkEnd returns io.EOF when the end marker is at the right place: its id, where present, is the number of chunks, and
-// a stream that was read from its start has had a finish reason.
+// a stream that was read from its start has had a finish reason. The finish reason of a resumed stream may have come
+// before the offset; whoever resumes checks it.
 func (s *stream) checkEnd(ev event) error {
 	if ev.id != "" && ev.id != strconv.Itoa(s.next) {
 		return errors.Wrapf(engine.ErrTruncated, "end marker %q after %d chunks", ev.id, s.next)
