--- a/pkg/dispatch/model_test.go
+++ b/pkg/dispatch/model_test.go
@@ -24,6 +24,8 @@
 	outputTokens = 8
 	// inputTokens is what the engine counts for the prompt of modelCall.
 	inputTokens = 5
+	// maxBreaks is the number of resumptions that a dispatcher makes for one stream.
+	maxBreaks = 5
 )
 
 type modelFixture struct {
@@ -101,6 +103,10 @@
 		first: standin.Fault{Lose: true}, second: standin.Fault{Refuse: true}, retries: 9,
 		outcome: problem.Unknown, status: 503,
 	}),
+	Entry("lost, then refused, budget used up", modelCase{
+		first: standin.Fault{Lose: true}, second: standin.Fault{Refuse: true}, retries: 1,
+		outcome: problem.Unknown, status: 503,
+	}),
 	Entry("reply lost, retried", modelCase{first: standin.Fault{DropReply: true}, retries: 1, executions: 2}),
 	Entry("reply lost, no budget", modelCase{
 		first: standin.Fault{DropReply: true}, outcome: problem.Unknown, status: 502, executions: 1,
@@ -194,6 +200,19 @@
 		Entry("no finish reason", standin.Fault{NoFinishReason: true}, false, 9.0),
 		Entry("engine down", standin.Fault{CloseAfterChunks: 2}, true, 9.0))
 
+	// Guards against an engine that ends a resumed stream early: the adapter cannot know whether the finish reason came
+	// before the offset.
+	It("does not take the end of a resumed stream without a finish reason as complete", func() {
+		g := &gate{targets: []engine.Target{{Name: "e0"}}}
+		inference := &scripted{ends: []error{engine.ErrConnectionLost, io.EOF}}
+		stream, failed := dispatch.NewModelDispatcher(inference, options(g, 9)).Open(context.Background(), modelCall("r", true))
+		Expect(failed).To(BeNil())
+		chunks, err := read(stream)
+		Expect(chunks).To(Equal(2))
+		Expect(errors.As(err, &failed)).To(BeTrue())
+		Expect(failed.Type).To(Equal(problem.TypeTruncated))
+	})
+
 	// Guards against an abandoned stream that blames the endpoint or keeps its capacity.
 	It("releases the ticket when the caller leaves", func() {
 		f := newModelFixture(1, 0)
@@ -214,7 +233,7 @@
 				return rapid.SampledFrom([]standin.Fault{
 					{CloseAfterChunks: at}, {EndAfterChunks: at}, {SkipChunk: at}, {RepeatChunk: at}, {},
 				}).Draw(t, "fault")
-			}), 1, 8).Draw(t, "faults")
+			}), 1, maxBreaks).Draw(t, "faults")
 			f.engines[0].Faults().Clear()
 			for _, fault := range faults {
 				f.engines[0].Faults().Next(standin.CallInference, fault)
@@ -240,7 +259,7 @@
 					t.Fatalf("chunk %d is %s, want %s", i, data, want[i])
 				}
 			}
-			if complete := len(got) == len(want); complete != errors.Is(err, io.EOF) {
+			if len(got) != len(want) || !errors.Is(err, io.EOF) {
 				t.Fatalf("%d of %d chunks, then %v", len(got), len(want), err)
 			}
 			if n := f.engines[0].Executions(id); n != 1 {
@@ -249,3 +268,31 @@
 		})
 	})
 })
+
+// scripted is an inference whose streams yield one chunk each and then end with the next of the errors.
+type scripted struct {
+	engine.Inference
+	ends []error
+}
+
+func (s *scripted) Open(_ context.Context, _ engine.Target, _ engine.Call, offset int) (engine.Stream, error) {
+	end := s.ends[0]
+	s.ends = s.ends[1:]
+	return &scriptedStream{offset: offset, end: end}, nil
+}
+
+type scriptedStream struct {
+	offset int
+	sent   bool
+	end    error
+}
+
+func (s *scriptedStream) Next() (engine.Chunk, error) {
+	if s.sent {
+		return engine.Chunk{}, s.end
+	}
+	s.sent = true
+	return engine.Chunk{Offset: s.offset, Data: []byte("{}"), Tokens: 1}, nil
+}
+
+func (s *scriptedStream) Close() {}
