--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -88,16 +88,12 @@
 	return nil
 }
 
+// detach keeps the run for the resume window even after its end was written: the reader may not have received it.
 func (s *streamReader) detach() {
 	last, left := s.run.detach()
 	if !last {
 		return
 	}
-	if s.ended {
-		s.run.cancel()
-		s.engine.forget(s.run)
-		return
-	}
 	window := s.engine.options.Timing.ResumeWindow
 	time.AfterFunc(window, func() {
 		if s.run.expire(left) {
--- a/pkg/engine/openaihttp/contract_test.go
+++ b/pkg/engine/openaihttp/contract_test.go
@@ -153,8 +153,10 @@
 	It("drops a response that comes after its call was given up", func() {
 		f := newFixture(standin.Options{})
 		ctx, cancel := context.WithCancel(background())
-		f.engine.Faults().Next(standin.CallInference, standin.Fault{Hook: cancel})
+		returned := make(chan struct{})
+		f.engine.Faults().Next(standin.CallInference, standin.Fault{Hook: func() { cancel(); <-returned }})
 		_, err := f.client.Complete(ctx, f.target, call(false))
+		close(returned)
 		Expect(err).To(MatchError(context.Canceled))
 		next := call(false)
 		next.RequestID = "r2"
