--- a/pkg/engine/openaihttp/client.go
+++ b/pkg/engine/openaihttp/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -61,6 +62,10 @@
 	options Options
 	pool    *httpconn.Pool
 	cancels chan struct{}
+
+	// mu orders the start of cancellations before Close, which waits for them.
+	mu      sync.Mutex
+	closed  bool
 	workers conc.WaitGroup
 
 	mismatched tally.Counter
@@ -94,8 +99,11 @@
 	}
 }
 
-// Close waits for cancellations and closes idle connections. Calls and streams must have ended.
+// Close waits for cancellations and closes idle connections. Calls that end later are not cancelled at the engine.
 func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
 	c.workers.Wait()
 	c.pool.Close()
 }
@@ -233,6 +241,12 @@
 		c.skipped.Inc(1)
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		<-c.cancels
+		return
+	}
 	c.workers.Go(func() {
 		defer func() { <-c.cancels }()
 		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
--- a/pkg/engine/openaihttp/contract_test.go
+++ b/pkg/engine/openaihttp/contract_test.go
@@ -206,6 +206,17 @@
 			Expect(f.engine.Running()).To(Equal(1))
 			stream.Close()
 		}),
+		Entry("a stream whose context ended", func(f *fixture) {
+			ctx, cancel := context.WithCancel(background())
+			stream, err := f.client.Open(ctx, f.target, call(true), 0)
+			Expect(err).NotTo(HaveOccurred())
+			defer stream.Close()
+			_, err = stream.Next()
+			Expect(err).NotTo(HaveOccurred())
+			cancel()
+			_, err = stream.Next()
+			Expect(err).To(MatchError(context.Canceled))
+		}),
 		Entry("a cancelled call", func(f *fixture) {
 			ctx, cancel := context.WithCancel(background())
 			go func() {
--- a/pkg/engine/openaihttp/stream.go
+++ b/pkg/engine/openaihttp/stream.go
@@ -120,6 +120,9 @@
 		s.client.count(err)
 		s.release()
 	}
+	if isTimeError(err) {
+		s.client.Cancel(s.target, s.requestID)
+	}
 	return engine.Chunk{}, err
 }
 
@@ -194,7 +197,8 @@
 	return tokens, finished, nil
 }
 
-// Close implements engine.Stream. A stream that broke is not cancelled, so that it can be resumed.
+// Close implements engine.Stream. A stream that broke is not cancelled, so that it can be resumed; one whose context or
+// deadline ended was cancelled by Next.
 func (s *stream) Close() {
 	if s.body == nil {
 		return
--- /dev/null
+++ b/pkg/gateway/body.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/prompt"
+)
+
+// maxModelIDLength bounds the model id in a body.
+const maxModelIDLength = 256
+
+// inference is what the gateway reads from the body of a model call; the engine receives the body unchanged.
+type inference struct {
+	model  string
+	stream bool
+	// maxTokens is zero when the caller set no limit.
+	maxTokens int
+	messages  []prompt.Message
+}
+
+// parseInference validates a body. The top-level fields are read with exact case and without duplicates: an engine that
+// resolves these differently could run another model than the one that the member was checked for.
+func parseInference(body []byte, chat bool) (inference, *problem.Problem) {
+	if !utf8.Valid(body) {
+		return inference{}, invalid("The body is not valid UTF-8.")
+	}
+	fields, err := topLevel(body)
+	if err != nil {
+		return inference{}, invalid("The body must be one JSON object: " + err.Error() + ".")
+	}
+	var parsed inference
+	checks := []func(map[string]json.RawMessage, *inference) string{checkModel, checkFlags, checkTokens, checkPrompt}
+	if chat {
+		checks[len(checks)-1] = checkMessages
+	}
+	for _, check := range checks {
+		if detail := check(fields, &parsed); detail != "" {
+			return inference{}, invalid(detail)
+		}
+	}
+	return parsed, nil
+}
+
+var (
+	errNotObject = errors.New("it is not an object")
+	errTrailing  = errors.New("data follows the object")
+	errDuplicate = errors.New("a field occurs twice")
+	errSyntax    = errors.New("syntax error")
+)
+
+func topLevel(body []byte) (map[string]json.RawMessage, error) {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	first, err := decoder.Token()
+	if err != nil {
+		return nil, errSyntax
+	}
+	if first != json.Delim('{') {
+		return nil, errNotObject
+	}
+	fields := make(map[string]json.RawMessage)
+	for decoder.More() {
+		key, err := decoder.Token()
+		name, ok := key.(string)
+		if err != nil || !ok {
+			return nil, errSyntax
+		}
+		var value json.RawMessage
+		if err := decoder.Decode(&value); err != nil {
+			return nil, errSyntax
+		}
+		if _, twice := fields[name]; twice {
+			return nil, errDuplicate
+		}
+		fields[name] = value
+	}
+	if _, err := decoder.Token(); err != nil {
+		return nil, errSyntax
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return nil, errTrailing
+	}
+	return fields, nil
+}
+
+// given tells whether a field is present and not null.
+func given(raw json.RawMessage) bool {
+	return len(raw) > 0 && string(raw) != "null"
+}
+
+func checkModel(fields map[string]json.RawMessage, parsed *inference) string {
+	if err := json.Unmarshal(fields["model"], &parsed.model); err != nil || parsed.model == "" {
+		return "The field model must be a non-empty string."
+	}
+	if len(parsed.model) > maxModelIDLength {
+		return "The field model is too long."
+	}
+	return ""
+}
+
+func checkFlags(fields map[string]json.RawMessage, parsed *inference) string {
+	if raw := fields["stream"]; given(raw) && json.Unmarshal(raw, &parsed.stream) != nil {
+		return "The field stream must be true or false."
+	}
+	for _, name := range []string{"n", "best_of"} {
+		if raw := fields[name]; given(raw) && string(raw) != "1" {
+			return "The field " + name + " must be 1."
+		}
+	}
+	return ""
+}
+
+func checkTokens(fields map[string]json.RawMessage, parsed *inference) string {
+	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
+		raw := fields[name]
+		if !given(raw) {
+			continue
+		}
+		limit, err := strconv.Atoi(string(raw))
+		if err != nil || limit < 1 {
+			return "The field " + name + " must be a positive integer."
+		}
+		parsed.maxTokens = max(parsed.maxTokens, limit)
+	}
+	return ""
+}
+
+func checkPrompt(fields map[string]json.RawMessage, parsed *inference) string {
+	var text string
+	if json.Unmarshal(fields["prompt"], &text) == nil && given(fields["prompt"]) {
+		parsed.messages = []prompt.Message{{Text: text}}
+		return ""
+	}
+	var texts []string
+	if json.Unmarshal(fields["prompt"], &texts) != nil || len(texts) != 1 {
+		return "The field prompt must be a string or an array of one string."
+	}
+	parsed.messages = []prompt.Message{{Text: texts[0]}}
+	return ""
+}
+
+func checkMessages(fields map[string]json.RawMessage, parsed *inference) string {
+	var messages []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if json.Unmarshal(fields["messages"], &messages) != nil || len(messages) == 0 {
+		return "The field messages must be a non-empty array of messages."
+	}
+	for _, m := range messages {
+		text, ok := contentText(m.Content)
+		if m.Role == "" || !ok {
+			return "Each message needs a role and a content that is a string or an array of parts."
+		}
+		parsed.messages = append(parsed.messages, prompt.Message{Role: m.Role, Text: text})
+	}
+	return ""
+}
+
+// contentText returns the text of a message's content; a message with tool calls has none.
+func contentText(raw json.RawMessage) (string, bool) {
+	if !given(raw) {
+		return "", true
+	}
+	var text string
+	if json.Unmarshal(raw, &text) == nil {
+		return text, true
+	}
+	var parts []struct {
+		Type string `json:"type"`
+		Text string `json:"text"`
+	}
+	if json.Unmarshal(raw, &parts) != nil {
+		return "", false
+	}
+	for _, part := range parts {
+		text += part.Text
+	}
+	return text, true
+}
--- /dev/null
+++ b/pkg/gateway/fixture_test.go
@@ -0,0 +1,220 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/internal/standin/service"
+	"github.com/mulberryglade/mulberryglade/pkg/admission"
+	"github.com/mulberryglade/mulberryglade/pkg/claims"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/dispatch"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/openaihttp"
+	"github.com/mulberryglade/mulberryglade/pkg/gateway"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/retry"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+func TestGateway(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "gateway", suite, reporter)
+}
+
+const memberKey = "key-of-member-a"
+
+// gate admits every call at the engine or the service.
+type gate struct {
+	engine, service engine.Target
+}
+
+func (g gate) Acquire(_ context.Context, request scheduling.Request) (admission.Ticket, error) {
+	if request.Model == "" {
+		return ticket(g.service), nil
+	}
+	return ticket(g.engine), nil
+}
+
+type ticket engine.Target
+
+func (t ticket) Target() engine.Target         { return engine.Target(t) }
+func (t ticket) Decision() scheduling.Decision { return scheduling.Decision{} }
+func (t ticket) Tokens(int)                    {}
+func (t ticket) Release(admission.Result)      {}
+
+// recorder is a claims.Claimer that records responses and knows no other state.
+type recorder struct {
+	mu       sync.Mutex
+	recorded map[string]claims.Response
+}
+
+func (r *recorder) Claim(_ context.Context, request claims.Request) (claims.Grant, *claims.Response, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if response, ok := r.recorded[request.Key]; ok {
+		return nil, &response, nil
+	}
+	return grant{recorder: r, key: request.Key}, nil, nil
+}
+
+type grant struct {
+	recorder *recorder
+	key      string
+}
+
+func (g grant) Complete(_ context.Context, response claims.Response) error {
+	g.recorder.mu.Lock()
+	defer g.recorder.mu.Unlock()
+	g.recorder.recorded[g.key] = response
+	return nil
+}
+
+func (g grant) Release(context.Context) error { return nil }
+
+type issuer struct{}
+
+func (issuer) Issue(member string) (string, error) { return "key-for-" + member, nil }
+
+func snapshot() *config.Snapshot {
+	header := func(name string) config.Header { return config.Header{Name: name} }
+	return config.NewSnapshot(1, time.Unix(1000, 0), config.Records{
+		Members: []config.Member{{Header: header("a"), Keys: []config.KeyHash{config.HashKey(memberKey)}}},
+		Models: []config.Model{
+			{Header: header("m"), Members: []string{"a"}, MaxOutputTokens: 100, MaxInputTokens: 1000},
+			{Header: header("theirs"), Members: []string{"b"}},
+		},
+		Adapters: []config.Adapter{{Header: header("m-menus"), Model: "m", Members: []string{"a"}}},
+		Services: []config.Service{
+			{Header: header("order-desk"), Type: config.PlainService, Members: []string{"a"}, MaxBodyBytes: 100},
+			{Header: header("index-api"), Type: config.PlainService, Members: []string{"b"}},
+		},
+	})
+}
+
+type fixture struct {
+	server  *gateway.Server
+	engine  *standin.Engine
+	service *service.Service
+	url     string
+	address string
+}
+
+func newFixture(engineOptions standin.Options, limits gateway.Limits, change func(*gateway.Options)) *fixture {
+	engineOptions.ServeAll = true
+	f := &fixture{engine: standin.New(engineOptions), service: service.New(service.Options{})}
+	engineURL, err := f.engine.Start()
+	Expect(err).NotTo(HaveOccurred())
+	serviceURL, err := f.service.Start()
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.engine.Close)
+	DeferCleanup(f.service.Close)
+	client := openaihttp.New(openaihttp.Options{})
+	DeferCleanup(client.Close)
+	pool := httpconn.NewPool(httpconn.Options{})
+	DeferCleanup(pool.Close)
+	options := dispatch.Options{
+		Gate:   gate{engine: engine.Target{Name: "e", URL: engineURL}, service: engine.Target{Name: "s", URL: serviceURL}},
+		Budget: retry.NewBudget(func() retry.Limits { return retry.Limits{} }),
+	}
+	gatewayOptions := gateway.Options{
+		Snapshot: snapshot,
+		Models:   dispatch.NewModelDispatcher(client, options),
+		Services: dispatch.NewServiceDispatcher(pool, &recorder{recorded: map[string]claims.Response{}}, options),
+		Keys:     issuer{},
+		Limits:   limits,
+	}
+	if change != nil {
+		change(&gatewayOptions)
+	}
+	f.server = gateway.New(gatewayOptions)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = f.server.Serve(listener)
+	}()
+	DeferCleanup(func() {
+		// Close again after Serve has begun: a server that does not run yet has nothing to close.
+		_ = listener.Close()
+		<-served
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = f.server.Close(ctx)
+	})
+	f.address = listener.Addr().String()
+	f.url = "http://" + f.address
+	return f
+}
+
+type reply struct {
+	status  int
+	header  http.Header
+	body    string
+	problem problem.Problem
+}
+
+// do sends a request with the member's key unless the headers name another one.
+func (f *fixture) do(method, path, body string, headers ...string) reply {
+	request, err := http.NewRequest(method, f.url+path, strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+memberKey)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultTransport.RoundTrip(request)
+	Expect(err).NotTo(HaveOccurred())
+	return readReply(response)
+}
+
+// raw sends bytes on a new connection and reads one response.
+func (f *fixture) raw(text string) reply {
+	conn, err := net.Dial("tcp", f.address)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write([]byte(text))
+	Expect(err).NotTo(HaveOccurred())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	Expect(err).NotTo(HaveOccurred())
+	return readReply(response)
+}
+
+// readReply checks what holds for every response.
+func readReply(response *http.Response) reply {
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	Expect(err).NotTo(HaveOccurred())
+	r := reply{status: response.StatusCode, header: response.Header, body: string(body)}
+	Expect(r.header.Get("X-Request-Id")).NotTo(BeEmpty())
+	if r.status >= 400 {
+		Expect(r.header.Get("Content-Type")).To(Equal(problem.ContentType), r.body)
+		Expect(json.Unmarshal(body, &r.problem)).To(Succeed())
+		Expect(r.problem.Outcome).To(BeElementOf(problem.NotRun, problem.Unknown, problem.Failed))
+		Expect(r.problem.Status).To(Equal(r.status))
+		Expect(r.problem.RequestID).To(Equal(r.header.Get("X-Request-Id")))
+	}
+	return r
+}
+
+const chatPath = "/v1/chat/completions"
+
+func chat(extra string) string {
+	return fmt.Sprintf(`{"model":"m","messages":[{"role":"user","content":"hi"}]%s}`, extra)
+}
