--- /dev/null
+++ b/pkg/gateway/benchmark_test.go
@@ -0,0 +1,68 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/gateway"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+)
+
+// BenchmarkFirstToken measures the time to the first token of a streamed call directly at the engine and through
+// gateway and dispatch, alternating in one run. The engine does not wait, so that the difference is what is added.
+func BenchmarkFirstToken(b *testing.B) {
+	f, cleanup := build(standin.Options{OutputTokens: 2}, gateway.Limits{}, nil)
+	defer cleanup()
+	pool := httpconn.NewPool(httpconn.Options{})
+	defer pool.Close()
+	body := []byte(chat(`,"stream":true`))
+	var direct, through []time.Duration
+	for b.Loop() {
+		direct = append(direct, firstToken(b, pool, f.engineURL, body))
+		through = append(through, firstToken(b, pool, f.url, body))
+	}
+	slices.Sort(direct)
+	slices.Sort(through)
+	for _, percentile := range []struct {
+		name  string
+		share float64
+	}{{"p50", 0.50}, {"p95", 0.95}} {
+		index := int(percentile.share * float64(len(direct)-1))
+		d, t := float64(direct[index]), float64(through[index])
+		b.ReportMetric(d/1e3, "direct-"+percentile.name+"-us")
+		b.ReportMetric((t-d)/1e3, "added-"+percentile.name+"-us")
+		b.ReportMetric(t/d, percentile.name+"-ratio")
+	}
+}
+
+func firstToken(b *testing.B, pool *httpconn.Pool, url string, body []byte) time.Duration {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.SetRequestURI(url + chatPath)
+	req.Header.SetMethod("POST")
+	req.Header.Set("Authorization", "Bearer "+memberKey)
+	req.Header.Set("X-Request-Id", "r")
+	req.SetBodyRaw(body)
+	began := time.Now()
+	stream, err := pool.Open(context.Background(), url, began.Add(time.Minute), req, resp)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer stream.Close()
+	buffer := make([]byte, 4096)
+	n, err := stream.Read(buffer)
+	took := time.Since(began)
+	if err != nil || !bytes.Contains(buffer[:n], []byte(`data: {"id"`)) {
+		b.Fatalf("first read: %q, %v", buffer[:n], err)
+	}
+	if _, err := io.Copy(io.Discard, stream); err != nil {
+		b.Fatal(err)
+	}
+	return took
+}
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -92,6 +92,8 @@
 
 func (issuer) Issue(member string) (string, error) { return "key-for-" + member, nil }
 
+var declared = snapshot()
+
 func snapshot() *config.Snapshot {
 	header := func(name string) config.Header { return config.Header{Name: name} }
 	return config.NewSnapshot(1, time.Unix(1000, 0), config.Records{
@@ -114,27 +116,32 @@
 	service *service.Service
 	url     string
 	address string
+	// engineURL reaches the engine without the gateway.
+	engineURL string
 }
 
 func newFixture(engineOptions standin.Options, limits gateway.Limits, change func(*gateway.Options)) *fixture {
+	f, cleanup := build(engineOptions, limits, change)
+	DeferCleanup(cleanup)
+	return f
+}
+
+// build starts an engine, a service and a gateway in front of them.
+func build(engineOptions standin.Options, limits gateway.Limits, change func(*gateway.Options)) (*fixture, func()) {
 	engineOptions.ServeAll = true
 	f := &fixture{engine: standin.New(engineOptions), service: service.New(service.Options{})}
 	engineURL, err := f.engine.Start()
-	Expect(err).NotTo(HaveOccurred())
+	must(err)
 	serviceURL, err := f.service.Start()
-	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(f.engine.Close)
-	DeferCleanup(f.service.Close)
+	must(err)
 	client := openaihttp.New(openaihttp.Options{})
-	DeferCleanup(client.Close)
 	pool := httpconn.NewPool(httpconn.Options{})
-	DeferCleanup(pool.Close)
 	options := dispatch.Options{
 		Gate:   gate{engine: engine.Target{Name: "e", URL: engineURL}, service: engine.Target{Name: "s", URL: serviceURL}},
 		Budget: retry.NewBudget(func() retry.Limits { return retry.Limits{} }),
 	}
 	gatewayOptions := gateway.Options{
-		Snapshot: snapshot,
+		Snapshot: func() *config.Snapshot { return declared },
 		Models:   dispatch.NewModelDispatcher(client, options),
 		Services: dispatch.NewServiceDispatcher(pool, &recorder{recorded: map[string]claims.Response{}}, options),
 		Keys:     issuer{},
@@ -145,23 +152,33 @@
 	}
 	f.server = gateway.New(gatewayOptions)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
+	must(err)
 	served := make(chan struct{})
 	go func() {
 		defer close(served)
 		_ = f.server.Serve(listener)
 	}()
-	DeferCleanup(func() {
-		// Close again after Serve has begun: a server that does not run yet has nothing to close.
+	f.address = listener.Addr().String()
+	f.url = "http://" + f.address
+	f.engineURL = engineURL
+	return f, func() {
+		// Serve must have begun and ended before Close: a server that does not run yet has nothing to close.
 		_ = listener.Close()
 		<-served
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = f.server.Close(ctx)
-	})
-	f.address = listener.Addr().String()
-	f.url = "http://" + f.address
-	return f
+		client.Close()
+		pool.Close()
+		f.engine.Close()
+		f.service.Close()
+	}
+}
+
+func must(err error) {
+	if err != nil {
+		panic(err)
+	}
 }
 
 type reply struct {
