--- /dev/null
+++ b/pkg/config/build_test.go
@@ -0,0 +1,105 @@
+package config_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+)
+
+var timeZero time.Time
+
+func build(text string, previous *config.Snapshot) (*config.Snapshot, findings.List) {
+	raw, _ := parse(text)
+	return config.BuildSnapshot(2, timeZero, raw, previous)
+}
+
+var _ = Describe("snapshot of stored records", func() {
+	var base *config.Snapshot
+
+	BeforeEach(func() {
+		var found findings.List
+		base, found = build(baseFile, nil)
+		Expect(found.Err()).NotTo(HaveOccurred())
+	})
+
+	// Guards against one bad record that takes unrelated models out of service.
+	It("leaves out a bad record and what needs it, and nothing else", func() {
+		text := strings.Replace(baseFile, `"weightBytes":80`, `"weightBytes":-1`, 1)
+		s, found := build(text, base)
+		Expect(pointers(found)).To(Equal([]string{"/records/7/weightBytes", "/records/8/model"}))
+		Expect(s.Model("big")).To(BeNil())
+		Expect(s.Adapter("tuned")).To(BeNil())
+		Expect(s.Endpoint("lm-1")).NotTo(BeNil())
+	})
+
+	It("takes a bad member off the lists and keeps the models", func() {
+		s, found := build(strings.Replace(baseFile, `"share":1`, `"share":-1`, 1), base)
+		Expect(pointers(found)).To(ContainElements("/records/2/share", "/records/7/members/0"))
+		Expect(s.Model("big").MayCall("m1")).To(BeFalse())
+		Expect(base.Model("big").Members).To(Equal([]string{"m1"}), "the previous snapshot must stay as it was")
+	})
+
+	// Guards against an older build that applies a form of a record that it would misread.
+	It("keeps the last understood form of a record for newer readers", func() {
+		text := strings.Replace(baseFile, `"weightBytes":80`, `"weightBytes":90,"minReaderVersion":3`, 1)
+		s, found := build(text, base)
+		Expect(pointers(found)).To(Equal([]string{"/records/7/minReaderVersion"}))
+		Expect(s.Model("big").WeightBytes).To(Equal(int64(80)))
+		Expect(s.Adapter("tuned")).NotTo(BeNil())
+		s, _ = build(text, nil)
+		Expect(s.Model("big")).To(BeNil())
+		Expect(s.Adapter("tuned")).To(BeNil())
+	})
+
+	// Guards against two ledgers for one engine, when a kept form and a new record name one URL.
+	It("leaves out a new endpoint with the URL of a kept one", func() {
+		text := strings.Replace(baseFile, `"url":"http://127.0.0.1:81"`, `"url":"http://127.0.0.1:83","minReaderVersion":3`, 1)
+		text = strings.Replace(text, `{"kind":"Model"`, `{"kind":"Endpoint","name":"lm-2","service":"lm","dataCentre":"dc-a",
+			"url":"http://127.0.0.1:81","maxConcurrentRequests":4,"accelerators":[{"memoryBytes":100}]},{"kind":"Model"`, 1)
+		s, _ := build(text, base)
+		Expect(s.Endpoint("lm-1").URL).To(Equal("http://127.0.0.1:81"))
+		Expect(s.Endpoint("lm-2")).To(BeNil())
+	})
+
+	It("keeps the previous deployment record, and has no snapshot without one", func() {
+		text := strings.Replace(baseFile, `"placementShards":1`, `"placementShards":0`, 1)
+		s, found := build(text, base)
+		Expect(found.Len()).To(Equal(2))
+		Expect(s.Deployment().PlacementShards).To(Equal(1))
+		s, _ = build(text, nil)
+		Expect(s).To(BeNil())
+	})
+})
+
+// FuzzParseFile guards against declarations that crash the parser or the validation, and against records whose
+// canonical form reads back differently. `go test` runs the committed corpus only.
+func FuzzParseFile(f *testing.F) {
+	f.Add([]byte(baseFile))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		raw, _ := config.ParseFile("f.json", data)
+		_, _ = config.Validate(raw)
+		_, _ = config.BuildSnapshotAs(config.SchemaVersion1, 1, timeZero, raw, nil)
+		for _, r := range raw {
+			text, err := r.Canonical()
+			if err != nil {
+				t.Fatalf("canonical form of a parsed record: %v", err)
+			}
+			again, _ := config.ParseFile("f.json", text)
+			if _, isSet := r.Fields["records"]; isSet {
+				continue
+			}
+			if len(again) != 1 {
+				t.Fatalf("canonical form %q has %d records", text, len(again))
+			}
+			if second, _ := again[0].Canonical(); string(second) != string(text) {
+				t.Fatalf("canonical form changed from %q to %q", text, second)
+			}
+		}
+	})
+}
--- a/pkg/config/keys.go
+++ b/pkg/config/keys.go
@@ -5,13 +5,27 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// saltBytes is the length of a random salt.
+	saltBytes = 16
+	// MinKeyLength is the least number of characters of a bearer key. The clear prefix of a shorter key would leave too
+	// few characters to guess.
+	MinKeyLength = 24
 )
 
-// saltBytes is the length of a random salt.
-const saltBytes = 16
+// ErrKeyTooShort means that a bearer key has fewer than MinKeyLength characters.
+var ErrKeyTooShort = errors.Newf("a key needs at least %d characters", MinKeyLength)
 
-// HashKey makes the declaration of a bearer key.
-func HashKey(key string) KeyHash {
+// HashKey makes the declaration of a bearer key. Errors: ErrKeyTooShort.
+func HashKey(key string) (KeyHash, error) {
+	if utf8.RuneCountInString(key) < MinKeyLength {
+		return KeyHash{}, ErrKeyTooShort
+	}
 	salt := make([]byte, saltBytes)
 	_, _ = rand.Read(salt) // crypto/rand.Read never returns an error.
 	sum := saltedSum(salt, key)
@@ -19,7 +33,7 @@
 		Prefix: keyPrefix(key),
 		Salt:   base64.StdEncoding.EncodeToString(salt),
 		Hash:   base64.StdEncoding.EncodeToString(sum),
-	}
+	}, nil
 }
 
 // MemberByKey returns the member that owns the bearer key, or nil. Hashes are compared in constant time.
--- /dev/null
+++ b/pkg/config/load.go
@@ -0,0 +1,185 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/internal/strictjson"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+)
+
+const (
+	fieldKind             = "kind"
+	fieldName             = "name"
+	fieldRecords          = "records"
+	fieldSchemaVersion    = "schemaVersion"
+	fieldMinReaderVersion = "minReaderVersion"
+)
+
+// RecordID identifies a record.
+type RecordID struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns "Kind/name".
+func (id RecordID) String() string {
+	return string(id.Kind) + "/" + id.Name
+}
+
+// RawRecord is a record as it was written, with all fields, known and unknown.
+type RawRecord struct {
+	RecordID
+	// File and Pointer say where the record was read.
+	File    string
+	Pointer string
+	// Fields is the parsed JSON object; numbers are json.Number. It is not modified after parsing.
+	Fields map[string]any
+}
+
+// Canonical returns the record as compact JSON with sorted fields.
+func (r RawRecord) Canonical() ([]byte, error) {
+	return strictjson.Canonical(r.Fields)
+}
+
+// SchemaVersion returns the version that the record was written in; zero when it names none.
+func (r RawRecord) SchemaVersion() int {
+	return wholeNumber(r.Fields[fieldSchemaVersion])
+}
+
+// MinReaderVersion returns the oldest version whose readers may use the record; zero when it names none.
+func (r RawRecord) MinReaderVersion() int {
+	return wholeNumber(r.Fields[fieldMinReaderVersion])
+}
+
+func wholeNumber(node any) int {
+	number, ok := node.(json.Number)
+	if !ok {
+		return 0
+	}
+	value, err := strconv.Atoi(number.String())
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// LoadFiles reads files, and all files *.json of directories. A file holds either one record or an object with the
+// fields schemaVersion and records; records without a schemaVersion of their own take the file's.
+func LoadFiles(paths []string) ([]RawRecord, findings.List) {
+	var records []RawRecord
+	var found findings.List
+	for _, path := range paths {
+		for _, file := range expand(path, &found) {
+			data, err := os.ReadFile(file)
+			if err != nil {
+				found.Addf(file, "", "", "cannot be read: %v", err)
+				continue
+			}
+			parsed, problems := ParseFile(file, data)
+			records = append(records, parsed...)
+			found.Append(problems)
+		}
+	}
+	return records, found
+}
+
+// expand returns the path itself, or the files *.json of a directory in name order.
+func expand(path string, found *findings.List) []string {
+	info, err := os.Stat(path)
+	if err != nil {
+		found.Addf(path, "", "", "cannot be read: %v", err)
+		return nil
+	}
+	if !info.IsDir() {
+		return []string{path}
+	}
+	files, err := filepath.Glob(filepath.Join(globEscape(path), "*.json"))
+	if err != nil || len(files) == 0 {
+		found.Addf(path, "", "", "the directory has no files *.json")
+	}
+	return files
+}
+
+// globEscape keeps characters of a directory name from being read as a pattern.
+func globEscape(path string) string {
+	escaped := make([]byte, 0, len(path))
+	for i := range len(path) {
+		switch path[i] {
+		case '*', '?', '[', '\\':
+			escaped = append(escaped, '\\')
+		}
+		escaped = append(escaped, path[i])
+	}
+	return string(escaped)
+}
+
+// ParseFile parses the content of one declaration file.
+func ParseFile(file string, data []byte) ([]RawRecord, findings.List) {
+	var found findings.List
+	doc, err := strictjson.Parse(data)
+	if err != nil {
+		found.Addf(file, "", "", "is not valid JSON: %v", errors.UnwrapAll(err))
+		return nil, found
+	}
+	for _, pointer := range doc.Duplicates {
+		found.Addf(file, pointer, "", "the field occurs more than once")
+	}
+	root, ok := doc.Root.(map[string]any)
+	if !ok {
+		found.Addf(file, "", strictjson.Text(doc.Root), "must be a record or an object with schemaVersion and records")
+		return nil, found
+	}
+	if _, isSet := root[fieldRecords]; !isSet {
+		return []RawRecord{newRawRecord(file, "", root)}, found
+	}
+	return parseSet(file, root, &found), found
+}
+
+func parseSet(file string, root map[string]any, found *findings.List) []RawRecord {
+	for name := range root {
+		if name != fieldRecords && name != fieldSchemaVersion {
+			found.Addf(file, strictjson.Join("", name), strconv.Quote(name), "unknown field")
+		}
+	}
+	version, hasVersion := root[fieldSchemaVersion]
+	if hasVersion && wholeNumber(version) < SchemaVersion1 {
+		found.Addf(file, "/"+fieldSchemaVersion, strictjson.Text(version), "must be a whole number of at least 1")
+		hasVersion = false
+	}
+	nodes, ok := root[fieldRecords].([]any)
+	if !ok {
+		found.Addf(file, "/"+fieldRecords, strictjson.Text(root[fieldRecords]), "must be an array")
+		return nil
+	}
+	var records []RawRecord
+	for i, node := range nodes {
+		pointer := strictjson.JoinIndex("/"+fieldRecords, i)
+		fields, ok := node.(map[string]any)
+		if !ok {
+			found.Addf(file, pointer, strictjson.Text(node), "must be an object")
+			continue
+		}
+		if _, own := fields[fieldSchemaVersion]; !own && hasVersion {
+			fields[fieldSchemaVersion] = version
+		}
+		records = append(records, newRawRecord(file, pointer, fields))
+	}
+	return records
+}
+
+func newRawRecord(file, pointer string, fields map[string]any) RawRecord {
+	kind, _ := fields[fieldKind].(string)
+	name, _ := fields[fieldName].(string)
+	id := RecordID{Kind: Kind(kind), Name: name}
+	return RawRecord{RecordID: id, File: file, Pointer: pointer, Fields: fields}
+}
+
+// NewRawRecord makes a record from parsed fields, for example after a merge. Findings name the given location.
+func NewRawRecord(file, pointer string, fields map[string]any) RawRecord {
+	return newRawRecord(file, pointer, fields)
+}
--- a/pkg/config/records.go
+++ b/pkg/config/records.go
@@ -92,7 +92,7 @@
 	Share float64   `json:"share"`
 	Keys  []KeyHash `json:"keys"`
 	// MaxConcurrentRequests bounds the member's requests at one entry instance; zero means no bound. Schema version 2.
-	MaxConcurrentRequests int `json:"maxConcurrentRequests,omitempty"`
+	MaxConcurrentRequests int `json:"maxConcurrentRequests,omitempty" since:"2"`
 }
 
 // ServiceType tells engine services from plain HTTP services.
@@ -175,8 +175,8 @@
 	MaxInputTokens   int   `json:"maxInputTokens"`
 	MaxOutputTokens  int   `json:"maxOutputTokens"`
 	// FirstTokenTargetMs and BetweenTokensTargetMs define "answered in time". Schema version 2; zero means 340 and 27.
-	FirstTokenTargetMs    int64 `json:"firstTokenTargetMs,omitempty"`
-	BetweenTokensTargetMs int64 `json:"betweenTokensTargetMs,omitempty"`
+	FirstTokenTargetMs    int64 `json:"firstTokenTargetMs,omitempty" since:"2"`
+	BetweenTokensTargetMs int64 `json:"betweenTokensTargetMs,omitempty" since:"2"`
 }
 
 // Adapter is an adapter of a model; callers name it as a model id of its own.
--- /dev/null
+++ b/pkg/config/validate.go
@@ -0,0 +1,85 @@
+package config
+
+import (
+	"sort"
+
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+)
+
+// Validate types the records and reports every mistake in them. The result is complete only without findings.
+func Validate(raw []RawRecord) (Records, findings.List) {
+	return ValidateAs(NewestSchemaVersion, raw)
+}
+
+// ValidateAs validates as a build would whose newest schema version is reader.
+func ValidateAs(reader int, raw []RawRecord) (Records, findings.List) {
+	t := newTable(raw, reader)
+	t.checkUnique()
+	for _, e := range t.entries {
+		t.checkReferences(e)
+		t.checkServiceType(e)
+	}
+	found := t.findings()
+	if t.deployment() == nil {
+		found.Addf("", "", "", "there must be exactly one record of kind %s", KindDeployment)
+	}
+	return t.records(), found
+}
+
+// checkReferences reports names that no record has. A record that exists and has findings is no dangling reference.
+func (t *table) checkReferences(e *entry) {
+	for _, ref := range e.references() {
+		if t.byID[ref.id] == nil {
+			e.addAt(ref.path, "there is no %s of this name", ref.id.Kind)
+		}
+	}
+}
+
+func (t *table) findings() findings.List {
+	var found findings.List
+	for _, e := range t.entries {
+		found.Append(e.found)
+	}
+	return found
+}
+
+func (t *table) deployment() *Deployment {
+	for _, e := range t.entries {
+		if d, ok := e.record.(*Deployment); ok {
+			return d
+		}
+	}
+	return nil
+}
+
+// records returns the valid records by kind, ordered by name.
+func (t *table) records() Records {
+	sorted := append([]*entry(nil), t.entries...)
+	sort.SliceStable(sorted, func(i, j int) bool { return sorted[i].raw.Name < sorted[j].raw.Name })
+	var records Records
+	for _, e := range sorted {
+		if e.valid() {
+			records.add(e.record)
+		}
+	}
+	return records
+}
+
+func (r *Records) add(record any) {
+	switch record := record.(type) {
+	case *Deployment:
+		r.Deployment = *record
+	case *DataCentre:
+		r.DataCentres = append(r.DataCentres, *record)
+	case *Member:
+		r.Members = append(r.Members, *record)
+	case *Service:
+		r.Services = append(r.Services, *record)
+	case *Endpoint:
+		r.Endpoints = append(r.Endpoints, *record)
+	case *Model:
+		r.Models = append(r.Models, *record)
+	case *Adapter:
+		r.Adapters = append(r.Adapters, *record)
+	}
+}
