Store declarations as bundles with a head that is replaced atomically

A change carries an id that resolves lost replies. Writers that lose a race are rebased, or get a conflict that names the records and the other changes. Bundles are deleted in the transaction of a head write, so that a writer that counts on one notices. An older writer keeps stored fields that it does not know.

--- /dev/null
+++ b/pkg/configstore/apply_test.go
@@ -0,0 +1,265 @@
+package configstore_test
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+// bundleCommit and headCommit are the commits of a small change, in order.
+const (
+	bundleCommit = 0
+	headCommit   = 1
+)
+
+// faultAt queues a fault for the n-th commit from now.
+func faultAt(store *kv.Memory, n int, fault kv.Fault) {
+	for range n {
+		store.Faults.Next(kv.CallCommit, kv.Fault{})
+	}
+	store.Faults.Next(kv.CallCommit, fault)
+}
+
+var _ = Describe("apply", func() {
+	It("creates, updates, keeps and prunes records", func() {
+		_, repository := seeded()
+		result, err := repository.Apply(ctx, change("c1", member("m", 2), dataCentre("a", "r")))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Created).To(Equal([]config.RecordID{{Kind: config.KindDataCentre, Name: "a"}}))
+		Expect(result.Updated).To(Equal([]config.RecordID{{Kind: config.KindMember, Name: "m"}}))
+		pruning := change("c2", deployment, dataCentre("a", "r"))
+		pruning.Prune = true
+		result, err = repository.Apply(ctx, pruning)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Deleted).To(HaveLen(2))
+		Expect(result.Unchanged).To(Equal(2))
+		Expect(stored(repository)).To(HaveLen(2))
+	})
+
+	It("writes nothing for a change without effect", func() {
+		store, repository := seeded()
+		commits := store.Faults.Count(kv.CallCommit)
+		result, err := repository.Apply(ctx, change("again", member("m", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Empty()).To(BeTrue())
+		Expect(store.Faults.Count(kv.CallCommit)).To(Equal(commits))
+	})
+
+	// Guards against a rejected change that leaves a part behind.
+	It("writes nothing for a rejected change and names its file", func() {
+		store, repository := seeded()
+		commits := store.Faults.Count(kv.CallCommit)
+		_, err := repository.Apply(ctx, change("bad", dataCentre("a", "r"), model("x", "nobody")))
+		var rejected *findings.Error
+		Expect(errors.As(err, &rejected)).To(BeTrue())
+		Expect(rejected.Findings).To(HaveLen(1))
+		Expect(rejected.Findings[0].File).To(Equal("bad-1.json"))
+		Expect(store.Faults.Count(kv.CallCommit)).To(Equal(commits))
+	})
+
+	It("rejects pruning a record that others need", func() {
+		_, repository := seeded()
+		_, err := repository.Apply(ctx, change("c1", model("x", "m")))
+		Expect(err).NotTo(HaveOccurred())
+		pruning := change("c2", deployment, service, model("x", "m"))
+		pruning.Prune = true
+		_, err = repository.Apply(ctx, pruning)
+		Expect(err).To(MatchError(ContainSubstring("there is no Member")))
+	})
+
+	// Guards against the same change taking effect twice, or not at all, after a lost reply.
+	DescribeTable("resolves a lost reply by the change id",
+		func(commit int) {
+			store, repository := seeded()
+			faultAt(store, commit, kv.Fault{DropReply: true})
+			result, err := repository.Apply(ctx, change("c1", member("n", 1)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(result.Created).To(HaveLen(1))
+			contents, err := repository.Read(ctx, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(contents.Head.ChangeCount).To(Equal(int64(2)))
+			Expect(contents.Head.Revision).To(Equal(result.Revision))
+		},
+		Entry("of the bundles", bundleCommit),
+		Entry("of the head", headCommit),
+	)
+
+	DescribeTable("writes again when a write was lost with its reply",
+		func(commit int) {
+			store, _ := seeded()
+			lost := func([]kvstore.ConditionalWrite) ([]kvstore.WriteResult, error) { return nil, kvstore.ErrOutcomeUnknown }
+			repository := newRepository(&commitFault{Memory: store, at: commit, commit: lost})
+			_, err := repository.Apply(ctx, change("c1", member("n", 1)))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(stored(repository)).To(HaveKey("Member/n"))
+		},
+		Entry("of the bundles", bundleCommit),
+		Entry("of the head", headCommit),
+	)
+
+	// Guards against a head write that arrives after its writer has given up on it and tried again.
+	It("accepts a delayed head write that overtakes the repeated one", func() {
+		store, _ := seeded()
+		var delayed []kvstore.ConditionalWrite
+		repository := newRepository(&commitFault{Memory: store, at: headCommit,
+			commit: func(writes []kvstore.ConditionalWrite) ([]kvstore.WriteResult, error) {
+				delayed = writes
+				return nil, kvstore.ErrOutcomeUnknown
+			}})
+		land := func() {
+			_, err := store.Commit(ctx, delayed)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		faultAt(store, 2, kv.Fault{Hook: land})
+		result, err := repository.Apply(ctx, change("c1", member("n", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Created).To(HaveLen(1))
+		contents, err := repository.Read(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents.Head.ChangeCount).To(Equal(int64(2)))
+	})
+
+	// Guards against an outage that leaves half a change or reports a wrong outcome.
+	DescribeTable("fails cleanly when the store refuses a call, and succeeds later",
+		func(call kv.Call, n int) {
+			store, repository := seeded()
+			before := stored(repository)
+			for range n {
+				store.Faults.Next(call, kv.Fault{})
+			}
+			store.Faults.Next(call, kv.Fault{Refuse: true})
+			c := change("c1", member("n", 1))
+			_, err := repository.Apply(ctx, c)
+			Expect(errors.Is(err, kvstore.ErrUnavailable)).To(BeTrue())
+			Expect(stored(repository)).To(Equal(before))
+			_, err = repository.Apply(ctx, c)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(stored(repository)).To(HaveKey("Member/n"))
+		},
+		Entry("head read", kv.CallGet, 0),
+		Entry("first bundle read", kv.CallGet, 1),
+		Entry("last bundle read", kv.CallGet, 3),
+		Entry("bundle write", kv.CallCommit, bundleCommit),
+		Entry("head write", kv.CallCommit, headCommit),
+	)
+
+	It("reports an unknown outcome when the reply is lost and the store stays down, and resolves it later", func() {
+		store, _ := seeded()
+		repository := newRepository(&commitFault{Memory: store, at: headCommit,
+			commit: func(writes []kvstore.ConditionalWrite) ([]kvstore.WriteResult, error) {
+				_, err := store.Commit(ctx, writes)
+				Expect(err).NotTo(HaveOccurred())
+				store.Faults.SetDown(true)
+				return nil, kvstore.ErrOutcomeUnknown
+			}})
+		c := change("c1", member("n", 1))
+		_, err := repository.Apply(ctx, c)
+		Expect(errors.Is(err, kvstore.ErrOutcomeUnknown)).To(BeTrue())
+		Expect(err).To(MatchError(ContainSubstring("c1")))
+		store.Faults.SetDown(false)
+		result, err := repository.Apply(ctx, c)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.AlreadyApplied).To(BeTrue())
+	})
+
+	It("refuses a change id of another change", func() {
+		_, repository := seeded()
+		_, err := repository.Apply(ctx, change("seed", member("other", 1)))
+		Expect(errors.Is(err, configstore.ErrChangeIDReused)).To(BeTrue())
+	})
+
+	It("keeps growing revisions when the head was deleted", func() {
+		store, repository := seeded()
+		before, err := repository.Read(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = store.Commit(ctx, []kvstore.ConditionalWrite{{Deletes: []string{repository.HeadKey()}}})
+		Expect(err).NotTo(HaveOccurred())
+		result, err := repository.Apply(ctx, change("anew", deployment))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.Revision).To(BeNumerically(">", before.Head.Revision))
+	})
+})
+
+var _ = Describe("racing writers", func() {
+	race := func(mine, other configstore.Change) (configstore.Result, *configstore.Repository, error) {
+		store, repository := seeded()
+		faultAt(store, headCommit, kv.Fault{Hook: func() {
+			_, err := newRepository(store).Apply(ctx, other)
+			Expect(err).NotTo(HaveOccurred())
+		}})
+		result, err := repository.Apply(ctx, mine)
+		return result, repository, err
+	}
+
+	It("rebases over a change of other records", func() {
+		result, repository, err := race(change("mine", member("n", 1)), change("other", member("m", 7)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(result.RebasedOver).To(Equal([]string{"other"}))
+		Expect(stored(repository)).To(HaveKey("Member/n"))
+		Expect(stored(repository)["Member/m"]["share"]).To(BeEquivalentTo("7"))
+	})
+
+	// Guards against an operator's change that silently replaces another operator's.
+	DescribeTable("reports a conflict that names the records and the other change",
+		func(mine func() configstore.Change, other func() configstore.Change, record string) {
+			_, repository, err := race(mine(), other())
+			var conflict *configstore.Conflict
+			Expect(errors.As(err, &conflict)).To(BeTrue())
+			Expect(conflict.ChangeIDs).To(Equal([]string{"other"}))
+			Expect(fmt.Sprint(conflict.Records)).To(Equal("[" + record + "]"))
+			contents, err := repository.Read(ctx, nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(contents.Head.ChangeCount).To(Equal(int64(2)))
+		},
+		Entry("same record",
+			func() configstore.Change { return change("mine", member("m", 5), member("n", 1)) },
+			func() configstore.Change { return change("other", member("m", 7), member("o", 1)) }, "Member/m"),
+		Entry("unchanged in mine",
+			func() configstore.Change { return change("mine", member("m", 1), member("n", 1)) },
+			func() configstore.Change { return change("other", member("m", 7)) }, "Member/m"),
+		Entry("prune of a record that the other created",
+			func() configstore.Change {
+				c := change("mine", deployment, member("m", 1), member("n", 1))
+				c.Prune = true
+				return c
+			},
+			func() configstore.Change { return change("other", member("o", 1)) }, "Member/o"),
+	)
+
+	It("accepts that both made the same change", func() {
+		_, repository, err := race(change("mine", member("m", 7), member("n", 1)), change("other", member("m", 7)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored(repository)).To(HaveKey("Member/n"))
+	})
+
+	It("rejects a rebase whose result is invalid", func() {
+		pruning := change("other", deployment, service)
+		pruning.Prune = true
+		_, _, err := race(change("mine", model("x", "m")), pruning)
+		Expect(err).To(MatchError(ContainSubstring("there is no Member")))
+	})
+
+	// Guards against a head that names a bundle which a racing writer has just deleted.
+	It("writes a retired bundle again when racing changes delete it", func() {
+		store, repository := seeded()
+		_, err := repository.Apply(ctx, change("two", member("m", 2)))
+		Expect(err).NotTo(HaveOccurred())
+		faultAt(store, headCommit, kv.Fault{Hook: func() {
+			for i := range 12 {
+				_, err := newRepository(store).Apply(ctx, change(fmt.Sprint("other", i), dataCentre("a", fmt.Sprint("r", i))))
+				Expect(err).NotTo(HaveOccurred())
+			}
+		}})
+		_, err = repository.Apply(ctx, change("one", member("m", 1)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored(repository)["Member/m"]["share"]).To(BeEquivalentTo("1"))
+	})
+})
--- /dev/null
+++ b/pkg/configstore/bundle.go
@@ -0,0 +1,142 @@
+package configstore
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+)
+
+const (
+	// Bundles hold between minMeanBytes and maxMeanBytes on average. A change transfers the head and the bundles that it
+	// touches: smaller bundles make the head longer, larger ones make the bundles longer. The distance between the two
+	// limits keeps a configuration at a limit from being regrouped with each change.
+	minMeanBytes = 8 << 10
+	maxMeanBytes = 48 << 10
+	// maxBundleBytes is below the store's value limit, with room for its encoding in a request.
+	maxBundleBytes = 700 << 10
+	// maxBuckets bounds the search for a number of buckets.
+	maxBuckets = 1 << 16
+)
+
+// Bundle is an immutable group of records.
+type Bundle struct {
+	Digest  string
+	Content []byte
+}
+
+// Digest returns the name under which a bundle is stored: hexadecimal SHA-256 of its content.
+func Digest(content []byte) string {
+	sum := sha256.Sum256(content)
+	return hex.EncodeToString(sum[:])
+}
+
+// encodedRecord is a record in the form in which it is compared and stored.
+type encodedRecord struct {
+	id   config.RecordID
+	text []byte
+}
+
+// group distributes the records over bundles. previous has the numbers of buckets in use.
+func group(records []encodedRecord, previous map[config.Kind]int) ([]BundleRef, map[string][]byte, map[config.Kind]int) {
+	byKind := make(map[config.Kind][]encodedRecord)
+	for _, r := range records {
+		byKind[r.id.Kind] = append(byKind[r.id.Kind], r)
+	}
+	var refs []BundleRef
+	contents := make(map[string][]byte)
+	buckets := make(map[config.Kind]int, len(byKind))
+	for kind, ofKind := range byKind {
+		sort.Slice(ofKind, func(i, j int) bool { return ofKind[i].id.Name < ofKind[j].id.Name })
+		split, count := distribute(ofKind, max(previous[kind], 1))
+		buckets[kind] = count
+		for bucket, content := range split {
+			digest := Digest(content)
+			contents[digest] = content
+			refs = append(refs, BundleRef{Kind: kind, Bucket: bucket, Digest: digest})
+		}
+	}
+	sort.Slice(refs, func(i, j int) bool {
+		if refs[i].Kind != refs[j].Kind {
+			return refs[i].Kind < refs[j].Kind
+		}
+		return refs[i].Bucket < refs[j].Bucket
+	})
+	return refs, contents, buckets
+}
+
+// distribute splits records of one kind into buckets, beginning with the number in use.
+func distribute(records []encodedRecord, count int) (map[int][]byte, int) {
+	total := 0
+	for _, r := range records {
+		total += len(r.text)
+	}
+	for count > 1 && total/count < minMeanBytes {
+		count /= 2
+	}
+	for count < maxBuckets && total/count > maxMeanBytes {
+		count *= 2
+	}
+	for {
+		split := splitInto(records, count)
+		if count >= maxBuckets || longest(split) <= maxBundleBytes {
+			return split, count
+		}
+		count *= 2
+	}
+}
+
+func splitInto(records []encodedRecord, count int) map[int][]byte {
+	texts := make(map[int][][]byte)
+	for _, r := range records {
+		bucket := int(xxhash.Sum64String(r.id.Name) % uint64(count))
+		texts[bucket] = append(texts[bucket], r.text)
+	}
+	split := make(map[int][]byte, len(texts))
+	for bucket, list := range texts {
+		split[bucket] = encodeBundle(list)
+	}
+	return split
+}
+
+func longest(split map[int][]byte) int {
+	most := 0
+	for _, content := range split {
+		most = max(most, len(content))
+	}
+	return most
+}
+
+// encodeBundle writes the same form that a declaration file has, one record per line.
+func encodeBundle(texts [][]byte) []byte {
+	var b bytes.Buffer
+	b.WriteString("{\"records\":[\n")
+	b.Write(bytes.Join(texts, []byte(",\n")))
+	b.WriteString("\n]}\n")
+	return b.Bytes()
+}
+
+// parseBundle checks a bundle against its digest. Records are located by kind and name instead of their position, so
+// that a finding keeps its location when other records come and go.
+func parseBundle(digest string, content []byte) ([]config.RawRecord, error) {
+	if actual := Digest(content); actual != digest {
+		return nil, errors.Wrapf(ErrFormat, "bundle %s has digest %s", digest, actual)
+	}
+	parsed, found := config.ParseFile(digest, content)
+	if err := found.Err(); err != nil {
+		return nil, errors.Wrapf(ErrFormat, "bundle %s: %v", digest, err)
+	}
+	records := make([]config.RawRecord, len(parsed))
+	for i, r := range parsed {
+		records[i] = config.NewRawRecord(storedFile, "/"+r.RecordID.String(), r.Fields)
+	}
+	return records, nil
+}
+
+// storedFile is the file name in findings about stored records.
+const storedFile = "stored"
--- /dev/null
+++ b/pkg/configstore/contents_test.go
@@ -0,0 +1,178 @@
+package configstore_test
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+func bundlesIn(store *kv.Memory) []kvstore.KeyValue {
+	kvs, _, err := store.Range(ctx, "p/config/bundles/")
+	Expect(err).NotTo(HaveOccurred())
+	return kvs
+}
+
+var _ = Describe("bundles", func() {
+	It("are deleted some heads after their last use, and when no head names them", func() {
+		store, repository := seeded()
+		for i := range 30 {
+			_, err := repository.Apply(ctx, change(fmt.Sprint("c", i), member("m", i+2)))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(len(bundlesIn(store))).To(BeNumerically("<=", 3+8))
+		_, err := store.Commit(ctx, []kvstore.ConditionalWrite{{Puts: []kvstore.Put{{Key: "p/config/bundles/abc"}}}})
+		Expect(err).NotTo(HaveOccurred())
+		before := len(bundlesIn(store))
+		deleted, err := repository.CollectGarbage(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(deleted).To(Equal(1))
+		Expect(bundlesIn(store)).To(HaveLen(before - 1))
+		Expect(stored(repository)).To(HaveLen(3))
+	})
+
+	It("are kept when they come into use again", func() {
+		_, repository := seeded()
+		for i, share := range []int{2, 1} {
+			_, err := repository.Apply(ctx, change(fmt.Sprint("share", i), member("m", share)))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		for i := range 12 {
+			_, err := repository.Apply(ctx, change(fmt.Sprint("c", i), dataCentre("a", fmt.Sprint("r", i))))
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(stored(repository)["Member/m"]["share"]).To(BeEquivalentTo("1"))
+	})
+
+	// Guards against a collection that deletes the bundles of a writer that is about to name them.
+	It("are written again when a collection deletes them before the head names them", func() {
+		store, repository := seeded()
+		faultAt(store, headCommit, kv.Fault{Hook: func() {
+			deleted, err := newRepository(store).CollectGarbage(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(deleted).To(Equal(1))
+		}})
+		_, err := repository.Apply(ctx, change("c1", member("m", 2)))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(stored(repository)["Member/m"]["share"]).To(BeEquivalentTo("2"))
+	})
+
+	It("are read only when they are new", func() {
+		store, repository := seeded()
+		first, err := repository.Read(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = repository.Apply(ctx, change("c1", member("m", 2)))
+		Expect(err).NotTo(HaveOccurred())
+		gets := store.Faults.Count(kv.CallGet)
+		_, err = repository.Read(ctx, first)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.Faults.Count(kv.CallGet) - gets).To(Equal(2))
+	})
+
+	// Guards against damaged or forged bundles from a peer.
+	It("are verified against their digest", func() {
+		_, repository := seeded()
+		contents, err := repository.Read(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		var bundles []configstore.Bundle
+		for digest, content := range contents.Bundles {
+			bundles = append(bundles, configstore.Bundle{Digest: digest, Content: content})
+		}
+		_, err = configstore.NewContents(contents.HeadBytes, bundles, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = configstore.NewContents(contents.HeadBytes, bundles[1:], nil)
+		Expect(errors.Is(err, configstore.ErrFormat)).To(BeTrue())
+		bundles[0].Content = append([]byte(" "), bundles[0].Content...)
+		_, err = configstore.NewContents(contents.HeadBytes, bundles, nil)
+		Expect(errors.Is(err, configstore.ErrFormat)).To(BeTrue())
+	})
+
+	// Guards against a value above the store's limit and against a small change that writes most of the configuration.
+	It("stay small at design size", func() {
+		store, repository := seeded()
+		records := []string{dataCentre("a", "r")}
+		for i := range 1700 {
+			records = append(records, model(fmt.Sprint("model-", i), "m"))
+		}
+		for i := range 5500 {
+			records = append(records, fmt.Sprintf(`{"kind":"Endpoint","name":"endpoint-%d","schemaVersion":1,"service":"lm",
+				"dataCentre":"a","url":"http://10.%d.%d.1:80","maxConcurrentRequests":32,"accelerators":[{"memoryBytes":85899345920},
+				{"memoryBytes":85899345920}],"checksFencing":true}`, i, i/250, i%250))
+		}
+		_, err := repository.Apply(ctx, change("all", records...))
+		Expect(err).NotTo(HaveOccurred())
+		for _, bundle := range bundlesIn(store) {
+			Expect(len(bundle.Value)).To(BeNumerically("<", 200<<10))
+		}
+		before, err := repository.Read(ctx, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(before.HeadBytes)).To(BeNumerically("<", 64<<10))
+		_, err = repository.Apply(ctx, change("one", model("model-1700", "m")))
+		Expect(err).NotTo(HaveOccurred())
+		after, err := repository.Read(ctx, before)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(before.Missing(after.Head)).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("two schema versions", func() {
+	apply := func(store *kv.Memory, writer int, c configstore.Change) error {
+		o := options
+		o.WriterVersion = writer
+		_, err := configstore.New(store, o).Apply(ctx, c)
+		return err
+	}
+
+	newer := `{"kind":"Member","name":"n","schemaVersion":2,"share":1,"maxConcurrentRequests":9,"keys":[]}`
+
+	// Guards against an old command line, or an old file, that removes what newer ones declared.
+	DescribeTable("an older writer keeps what it does not know",
+		func(writer int) {
+			store, repository := seeded()
+			Expect(apply(store, 2, change("new", newer))).To(Succeed())
+			Expect(apply(store, writer, change("old", member("n", 5)))).To(Succeed())
+			fields := stored(repository)["Member/n"]
+			Expect(fields["share"]).To(BeEquivalentTo("5"))
+			Expect(fields["maxConcurrentRequests"]).To(BeEquivalentTo("9"))
+			Expect(fields["schemaVersion"]).To(BeEquivalentTo("2"))
+		},
+		Entry("old command line", 1),
+		Entry("new command line with an old file", 2),
+	)
+
+	It("a newer writer removes a field that it knows", func() {
+		store, repository := seeded()
+		Expect(apply(store, 2, change("new", newer))).To(Succeed())
+		without := `{"kind":"Member","name":"n","schemaVersion":2,"share":1,"keys":[]}`
+		Expect(apply(store, 2, change("newer", without))).To(Succeed())
+		Expect(stored(repository)["Member/n"]).NotTo(HaveKey("maxConcurrentRequests"))
+	})
+
+	It("unknown fields inside lists survive when the rest of the element is unchanged", func() {
+		store, repository := seeded()
+		element := `"accelerators":[{"memoryBytes":1%s},{"memoryBytes":2%s}]`
+		endpoint := `{"kind":"Endpoint","name":"e","schemaVersion":%d,"service":"lm","dataCentre":"a",
+			"url":"http://127.0.0.1:1","maxConcurrentRequests":%d,` + element + `}`
+		future := fmt.Sprintf(endpoint, 3, 1, `,"slot":7`, `,"slot":8`)
+		Expect(apply(store, 2, change("future", dataCentre("a", "r"), future))).To(Succeed())
+		Expect(apply(store, 2, change("old", fmt.Sprintf(endpoint, 2, 5, "", "")))).To(Succeed())
+		fields := stored(repository)["Endpoint/e"]
+		Expect(fields["maxConcurrentRequests"]).To(BeEquivalentTo("5"))
+		Expect(fmt.Sprint(fields["accelerators"])).To(ContainSubstring("slot:8"))
+	})
+
+	// Guards against a writer that replaces a record which it would misread.
+	It("a record for newer readers blocks only changes of itself", func() {
+		store, repository := seeded()
+		future := `{"kind":"Member","name":"n","schemaVersion":3,"minReaderVersion":2,"share":1,"keys":[]}`
+		Expect(apply(store, 2, change("future", future))).To(Succeed())
+		Expect(apply(store, 1, change("elsewhere", member("m", 5)))).To(Succeed())
+		Expect(apply(store, 1, change("old", member("n", 5)))).To(MatchError(ContainSubstring("newer version than 1")))
+		Expect(stored(repository)["Member/n"]["minReaderVersion"]).To(BeEquivalentTo("2"))
+	})
+})
--- /dev/null
+++ b/pkg/configstore/plan.go
@@ -0,0 +1,204 @@
+package configstore
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+)
+
+// Change is a set of records to create or replace.
+type Change struct {
+	// ID identifies the change over repeated attempts; it must be unique.
+	ID      string
+	Records []config.RawRecord
+	// Prune also deletes every stored record that is not in Records.
+	Prune bool
+}
+
+// hash identifies the content of a change.
+func (c Change) hash() (string, error) {
+	sum := sha256.New()
+	if c.Prune {
+		sum.Write([]byte("prune\n"))
+	}
+	for _, r := range c.Records {
+		text, err := r.Canonical()
+		if err != nil {
+			return "", err
+		}
+		sum.Write(text)
+		sum.Write([]byte{'\n'})
+	}
+	return hex.EncodeToString(sum.Sum(nil)[:hashBytes]), nil
+}
+
+// hashBytes is the length of a change's hash; 8 bytes tell changes apart that share an id by mistake.
+const hashBytes = 8
+
+// Difference lists what a change does to the stored records, each list ordered by kind and name.
+type Difference struct {
+	Created   []config.RecordID `json:"created"`
+	Updated   []config.RecordID `json:"updated"`
+	Deleted   []config.RecordID `json:"deleted"`
+	Unchanged int               `json:"unchanged"`
+}
+
+// Empty tells whether the change has no effect.
+func (d Difference) Empty() bool {
+	return len(d.Created)+len(d.Updated)+len(d.Deleted) == 0
+}
+
+// plan is a change merged into stored records.
+type plan struct {
+	difference Difference
+	records    []encodedRecord
+	// touched has the record ids that the change names, with their text after the change; nil for a deleted record.
+	touched map[config.RecordID][]byte
+}
+
+// newPlan merges a change into the stored records and validates the result. Errors: *findings.Error with the mistakes
+// that the change brings in. Mistakes of stored records that the change does not touch do not block it.
+func newPlan(writer int, stored []config.RawRecord, change Change) (*plan, error) {
+	merged := mergeAll(writer, stored, change)
+	_, found := config.ValidateAs(writer, merged)
+	if found.Len() > 0 {
+		_, before := config.ValidateAs(writer, stored)
+		if err := newFindings(found, before).Err(); err != nil {
+			return nil, err
+		}
+	}
+	return comparePlan(stored, merged, change)
+}
+
+// mergeAll puts the change's records in place of stored ones. A record that the change names twice stays twice, so that
+// the validation reports it.
+func mergeAll(writer int, stored []config.RawRecord, change Change) []config.RawRecord {
+	old := make(map[config.RecordID]config.RawRecord, len(stored))
+	for _, r := range stored {
+		old[r.RecordID] = r
+	}
+	named := make(map[config.RecordID]bool, len(change.Records))
+	merged := make([]config.RawRecord, 0, len(stored)+len(change.Records))
+	for _, r := range change.Records {
+		named[r.RecordID] = true
+		merged = append(merged, config.MergeRecord(writer, r, old[r.RecordID]))
+	}
+	if change.Prune {
+		return merged
+	}
+	for _, r := range stored {
+		if !named[r.RecordID] {
+			merged = append(merged, r)
+		}
+	}
+	return merged
+}
+
+// newFindings returns the findings that before does not have.
+func newFindings(found, before findings.List) *findings.List {
+	known := make(map[string]bool, before.Len())
+	for _, f := range before.Items() {
+		known[f.String()] = true
+	}
+	var added findings.List
+	for _, f := range found.Items() {
+		if !known[f.String()] {
+			added.Add(f)
+		}
+	}
+	return &added
+}
+
+func comparePlan(stored, merged []config.RawRecord, change Change) (*plan, error) {
+	before, err := encodeAll(stored)
+	if err != nil {
+		return nil, err
+	}
+	after, err := encodeAll(merged)
+	if err != nil {
+		return nil, err
+	}
+	p := &plan{touched: make(map[config.RecordID][]byte)}
+	for id, text := range after {
+		p.records = append(p.records, encodedRecord{id: id, text: text})
+		old, existed := before[id]
+		switch {
+		case !existed:
+			p.difference.Created = append(p.difference.Created, id)
+		case !bytes.Equal(old, text):
+			p.difference.Updated = append(p.difference.Updated, id)
+		default:
+			p.difference.Unchanged++
+		}
+	}
+	for id := range before {
+		if _, stays := after[id]; !stays {
+			p.difference.Deleted = append(p.difference.Deleted, id)
+			p.touched[id] = nil
+		}
+	}
+	for _, r := range change.Records {
+		p.touched[r.RecordID] = after[r.RecordID]
+	}
+	sortIDs(p.difference.Created)
+	sortIDs(p.difference.Updated)
+	sortIDs(p.difference.Deleted)
+	return p, nil
+}
+
+func encodeAll(records []config.RawRecord) (map[config.RecordID][]byte, error) {
+	texts := make(map[config.RecordID][]byte, len(records))
+	for _, r := range records {
+		text, err := r.Canonical()
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s", r.RecordID)
+		}
+		texts[r.RecordID] = text
+	}
+	return texts, nil
+}
+
+func sortIDs(ids []config.RecordID) {
+	sort.Slice(ids, func(i, j int) bool {
+		if ids[i].Kind != ids[j].Kind {
+			return ids[i].Kind < ids[j].Kind
+		}
+		return ids[i].Name < ids[j].Name
+	})
+}
+
+// overlap returns the records that the change names and that differ between two revisions, except those that the newer
+// revision already has as the change wants them. With prune a change names every record.
+func overlap(base, current []config.RawRecord, p *plan, prune bool) ([]config.RecordID, error) {
+	before, err := encodeAll(base)
+	if err != nil {
+		return nil, err
+	}
+	after, err := encodeAll(current)
+	if err != nil {
+		return nil, err
+	}
+	var ids []config.RecordID
+	consider := func(id config.RecordID) {
+		wanted, named := p.touched[id]
+		if (named || prune) && !bytes.Equal(before[id], after[id]) && !bytes.Equal(after[id], wanted) {
+			ids = append(ids, id)
+		}
+	}
+	for id := range before {
+		consider(id)
+	}
+	for id := range after {
+		if _, old := before[id]; !old {
+			consider(id)
+		}
+	}
+	sortIDs(ids)
+	return ids, nil
+}
--- /dev/null
+++ b/pkg/configstore/property_test.go
@@ -0,0 +1,160 @@
+package configstore_test
+
+import (
+	"context"
+	"fmt"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+// attempt is one change of a random history, and what happens during it.
+type attempt struct {
+	members map[string]int
+	// faults and rivals apply to the commits of the change in order; a rival is applied before the commit.
+	faults []kv.Fault
+	rivals []*attempt
+}
+
+func drawMembers(t *rapid.T) map[string]int {
+	return rapid.MapOfN(rapid.SampledFrom([]string{"m", "n", "o", "q"}), rapid.IntRange(1, 3), 1, 3).Draw(t, "members")
+}
+
+func drawAttempt(t *rapid.T, mayRace bool) *attempt {
+	a := &attempt{members: drawMembers(t)}
+	for range rapid.IntRange(0, 5).Draw(t, "commits") {
+		a.faults = append(a.faults, rapid.SampledFrom([]kv.Fault{{}, {}, {DropReply: true}, {Refuse: true}}).Draw(t, "fault"))
+		var rival *attempt
+		if mayRace && rapid.Bool().Draw(t, "race") {
+			rival = drawAttempt(t, false)
+		}
+		a.rivals = append(a.rivals, rival)
+	}
+	return a
+}
+
+// scripted gives one writer faults and rivals without affecting the calls of its rivals.
+type scripted struct {
+	*kv.Memory
+	attempt *attempt
+	race    func(*attempt)
+	next    int
+}
+
+func (s *scripted) Commit(ctx context.Context, writes []kvstore.ConditionalWrite) ([]kvstore.WriteResult, error) {
+	n := s.next
+	s.next++
+	if n >= len(s.attempt.faults) {
+		return s.Memory.Commit(ctx, writes)
+	}
+	if s.attempt.rivals[n] != nil {
+		s.race(s.attempt.rivals[n])
+	}
+	if s.attempt.faults[n].Refuse {
+		return nil, kvstore.ErrUnavailable
+	}
+	results, err := s.Memory.Commit(ctx, writes)
+	if s.attempt.faults[n].DropReply {
+		return nil, kvstore.ErrOutcomeUnknown
+	}
+	return results, err
+}
+
+// history applies attempts and remembers the accepted ones.
+type history struct {
+	store    *kv.Memory
+	count    int
+	highest  int64
+	accepted []acceptedChange
+}
+
+type acceptedChange struct {
+	id       string
+	revision int64
+	members  map[string]int
+}
+
+func (h *history) run(a *attempt) {
+	h.count++
+	id := fmt.Sprintf("c%d", h.count)
+	texts := make([]string, 0, len(a.members))
+	for name, share := range a.members {
+		texts = append(texts, member(name, share))
+	}
+	sort.Strings(texts)
+	s := &scripted{Memory: h.store, attempt: a, race: h.run}
+	result, err := newRepository(s).Apply(ctx, change(id, texts...))
+	h.checkRevision()
+	if err == nil {
+		h.accepted = append(h.accepted, acceptedChange{id: id, revision: result.Revision, members: a.members})
+		return
+	}
+	var conflict *configstore.Conflict
+	certain := errors.As(err, &conflict) || errors.Is(err, kvstore.ErrUnavailable)
+	if !certain && !errors.Is(err, kvstore.ErrOutcomeUnknown) {
+		Fail(fmt.Sprintf("unexpected error: %v", err))
+	}
+	if applied, revision := h.find(id); applied {
+		Expect(certain).To(BeFalse(), "a change that is in the head was reported as without effect: %v", err)
+		h.accepted = append(h.accepted, acceptedChange{id: id, revision: revision, members: a.members})
+	}
+}
+
+func (h *history) head() *configstore.Head {
+	contents, err := newRepository(h.store).Read(ctx, nil)
+	Expect(err).NotTo(HaveOccurred())
+	return contents.Head
+}
+
+func (h *history) checkRevision() {
+	revision := h.head().Revision
+	Expect(revision).To(BeNumerically(">=", h.highest))
+	h.highest = revision
+}
+
+func (h *history) find(id string) (bool, int64) {
+	for _, c := range h.head().Changes {
+		if c.ID == id {
+			return true, c.Revision
+		}
+	}
+	return false, 0
+}
+
+var _ = Describe("random histories of racing writers", func() {
+	// Guards against lost updates, partial changes and revisions that go back, under lost replies, refused calls and
+	// races: the result must be that of the accepted changes in the order of their revisions.
+	It("equal the accepted changes in order", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			store, _ := seeded()
+			h := &history{store: store}
+			for range rapid.IntRange(1, 6).Draw(t, "attempts") {
+				h.run(drawAttempt(t, true))
+			}
+			sort.SliceStable(h.accepted, func(i, j int) bool { return h.accepted[i].revision < h.accepted[j].revision })
+			want := map[string]int{"m": 1}
+			for _, c := range h.accepted {
+				for name, share := range c.members {
+					want[name] = share
+				}
+			}
+			got := make(map[string]int)
+			contents, err := newRepository(store).Read(ctx, nil)
+			Expect(err).NotTo(HaveOccurred())
+			records, found := config.Validate(contents.Records())
+			Expect(found.Err()).NotTo(HaveOccurred())
+			for _, m := range records.Members {
+				got[m.Name] = int(m.Share)
+			}
+			Expect(got).To(Equal(want))
+		})
+	})
+})
--- /dev/null
+++ b/pkg/configstore/repository.go
@@ -0,0 +1,154 @@
+package configstore
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+const (
+	headKey      = "config/head"
+	bundlePrefix = "config/bundles/"
+	// readConcurrency bounds the bundle reads in flight, to stay a small part of the store's read rate.
+	readConcurrency = 8
+	// maxReads bounds how often a read starts over because bundles were deleted under it.
+	maxReads = 4
+)
+
+// ReadStore is the part of the store that reading needs.
+type ReadStore interface {
+	kvstore.Reader
+}
+
+// ReadWriteStore is the part of the store that applying needs.
+type ReadWriteStore interface {
+	kvstore.Reader
+	kvstore.Writer
+}
+
+// Options of a Repository.
+type Options struct {
+	// Prefix begins every key.
+	Prefix string
+	// WriterVersion is the newest schema version that this writer knows; zero means config.NewestSchemaVersion.
+	WriterVersion int
+	// Now is the clock for CommittedAt; nil means time.Now.
+	Now func() time.Time
+	// Backoff is the wait before the given attempt of a change, counted from 1; nil means a jittered default.
+	Backoff func(attempt int) time.Duration
+}
+
+// Reader reads configurations.
+type Reader struct {
+	store  ReadStore
+	prefix string
+}
+
+// NewReader returns a reader of the keys below a prefix.
+func NewReader(store ReadStore, prefix string) *Reader {
+	return &Reader{store: store, prefix: prefix}
+}
+
+// HeadKey is the key of the head, for watches.
+func (r *Reader) HeadKey() string {
+	return r.prefix + headKey
+}
+
+// Read returns the configuration in the store, with bundles that previous has taken from there. previous may be nil.
+// Errors: ErrNoHead, ErrFormat, kvstore.ErrUnavailable.
+func (r *Reader) Read(ctx context.Context, previous *Contents) (*Contents, error) {
+	for range maxReads {
+		contents, err := r.readOnce(ctx, previous)
+		if !errors.Is(err, errBundleGone) {
+			return contents, err
+		}
+	}
+	return nil, errors.Wrap(ErrFormat, "bundles of the head are missing in the store")
+}
+
+// errBundleGone means that a bundle was deleted after the head was read, or is lost.
+var errBundleGone = errors.New("bundle not found")
+
+func (r *Reader) readOnce(ctx context.Context, previous *Contents) (*Contents, error) {
+	kv, found, at, err := r.store.Get(ctx, r.HeadKey())
+	if err != nil {
+		return nil, errors.Wrap(err, "read configuration head")
+	}
+	if !found {
+		return &Contents{storeRevision: at}, ErrNoHead
+	}
+	head, err := ParseHead(kv.Value)
+	if err != nil {
+		return nil, err
+	}
+	contents := newContents(head, kv.Value)
+	contents.modRevision = kv.ModRevision
+	contents.storeRevision = at
+	return contents, r.fill(ctx, contents, previous)
+}
+
+// fill adds the bundles of the head.
+func (r *Reader) fill(ctx context.Context, contents, previous *Contents) error {
+	var missing []string
+	for _, ref := range contents.Head.Bundles {
+		if !contents.reuse(ref.Digest, previous) {
+			missing = append(missing, ref.Digest)
+		}
+	}
+	fetched := make([][]byte, len(missing))
+	p := pool.New().WithMaxGoroutines(readConcurrency).WithContext(ctx).WithFirstError()
+	for i, digest := range missing {
+		p.Go(func(ctx context.Context) error {
+			kv, found, _, err := r.store.Get(ctx, r.prefix+bundlePrefix+digest)
+			if err != nil {
+				return errors.Wrapf(err, "read bundle %s", digest)
+			}
+			if !found {
+				return errors.Wrapf(errBundleGone, "%s", digest)
+			}
+			fetched[i] = kv.Value
+			return nil
+		})
+	}
+	if err := p.Wait(); err != nil {
+		return err
+	}
+	for i, digest := range missing {
+		if err := contents.add(digest, fetched[i]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Repository reads and changes configurations. It is safe for concurrent use.
+type Repository struct {
+	*Reader
+	store   ReadWriteStore
+	options Options
+}
+
+// New returns a repository.
+func New(store ReadWriteStore, options Options) *Repository {
+	if options.WriterVersion == 0 {
+		options.WriterVersion = config.NewestSchemaVersion
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.Backoff == nil {
+		options.Backoff = defaultBackoff
+	}
+	return &Repository{Reader: NewReader(store, options.Prefix), store: store, options: options}
+}
+
+// defaultBackoff spreads writers that lost a race over an interval that grows with each attempt.
+func defaultBackoff(attempt int) time.Duration {
+	return rand.N(time.Duration(attempt) * 20 * time.Millisecond)
+}
--- /dev/null
+++ b/pkg/configstore/suite_test.go
@@ -0,0 +1,106 @@
+package configstore_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+func TestConfigStore(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		t.Fatal(err)
+	}
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "configstore", suite, reporter)
+}
+
+var ctx = context.Background()
+
+const (
+	deployment = `{"kind":"Deployment","name":"d","schemaVersion":1,"attainmentWeight":1,"moveWeight":1,"placementShards":1,
+		"modelLoadsPerSecond":1,"concurrentModelLoads":9,"concurrentAdapterLoads":70,"regionLinkBitsPerSecond":30000000,
+		"queueRequests":10,"queueBytes":1000,"retryBudgetRatio":0.1}`
+	service = `{"kind":"Service","name":"lm","schemaVersion":1,"type":"engine","maxBodyBytes":1000}`
+)
+
+func member(name string, share int) string {
+	return fmt.Sprintf(`{"kind":"Member","name":%q,"schemaVersion":1,"share":%d,"keys":[]}`, name, share)
+}
+
+func dataCentre(name, region string) string {
+	return fmt.Sprintf(`{"kind":"DataCentre","name":%q,"schemaVersion":1,"region":%q}`, name, region)
+}
+
+func model(name, memberName string) string {
+	return fmt.Sprintf(`{"kind":"Model","name":%q,"schemaVersion":1,"service":"lm","members":[%q],"version":"1","weightBytes":80,
+		"kvReserveBytes":40,"acceleratorsPerCopy":2,"minCopies":1,"maxCopies":2,"defaultTimeoutMs":10,"maxTimeoutMs":20,
+		"maxInputTokens":5,"maxOutputTokens":5}`, name, memberName)
+}
+
+func change(id string, records ...string) configstore.Change {
+	c := configstore.Change{ID: id}
+	for i, text := range records {
+		parsed, found := config.ParseFile(fmt.Sprintf("%s-%d.json", id, i), []byte(text))
+		ExpectWithOffset(1, found.Err()).NotTo(HaveOccurred())
+		c.Records = append(c.Records, parsed...)
+	}
+	return c
+}
+
+func newRepository(store configstore.ReadWriteStore) *configstore.Repository {
+	return configstore.New(store, options)
+}
+
+var options = configstore.Options{
+	Prefix:  "p/",
+	Now:     func() time.Time { return time.UnixMilli(1_800_000_000_000) },
+	Backoff: func(int) time.Duration { return 0 },
+}
+
+// stored returns the fields of all records by "Kind/name".
+func stored(repository *configstore.Repository) map[string]map[string]any {
+	contents, err := repository.Read(ctx, nil)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	all := make(map[string]map[string]any)
+	for _, r := range contents.Records() {
+		all[r.RecordID.String()] = r.Fields
+	}
+	return all
+}
+
+// seeded returns a store with a deployment, a member "m" and a service.
+func seeded() (*kv.Memory, *configstore.Repository) {
+	store := kv.NewMemory()
+	repository := newRepository(store)
+	_, err := repository.Apply(ctx, change("seed", deployment, member("m", 1), service))
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	return store, repository
+}
+
+// commitFault wraps a store and replaces the n-th commit, counted from zero.
+type commitFault struct {
+	*kv.Memory
+	at     int
+	count  int
+	commit func(writes []kvstore.ConditionalWrite) ([]kvstore.WriteResult, error)
+}
+
+func (f *commitFault) Commit(ctx context.Context, writes []kvstore.ConditionalWrite) ([]kvstore.WriteResult, error) {
+	f.count++
+	if f.count-1 == f.at {
+		return f.commit(writes)
+	}
+	return f.Memory.Commit(ctx, writes)
+}
