--- a/pkg/configstore/contents.go
+++ b/pkg/configstore/contents.go
@@ -111,3 +111,8 @@
 	}
 	return digests
 }
+
+// StoreRevision is the store's revision at which the configuration was read; zero when it came from a peer.
+func (c *Contents) StoreRevision() kvstore.Revision {
+	return c.storeRevision
+}
--- /dev/null
+++ b/pkg/configsync/relay.go
@@ -0,0 +1,139 @@
+package configsync
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+)
+
+// runRelay follows the store while this instance is a relay.
+func (s *Syncer) runRelay(ctx context.Context) {
+	for ctx.Err() == nil {
+		relay, changed := s.relayState()
+		if !relay {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		s.followUntil(ctx, changed)
+	}
+}
+
+func (s *Syncer) relayState() (bool, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relay, s.relayChanged
+}
+
+// followUntil follows the store until the channel is closed.
+func (s *Syncer) followUntil(ctx context.Context, ended <-chan struct{}) {
+	ctx, cancel := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer cancel()
+	group.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-ended:
+			cancel()
+		}
+	})
+	for ctx.Err() == nil {
+		if at, ok := s.poll(ctx); ok {
+			s.watch(ctx, at+1)
+		}
+		pause(ctx, retryInterval)
+	}
+}
+
+// poll reads the configuration in the store and puts it into effect. It returns the store's revision at the read.
+func (s *Syncer) poll(ctx context.Context) (kvstore.Revision, bool) {
+	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	defer cancel()
+	contents, err := s.reader.Read(ctx, s.current())
+	if errors.Is(err, configstore.ErrNoHead) {
+		s.NoteStoreContact()
+		return contents.StoreRevision(), true
+	}
+	if err != nil {
+		s.scope.Counter("store_read_failures").Inc(1)
+		if ctx.Err() == nil {
+			s.log.Warn("configuration could not be read from the store", zap.Error(err))
+		}
+		return 0, false
+	}
+	s.NoteStoreContact()
+	if !s.install(contents, "store") {
+		s.refuse(contents.Head.Revision)
+	}
+	return contents.StoreRevision(), true
+}
+
+// refuse logs a head that is older than the one in effect, which a store that was restored from a backup can have.
+func (s *Syncer) refuse(revision int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused == revision {
+		return
+	}
+	s.refused = revision
+	s.log.Error("the store has an older configuration than the one in effect; it is ignored",
+		zap.Int64("storeRevision", revision), zap.Int64("revision", s.revision()))
+}
+
+// watch polls when the head changes and at each poll interval, until the watch breaks or the context ends.
+func (s *Syncer) watch(ctx context.Context, from kvstore.Revision) {
+	watch, err := s.options.Store.Watch(ctx, s.reader.HeadKey(), from)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	changes := make(chan struct{})
+	var group conc.WaitGroup
+	defer group.Wait()
+	defer watch.Close()
+	defer cancel()
+	group.Go(func() { s.forward(ctx, watch, changes) })
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case _, open := <-changes:
+			if !open {
+				return
+			}
+		}
+		s.poll(ctx)
+	}
+}
+
+// forward signals each batch of head changes and closes the channel when the watch breaks.
+func (s *Syncer) forward(ctx context.Context, watch kvstore.Watch, changes chan<- struct{}) {
+	defer close(changes)
+	for {
+		events, err := watch.Next(ctx)
+		if err != nil {
+			return
+		}
+		s.NoteStoreContact()
+		if len(events) == 0 {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case changes <- struct{}{}:
+		}
+	}
+}
