Add the peer protocol: membership, exchange of load deltas, relay order

Cause: an instance needs others' in-flight calls, member usage and configuration revision at bounded cost. Within a data centre each pair exchanges deltas once per interval; data centres exchange sums through one contact. A property test found that a restarted source lost a member's counter until it served that member again; counters are now kept when a full state arrives.

--- /dev/null
+++ b/internal/testkit/testkit.go
@@ -0,0 +1,30 @@
+// Package testkit fixes the seeds of the test libraries, so that CI gives the same verdict every time.
+package testkit
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	// Imported so that its flags are registered before init sets the seed.
+	_ "pgregory.net/rapid"
+)
+
+// seed is used for the order of specs and for property tests; the flag -rapid.seed overrides it for exploration.
+const seed = 1
+
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+// RunSpecs runs the ginkgo specs of a package with a fixed seed.
+func RunSpecs(t *testing.T, description string) {
+	t.Helper()
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	suite, reporter := ginkgo.GinkgoConfiguration()
+	suite.RandomSeed = seed
+	ginkgo.RunSpecs(t, description, suite, reporter)
+}
--- /dev/null
+++ b/pkg/peer/identity.go
@@ -0,0 +1,91 @@
+// Package peer connects entry instances: membership, the periodic exchange of load and presence, configuration between
+// peers, and claims on issued keys. There is one goroutine per called peer.
+package peer
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	peerv1 "github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1"
+)
+
+// Identity names one incarnation of an instance.
+type Identity struct {
+	InstanceID  string
+	Incarnation string
+	DataCentre  string
+	Region      string
+	// Address is IP address and port of the peer listener.
+	Address string
+}
+
+// epoch identifies the incarnation in load messages.
+func (i Identity) epoch() uint64 {
+	return xxhash.Sum64String(i.InstanceID + "/" + i.Incarnation)
+}
+
+func (i Identity) toProto() *peerv1.Identity {
+	return &peerv1.Identity{
+		InstanceId:  i.InstanceID,
+		Incarnation: i.Incarnation,
+		DataCentre:  i.DataCentre,
+		Region:      i.Region,
+		PeerAddress: i.Address,
+	}
+}
+
+func identityFromProto(p *peerv1.Identity) Identity {
+	return Identity{
+		InstanceID:  p.GetInstanceId(),
+		Incarnation: p.GetIncarnation(),
+		DataCentre:  p.GetDataCentre(),
+		Region:      p.GetRegion(),
+		Address:     p.GetPeerAddress(),
+	}
+}
+
+// Presence is what an instance tells about itself in each exchange.
+type Presence struct {
+	ConfigRevision    int64
+	ConfigCommittedAt time.Time
+	// StoreContactAge is the time since the last successful call of the key-value store.
+	StoreContactAge time.Duration
+	Draining        bool
+	// ConfigBehind is how long the instance has known of a newer configuration than it has in effect.
+	ConfigBehind time.Duration
+}
+
+func (p Presence) toProto(identity Identity) *peerv1.Presence {
+	return &peerv1.Presence{
+		Identity:              identity.toProto(),
+		ConfigRevision:        p.ConfigRevision,
+		ConfigCommittedUnixMs: p.ConfigCommittedAt.UnixMilli(),
+		StoreContactAgeMs:     clampMs(p.StoreContactAge),
+		Draining:              p.Draining,
+		ConfigBehindMs:        clampMs(p.ConfigBehind),
+	}
+}
+
+func presenceFromProto(p *peerv1.Presence) Presence {
+	return Presence{
+		ConfigRevision:    p.GetConfigRevision(),
+		ConfigCommittedAt: time.UnixMilli(p.GetConfigCommittedUnixMs()),
+		StoreContactAge:   time.Duration(p.GetStoreContactAgeMs()) * time.Millisecond,
+		Draining:          p.GetDraining(),
+		ConfigBehind:      time.Duration(p.GetConfigBehindMs()) * time.Millisecond,
+	}
+}
+
+// clampMs converts to milliseconds within the range of the message field.
+func clampMs(d time.Duration) uint32 {
+	const most = 1<<32 - 1
+	ms := d.Milliseconds()
+	switch {
+	case ms < 0:
+		return 0
+	case ms > most:
+		return most
+	}
+	return uint32(ms)
+}
--- /dev/null
+++ b/pkg/peer/inbox.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"time"
+
+	peerv1 "github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1"
+)
+
+// Sink receives the load of other sources. Counters that it gets for one source never decrease, also when the source
+// restarts.
+type Sink interface {
+	SetLoad(source string, load Load)
+	RemoveLoad(source string)
+}
+
+// remoteSource is the merged state of one source as received.
+type remoteSource struct {
+	// from is the peer that sends this source. Two senders of one source are not mixed: each numbers by itself.
+	from      string
+	held      acknowledgement
+	load      Load
+	members   map[string]*counter
+	models    map[string]*demandCounter
+	lastHeard time.Time
+	reported  bool
+}
+
+// counter turns a source's cumulative value into one that counts from the first observation and survives restarts of
+// the source.
+type counter struct {
+	baseline float64
+	last     float64
+	carried  float64
+}
+
+func (c *counter) observe(value float64, newEpoch bool) float64 {
+	if newEpoch || value < c.last {
+		c.carried += c.last - c.baseline
+		c.baseline = value
+	}
+	c.last = value
+	return c.carried + c.last - c.baseline
+}
+
+type demandCounter struct {
+	requests counter
+	tokens   counter
+}
+
+// inbox holds the sources that other instances sent. It is not safe for concurrent use.
+type inbox struct {
+	now     func() time.Time
+	sources map[string]*remoteSource
+}
+
+func newInbox(now func() time.Time) *inbox {
+	return &inbox{now: now, sources: make(map[string]*remoteSource)}
+}
+
+// apply merges a message from a peer and returns the load to report, or false when the message cannot be applied: it
+// starts after what is held, or another live peer already sends this source.
+func (b *inbox) apply(from string, m *peerv1.LoadState) (Load, bool) {
+	s := b.sources[m.GetSource()]
+	if s != nil && s.from != from && b.now().Sub(s.lastHeard) <= silentAfter {
+		return Load{}, false
+	}
+	if s == nil {
+		s = &remoteSource{members: make(map[string]*counter), models: make(map[string]*demandCounter)}
+		b.sources[m.GetSource()] = s
+	}
+	newEpoch := s.held.epoch != m.GetEpoch()
+	if m.GetSince() != 0 && (newEpoch || m.GetSince() > s.held.sequence) {
+		return Load{}, false
+	}
+	if m.GetSince() == 0 {
+		s.load = s.load.withoutGauges()
+	}
+	s.from = from
+	s.lastHeard = b.now()
+	s.held = acknowledgement{epoch: m.GetEpoch(), sequence: m.GetSequence()}
+	s.reported = true
+	s.merge(m, newEpoch)
+	return s.load.clone(), true
+}
+
+func (s *remoteSource) merge(m *peerv1.LoadState, newEpoch bool) {
+	for _, e := range m.GetEndpoints() {
+		if e.GetInFlight() == 0 {
+			delete(s.load.Endpoints, e.GetEndpointHash())
+			continue
+		}
+		s.load.Endpoints[e.GetEndpointHash()] = e.GetInFlight()
+	}
+	for _, u := range m.GetMembers() {
+		c := s.members[u.GetMember()]
+		if c == nil {
+			c = &counter{baseline: u.GetService(), last: u.GetService()}
+			s.members[u.GetMember()] = c
+		}
+		s.load.Members[u.GetMember()] = MemberUsage{
+			Service: c.observe(u.GetService(), newEpoch),
+			Waiting: u.GetWaiting(),
+		}
+	}
+	for _, d := range m.GetModels() {
+		c := s.models[d.GetModel()]
+		if c == nil {
+			c = newDemandCounter(d)
+			s.models[d.GetModel()] = c
+		}
+		s.load.Models[d.GetModel()] = ModelDemand{
+			Requests: uint64(c.requests.observe(float64(d.GetRequests()), newEpoch)),
+			Tokens:   uint64(c.tokens.observe(float64(d.GetTokens()), newEpoch)),
+			Waiting:  d.GetWaiting(),
+		}
+	}
+}
+
+func newDemandCounter(d *peerv1.ModelDemand) *demandCounter {
+	requests := float64(d.GetRequests())
+	tokens := float64(d.GetTokens())
+	return &demandCounter{
+		requests: counter{baseline: requests, last: requests},
+		tokens:   counter{baseline: tokens, last: tokens},
+	}
+}
+
+// acknowledgements lists what is held from one peer.
+func (b *inbox) acknowledgements(from string) []*peerv1.Acknowledgement {
+	var acks []*peerv1.Acknowledgement
+	for source, s := range b.sources {
+		if s.from != from {
+			continue
+		}
+		acks = append(acks, &peerv1.Acknowledgement{Source: source, Epoch: s.held.epoch, Sequence: s.held.sequence})
+	}
+	return acks
+}
+
+// expire returns the sources that have been silent and were reported. Their counters are kept, so that a source that
+// comes back does not count twice.
+func (b *inbox) expire() []string {
+	var silent []string
+	for source, s := range b.sources {
+		if !s.reported || b.now().Sub(s.lastHeard) <= silentAfter {
+			continue
+		}
+		s.reported = false
+		s.held = acknowledgement{epoch: s.held.epoch}
+		silent = append(silent, source)
+	}
+	b.forget()
+	return silent
+}
+
+// forget drops sources that have been silent for so long that their instance was replaced.
+func (b *inbox) forget() {
+	for source, s := range b.sources {
+		if b.now().Sub(s.lastHeard) > forgetAfter {
+			delete(b.sources, source)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/peer/node.go
@@ -0,0 +1,295 @@
+package peer
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1/peerv1connect"
+)
+
+const (
+	// dataCentrePrefix marks a source that is the sum over a data centre.
+	dataCentrePrefix = "dc:"
+	// exchangeTimeout bounds one exchange.
+	exchangeTimeout = 2 * time.Second
+	// meshPeers is the number of peers up to which the configured interval is used; with more the interval grows in
+	// proportion, so that the traffic of one instance stays the same.
+	meshPeers = 8
+	// seedInterval is how often a seed address that is not a live peer is tried.
+	seedInterval = 3 * time.Second
+	// failureWait is the least wait after a failed exchange.
+	failureWait = time.Second
+)
+
+// Local is what this instance tells others.
+type Local interface {
+	Presence() Presence
+	Load() Load
+}
+
+// Announcer learns which configuration revisions peers have.
+type Announcer interface {
+	Announce(peer string, revision int64)
+}
+
+// Dialer returns a client for a peer address.
+type Dialer func(address string) peerv1connect.PeerServiceClient
+
+// Options configure a Node.
+type Options struct {
+	Self      Identity
+	Seeds     []string
+	Interval  time.Duration
+	Local     Local
+	Sink      Sink
+	Announcer Announcer
+	Dial      Dialer
+	Log       *zap.Logger
+	Scope     tally.Scope
+	// Now is the time source; nil means time.Now.
+	Now func() time.Time
+}
+
+// Node exchanges state with peers.
+type Node struct {
+	Options
+	Table *Table
+
+	mu       sync.Mutex
+	own      *emitter
+	centre   *emitter
+	forwards map[string]*emitter
+	inbox    *inbox
+	links    map[string]*link
+	tasks    map[string]context.CancelFunc
+}
+
+// link is what one peer holds of this instance's sources and of its peer list.
+type link struct {
+	held        map[string]acknowledgement
+	versionSent uint64
+}
+
+// NewNode returns a node; Run starts it.
+func NewNode(options Options) *Node {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	epoch := options.Self.epoch()
+	return &Node{
+		Options:  options,
+		Table:    NewTable(options.Self, options.Now),
+		own:      newEmitter(options.Self.InstanceID, epoch),
+		centre:   newEmitter(dataCentrePrefix+options.Self.DataCentre, epoch),
+		forwards: make(map[string]*emitter),
+		inbox:    newInbox(options.Now),
+		links:    make(map[string]*link),
+		tasks:    make(map[string]context.CancelFunc),
+	}
+}
+
+// Run refreshes the local state and keeps one goroutine per called peer until the context ends.
+func (n *Node) Run(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	for _, address := range n.Seeds {
+		group.Go(func() { n.contactSeed(ctx, address) })
+	}
+	for ctx.Err() == nil {
+		n.Refresh()
+		n.superviseTasks(ctx, &group)
+		sleep(ctx, n.interval())
+	}
+}
+
+// Refresh takes the current local state into the emitters and drops silent sources.
+func (n *Node) Refresh() {
+	local := n.Local.Load()
+	n.mu.Lock()
+	n.own.update(local)
+	n.centre.update(n.sumDataCentre(local))
+	n.updateForwards()
+	silent := n.inbox.expire()
+	n.mu.Unlock()
+	for _, source := range silent {
+		n.Sink.RemoveLoad(source)
+	}
+	n.Table.ForgetSilent()
+	n.Scope.Gauge("peers_live").Update(float64(len(n.Table.Live())))
+}
+
+func (n *Node) sumDataCentre(local Load) Load {
+	sum := newLoad()
+	sum.add(local)
+	for source, s := range n.inbox.sources {
+		if strings.HasPrefix(source, dataCentrePrefix) || !s.reported {
+			continue
+		}
+		sum.add(s.load)
+	}
+	return sum
+}
+
+// updateForwards passes on the sums of other data centres that came from there directly.
+func (n *Node) updateForwards() {
+	for source, s := range n.inbox.sources {
+		if !strings.HasPrefix(source, dataCentrePrefix) || n.inOwnDataCentre(s.from) {
+			continue
+		}
+		e := n.forwards[source]
+		if e == nil {
+			e = newEmitter(source, n.Self.epoch())
+			n.forwards[source] = e
+		}
+		e.update(s.load)
+	}
+	for source := range n.forwards {
+		s := n.inbox.sources[source]
+		if s == nil || !s.reported || n.inOwnDataCentre(s.from) {
+			delete(n.forwards, source)
+		}
+	}
+}
+
+func (n *Node) inOwnDataCentre(instanceID string) bool {
+	p, known := n.Table.Find(instanceID)
+	return known && p.Identity.DataCentre == n.Self.DataCentre
+}
+
+// interval grows with the number of peers in the data centre.
+func (n *Node) interval() time.Duration {
+	peers := 0
+	for _, p := range n.Table.Live() {
+		if p.Identity.DataCentre == n.Self.DataCentre {
+			peers++
+		}
+	}
+	if peers <= meshPeers {
+		return n.Interval
+	}
+	return n.Interval * time.Duration(peers) / meshPeers
+}
+
+// superviseTasks starts a goroutine for each peer that this instance calls and stops those that it no longer calls.
+// Within a data centre the instance with the lower id calls; between data centres the relay of the data centre with
+// the lower name calls one instance of the other.
+func (n *Node) superviseTasks(ctx context.Context, group *conc.WaitGroup) {
+	wanted := make(map[string]func(context.Context))
+	for _, p := range n.Table.All() {
+		id := p.Identity.InstanceID
+		if p.Identity.DataCentre == n.Self.DataCentre && n.Self.InstanceID < id {
+			wanted["instance "+id] = func(ctx context.Context) { n.exchangeWithInstance(ctx, id) }
+		}
+	}
+	if n.Table.IsRelay() {
+		for _, name := range n.Table.DataCentres() {
+			if n.Self.DataCentre < name {
+				wanted["data centre "+name] = func(ctx context.Context) { n.exchangeWithDataCentre(ctx, name) }
+			}
+		}
+	}
+	for key, cancel := range n.tasks {
+		if wanted[key] == nil {
+			cancel()
+			delete(n.tasks, key)
+		}
+	}
+	for key, run := range wanted {
+		if n.tasks[key] != nil {
+			continue
+		}
+		taskCtx, cancel := context.WithCancel(ctx)
+		n.tasks[key] = cancel
+		group.Go(func() { run(taskCtx) })
+	}
+}
+
+func (n *Node) exchangeWithInstance(ctx context.Context, id string) {
+	for ctx.Err() == nil {
+		wait := n.interval()
+		if p, known := n.Table.Find(id); known {
+			if n.exchangeLogged(ctx, p.Identity.Address) != nil {
+				wait = max(wait, failureWait)
+			}
+		}
+		sleep(ctx, wait)
+	}
+}
+
+func (n *Node) exchangeWithDataCentre(ctx context.Context, name string) {
+	attempt := 0
+	for ctx.Err() == nil {
+		wait := n.interval()
+		if p, known := n.Table.Contact(name, attempt); known {
+			if n.exchangeLogged(ctx, p.Identity.Address) != nil {
+				attempt++
+				wait = max(wait, failureWait)
+			}
+		}
+		sleep(ctx, wait)
+	}
+}
+
+// contactSeed exchanges with a seed address as long as no live peer has that address.
+func (n *Node) contactSeed(ctx context.Context, address string) {
+	for ctx.Err() == nil {
+		if !n.isLiveAddress(address) {
+			n.exchangeLogged(ctx, address)
+		}
+		sleep(ctx, seedInterval)
+	}
+}
+
+func (n *Node) isLiveAddress(address string) bool {
+	if address == n.Self.Address {
+		return true
+	}
+	for _, p := range n.Table.Live() {
+		if p.Identity.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *Node) exchangeLogged(ctx context.Context, address string) error {
+	err := n.Exchange(ctx, address)
+	if err != nil && ctx.Err() == nil {
+		n.Scope.Counter("peer_exchange_failures").Inc(1)
+		n.Log.Debug("peer exchange failed", zap.String("address", address), zap.Error(err))
+	}
+	return err
+}
+
+// Exchange makes one exchange with the peer at the address.
+func (n *Node) Exchange(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	id := n.idOfAddress(address)
+	request := n.compose(id, n.sameDataCentreOrUnknown(id))
+	response, err := n.Dial(address).Exchange(ctx, connect.NewRequest(request))
+	if err != nil {
+		n.forgetVersionSent(id)
+		return err
+	}
+	m := response.Msg
+	n.absorb(m.GetPresence(), m.GetLoads(), m.GetAcknowledgements(), m.GetKnownPeers())
+	return nil
+}
+
+// sleep waits for the duration or the end of the context.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/peer/node_test.go
@@ -0,0 +1,224 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+)
+
+type fakeLocal struct {
+	mu       sync.Mutex
+	presence Presence
+	load     Load
+}
+
+func (f *fakeLocal) Presence() Presence {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.presence
+}
+
+func (f *fakeLocal) Load() Load {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.load.clone()
+}
+
+type fakeSink struct {
+	mu    sync.Mutex
+	loads map[string]Load
+}
+
+func (f *fakeSink) SetLoad(source string, load Load) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loads[source] = load
+}
+
+func (f *fakeSink) RemoveLoad(source string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.loads, source)
+}
+
+type fakeAnnouncer struct {
+	mu   sync.Mutex
+	seen map[string]int64
+}
+
+func (f *fakeAnnouncer) Announce(peer string, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen[peer] = revision
+}
+
+// instance is a node with its server on a loopback port.
+type instance struct {
+	node      *Node
+	local     *fakeLocal
+	sink      *fakeSink
+	announcer *fakeAnnouncer
+	address   string
+}
+
+func startInstance(id, incarnation, dataCentre, token string, now func() time.Time) *instance {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	address := listener.Addr().String()
+	in := &instance{
+		local:     &fakeLocal{load: newLoad()},
+		sink:      &fakeSink{loads: make(map[string]Load)},
+		announcer: &fakeAnnouncer{seen: make(map[string]int64)},
+		address:   address,
+	}
+	in.node = NewNode(Options{
+		Self:      Identity{InstanceID: id, Incarnation: incarnation, DataCentre: dataCentre, Address: address},
+		Interval:  time.Second,
+		Local:     in.local,
+		Sink:      in.sink,
+		Announcer: in.announcer,
+		Dial:      NewDialer(token, nil),
+		Log:       zap.NewNop(),
+		Scope:     tally.NoopScope,
+		Now:       now,
+	})
+	server := NewHTTPServer(NewServer(in.node, nil, nil), token, nil)
+	go func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			panic(err)
+		}
+	}()
+	DeferCleanup(server.Close)
+	return in
+}
+
+func (in *instance) exchange(with *instance) error {
+	in.node.Refresh()
+	with.node.Refresh()
+	return in.node.Exchange(context.Background(), with.address)
+}
+
+var _ = Describe("exchange between instances", func() {
+	var now time.Time
+	clock := func() time.Time { return now }
+
+	BeforeEach(func() { now = time.Unix(1000, 0) })
+
+	It("brings both sides' load, presence and peers to the other side", func() {
+		a := startInstance("a", "1", "x", "secret", clock)
+		b := startInstance("b", "1", "x", "secret", clock)
+		a.local.load.Endpoints[11] = 3
+		b.local.load.Models["m"] = ModelDemand{Waiting: 2}
+		b.local.presence.ConfigRevision = 42
+		a.node.Table.Learned(Identity{InstanceID: "c", DataCentre: "x", Address: "127.0.0.1:1"})
+
+		Expect(a.exchange(b)).To(Succeed())
+		// The first exchange with an unknown address carries no load of the caller.
+		Expect(a.exchange(b)).To(Succeed())
+
+		Expect(b.sink.loads["a"].Endpoints).To(HaveKeyWithValue(uint64(11), uint32(3)))
+		Expect(a.sink.loads["b"].Models["m"].Waiting).To(Equal(uint32(2)))
+		Expect(a.announcer.seen).To(HaveKeyWithValue("b", int64(42)))
+		_, known := b.node.Table.Find("c")
+		Expect(known).To(BeTrue())
+	})
+
+	It("rejects a peer without the shared token", func() {
+		a := startInstance("a", "1", "x", "wrong", clock)
+		b := startInstance("b", "1", "x", "secret", clock)
+		err := a.exchange(b)
+		Expect(connect.CodeOf(err)).To(Equal(connect.CodeUnauthenticated))
+		Expect(b.node.Table.All()).To(BeEmpty())
+	})
+
+	It("sends the full state again to a peer that restarted", func() {
+		a := startInstance("a", "1", "x", "", clock)
+		b1 := startInstance("b", "1", "x", "", clock)
+		a.local.load.Endpoints[11] = 3
+		Expect(a.exchange(b1)).To(Succeed())
+		Expect(a.exchange(b1)).To(Succeed())
+
+		b2 := startInstance("b", "2", "x", "", clock)
+		Expect(a.exchange(b2)).To(Succeed())
+		Expect(a.exchange(b2)).To(Succeed())
+		Expect(b2.sink.loads["a"].Endpoints).To(HaveKeyWithValue(uint64(11), uint32(3)))
+	})
+
+	It("removes the load of a peer that fell silent", func() {
+		a := startInstance("a", "1", "x", "", clock)
+		b := startInstance("b", "1", "x", "", clock)
+		b.local.load.Endpoints[11] = 3
+		Expect(a.exchange(b)).To(Succeed())
+		Expect(a.sink.loads).To(HaveKey("b"))
+
+		now = now.Add(silentAfter + time.Second)
+		a.node.Refresh()
+		Expect(a.sink.loads).NotTo(HaveKey("b"))
+		Expect(a.node.Table.Live()).To(BeEmpty())
+	})
+
+	It("sends another data centre the sum and passes its sum on to the own data centre", func() {
+		a := startInstance("a", "1", "x", "", clock)
+		b := startInstance("b", "1", "x", "", clock)
+		far := startInstance("far", "1", "y", "", clock)
+		a.local.load.Endpoints[11] = 3
+		b.local.load.Endpoints[11] = 4
+		far.local.load.Endpoints[99] = 5
+		for range 3 {
+			Expect(a.exchange(b)).To(Succeed())
+			Expect(a.exchange(far)).To(Succeed())
+		}
+		Expect(far.sink.loads).To(HaveLen(1))
+		Expect(far.sink.loads["dc:x"].Endpoints).To(HaveKeyWithValue(uint64(11), uint32(7)))
+		Expect(b.sink.loads["dc:y"].Endpoints).To(HaveKeyWithValue(uint64(99), uint32(5)))
+	})
+})
+
+var _ = Describe("relay succession", func() {
+	var now time.Time
+	clock := func() time.Time { return now }
+	// order returns three ids in relay order for the data centre.
+	order := func() []string {
+		ids := []string{"a", "b", "c"}
+		for i := range ids {
+			for j := i + 1; j < len(ids); j++ {
+				if rankOf("x", ids[j]) < rankOf("x", ids[i]) {
+					ids[i], ids[j] = ids[j], ids[i]
+				}
+			}
+		}
+		return ids
+	}
+
+	// Guards against a silent relay that nobody replaces, and against all instances calling the store in an outage.
+	DescribeTable("third in order",
+		func(firstAge, secondAge time.Duration, want bool) {
+			now = time.Unix(1000, 0)
+			ids := order()
+			table := NewTable(Identity{InstanceID: ids[2], DataCentre: "x"}, clock)
+			table.Heard(Identity{InstanceID: ids[0], DataCentre: "x"}, Presence{StoreContactAge: firstAge})
+			table.Heard(Identity{InstanceID: ids[1], DataCentre: "x"}, Presence{StoreContactAge: secondAge})
+			Expect(table.IsRelay()).To(Equal(want))
+		},
+		Entry("first is in contact", time.Second, time.Hour, false),
+		Entry("second is in contact", time.Hour, time.Second, false),
+		Entry("both silent for less than its turn", 8*time.Second, 8*time.Second, false),
+		Entry("both silent for longer than its turn", 11*time.Second, 11*time.Second, true),
+	)
+
+	It("makes the first in order a relay whatever its contact", func() {
+		now = time.Unix(1000, 0)
+		ids := order()
+		table := NewTable(Identity{InstanceID: ids[0], DataCentre: "x"}, clock)
+		table.Heard(Identity{InstanceID: ids[1], DataCentre: "x"}, Presence{})
+		Expect(table.IsRelay()).To(BeTrue())
+	})
+})
--- /dev/null
+++ b/pkg/peer/transport.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1/peerv1connect"
+)
+
+const (
+	// tokenHeader carries the shared token of the peers.
+	tokenHeader = "Authorization"
+	tokenScheme = "Bearer "
+	// dialTimeout bounds the connection setup to a peer.
+	dialTimeout = time.Second
+	// keepAlive is the interval of HTTP/2 pings on an idle connection; a dead peer is noticed after twice that time.
+	keepAlive = 5 * time.Second
+	// maxPeerMessageBytes bounds a message, which is largest when a peer sends a whole configuration.
+	maxPeerMessageBytes = 64 << 20
+)
+
+// NewDialer returns clients over HTTP/2, in cleartext when tlsConfig is nil. Each address has one connection.
+func NewDialer(token string, tlsConfig *tls.Config) Dialer {
+	client := &http.Client{Transport: newTransport(tlsConfig)}
+	scheme := "http://"
+	if tlsConfig != nil {
+		scheme = "https://"
+	}
+	var mu sync.Mutex
+	clients := make(map[string]peerv1connect.PeerServiceClient)
+	return func(address string) peerv1connect.PeerServiceClient {
+		mu.Lock()
+		defer mu.Unlock()
+		if c := clients[address]; c != nil {
+			return c
+		}
+		c := peerv1connect.NewPeerServiceClient(client, scheme+address,
+			connect.WithInterceptors(sendToken(token)),
+			connect.WithReadMaxBytes(maxPeerMessageBytes))
+		clients[address] = c
+		return c
+	}
+}
+
+func newTransport(tlsConfig *tls.Config) *http.Transport {
+	protocols := new(http.Protocols)
+	if tlsConfig == nil {
+		protocols.SetUnencryptedHTTP2(true)
+	} else {
+		protocols.SetHTTP2(true)
+	}
+	return &http.Transport{
+		Protocols:       protocols,
+		TLSClientConfig: tlsConfig,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: keepAlive, PingTimeout: keepAlive},
+	}
+}
+
+// NewHTTPServer returns a server of the peer protocol, in cleartext HTTP/2 when tlsConfig is nil.
+func NewHTTPServer(server *Server, token string, tlsConfig *tls.Config) *http.Server {
+	path, handler := server.Handler(
+		connect.WithInterceptors(checkToken(token)),
+		connect.WithReadMaxBytes(maxPeerMessageBytes))
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	protocols := new(http.Protocols)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	return &http.Server{
+		Handler:           mux,
+		Protocols:         protocols,
+		TLSConfig:         tlsConfig,
+		ReadHeaderTimeout: dialTimeout,
+	}
+}
+
+func sendToken(token string) connect.Interceptor {
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			if token != "" {
+				request.Header().Set(tokenHeader, tokenScheme+token)
+			}
+			return next(ctx, request)
+		}
+	})
+}
+
+// checkToken rejects calls without the shared token; an empty token accepts all, for networks where mutual TLS
+// authenticates peers.
+func checkToken(token string) connect.Interceptor {
+	want := []byte(tokenScheme + token)
+	return connect.UnaryInterceptorFunc(func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, request connect.AnyRequest) (connect.AnyResponse, error) {
+			got := []byte(request.Header().Get(tokenHeader))
+			if token != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+				return nil, connect.NewError(connect.CodeUnauthenticated, errors.New("peer token is missing or wrong"))
+			}
+			return next(ctx, request)
+		}
+	})
+}
