--- a/pkg/peer/inbox.go
+++ b/pkg/peer/inbox.go
@@ -25,17 +25,28 @@
 	reported  bool
 }
 
-// counter turns a source's cumulative value into one that counts from the first observation and survives restarts of
-// the source.
+// counter turns a source's cumulative value into one that counts from the source's first message and survives restarts
+// of the source.
 type counter struct {
 	baseline float64
 	last     float64
 	carried  float64
 }
 
-func (c *counter) observe(value float64, newEpoch bool) float64 {
-	if newEpoch || value < c.last {
-		c.carried += c.last - c.baseline
+// restart keeps what was counted and expects values from zero.
+func (c *counter) restart() {
+	c.carried += c.last - c.baseline
+	c.baseline = 0
+	c.last = 0
+}
+
+// observe takes a value. In the first message of an epoch the value only sets the baseline, since what the source
+// counted before belongs to a time that other instances have already seen or never will.
+func (c *counter) observe(value float64, firstMessage bool) float64 {
+	if value < c.last {
+		c.restart()
+	}
+	if firstMessage {
 		c.baseline = value
 	}
 	c.last = value
@@ -84,6 +95,9 @@
 }
 
 func (s *remoteSource) merge(m *peerv1.LoadState, newEpoch bool) {
+	if newEpoch {
+		s.restartCounters()
+	}
 	for _, e := range m.GetEndpoints() {
 		if e.GetInFlight() == 0 {
 			delete(s.load.Endpoints, e.GetEndpointHash())
@@ -92,22 +106,14 @@
 		s.load.Endpoints[e.GetEndpointHash()] = e.GetInFlight()
 	}
 	for _, u := range m.GetMembers() {
-		c := s.members[u.GetMember()]
-		if c == nil {
-			c = &counter{baseline: u.GetService(), last: u.GetService()}
-			s.members[u.GetMember()] = c
-		}
+		c := entry(s.members, u.GetMember())
 		s.load.Members[u.GetMember()] = MemberUsage{
 			Service: c.observe(u.GetService(), newEpoch),
 			Waiting: u.GetWaiting(),
 		}
 	}
 	for _, d := range m.GetModels() {
-		c := s.models[d.GetModel()]
-		if c == nil {
-			c = newDemandCounter(d)
-			s.models[d.GetModel()] = c
-		}
+		c := entry(s.models, d.GetModel())
 		s.load.Models[d.GetModel()] = ModelDemand{
 			Requests: uint64(c.requests.observe(float64(d.GetRequests()), newEpoch)),
 			Tokens:   uint64(c.tokens.observe(float64(d.GetTokens()), newEpoch)),
@@ -116,13 +122,24 @@
 	}
 }
 
-func newDemandCounter(d *peerv1.ModelDemand) *demandCounter {
-	requests := float64(d.GetRequests())
-	tokens := float64(d.GetTokens())
-	return &demandCounter{
-		requests: counter{baseline: requests, last: requests},
-		tokens:   counter{baseline: tokens, last: tokens},
+func (s *remoteSource) restartCounters() {
+	for _, c := range s.members {
+		c.restart()
+	}
+	for _, c := range s.models {
+		c.requests.restart()
+		c.tokens.restart()
+	}
+}
+
+// entry returns the value of the key, adding a zero one when it is missing.
+func entry[T any](entries map[string]*T, key string) *T {
+	if e := entries[key]; e != nil {
+		return e
 	}
+	e := new(T)
+	entries[key] = e
+	return e
 }
 
 // acknowledgements lists what is held from one peer.
