--- /dev/null
+++ b/pkg/admission/controller.go
@@ -0,0 +1,424 @@
+package admission
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/decisions"
+	"github.com/mulberryglade/mulberryglade/pkg/demand"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+const (
+	// defaultDeadline applies to a request without a deadline.
+	defaultDeadline = 60 * time.Second
+	// dispatchInterval is the time between two attempts when nothing was reported to have changed; it covers conditions
+	// that end by time alone, such as an ejection or an empty link budget.
+	dispatchInterval = 50 * time.Millisecond
+	// defaultQueueRequests and defaultQueueBytes apply to a deployment that declares no bounds.
+	defaultQueueRequests = 1000
+	defaultQueueBytes    = 64 << 20
+	// minRetryAfter is the shortest time after which a refused caller is told to retry.
+	minRetryAfter = time.Second
+)
+
+// Parts are the components that a Controller works with.
+type Parts struct {
+	Registry  *endpoints.Registry
+	Pipeline  *scheduling.Pipeline
+	Demand    *demand.Tracker
+	Decisions *decisions.Recorder
+	// Link is charged for calls to other regions; nil means that there is no such link.
+	Link *scheduling.Link
+}
+
+// Controller implements Gate. It is safe for concurrent use.
+type Controller struct {
+	parts Parts
+	wake  chan struct{}
+
+	mu       sync.Mutex
+	snapshot *config.Snapshot // nil before the first Apply
+	draining bool
+	members  map[string]*memberQueue
+	calls    int
+	bytes    int64
+	sequence uint64
+}
+
+var _ Gate = (*Controller)(nil)
+
+// NewController returns a controller that refuses calls until the first Apply. It registers itself with
+// Registry.OnChange.
+func NewController(parts Parts) *Controller {
+	c := &Controller{parts: parts, wake: make(chan struct{}, 1), members: make(map[string]*memberQueue)}
+	parts.Registry.OnChange(c.wakeUp)
+	return c
+}
+
+// Apply takes over a snapshot. The registry has its own Apply.
+func (c *Controller) Apply(snapshot *config.Snapshot) {
+	c.mu.Lock()
+	c.snapshot = snapshot
+	c.mu.Unlock()
+	c.wakeUp()
+}
+
+// Drain makes Acquire refuse new calls; calls that already wait are still served.
+func (c *Controller) Drain() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.draining = true
+}
+
+// Run starts waiting calls when endpoints change, until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(dispatchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		case <-ticker.C:
+		}
+		c.mu.Lock()
+		c.dispatch()
+		c.mu.Unlock()
+	}
+}
+
+func (c *Controller) wakeUp() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Acquire implements Gate.
+func (c *Controller) Acquire(ctx context.Context, request scheduling.Request) (Ticket, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	if request.Deadline.IsZero() {
+		request.Deadline = time.Now().Add(defaultDeadline)
+	}
+	w, refused := c.enter(request)
+	if refused != nil {
+		return nil, refused
+	}
+	return c.wait(ctx, w)
+}
+
+// enter queues the call and starts whatever can start.
+func (c *Controller) enter(request scheduling.Request) (*waiter, *problem.Problem) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if refused := c.refuseAtOnce(&request); refused != nil {
+		return nil, refused
+	}
+	if len(request.Exclude) == 0 {
+		c.parts.Demand.Arrive(keyOf(&request).id, request.InputTokens+request.OutputTokens)
+	}
+	c.sequence++
+	w := &waiter{
+		request:  request,
+		key:      keyOf(&request),
+		sequence: c.sequence,
+		enqueued: time.Now(),
+		done:     make(chan verdict, 1),
+	}
+	member := c.member(request.Member)
+	member.inProgress++
+	c.enqueue(member.queueFor(w.key), w)
+	c.dispatch()
+	c.shedOverflow()
+	return w, nil
+}
+
+func (c *Controller) refuseAtOnce(request *scheduling.Request) *problem.Problem {
+	if c.snapshot == nil {
+		return problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.NotRun,
+			"no configuration is in effect yet").WithRetryAfter(minRetryAfter)
+	}
+	if c.draining {
+		return problem.New(problem.TypeShuttingDown, http.StatusServiceUnavailable, problem.NotRun,
+			"the instance is shutting down").WithRetryAfter(minRetryAfter)
+	}
+	if len(c.snapshot.EndpointsOf(request.Service)) == 0 {
+		return problem.New(problem.TypeNoEndpoint, http.StatusServiceUnavailable, problem.NotRun,
+			"no endpoint is declared for service "+request.Service)
+	}
+	declared := c.snapshot.Member(request.Member)
+	if declared != nil && declared.MaxConcurrentRequests > 0 &&
+		c.member(request.Member).inProgress >= declared.MaxConcurrentRequests {
+		return problem.New(problem.TypeMemberLimit, http.StatusTooManyRequests, problem.NotRun,
+			"the member's limit of concurrent requests is reached").WithRetryAfter(minRetryAfter)
+	}
+	if !request.Deadline.After(time.Now()) {
+		return c.deadlineProblem("the deadline has passed")
+	}
+	return nil
+}
+
+func (c *Controller) deadlineProblem(detail string) *problem.Problem {
+	return problem.New(problem.TypeDeadlineUnreachable, http.StatusServiceUnavailable, problem.NotRun, detail).
+		WithRetryAfter(minRetryAfter)
+}
+
+func (c *Controller) member(name string) *memberQueue {
+	m := c.members[name]
+	if m == nil {
+		m = newMemberQueue(name)
+		c.members[name] = m
+	}
+	return m
+}
+
+func (c *Controller) enqueue(q *modelQueue, w *waiter) {
+	q.insert(w)
+	c.calls++
+	c.bytes += int64(w.request.Bytes)
+	if q.notLoaded {
+		c.parts.Demand.Wait(q.key.id, 1)
+	}
+}
+
+// dequeue takes a call out of its queue; false when another goroutine did so before.
+func (c *Controller) dequeue(w *waiter) bool {
+	q := w.queue
+	if q == nil {
+		return false
+	}
+	q.remove(w)
+	c.calls--
+	c.bytes -= int64(w.request.Bytes)
+	if q.notLoaded {
+		c.parts.Demand.Wait(q.key.id, -1)
+	}
+	if len(q.waiters) == 0 {
+		delete(q.member.models, q.key)
+	}
+	return true
+}
+
+// refuse ends a queued call without running it.
+func (c *Controller) refuse(w *waiter, why *problem.Problem) {
+	if !c.dequeue(w) {
+		return
+	}
+	c.leave(w.request.Member)
+	w.done <- verdict{problem: why}
+}
+
+func (c *Controller) leave(name string) {
+	m := c.member(name)
+	m.inProgress--
+	if m.inProgress == 0 {
+		delete(c.members, name)
+	}
+}
+
+// shedOverflow refuses calls while the queue exceeds its bounds: the member that holds the most of the queue relative to
+// its share loses its newest call, so that a burst of one member cannot displace the calls of another.
+func (c *Controller) shedOverflow() {
+	maxCalls, maxBytes := c.bounds()
+	for c.calls > maxCalls || c.bytes > maxBytes {
+		victim := c.heaviest(c.bytes > maxBytes)
+		c.refuse(victim.newest(), problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.NotRun,
+			"the admission queue is full").WithRetryAfter(minRetryAfter))
+	}
+}
+
+func (c *Controller) bounds() (calls int, bytes int64) {
+	deployment := c.snapshot.Deployment()
+	calls, bytes = deployment.QueueRequests, deployment.QueueBytes
+	if calls <= 0 {
+		calls = defaultQueueRequests
+	}
+	if bytes <= 0 {
+		bytes = defaultQueueBytes
+	}
+	return calls, bytes
+}
+
+func (c *Controller) heaviest(byBytes bool) *memberQueue {
+	var heaviest *memberQueue
+	var most float64
+	for _, m := range c.members {
+		weight := float64(m.calls)
+		if byBytes {
+			weight = float64(m.bytes)
+		}
+		weight /= c.share(m.name)
+		if m.calls > 0 && (heaviest == nil || weight > most || weight == most && m.name < heaviest.name) {
+			heaviest, most = m, weight
+		}
+	}
+	return heaviest
+}
+
+func (c *Controller) share(member string) float64 {
+	declared := c.snapshot.Member(member)
+	if declared == nil || declared.Share <= 0 {
+		return 1
+	}
+	return declared.Share
+}
+
+func (c *Controller) wait(ctx context.Context, w *waiter) (Ticket, error) {
+	timer := time.NewTimer(time.Until(w.request.Deadline))
+	defer timer.Stop()
+	select {
+	case v := <-w.done:
+		return v.result()
+	case <-ctx.Done():
+		return c.abandon(w, func(v verdict) (Ticket, error) {
+			v.ticket.Release(Result{Status: Cancelled})
+			return nil, ctx.Err()
+		}, ctx.Err())
+	case <-timer.C:
+		return c.abandon(w, verdict.result, c.deadlineProblem("no endpoint had capacity before the deadline"))
+	}
+}
+
+// abandon ends the wait of a call. When a verdict was reached at the same moment it is passed to late instead, because a
+// granted ticket must not be lost.
+func (c *Controller) abandon(w *waiter, late func(verdict) (Ticket, error), reason error) (Ticket, error) {
+	c.mu.Lock()
+	removed := c.dequeue(w)
+	if removed {
+		c.leave(w.request.Member)
+	}
+	c.mu.Unlock()
+	if removed {
+		return nil, reason
+	}
+	v := <-w.done
+	if v.problem != nil {
+		return nil, v.problem
+	}
+	return late(v)
+}
+
+func (v verdict) result() (Ticket, error) {
+	if v.problem != nil {
+		return nil, v.problem
+	}
+	return v.ticket, nil
+}
+
+// dispatch starts every waiting call that can start. A model without capacity does not hold up calls of other models.
+func (c *Controller) dispatch() {
+	if c.calls == 0 || c.snapshot == nil {
+		return
+	}
+	pass := &dispatchPass{states: make(map[string][]endpoints.State), blocked: make(map[modelKey]bool)}
+	for c.grantNext(pass) {
+	}
+}
+
+// dispatchPass remembers within one dispatch which models cannot start another call.
+type dispatchPass struct {
+	states  map[string][]endpoints.State
+	blocked map[modelKey]bool
+}
+
+func (c *Controller) grantNext(pass *dispatchPass) bool {
+	for _, q := range c.queuesInOrder() {
+		if pass.blocked[q.key] {
+			continue
+		}
+		if c.grantFrom(q, pass) {
+			return true
+		}
+	}
+	return false
+}
+
+// queuesInOrder returns all queues, oldest head first.
+func (c *Controller) queuesInOrder() []*modelQueue {
+	var queues []*modelQueue
+	for _, m := range c.members {
+		for _, q := range m.models {
+			queues = append(queues, q)
+		}
+	}
+	sort.Slice(queues, func(i, j int) bool { return queues[i].waiters[0].sequence < queues[j].waiters[0].sequence })
+	return queues
+}
+
+// grantFrom starts the first call of the queue that an endpoint can take. Calls that exclude endpoints are passed over
+// when only the excluded ones have capacity.
+func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
+	for _, w := range q.waiters {
+		states, ok := pass.states[q.key.service]
+		if !ok {
+			states = c.parts.Registry.States(q.key.service)
+			pass.states[q.key.service] = states
+		}
+		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
+		if blocked == scheduling.Chosen {
+			c.setNotLoaded(q, false)
+			return c.grant(w, decision, &states[index])
+		}
+		if len(w.request.Exclude) > 0 {
+			continue
+		}
+		c.setNotLoaded(q, blocked == scheduling.NotLoaded)
+		pass.blocked[q.key] = true
+		return false
+	}
+	return false
+}
+
+func (c *Controller) setNotLoaded(q *modelQueue, notLoaded bool) {
+	if q.notLoaded == notLoaded {
+		return
+	}
+	q.notLoaded = notLoaded
+	if notLoaded {
+		c.parts.Demand.Wait(q.key.id, len(q.waiters))
+		return
+	}
+	c.parts.Demand.Wait(q.key.id, -len(q.waiters))
+}
+
+func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) bool {
+	call := c.parts.Registry.Begin(state.Endpoint.Name)
+	if call == nil {
+		// The endpoint was removed from the declarations after its state was read.
+		state.Leaving = true
+		return true
+	}
+	state.OwnInFlight++
+	c.dequeue(w)
+	t := &ticket{
+		controller: c,
+		request:    w.request,
+		key:        w.key,
+		call:       call,
+		target:     engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
+		decision:   decision,
+		granted:    time.Now(),
+		linkBytes:  c.parts.Link.Charge(&w.request, state),
+	}
+	c.parts.Decisions.Add(decisions.Record{
+		Kind:    decisions.Routing,
+		ID:      w.request.ID,
+		Time:    t.granted,
+		Subject: w.key.service + "/" + w.key.id,
+		Chosen:  decision.Chosen,
+		Reason:  decision.Reason,
+		Detail:  decision,
+	})
+	w.done <- verdict{ticket: t}
+	return true
+}
--- /dev/null
+++ b/pkg/admission/gate_test.go
@@ -0,0 +1,167 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/pkg/admission"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+// limited declares member a with a limit of two concurrent requests, and a queue of three calls or 1000 bytes.
+func limited() config.Records {
+	return config.Records{
+		Deployment: config.Deployment{QueueRequests: 3, QueueBytes: 1000},
+		Members: []config.Member{
+			{Header: config.Header{Name: "a"}, Share: 1},
+			{Header: config.Header{Name: "limited"}, Share: 1, MaxConcurrentRequests: 1},
+		},
+	}
+}
+
+// Guards against a refusal without type or outcome, and against a call that is queued although it cannot run.
+func TestGateRefusals(t *testing.T) {
+	cases := map[string]struct {
+		before func(*system)
+		change func(*scheduling.Request)
+		want   problem.Type
+	}{
+		"unknown service": {
+			change: func(r *scheduling.Request) { r.Service = "none" },
+			want:   problem.TypeNoEndpoint,
+		},
+		"deadline passed": {
+			change: func(r *scheduling.Request) { r.Deadline = time.Now() },
+			want:   problem.TypeDeadlineUnreachable,
+		},
+		"model never loaded": {
+			change: func(r *scheduling.Request) { r.Model = "absent" },
+			want:   problem.TypeDeadlineUnreachable,
+		},
+		"all capacity in use until the deadline": {
+			before: func(s *system) { mustAcquire(s, request()); mustAcquire(s, request()) },
+			want:   problem.TypeDeadlineUnreachable,
+		},
+		"every endpoint failed the call": {
+			change: func(r *scheduling.Request) { r.Exclude = []string{"e"} },
+			want:   problem.TypeDeadlineUnreachable,
+		},
+		"shutting down": {
+			before: func(s *system) { s.controller.Drain() },
+			want:   problem.TypeShuttingDown,
+		},
+		"member limit": {
+			before: func(s *system) {
+				mustAcquire(s, request(func(r *scheduling.Request) { r.Member = "limited" }))
+			},
+			change: func(r *scheduling.Request) { r.Member = "limited" },
+			want:   problem.TypeMemberLimit,
+		},
+		"body larger than the queue": {
+			before: func(s *system) { mustAcquire(s, request()); mustAcquire(s, request()) },
+			change: func(r *scheduling.Request) { r.Bytes = 1001 },
+			want:   problem.TypeOverloaded,
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := start(t, limited(), map[string]engine.Report{"e": loaded(2, "m")})
+				defer s.stop()
+				if c.before != nil {
+					c.before(s)
+				}
+				r := request()
+				if c.change != nil {
+					c.change(&r)
+				}
+				_, err := s.controller.Acquire(t.Context(), r)
+				var refused *problem.Problem
+				g.Expect(errors.As(err, &refused)).To(BeTrue(), "error %v", err)
+				g.Expect(refused.Type).To(Equal(c.want))
+				g.Expect(refused.Outcome).To(Equal(problem.NotRun))
+				for _, d := range s.demand.Total() {
+					g.Expect(d.Waiting).To(BeZero(), "waiting calls left for "+d.Model)
+				}
+			})
+		})
+	}
+}
+
+func mustAcquire(s *system, r scheduling.Request) admission.Ticket {
+	ticket, err := s.controller.Acquire(context.Background(), r)
+	if err != nil {
+		panic(err)
+	}
+	return ticket
+}
+
+// Guards against capacity that leaks or is freed twice: after each way to end a call exactly two calls fit.
+func TestCapacityIsReturnedOnce(t *testing.T) {
+	ways := map[string]func(*system, admission.Ticket){
+		"succeeded":      func(_ *system, t admission.Ticket) { t.Release(admission.Result{}) },
+		"released twice": func(_ *system, t admission.Ticket) { t.Release(admission.Result{}); t.Release(admission.Result{}) },
+		"endpoint busy":  func(_ *system, t admission.Ticket) { t.Release(admission.Result{Status: admission.EndpointBusy}) },
+		"cancelled":      func(_ *system, t admission.Ticket) { t.Release(admission.Result{Status: admission.Cancelled}) },
+		"endpoint error": func(_ *system, t admission.Ticket) { t.Release(admission.Result{Status: admission.EndpointError}) },
+		"caller left while waiting": func(s *system, t admission.Ticket) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			mustAcquire(s, request())
+			if _, err := s.controller.Acquire(ctx, request()); !errors.Is(err, context.DeadlineExceeded) {
+				panic(err)
+			}
+			t.Release(admission.Result{})
+			s.registry.Begin("e").End()
+		},
+	}
+	for name, end := range ways {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := start(t, limited(), map[string]engine.Report{"e": loaded(2, "m")})
+				defer s.stop()
+				end(s, mustAcquire(s, request()))
+				free := 2 - s.registry.States("s")[0].OwnInFlight
+				for range free {
+					mustAcquire(s, request())
+				}
+				_, err := s.controller.Acquire(t.Context(), request())
+				g.Expect(err).To(HaveOccurred())
+				g.Expect(s.registry.States("s")[0].OwnInFlight).To(Equal(2))
+			})
+		})
+	}
+}
+
+// Guards against a lost wake-up: a waiting call starts when another ends, and when a report first lists its model.
+func TestWaitingCallStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, limited(), map[string]engine.Report{"e": loaded(1, "m")})
+		defer s.stop()
+		first := mustAcquire(s, request())
+		time.AfterFunc(time.Second, func() { first.Release(admission.Result{}) })
+		began := time.Now()
+		mustAcquire(s, request()).Release(admission.Result{})
+		g.Expect(time.Since(began)).To(Equal(time.Second))
+
+		time.AfterFunc(time.Second, func() {
+			g.Expect(s.demand.Total()).To(ContainElement(HaveField("Waiting", 1)))
+			s.reports.set("e", loaded(1, "m", "late"))
+		})
+		ticket := mustAcquire(s, request(func(r *scheduling.Request) { r.Model = "late" }))
+		g.Expect(ticket.Target().Name).To(Equal("e"))
+		g.Expect(ticket.Decision().Chosen).To(Equal("e"))
+		g.Expect(s.demand.Total()).To(HaveEach(HaveField("Waiting", 0)))
+	})
+}
--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,104 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+// modelKey names what a call needs: a model or adapter of an engine service, or a plain service.
+type modelKey struct {
+	service string
+	// id is the adapter if one was called, else the model; empty for a plain service.
+	id string
+}
+
+func keyOf(request *scheduling.Request) modelKey {
+	if request.Adapter != "" {
+		return modelKey{service: request.Service, id: request.Adapter}
+	}
+	return modelKey{service: request.Service, id: request.Model}
+}
+
+// waiter is a queued call. Its fields are guarded by the controller's lock, except done.
+type waiter struct {
+	request  scheduling.Request
+	key      modelKey
+	sequence uint64
+	enqueued time.Time
+	queue    *modelQueue // nil once the call left the queue
+	// done receives exactly one value when the call leaves the queue other than by its own goroutine.
+	done chan verdict
+}
+
+// verdict is a ticket or the reason for a refusal.
+type verdict struct {
+	ticket  *ticket
+	problem *problem.Problem
+}
+
+// modelQueue holds one member's waiting calls for one model, highest priority first, then oldest first.
+type modelQueue struct {
+	member  *memberQueue
+	key     modelKey
+	waiters []*waiter
+	// notLoaded is true while the calls wait for a loaded copy; they are then counted in the demand tracker.
+	notLoaded bool
+}
+
+func (q *modelQueue) insert(w *waiter) {
+	at := len(q.waiters)
+	for at > 0 && q.waiters[at-1].request.Priority < w.request.Priority {
+		at--
+	}
+	q.waiters = slices.Insert(q.waiters, at, w)
+	w.queue = q
+	q.member.calls++
+	q.member.bytes += int64(w.request.Bytes)
+}
+
+func (q *modelQueue) remove(w *waiter) {
+	at := slices.Index(q.waiters, w)
+	q.waiters = slices.Delete(q.waiters, at, at+1)
+	w.queue = nil
+	q.member.calls--
+	q.member.bytes -= int64(w.request.Bytes)
+}
+
+// memberQueue holds one member's waiting calls.
+type memberQueue struct {
+	name   string
+	models map[modelKey]*modelQueue
+	calls  int
+	bytes  int64
+	// running and waiting calls of the member, for its limit.
+	inProgress int
+}
+
+func newMemberQueue(name string) *memberQueue {
+	return &memberQueue{name: name, models: make(map[modelKey]*modelQueue)}
+}
+
+func (m *memberQueue) queueFor(key modelKey) *modelQueue {
+	q := m.models[key]
+	if q == nil {
+		q = &modelQueue{member: m, key: key}
+		m.models[key] = q
+	}
+	return q
+}
+
+// newest returns the call that was queued last.
+func (m *memberQueue) newest() *waiter {
+	var newest *waiter
+	for _, q := range m.models {
+		for _, w := range q.waiters {
+			if newest == nil || w.sequence > newest.sequence {
+				newest = w
+			}
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/pkg/endpoints/poll.go
@@ -0,0 +1,97 @@
+package endpoints
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+)
+
+// ServiceLoad is what a replica of a plain service answers to GET /load.
+type ServiceLoad struct {
+	Running    int  `json:"running"`
+	Waiting    int  `json:"waiting"`
+	MaxRunning int  `json:"maxRunning"`
+	Leaving    bool `json:"leaving"`
+}
+
+// LoadReader reads the load of a replica of a plain service.
+type LoadReader interface {
+	// Load reads GET /load. Errors are those of engine.Reporter.
+	Load(ctx context.Context, target engine.Target) (ServiceLoad, error)
+}
+
+// startPoller starts the goroutine of one endpoint when Run is active. The caller holds the lock.
+func (r *Registry) startPoller(e *entry) {
+	if r.ctx == nil || e.stop != nil {
+		return
+	}
+	ctx, stop := context.WithCancel(r.ctx)
+	e.stop = stop
+	target := engine.Target{Name: e.declared.Name, URL: e.declared.URL}
+	r.pollers.Go(func() {
+		defer stop()
+		r.poll(ctx, e, target)
+	})
+}
+
+func (r *Registry) poll(ctx context.Context, e *entry, target engine.Target) {
+	for {
+		r.pollOnce(ctx, e, target)
+		timer := time.NewTimer(r.pollInterval(e))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+	}
+}
+
+// pollInterval stretches the interval of endpoints without own calls when the fleet exceeds the poll budget.
+func (r *Registry) pollInterval(e *entry) time.Duration {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if e.own > 0 {
+		return r.options.ReportInterval
+	}
+	stretched := time.Duration(float64(len(r.entries)) / r.options.PollsPerSecond * float64(time.Second))
+	return max(r.options.ReportInterval, stretched)
+}
+
+func (r *Registry) pollOnce(ctx context.Context, e *entry, target engine.Target) {
+	callCtx, cancel := context.WithTimeout(ctx, r.options.ReportTimeout)
+	defer cancel()
+	report, err := r.readReport(callCtx, e, target)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		r.log.Warn("load report failed", zap.String("endpoint", target.Name), zap.Error(err))
+		return
+	}
+	r.mu.Lock()
+	e.report = &report
+	e.reportedAt = time.Now()
+	e.ownAtReport = e.own
+	r.mu.Unlock()
+	r.changed()
+}
+
+func (r *Registry) readReport(ctx context.Context, e *entry, target engine.Target) (engine.Report, error) {
+	if !e.plain {
+		return r.reporter.Report(ctx, target)
+	}
+	load, err := r.loads.Load(ctx, target)
+	if err != nil {
+		return engine.Report{}, err
+	}
+	return engine.Report{
+		Running:    load.Running,
+		Waiting:    load.Waiting,
+		MaxRunning: load.MaxRunning,
+		Leaving:    load.Leaving,
+	}, nil
+}
--- /dev/null
+++ b/pkg/endpoints/registry.go
@@ -0,0 +1,328 @@
+package endpoints
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+)
+
+const (
+	// defaultReportInterval and defaultReportTimeout let two failed polls be seen within the 3 s in which a leaving
+	// endpoint must stop receiving calls.
+	defaultReportInterval = 500 * time.Millisecond
+	defaultReportTimeout  = 700 * time.Millisecond
+	// defaultStaleAfter is three exchange intervals of 1 s: a single lost exchange is not yet a partition.
+	defaultStaleAfter = 3 * time.Second
+	// defaultPollsPerSecond bounds the polls of one instance, so that their traffic does not grow with the fleet.
+	defaultPollsPerSecond = 20
+)
+
+// Options are the registry's parameters; zero values select the defaults.
+type Options struct {
+	// ReportInterval is the time between two polls of an endpoint in use; others are polled less often when the fleet is
+	// so large that PollsPerSecond would be exceeded.
+	ReportInterval time.Duration
+	ReportTimeout  time.Duration
+	PollsPerSecond float64
+	// StaleAfter is the silence of a peer after which its in-flight counts are no longer relied on.
+	StaleAfter time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.ReportInterval == 0 {
+		o.ReportInterval = defaultReportInterval
+	}
+	if o.ReportTimeout == 0 {
+		o.ReportTimeout = defaultReportTimeout
+	}
+	if o.StaleAfter == 0 {
+		o.StaleAfter = defaultStaleAfter
+	}
+	if o.PollsPerSecond == 0 {
+		o.PollsPerSecond = defaultPollsPerSecond
+	}
+	return o
+}
+
+// Load is an instance's number of calls at one endpoint.
+type Load struct {
+	EndpointHash uint64
+	InFlight     int
+}
+
+// HashName returns the hash under which peers name an endpoint.
+func HashName(name string) uint64 {
+	return xxhash.Sum64String(name)
+}
+
+// Registry holds the known state of all declared endpoints. It is safe for concurrent use.
+type Registry struct {
+	reporter engine.Reporter
+	loads    LoadReader
+	log      *zap.Logger
+	options  Options
+
+	mu        sync.RWMutex
+	pollers   conc.WaitGroup
+	ctx       context.Context // nil while Run is not active
+	entries   map[string]*entry
+	byService map[string][]*entry
+	peers     map[string]*peer
+	peerSums  map[uint64]int
+	listed    map[string]bool
+	changed   func()
+}
+
+type peer struct {
+	heard    time.Time
+	inFlight map[uint64]int
+}
+
+type entry struct {
+	declared *config.Endpoint
+	hash     uint64
+	plain    bool
+	stop     context.CancelFunc // nil while no poller runs
+
+	report      *engine.Report
+	reportedAt  time.Time
+	ownAtReport int
+	own         int
+	used        bool // true once a call was sent; such endpoints are part of Local
+	health      Health
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(reporter engine.Reporter, loads LoadReader, log *zap.Logger, options Options) *Registry {
+	return &Registry{
+		reporter:  reporter,
+		loads:     loads,
+		log:       log,
+		options:   options.withDefaults(),
+		entries:   make(map[string]*entry),
+		byService: make(map[string][]*entry),
+		peers:     make(map[string]*peer),
+		peerSums:  make(map[uint64]int),
+		listed:    make(map[string]bool),
+		changed:   func() {},
+	}
+}
+
+// OnChange sets the function that is called, without locks held, after a change that can free capacity. It must be set
+// before Run and Apply.
+func (r *Registry) OnChange(changed func()) {
+	r.changed = changed
+}
+
+// Run polls endpoints until the context ends.
+func (r *Registry) Run(ctx context.Context) {
+	r.mu.Lock()
+	r.ctx = ctx
+	for _, e := range r.entries {
+		r.startPoller(e)
+	}
+	r.mu.Unlock()
+	<-ctx.Done()
+	r.mu.Lock()
+	r.ctx = nil
+	r.mu.Unlock()
+	r.pollers.Wait()
+}
+
+// Apply takes over the endpoints of a snapshot: new ones are polled, removed ones are forgotten, and one whose address
+// changed is treated as new.
+func (r *Registry) Apply(snapshot *config.Snapshot) {
+	r.mu.Lock()
+	records := snapshot.Records().Endpoints
+	next := make(map[string]*entry, len(records))
+	byService := make(map[string][]*entry)
+	for i := range records {
+		declared := &records[i]
+		service := snapshot.Service(declared.Service)
+		e := r.entryFor(declared, service != nil && service.Type == config.PlainService)
+		next[declared.Name] = e
+		byService[declared.Service] = append(byService[declared.Service], e)
+	}
+	for name, old := range r.entries {
+		if next[name] != old && old.stop != nil {
+			old.stop()
+		}
+	}
+	for _, list := range byService {
+		sort.Slice(list, func(i, j int) bool { return list[i].declared.Name < list[j].declared.Name })
+	}
+	r.entries = next
+	r.byService = byService
+	for _, e := range next {
+		r.startPoller(e)
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+func (r *Registry) entryFor(declared *config.Endpoint, plain bool) *entry {
+	old := r.entries[declared.Name]
+	if old != nil && old.declared.URL == declared.URL && old.plain == plain {
+		old.declared = declared
+		return old
+	}
+	return &entry{declared: declared, hash: HashName(declared.Name), plain: plain, health: Healthy}
+}
+
+// SetLeaving replaces the set of endpoints that the instance list names as leaving.
+func (r *Registry) SetLeaving(names []string) {
+	listed := make(map[string]bool, len(names))
+	for _, name := range names {
+		listed[name] = true
+	}
+	r.mu.Lock()
+	r.listed = listed
+	r.mu.Unlock()
+	r.changed()
+}
+
+// Local returns this instance's in-flight counts, with zeros for endpoints that it used before, so that a receiver that
+// merges sees calls end.
+func (r *Registry) Local() []Load {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var loads []Load
+	for _, e := range r.entries {
+		if e.used {
+			loads = append(loads, Load{EndpointHash: e.hash, InFlight: e.own})
+		}
+	}
+	sort.Slice(loads, func(i, j int) bool { return loads[i].EndpointHash < loads[j].EndpointHash })
+	return loads
+}
+
+// SetPeer merges a peer's counts; endpoints that are not named keep their last count. An empty slice tells that the peer
+// is alive. A restarted peer must come under a new id.
+func (r *Registry) SetPeer(peerID string, loads []Load) {
+	r.mu.Lock()
+	p := r.peers[peerID]
+	if p == nil {
+		p = &peer{inFlight: make(map[uint64]int)}
+		r.peers[peerID] = p
+	}
+	p.heard = time.Now()
+	for _, load := range loads {
+		r.addPeerSum(load.EndpointHash, load.InFlight-p.inFlight[load.EndpointHash])
+		if load.InFlight == 0 {
+			delete(p.inFlight, load.EndpointHash)
+			continue
+		}
+		p.inFlight[load.EndpointHash] = load.InFlight
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+// RemovePeer forgets a peer.
+func (r *Registry) RemovePeer(peerID string) {
+	r.mu.Lock()
+	if p := r.peers[peerID]; p != nil {
+		for hash, count := range p.inFlight {
+			r.addPeerSum(hash, -count)
+		}
+		delete(r.peers, peerID)
+	}
+	r.mu.Unlock()
+	r.changed()
+}
+
+func (r *Registry) addPeerSum(hash uint64, delta int) {
+	r.peerSums[hash] += delta
+	if r.peerSums[hash] == 0 {
+		delete(r.peerSums, hash)
+	}
+}
+
+func (r *Registry) peersStale(now time.Time) bool {
+	for _, p := range r.peers {
+		if now.Sub(p.heard) > r.options.StaleAfter {
+			return true
+		}
+	}
+	return false
+}
+
+// States returns the state of every endpoint of a service, ordered by name.
+func (r *Registry) States(service string) []State {
+	return r.AppendStates(nil, service)
+}
+
+// AppendStates appends the states of a service's endpoints to dst, so that a caller can reuse its memory.
+func (r *Registry) AppendStates(dst []State, service string) []State {
+	now := time.Now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	stale := r.peersStale(now)
+	for _, e := range r.byService[service] {
+		dst = append(dst, r.state(e, now, stale))
+	}
+	return dst
+}
+
+func (r *Registry) state(e *entry, now time.Time, stale bool) State {
+	s := State{
+		Endpoint:         e.declared,
+		Report:           e.report,
+		OwnInFlight:      e.own,
+		PeerInFlight:     r.peerSums[e.hash],
+		OwnAtReport:      e.ownAtReport,
+		PeersStale:       stale,
+		Instances:        len(r.peers) + 1,
+		ConcurrencyLimit: e.limit(),
+		Health:           e.health,
+		Leaving:          e.declared.Leaving || r.listed[e.declared.Name],
+	}
+	if e.report != nil {
+		s.ReportAge = now.Sub(e.reportedAt)
+		s.Leaving = s.Leaving || e.report.Leaving
+	}
+	return s
+}
+
+func (e *entry) limit() int {
+	limit := e.declared.MaxConcurrentRequests
+	if e.report != nil && e.report.MaxRunning > 0 {
+		limit = min(limit, e.report.MaxRunning)
+	}
+	return limit
+}
+
+// Call is one of this instance's calls at an endpoint.
+type Call struct {
+	registry *Registry
+	entry    *entry
+}
+
+// Begin counts a call that is about to be sent; nil when the endpoint is not declared any more.
+func (r *Registry) Begin(name string) *Call {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[name]
+	if e == nil {
+		return nil
+	}
+	e.own++
+	e.used = true
+	return &Call{registry: r, entry: e}
+}
+
+// End counts the end of a call. It must be called once. It does not call the function of OnChange: the caller knows that
+// capacity became free.
+func (c *Call) End() {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.entry.own--
+}
--- /dev/null
+++ b/pkg/endpoints/registry_test.go
@@ -0,0 +1,183 @@
+package endpoints_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+)
+
+// fakeReporter answers each endpoint with a fixed report or error.
+type fakeReporter struct {
+	mu      sync.Mutex
+	reports map[string]engine.Report
+	errs    map[string]error
+	events  map[string][]engine.CacheEvent
+}
+
+func (f *fakeReporter) Report(_ context.Context, target engine.Target) (engine.Report, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports[target.Name], f.errs[target.Name]
+}
+
+func (f *fakeReporter) CacheEvents(_ context.Context, target engine.Target, after int64) ([]engine.CacheEvent, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var events []engine.CacheEvent
+	for _, e := range f.events[target.Name] {
+		if e.Sequence > after {
+			events = append(events, e)
+		}
+	}
+	return events, nil
+}
+
+func (f *fakeReporter) Load(context.Context, engine.Target) (endpoints.ServiceLoad, error) {
+	return endpoints.ServiceLoad{Running: 3, MaxRunning: 5}, nil
+}
+
+func (f *fakeReporter) set(name string, report engine.Report, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reports[name] = report
+	f.errs[name] = err
+}
+
+func newFake() *fakeReporter {
+	return &fakeReporter{
+		reports: make(map[string]engine.Report),
+		errs:    make(map[string]error),
+		events:  make(map[string][]engine.CacheEvent),
+	}
+}
+
+func declare(names ...string) *config.Snapshot {
+	records := config.Records{Services: []config.Service{
+		{Header: config.Header{Name: "s"}, Type: config.EngineService},
+		{Header: config.Header{Name: "plain"}, Type: config.PlainService},
+	}}
+	for _, name := range names {
+		service := "s"
+		if name == "p" {
+			service = "plain"
+		}
+		records.Endpoints = append(records.Endpoints, config.Endpoint{
+			Header: config.Header{Name: name}, Service: service, URL: "http://127.0.0.1:1", MaxConcurrentRequests: 8,
+		})
+	}
+	return config.NewSnapshot(1, time.Time{}, records)
+}
+
+// run starts a registry inside a synctest bubble and returns the function that stops it.
+func run(t *testing.T, fake *fakeReporter, snapshot *config.Snapshot) (*endpoints.Registry, func()) {
+	t.Helper()
+	r := endpoints.NewRegistry(fake, fake, zap.NewNop(), endpoints.Options{})
+	r.Apply(snapshot)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.Run(ctx)
+	}()
+	synctest.Wait()
+	return r, func() {
+		cancel()
+		<-done
+	}
+}
+
+// Guards against calls to an endpoint that leaves, whichever source tells it.
+func TestLeavingIsSeenWithinThreeSeconds(t *testing.T) {
+	sources := map[string]func(*endpoints.Registry, *fakeReporter){
+		"instance list": func(r *endpoints.Registry, _ *fakeReporter) { r.SetLeaving([]string{"e"}) },
+		"report": func(_ *endpoints.Registry, f *fakeReporter) {
+			f.set("e", engine.Report{Leaving: true}, nil)
+		},
+		"declaration": func(r *endpoints.Registry, _ *fakeReporter) {
+			snapshot := declare("e", "f")
+			snapshot.Endpoint("e").Leaving = true
+			r.Apply(snapshot)
+		},
+	}
+	for name, leave := range sources {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				fake := newFake()
+				r, stop := run(t, fake, declare("e", "f"))
+				defer stop()
+				g.Expect(r.States("s")[0].Leaving).To(BeFalse())
+				leave(r, fake)
+				time.Sleep(3 * time.Second)
+				g.Expect(r.States("s")[0].Leaving).To(BeTrue())
+				g.Expect(r.States("s")[1].Leaving).To(BeFalse())
+			})
+		})
+	}
+}
+
+// Guards against a poller that outlives its endpoint and against loss of in-flight counts when declarations change.
+func TestApplyKeepsCountsAndStopsPollers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, stop := run(t, newFake(), declare("e", "f", "p"))
+		defer stop()
+		call := r.Begin("e")
+		r.Apply(declare("e"))
+		g.Expect(r.States("s")).To(HaveLen(1))
+		g.Expect(r.States("s")[0].OwnInFlight).To(Equal(1))
+		g.Expect(r.Begin("f")).To(BeNil())
+		call.End()
+		g.Expect(r.States("s")[0].OwnInFlight).To(BeZero())
+	})
+}
+
+// Guards against a plain service whose load is ignored.
+func TestPlainServiceLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		r, stop := run(t, newFake(), declare("p"))
+		defer stop()
+		g.Expect(r.States("plain")[0].Report.Running).To(Equal(3))
+		g.Expect(r.States("plain")[0].ConcurrencyLimit).To(Equal(5))
+	})
+}
+
+// Guards against counts of a peer that stay after its calls ended or after it left, and against trust in a silent peer.
+func TestPeerCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		fake := newFake()
+		fake.set("e", engine.Report{Running: 6}, nil)
+		r, stop := run(t, fake, declare("e"))
+		defer stop()
+		peerView := endpoints.NewRegistry(fake, fake, zap.NewNop(), endpoints.Options{})
+		peerView.Apply(declare("e"))
+		call := peerView.Begin("e")
+		r.SetPeer("p", peerView.Local())
+		r.SetPeer("q", []endpoints.Load{{EndpointHash: endpoints.HashName("e"), InFlight: 2}})
+		state := r.States("s")[0]
+		g.Expect(state.PeerInFlight).To(Equal(3))
+		g.Expect(state.Instances).To(Equal(3))
+		call.End()
+		r.SetPeer("p", peerView.Local())
+		g.Expect(r.States("s")[0].PeerInFlight).To(Equal(2))
+		time.Sleep(4 * time.Second)
+		state = r.States("s")[0]
+		g.Expect(state.PeersStale).To(BeTrue())
+		g.Expect(state.OthersInFlight()).To(Equal(6))
+		r.RemovePeer("p")
+		r.RemovePeer("q")
+		g.Expect(r.States("s")[0].PeersStale).To(BeFalse())
+		g.Expect(r.States("s")[0].InFlight()).To(BeZero())
+	})
+}
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -21,6 +21,9 @@
 	Probing Health = "probing"
 )
 
+// RoleServe is the role of an endpoint that runs whole calls.
+const RoleServe = "serve"
+
 // State is an immutable copy of what is known of one endpoint at one time.
 type State struct {
 	// Endpoint is the declaration.
@@ -32,6 +35,12 @@
 	// OwnInFlight counts this instance's calls; PeerInFlight sums what peers last told.
 	OwnInFlight  int
 	PeerInFlight int
+	// OwnAtReport is OwnInFlight at the time of the report.
+	OwnAtReport int
+	// PeersStale is true when a known peer has been silent for longer than the registry's bound.
+	PeersStale bool
+	// Instances is the number of entry instances that share the endpoint, this one included.
+	Instances int
 	// ConcurrencyLimit is the adaptive limit of calls at once over all instances.
 	ConcurrencyLimit int
 	Health           Health
@@ -40,12 +49,42 @@
 }
 
 // InFlight is the estimate of calls that run or wait at the endpoint.
-func (s State) InFlight() int {
-	return s.OwnInFlight + s.PeerInFlight
+func (s *State) InFlight() int {
+	return s.OwnInFlight + s.OthersInFlight()
+}
+
+// OthersInFlight is the estimate of other instances' calls: what peers told, or, when peers are silent, what the report
+// counts beyond this instance's calls, if that is more.
+func (s *State) OthersInFlight() int {
+	if !s.PeersStale || s.Report == nil {
+		return s.PeerInFlight
+	}
+	return max(s.PeerInFlight, s.Report.Running+s.Report.Waiting-s.OwnAtReport)
+}
+
+// HasCapacity tells whether one more call fits under the concurrency limit. When peers are silent this instance keeps to
+// its equal part of the limit, because the others may fill theirs unseen.
+func (s *State) HasCapacity() bool {
+	if s.PeersStale {
+		part := (s.ConcurrencyLimit + s.Instances - 1) / max(1, s.Instances)
+		return s.OwnInFlight < max(1, part)
+	}
+	return s.InFlight() < s.ConcurrencyLimit
+}
+
+// CurrentRole is the reported role, or the declared one before the first report.
+func (s *State) CurrentRole() string {
+	if s.Report != nil && s.Report.Role != "" {
+		return s.Report.Role
+	}
+	if s.Endpoint.Role != "" {
+		return s.Endpoint.Role
+	}
+	return RoleServe
 }
 
 // Serves tells whether the last report lists the artifact as loaded, in any version.
-func (s State) Serves(kind engine.ArtifactKind, name string) bool {
+func (s *State) Serves(kind engine.ArtifactKind, name string) bool {
 	if s.Report == nil {
 		return false
 	}
--- /dev/null
+++ b/pkg/scheduling/filters_test.go
@@ -0,0 +1,116 @@
+package scheduling_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+func TestScheduling(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "scheduling")
+}
+
+// fixedTopology maps data centres to distances; unknown ones are in another region.
+type fixedTopology map[string]scheduling.Distance
+
+func (t fixedTopology) Distance(dataCentre string) scheduling.Distance {
+	if d, ok := t[dataCentre]; ok {
+		return d
+	}
+	return scheduling.OtherRegion
+}
+
+var topology = fixedTopology{"a": scheduling.SameDataCentre, "b": scheduling.SameRegion}
+
+// serving is a healthy endpoint in data centre a with model m and adapter m-a loaded and a limit of four calls.
+func serving(change ...func(*endpoints.State)) endpoints.State {
+	state := endpoints.State{
+		Endpoint: &config.Endpoint{Header: config.Header{Name: "e"}, DataCentre: "a", MaxConcurrentRequests: 4},
+		Report: &engine.Report{
+			MaxRunning: 4,
+			Role:       endpoints.RoleServe,
+			Artifacts: []engine.LoadedArtifact{
+				{Artifact: engine.Artifact{Kind: engine.KindModel, Name: "m"}, State: engine.StateLoaded},
+				{Artifact: engine.Artifact{Kind: engine.KindModel, Name: "coming"}, State: engine.StateLoading},
+				{Artifact: engine.Artifact{Kind: engine.KindModel, Name: "going"}, State: engine.StateUnloading},
+				{Artifact: engine.Artifact{Kind: engine.KindAdapter, Name: "m-a"}, State: engine.StateLoaded},
+			},
+		},
+		Instances:        1,
+		ConcurrencyLimit: 4,
+		Health:           endpoints.Healthy,
+	}
+	for _, f := range change {
+		f(&state)
+	}
+	return state
+}
+
+// Guards against a call sent to an endpoint that cannot or must not run it.
+var _ = DescribeTable("each filter",
+	func(f scheduling.Filter, request scheduling.Request, change func(*endpoints.State), rejected bool) {
+		state := serving(change)
+		Expect(f.Reject(&request, &state) != "").To(Equal(rejected))
+	},
+	Entry("loaded model", scheduling.Artifact(), scheduling.Request{Model: "m"}, func(*endpoints.State) {}, false),
+	Entry("loading model", scheduling.Artifact(), scheduling.Request{Model: "coming"}, func(*endpoints.State) {}, true),
+	Entry("unloading model", scheduling.Artifact(), scheduling.Request{Model: "going"}, func(*endpoints.State) {}, true),
+	Entry("unknown model", scheduling.Artifact(), scheduling.Request{Model: "x"}, func(*endpoints.State) {}, true),
+	Entry("loaded adapter", scheduling.Artifact(), scheduling.Request{Model: "m", Adapter: "m-a"},
+		func(*endpoints.State) {}, false),
+	Entry("absent adapter", scheduling.Artifact(), scheduling.Request{Model: "m", Adapter: "m-b"},
+		func(*endpoints.State) {}, true),
+	Entry("adapter named like the model", scheduling.Artifact(), scheduling.Request{Model: "m", Adapter: "m"},
+		func(*endpoints.State) {}, true),
+	Entry("no report yet", scheduling.Artifact(), scheduling.Request{Model: "m"},
+		func(s *endpoints.State) { s.Report = nil }, true),
+	Entry("plain service without report", scheduling.Artifact(), scheduling.Request{},
+		func(s *endpoints.State) { s.Report = nil }, false),
+	Entry("healthy", scheduling.Healthy(), scheduling.Request{}, func(*endpoints.State) {}, false),
+	Entry("ejected", scheduling.Healthy(), scheduling.Request{},
+		func(s *endpoints.State) { s.Health = endpoints.Ejected }, true),
+	Entry("probing and idle", scheduling.Healthy(), scheduling.Request{},
+		func(s *endpoints.State) { s.Health = endpoints.Probing }, false),
+	Entry("probing with a call", scheduling.Healthy(), scheduling.Request{},
+		func(s *endpoints.State) { s.Health, s.OwnInFlight = endpoints.Probing, 1 }, true),
+	Entry("leaving", scheduling.NotLeaving(), scheduling.Request{},
+		func(s *endpoints.State) { s.Leaving = true }, true),
+	Entry("declared for another role, reported as serving", scheduling.ServingRole(), scheduling.Request{},
+		func(s *endpoints.State) { s.Endpoint.Role = "prefill" }, false),
+	Entry("reported in another role", scheduling.ServingRole(), scheduling.Request{},
+		func(s *endpoints.State) { s.Report.Role = "prefill" }, true),
+	Entry("failed this call", scheduling.NotExcluded(), scheduling.Request{Exclude: []string{"e"}},
+		func(*endpoints.State) {}, true),
+	Entry("another endpoint failed", scheduling.NotExcluded(), scheduling.Request{Exclude: []string{"f"}},
+		func(*endpoints.State) {}, false),
+	Entry("below the limit", scheduling.Concurrency(), scheduling.Request{},
+		func(s *endpoints.State) { s.OwnInFlight, s.PeerInFlight = 2, 1 }, false),
+	Entry("at the limit with peers", scheduling.Concurrency(), scheduling.Request{},
+		func(s *endpoints.State) { s.OwnInFlight, s.PeerInFlight = 2, 2 }, true),
+	Entry("silent peers, own part of the limit used", scheduling.Concurrency(), scheduling.Request{},
+		func(s *endpoints.State) { s.PeersStale, s.Instances, s.OwnInFlight = true, 2, 2 }, true),
+	Entry("silent peers, own part free although peers were busy", scheduling.Concurrency(), scheduling.Request{},
+		func(s *endpoints.State) { s.PeersStale, s.Instances, s.OwnInFlight, s.PeerInFlight = true, 2, 1, 3 }, false),
+	Entry("same data centre with an empty link budget", scheduling.RegionLink(topology, emptyLink()),
+		scheduling.Request{Bytes: 100}, func(*endpoints.State) {}, false),
+	Entry("same region with an empty link budget", scheduling.RegionLink(topology, emptyLink()),
+		scheduling.Request{Bytes: 100}, func(s *endpoints.State) { s.Endpoint.DataCentre = "b" }, false),
+	Entry("other region with an empty link budget", scheduling.RegionLink(topology, emptyLink()),
+		scheduling.Request{Bytes: 100}, func(s *endpoints.State) { s.Endpoint.DataCentre = "c" }, true),
+	Entry("other region with a full link budget", scheduling.RegionLink(topology, scheduling.NewLinkBudget(1<<30)),
+		scheduling.Request{Bytes: 100}, func(s *endpoints.State) { s.Endpoint.DataCentre = "c" }, false),
+)
+
+// emptyLink refills one byte in 1,000 s.
+func emptyLink() *scheduling.LinkBudget {
+	budget := scheduling.NewLinkBudget(1)
+	budget.Take(1)
+	return budget
+}
--- a/pkg/scheduling/scheduling.go
+++ b/pkg/scheduling/scheduling.go
@@ -33,7 +33,8 @@
 type Candidate struct {
 	State endpoints.State `json:"-"`
 	Name  string          `json:"name"`
-	Score float64         `json:"score"`
+	// Score is the estimated cost of the choice in seconds; lower is better.
+	Score float64 `json:"score"`
 	// Scores has one value per scorer, in pipeline order.
 	Scores []ScoreDetail `json:"scores"`
 }
