--- a/pkg/tlsfiles/tlsfiles.go
+++ b/pkg/tlsfiles/tlsfiles.go
@@ -23,8 +23,9 @@
 	CAFile string
 }
 
-// Server returns a server configuration, or nil when the files name no certificate. Errors name the file.
-func Server(files Files) (*tls.Config, error) {
+// Server returns a server configuration that offers the protocols, such as "h2", or nil when the files name no
+// certificate. Errors name the file.
+func Server(files Files, protocols ...string) (*tls.Config, error) {
 	if files.CertFile == "" {
 		return nil, nil
 	}
@@ -34,7 +35,8 @@
 	}
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS12,
-		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.serverConfig(), nil },
+		NextProtos:         protocols,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return s.serverConfig(protocols), nil },
 		// Servers check that a configuration has a certificate before the first handshake.
 		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return s.current().certificate, nil },
 	}, nil
@@ -86,6 +88,7 @@
 // source rereads the files when their modification time changes. It is safe for concurrent use.
 type source struct {
 	files Files
+	now   func() time.Time
 
 	mu       sync.Mutex
 	loaded   material
@@ -94,14 +97,14 @@
 }
 
 func newSource(files Files) (*source, error) {
-	s := &source{files: files}
+	s := &source{files: files, now: time.Now}
 	loaded, err := s.read()
 	if err != nil {
 		return nil, err
 	}
 	s.loaded = loaded
 	s.modified = s.modificationTimes()
-	s.checked = time.Now()
+	s.checked = s.now()
 	return s, nil
 }
 
@@ -142,10 +145,10 @@
 func (s *source) current() material {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if time.Since(s.checked) < checkInterval {
+	if s.now().Sub(s.checked) < checkInterval {
 		return s.loaded
 	}
-	s.checked = time.Now()
+	s.checked = s.now()
 	modified := s.modificationTimes()
 	if modified == s.modified {
 		return s.loaded
@@ -157,12 +160,12 @@
 	return s.loaded
 }
 
-func (s *source) serverConfig() *tls.Config {
+func (s *source) serverConfig(protocols []string) *tls.Config {
 	m := s.current()
 	config := &tls.Config{
 		MinVersion:   tls.VersionTLS12,
 		Certificates: []tls.Certificate{*m.certificate},
-		NextProtos:   []string{"h2", "http/1.1"},
+		NextProtos:   protocols,
 	}
 	if m.authorities != nil {
 		config.ClientAuth = tls.RequireAndVerifyClientCert
