Add fair-share accountant and order the admission queue by it

Counters are exchanged as service that was delivered, so that the error of an instance is bounded by what the others delivered since their last exchange; a property test checks the bound with lost and reordered exchanges. The expected rest of a running call is charged at its own instance only. Calls that wait for a model to be loaded do not count as waiting, because they would earn credit on capacity that they do not compete for.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/demand"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
@@ -34,6 +34,7 @@
 	Registry  *endpoints.Registry
 	Pipeline  *scheduling.Pipeline
 	Demand    *demand.Tracker
+	Shares    *fairshare.Accountant
 	Decisions *decisions.Recorder
 	// Link is charged for calls to other regions; nil means that there is no such link.
 	Link *scheduling.Link
@@ -63,8 +64,13 @@
 	return c
 }
 
-// Apply takes over a snapshot. The registry has its own Apply.
+// Apply takes over a snapshot and the shares in it. The registry has its own Apply.
 func (c *Controller) Apply(snapshot *config.Snapshot) {
+	shares := make(map[string]float64)
+	for _, m := range snapshot.Records().Members {
+		shares[m.Name] = m.Share
+	}
+	c.parts.Shares.SetShares(shares)
 	c.mu.Lock()
 	c.snapshot = snapshot
 	c.mu.Unlock()
@@ -186,9 +192,16 @@
 	q.insert(w)
 	c.calls++
 	c.bytes += int64(w.request.Bytes)
+	c.countWaiting(q, 1)
+}
+
+// countWaiting tells who has to know of waiting calls: the fair share, or placement while no copy is loaded.
+func (c *Controller) countWaiting(q *modelQueue, delta int) {
 	if q.notLoaded {
-		c.parts.Demand.Wait(q.key.id, 1)
+		c.parts.Demand.Wait(q.key.id, delta)
+		return
 	}
+	c.parts.Shares.Wait(q.member.name, q.key.String(), delta)
 }
 
 // dequeue takes a call out of its queue; false when another goroutine did so before.
@@ -200,9 +213,7 @@
 	q.remove(w)
 	c.calls--
 	c.bytes -= int64(w.request.Bytes)
-	if q.notLoaded {
-		c.parts.Demand.Wait(q.key.id, -1)
-	}
+	c.countWaiting(q, -1)
 	if len(q.waiters) == 0 {
 		delete(q.member.models, q.key)
 	}
@@ -343,15 +354,34 @@
 	return false
 }
 
-// queuesInOrder returns all queues, oldest head first.
+// queuesInOrder returns all queues: members by fair share, and the models of a member by fair share within it.
 func (c *Controller) queuesInOrder() []*modelQueue {
-	var queues []*modelQueue
-	for _, m := range c.members {
-		for _, q := range m.models {
-			queues = append(queues, q)
+	var members []string
+	for name, m := range c.members {
+		if m.calls > 0 {
+			members = append(members, name)
 		}
 	}
-	sort.Slice(queues, func(i, j int) bool { return queues[i].waiters[0].sequence < queues[j].waiters[0].sequence })
+	c.parts.Shares.SortMembers(members)
+	var queues []*modelQueue
+	for _, name := range members {
+		queues = append(queues, c.modelsInOrder(c.members[name])...)
+	}
+	return queues
+}
+
+func (c *Controller) modelsInOrder(m *memberQueue) []*modelQueue {
+	byName := make(map[string]*modelQueue, len(m.models))
+	names := make([]string, 0, len(m.models))
+	for key, q := range m.models {
+		byName[key.String()] = q
+		names = append(names, key.String())
+	}
+	c.parts.Shares.SortModels(m.name, names)
+	queues := make([]*modelQueue, len(names))
+	for i, name := range names {
+		queues[i] = byName[name]
+	}
 	return queues
 }
 
@@ -383,12 +413,9 @@
 	if q.notLoaded == notLoaded {
 		return
 	}
+	c.countWaiting(q, -len(q.waiters))
 	q.notLoaded = notLoaded
-	if notLoaded {
-		c.parts.Demand.Wait(q.key.id, len(q.waiters))
-		return
-	}
-	c.parts.Demand.Wait(q.key.id, -len(q.waiters))
+	c.countWaiting(q, len(q.waiters))
 }
 
 func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) bool {
@@ -399,12 +426,15 @@
 		return true
 	}
 	state.OwnInFlight++
+	// The charge precedes the end of the wait, so that the counters of members that come later are lifted to it.
+	charge := c.parts.Shares.Start(w.request.Member, w.key.String(), expectedCost(&w.request))
 	c.dequeue(w)
 	t := &ticket{
 		controller: c,
 		request:    w.request,
 		key:        w.key,
 		call:       call,
+		charge:     charge,
 		target:     engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
 		decision:   decision,
 		granted:    time.Now(),
@@ -422,3 +452,7 @@
 	w.done <- verdict{ticket: t}
 	return true
 }
+
+func expectedCost(request *scheduling.Request) fairshare.Cost {
+	return fairshare.Cost{InputTokens: request.InputTokens, OutputTokens: request.OutputTokens}
+}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -165,3 +165,54 @@
 		g.Expect(s.demand.Total()).To(HaveEach(HaveField("Waiting", 0)))
 	})
 }
+
+// Guards against a noisy member that fills the queue: its own newest calls are refused, never another member's.
+func TestOverflowRefusesTheHeaviestMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, limited(), map[string]engine.Report{"e": loaded(1, "m")})
+		defer s.stop()
+		running := mustAcquire(s, request())
+		var order []string
+		acquire := func(member, id string) {
+			go func() {
+				ticket, err := s.controller.Acquire(context.Background(), request(func(r *scheduling.Request) {
+					r.Member, r.ID = member, id
+				}))
+				if err != nil {
+					order = append(order, id+" refused")
+					return
+				}
+				order = append(order, id)
+				ticket.Release(admission.Result{Status: admission.Succeeded, InputTokens: 10, OutputTokens: 10})
+			}()
+			synctest.Wait()
+		}
+		for _, id := range []string{"a1", "a2", "a3", "a4"} {
+			acquire("a", id)
+		}
+		acquire("b", "b1")
+		running.Release(admission.Result{InputTokens: 10, OutputTokens: 12})
+		synctest.Wait()
+		g.Expect(order).To(Equal([]string{"a4 refused", "a3 refused", "b1", "a1", "a2"}))
+	})
+}
+
+// Guards against head-of-line blocking: a call for a model without capacity does not hold up another model's.
+func TestModelWithoutCapacityHoldsUpNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, limited(), map[string]engine.Report{"e": loaded(1, "m"), "f": loaded(1, "n")})
+		defer s.stop()
+		mustAcquire(s, request())
+		go func() { _, _ = s.controller.Acquire(context.Background(), request()) }()
+		go func() {
+			_, _ = s.controller.Acquire(context.Background(), request(func(r *scheduling.Request) { r.Model = "absent" }))
+		}()
+		synctest.Wait()
+		began := time.Now()
+		mustAcquire(s, request(func(r *scheduling.Request) { r.Model = "n" }))
+		g.Expect(time.Since(began)).To(BeZero())
+		time.Sleep(time.Minute)
+	})
+}
--- a/pkg/admission/harness_test.go
+++ b/pkg/admission/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/demand"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
@@ -101,6 +102,7 @@
 		Registry:  s.registry,
 		Pipeline:  scheduling.NewPipeline(filters, scorers, scheduling.LowestCost(1)),
 		Demand:    s.demand,
+		Shares:    fairshare.NewAccountant(fairshare.DefaultWeights()),
 		Decisions: decisions.NewRecorder(zap.NewNop(), 64),
 	})
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -15,6 +15,9 @@
 	id string
 }
 
+// String is the name of the model's account in the fair share.
+func (k modelKey) String() string { return k.service + "/" + k.id }
+
 func keyOf(request *scheduling.Request) modelKey {
 	if request.Adapter != "" {
 		return modelKey{service: request.Service, id: request.Adapter}
@@ -44,7 +47,8 @@
 	member  *memberQueue
 	key     modelKey
 	waiters []*waiter
-	// notLoaded is true while the calls wait for a loaded copy; they are then counted in the demand tracker.
+	// notLoaded is true while the calls wait for a loaded copy; they are then counted in the demand tracker and not in the
+	// fair share.
 	notLoaded bool
 }
 
@@ -73,7 +77,7 @@
 	models map[modelKey]*modelQueue
 	calls  int
 	bytes  int64
-	// running and waiting calls of the member, for its limit.
+	// inProgress counts running and waiting calls, for the member's limit.
 	inProgress int
 }
 
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -6,6 +6,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
@@ -15,6 +16,7 @@
 	request    scheduling.Request
 	key        modelKey
 	call       *endpoints.Call
+	charge     *fairshare.Charge
 	target     engine.Target
 	decision   scheduling.Decision
 	granted    time.Time
@@ -39,6 +41,7 @@
 		t.firstToken = t.lastToken
 	}
 	t.tokens += count
+	t.charge.Progress(count)
 }
 
 // Release ignores a second call, so that a fault of a caller cannot free capacity twice.
@@ -59,6 +62,7 @@
 // released returns the capacity and starts calls that waited for it.
 func (c *Controller) released(t *ticket, result Result) {
 	t.call.End()
+	t.charge.Finish(fairshare.Cost{InputTokens: result.InputTokens, OutputTokens: result.OutputTokens})
 	c.parts.Link.Settle(t.linkBytes, &t.request, result.OutputTokens)
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- /dev/null
+++ b/pkg/fairshare/fairshare_test.go
@@ -0,0 +1,202 @@
+package fairshare_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+)
+
+// tokens makes service equal to the number of input plus output tokens.
+var tokens = fairshare.Weights{InputToken: 1, OutputToken: 1}
+
+const tolerance = 1e-6
+
+func newAccountant(shares map[string]float64) *fairshare.Accountant {
+	a := fairshare.NewAccountant(tokens)
+	a.SetShares(shares)
+	return a
+}
+
+// exchange sends the usage of every instance to every other, twice and once out of order.
+func exchange(instances []*fairshare.Accountant) {
+	for i, from := range instances {
+		for j, to := range instances {
+			if i != j {
+				to.SetPeer(fmt.Sprint(i), from.Local())
+				to.SetPeer(fmt.Sprint(i), []fairshare.Usage{{Member: "a"}})
+				to.SetPeer(fmt.Sprint(i), from.Local())
+			}
+		}
+	}
+}
+
+// Guards against an error of the known service beyond what peers delivered since the last exchange, with lost exchanges,
+// calls that exceed their expected cost and calls that end early.
+func TestServiceErrorIsBoundedByTheExchange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 5).Draw(t, "instances")
+		instances := make([]*fairshare.Accountant, n)
+		for i := range instances {
+			instances[i] = newAccountant(nil)
+		}
+		var total float64
+		sinceExchange := make([]float64, n)
+		var running []*fairshare.Charge
+		var owners []int
+		deliver := func(owner int, service float64) {
+			total += service
+			sinceExchange[owner] += service
+		}
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				owner := rapid.IntRange(0, n-1).Draw(t, "owner")
+				expected := rapid.IntRange(0, 1000).Draw(t, "expected")
+				running = append(running, instances[owner].Start("a", "m", fairshare.Cost{OutputTokens: expected}))
+				owners = append(owners, owner)
+			case 1, 2:
+				if len(running) == 0 {
+					continue
+				}
+				i := rapid.IntRange(0, len(running)-1).Draw(t, "call")
+				count := rapid.IntRange(1, 500).Draw(t, "tokens")
+				running[i].Progress(count)
+				deliver(owners[i], float64(count))
+			case 3:
+				exchange(instances)
+				clear(sinceExchange)
+			}
+			for i, instance := range instances {
+				unseen := 0.0
+				for j, service := range sinceExchange {
+					if j != i {
+						unseen += service
+					}
+				}
+				if diff := math.Abs(total - unseen - instance.Service("a")); diff > tolerance {
+					t.Fatalf("instance %d knows %v of %v with %v unseen", i, instance.Service("a"), total, unseen)
+				}
+			}
+		}
+	})
+}
+
+// Guards against an unfair division between members that always wait: their counters may differ only by what all
+// instances start between two exchanges.
+func TestBackloggedMembersGetTheirShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 4).Draw(t, "instances")
+		perExchange := rapid.IntRange(1, 10).Draw(t, "starts per exchange")
+		const largest = 100
+		shares := map[string]float64{
+			"a": rapid.Float64Range(1, 10).Draw(t, "share a"),
+			"b": rapid.Float64Range(1, 10).Draw(t, "share b"),
+		}
+		instances := make([]*fairshare.Accountant, n)
+		for i := range instances {
+			instances[i] = newAccountant(shares)
+			instances[i].Wait("a", "m", 1)
+			instances[i].Wait("b", "m", 1)
+		}
+		received := make(map[string]float64)
+		for range rapid.IntRange(1, 40).Draw(t, "exchanges") {
+			for _, instance := range instances {
+				for range perExchange {
+					names := []string{"a", "b"}
+					instance.SortMembers(names)
+					cost := rapid.IntRange(1, largest).Draw(t, "cost")
+					charge := instance.Start(names[0], "m", fairshare.Cost{OutputTokens: largest})
+					received[names[0]] += charge.Finish(fairshare.Cost{OutputTokens: cost})
+				}
+			}
+			exchange(instances)
+			bound := float64(n*perExchange+1) * largest
+			if diff := math.Abs(received["a"]/shares["a"] - received["b"]/shares["b"]); diff > bound {
+				t.Fatalf("counters differ by %v, more than %v", diff, bound)
+			}
+		}
+	})
+}
+
+// Guards against credit for idle time and against debt for idle capacity.
+func TestCounterIsLiftedAfterIdleTime(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccountant(nil)
+	a.Wait("busy", "m", 1)
+	a.Start("busy", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: 1000})
+	a.Wait("quiet", "m", 1)
+	g.Expect(a.Counter("quiet")).To(Equal(a.Counter("busy")))
+	a.Start("busy", "m", fairshare.Cost{OutputTokens: 1})
+	names := []string{"busy", "quiet"}
+	a.SortMembers(names)
+	g.Expect(names).To(Equal([]string{"quiet", "busy"}))
+
+	a.Wait("busy", "m", -1)
+	a.Wait("quiet", "m", -1)
+	a.Wait("late", "m", 1)
+	g.Expect(a.Counter("late")).To(BeNumerically(">=", 1000), "no member waited when it came")
+}
+
+// Guards against a member that waits only at another instance and holds down the minimum here.
+func TestMemberThatWaitsElsewhereIsLifted(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccountant(nil)
+	a.Wait("busy", "m", 1)
+	a.Start("busy", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: 1000})
+	a.SetPeer("p", []fairshare.Usage{{Member: "elsewhere", Waiting: 1}})
+	a.Wait("late", "m", 1)
+	g.Expect(a.Counter("late")).To(BeNumerically(">=", 1000))
+	a.RemovePeer("p")
+	a.SetPeer("p", []fairshare.Usage{{Member: "elsewhere", Service: 7}})
+	a.RemovePeer("p")
+	a.SetPeer("p", []fairshare.Usage{{Member: "elsewhere", Service: 7}})
+	g.Expect(a.Service("elsewhere")).To(Equal(7.0), "a peer that returns is counted once")
+}
+
+// Guards against a change of shares that gives a member a burst of credit or debt.
+func TestShareChangeKeepsTheCounter(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccountant(map[string]float64{"a": 1})
+	a.Start("a", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: 100})
+	a.SetShares(map[string]float64{"a": 4})
+	g.Expect(a.Counter("a")).To(BeNumerically("~", 100, tolerance))
+	a.Start("a", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: 100})
+	g.Expect(a.Counter("a")).To(BeNumerically("~", 125, tolerance))
+}
+
+// Guards against a call that is cheap while it runs because it announced a short response, and against a counter that
+// keeps the expected cost of a call that ended early.
+func TestChargeFollowsTheCall(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccountant(nil)
+	charge := a.Start("a", "m", fairshare.Cost{InputTokens: 10, OutputTokens: 50})
+	g.Expect(a.Counter("a")).To(Equal(60.0))
+	g.Expect(a.Local()[0].Service).To(BeZero())
+	charge.Progress(20)
+	g.Expect(a.Counter("a")).To(Equal(60.0))
+	g.Expect(a.Local()[0].Service).To(Equal(30.0))
+	charge.Progress(200)
+	g.Expect(a.Counter("a")).To(Equal(230.0))
+	g.Expect(charge.Finish(fairshare.Cost{InputTokens: 12, OutputTokens: 220})).To(Equal(232.0))
+
+	a.Start("b", "m", fairshare.Cost{OutputTokens: 500}).Finish(fairshare.Cost{OutputTokens: 5})
+	g.Expect(a.Counter("b")).To(Equal(5.0))
+}
+
+// Guards against a model of a member that starves the member's other models.
+func TestModelsOfAMemberAlternate(t *testing.T) {
+	g := NewWithT(t)
+	a := newAccountant(nil)
+	a.Wait("a", "busy", 1)
+	a.Start("a", "busy", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: 100})
+	a.Wait("a", "quiet", 1)
+	a.Start("a", "busy", fairshare.Cost{OutputTokens: 1})
+	models := []string{"busy", "quiet"}
+	a.SortModels("a", models)
+	g.Expect(models).To(Equal([]string{"quiet", "busy"}))
+}
