--- a/pkg/kvstore/kvstore.go
+++ b/pkg/kvstore/kvstore.go
@@ -99,8 +99,9 @@
 // Writer has the conditional writes.
 type Writer interface {
 	// Commit carries independent conditional writes in one call, each with its own result, in the same order. No key may
-	// be written twice in one call. Errors: ErrUnavailable, ErrOutcomeUnknown, ErrValueTooLarge; with an error the
-	// results are nil.
+	// be written twice in one call; all conditions are evaluated before any write of the call takes effect. Errors:
+	// ErrUnavailable, ErrOutcomeUnknown, ErrValueTooLarge, ErrLeaseNotFound; with an error the results are nil and, except
+	// with ErrOutcomeUnknown, no write of the call took effect.
 	Commit(ctx context.Context, writes []ConditionalWrite) ([]WriteResult, error)
 }
 
