--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -142,6 +142,7 @@
 		"create not yet applied, reply lost":   {func(s *kv.Memory) { s.Faults.Next(kv.CallCommit, kv.Fault{Hold: true}) }, false},
 		"grant applied, reply lost":            {func(s *kv.Memory) { s.Faults.Next(kv.CallGrant, kv.Fault{DropReply: true}) }, false},
 		"create and reading back both unknown": {failReadBack, false},
+		"create lost, another instance wins":   {loseRace, false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -169,6 +170,14 @@
 	s.Faults.Next(kv.CallGet, kv.Fault{Refuse: true})
 }
 
+// loseRace lets another instance create the key before the reply to the create is lost.
+func loseRace(s *kv.Memory) {
+	s.Faults.Next(kv.CallCommit, kv.Fault{Hold: true, Hook: func() {
+		id, _, _ := s.Grant(context.Background(), ttl)
+		_, _ = s.Commit(context.Background(), []kvstore.ConditionalWrite{{Puts: []kvstore.Put{{Key: "holder", Lease: id}}}})
+	}})
+}
+
 // Guards against an instance that is not eligible and still loads the store.
 func TestNotEligibleMakesNoCalls(t *testing.T) {
 	bubble(t, func(g *WithT, store *kv.Memory) {
