Add deadline-aware admission, adaptive limits, outlier detection, scorers and prefix index

A call that cannot finish in time is refused at once, from the measured pace of its queue and a cautious duration. The concurrency limit falls when calls miss a target because of load; an endpoint that misses it even at its best time is not throttled. At most half of the endpoints that serve a model are ejected. An index of endpoints by loaded artifact keeps the cost of a decision proportional to the number of copies, not to the fleet.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"net/http"
+	"path"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/decisions"
 	"github.com/mulberryglade/mulberryglade/pkg/demand"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
-	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
@@ -38,6 +41,10 @@
 	Decisions *decisions.Recorder
 	// Link is charged for calls to other regions; nil means that there is no such link.
 	Link *scheduling.Link
+	// Prefixes is told which calls were sent where; nil means that prefixes are not tracked.
+	Prefixes *scheduling.PrefixIndex
+	// Scope receives the metrics; nil means none.
+	Scope tally.Scope
 }
 
 // Controller implements Gate. It is safe for concurrent use.
@@ -52,6 +59,9 @@
 	calls    int
 	bytes    int64
 	sequence uint64
+	// running counts this instance's started calls per model.
+	running    map[modelKey]int
+	statistics map[modelKey]*modelStatistics
 }
 
 var _ Gate = (*Controller)(nil)
@@ -59,7 +69,16 @@
 // NewController returns a controller that refuses calls until the first Apply. It registers itself with
 // Registry.OnChange.
 func NewController(parts Parts) *Controller {
-	c := &Controller{parts: parts, wake: make(chan struct{}, 1), members: make(map[string]*memberQueue)}
+	if parts.Scope == nil {
+		parts.Scope = tally.NoopScope
+	}
+	c := &Controller{
+		parts:      parts,
+		wake:       make(chan struct{}, 1),
+		members:    make(map[string]*memberQueue),
+		running:    make(map[modelKey]int),
+		statistics: make(map[modelKey]*modelStatistics),
+	}
 	parts.Registry.OnChange(c.wakeUp)
 	return c
 }
@@ -141,14 +160,34 @@
 		enqueued: time.Now(),
 		done:     make(chan verdict, 1),
 	}
+	w.latestStart = request.Deadline.Add(-c.statisticsOf(w.key).likely(&request))
 	member := c.member(request.Member)
 	member.inProgress++
 	c.enqueue(member.queueFor(w.key), w)
 	c.dispatch()
+	c.refuseIfTooLate(w)
 	c.shedOverflow()
 	return w, nil
 }
 
+// refuseIfTooLate refuses a call that did not start at once and cannot start early enough to finish in time. The estimate
+// of its duration is a cautious one: under lasting overload every admitted call waits nearly as long as it may, and with
+// a mean duration half of them would start and still miss their deadline, which wastes their capacity.
+func (c *Controller) refuseIfTooLate(w *waiter) {
+	q := w.queue
+	if q == nil {
+		return
+	}
+	wait := c.expectedWait(q, slices.Index(q.waiters, w))
+	if q.notLoaded {
+		// How long a load takes is not known here: the call may wait as long as it can still finish.
+		wait = 0
+	}
+	if time.Now().Add(wait + c.statisticsOf(w.key).cautious(&w.request)).After(w.request.Deadline) {
+		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(q)))
+	}
+}
+
 func (c *Controller) refuseAtOnce(request *scheduling.Request) *problem.Problem {
 	if c.snapshot == nil {
 		return problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.NotRun,
@@ -169,14 +208,14 @@
 			"the member's limit of concurrent requests is reached").WithRetryAfter(minRetryAfter)
 	}
 	if !request.Deadline.After(time.Now()) {
-		return c.deadlineProblem("the deadline has passed")
+		return c.deadlineProblem("the deadline has passed", minRetryAfter)
 	}
 	return nil
 }
 
-func (c *Controller) deadlineProblem(detail string) *problem.Problem {
+func (c *Controller) deadlineProblem(detail string, retryAfter time.Duration) *problem.Problem {
 	return problem.New(problem.TypeDeadlineUnreachable, http.StatusServiceUnavailable, problem.NotRun, detail).
-		WithRetryAfter(minRetryAfter)
+		WithRetryAfter(retryAfter)
 }
 
 func (c *Controller) member(name string) *memberQueue {
@@ -214,9 +253,6 @@
 	c.calls--
 	c.bytes -= int64(w.request.Bytes)
 	c.countWaiting(q, -1)
-	if len(q.waiters) == 0 {
-		delete(q.member.models, q.key)
-	}
 	return true
 }
 
@@ -226,6 +262,7 @@
 		return
 	}
 	c.leave(w.request.Member)
+	c.parts.Scope.Tagged(map[string]string{"type": path.Base(string(why.Type))}).Counter("admission_refused").Inc(1)
 	w.done <- verdict{problem: why}
 }
 
@@ -242,9 +279,9 @@
 func (c *Controller) shedOverflow() {
 	maxCalls, maxBytes := c.bounds()
 	for c.calls > maxCalls || c.bytes > maxBytes {
-		victim := c.heaviest(c.bytes > maxBytes)
-		c.refuse(victim.newest(), problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.NotRun,
-			"the admission queue is full").WithRetryAfter(minRetryAfter))
+		victim := c.heaviest(c.bytes > maxBytes).newest()
+		c.refuse(victim, problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.NotRun,
+			"the admission queue is full").WithRetryAfter(c.retryAfter(victim.queue)))
 	}
 }
 
@@ -285,7 +322,7 @@
 }
 
 func (c *Controller) wait(ctx context.Context, w *waiter) (Ticket, error) {
-	timer := time.NewTimer(time.Until(w.request.Deadline))
+	timer := time.NewTimer(time.Until(w.latestStart))
 	defer timer.Stop()
 	select {
 	case v := <-w.done:
@@ -296,7 +333,8 @@
 			return nil, ctx.Err()
 		}, ctx.Err())
 	case <-timer.C:
-		return c.abandon(w, verdict.result, c.deadlineProblem("no endpoint had capacity before the deadline"))
+		return c.abandon(w, verdict.result,
+			c.deadlineProblem("no endpoint had capacity in time for the deadline", minRetryAfter))
 	}
 }
 
@@ -325,134 +363,3 @@
 	}
 	return v.ticket, nil
 }
-
-// dispatch starts every waiting call that can start. A model without capacity does not hold up calls of other models.
-func (c *Controller) dispatch() {
-	if c.calls == 0 || c.snapshot == nil {
-		return
-	}
-	pass := &dispatchPass{states: make(map[string][]endpoints.State), blocked: make(map[modelKey]bool)}
-	for c.grantNext(pass) {
-	}
-}
-
-// dispatchPass remembers within one dispatch which models cannot start another call.
-type dispatchPass struct {
-	states  map[string][]endpoints.State
-	blocked map[modelKey]bool
-}
-
-func (c *Controller) grantNext(pass *dispatchPass) bool {
-	for _, q := range c.queuesInOrder() {
-		if pass.blocked[q.key] {
-			continue
-		}
-		if c.grantFrom(q, pass) {
-			return true
-		}
-	}
-	return false
-}
-
-// queuesInOrder returns all queues: members by fair share, and the models of a member by fair share within it.
-func (c *Controller) queuesInOrder() []*modelQueue {
-	var members []string
-	for name, m := range c.members {
-		if m.calls > 0 {
-			members = append(members, name)
-		}
-	}
-	c.parts.Shares.SortMembers(members)
-	var queues []*modelQueue
-	for _, name := range members {
-		queues = append(queues, c.modelsInOrder(c.members[name])...)
-	}
-	return queues
-}
-
-func (c *Controller) modelsInOrder(m *memberQueue) []*modelQueue {
-	byName := make(map[string]*modelQueue, len(m.models))
-	names := make([]string, 0, len(m.models))
-	for key, q := range m.models {
-		byName[key.String()] = q
-		names = append(names, key.String())
-	}
-	c.parts.Shares.SortModels(m.name, names)
-	queues := make([]*modelQueue, len(names))
-	for i, name := range names {
-		queues[i] = byName[name]
-	}
-	return queues
-}
-
-// grantFrom starts the first call of the queue that an endpoint can take. Calls that exclude endpoints are passed over
-// when only the excluded ones have capacity.
-func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
-	for _, w := range q.waiters {
-		states, ok := pass.states[q.key.service]
-		if !ok {
-			states = c.parts.Registry.States(q.key.service)
-			pass.states[q.key.service] = states
-		}
-		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
-		if blocked == scheduling.Chosen {
-			c.setNotLoaded(q, false)
-			return c.grant(w, decision, &states[index])
-		}
-		if len(w.request.Exclude) > 0 {
-			continue
-		}
-		c.setNotLoaded(q, blocked == scheduling.NotLoaded)
-		pass.blocked[q.key] = true
-		return false
-	}
-	return false
-}
-
-func (c *Controller) setNotLoaded(q *modelQueue, notLoaded bool) {
-	if q.notLoaded == notLoaded {
-		return
-	}
-	c.countWaiting(q, -len(q.waiters))
-	q.notLoaded = notLoaded
-	c.countWaiting(q, len(q.waiters))
-}
-
-func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) bool {
-	call := c.parts.Registry.Begin(state.Endpoint.Name)
-	if call == nil {
-		// The endpoint was removed from the declarations after its state was read.
-		state.Leaving = true
-		return true
-	}
-	state.OwnInFlight++
-	// The charge precedes the end of the wait, so that the counters of members that come later are lifted to it.
-	charge := c.parts.Shares.Start(w.request.Member, w.key.String(), expectedCost(&w.request))
-	c.dequeue(w)
-	t := &ticket{
-		controller: c,
-		request:    w.request,
-		key:        w.key,
-		call:       call,
-		charge:     charge,
-		target:     engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
-		decision:   decision,
-		granted:    time.Now(),
-		linkBytes:  c.parts.Link.Charge(&w.request, state),
-	}
-	c.parts.Decisions.Add(decisions.Record{
-		Kind:    decisions.Routing,
-		ID:      w.request.ID,
-		Time:    t.granted,
-		Subject: w.key.service + "/" + w.key.id,
-		Chosen:  decision.Chosen,
-		Reason:  decision.Reason,
-		Detail:  decision,
-	})
-	w.done <- verdict{ticket: t}
-	return true
-}
-
-func expectedCost(request *scheduling.Request) fairshare.Cost {
-	return fairshare.Cost{InputTokens: request.InputTokens, OutputTokens: request.OutputTokens}
-}
--- /dev/null
+++ b/pkg/admission/dispatch.go
@@ -0,0 +1,189 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/decisions"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+// dispatch starts every waiting call that can start. A model without capacity does not hold up calls of other models.
+func (c *Controller) dispatch() {
+	if c.calls == 0 || c.snapshot == nil {
+		return
+	}
+	pass := &dispatchPass{states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
+	for c.grantNext(pass) {
+	}
+}
+
+// dispatchPass remembers within one dispatch which models cannot start another call.
+type dispatchPass struct {
+	states  map[modelKey][]endpoints.State
+	blocked map[modelKey]bool
+}
+
+// statesFor reads the endpoints that have what the calls of a queue need.
+func (p *dispatchPass) statesFor(registry *endpoints.Registry, w *waiter) []endpoints.State {
+	states, ok := p.states[w.key]
+	if ok {
+		return states
+	}
+	switch {
+	case w.request.Adapter != "":
+		states = registry.AppendServing(nil, w.key.service, engine.KindAdapter, w.request.Adapter)
+	case w.request.Model != "":
+		states = registry.AppendServing(nil, w.key.service, engine.KindModel, w.request.Model)
+	default:
+		states = registry.States(w.key.service)
+	}
+	p.states[w.key] = states
+	return states
+}
+
+func (c *Controller) grantNext(pass *dispatchPass) bool {
+	for _, q := range c.queuesInOrder() {
+		if pass.blocked[q.key] {
+			continue
+		}
+		if c.grantFrom(q, pass) {
+			return true
+		}
+	}
+	return false
+}
+
+// queuesInOrder returns all queues: members by fair share, and the models of a member by fair share within it.
+func (c *Controller) queuesInOrder() []*modelQueue {
+	var members []string
+	for name, m := range c.members {
+		if m.calls > 0 {
+			members = append(members, name)
+		}
+	}
+	c.parts.Shares.SortMembers(members)
+	var queues []*modelQueue
+	for _, name := range members {
+		queues = append(queues, c.modelsInOrder(c.members[name])...)
+	}
+	return queues
+}
+
+func (c *Controller) modelsInOrder(m *memberQueue) []*modelQueue {
+	byName := make(map[string]*modelQueue, len(m.models))
+	names := make([]string, 0, len(m.models))
+	for key, q := range m.models {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		byName[key.String()] = q
+		names = append(names, key.String())
+	}
+	c.parts.Shares.SortModels(m.name, names)
+	queues := make([]*modelQueue, len(names))
+	for i, name := range names {
+		queues[i] = byName[name]
+	}
+	return queues
+}
+
+// grantFrom starts the first call of the queue that an endpoint can take. Calls that exclude endpoints are passed over
+// when only the excluded ones have capacity.
+func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
+	for _, w := range q.waiters {
+		states := pass.statesFor(c.parts.Registry, w)
+		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
+		if blocked == scheduling.Chosen {
+			c.setNotLoaded(q, false)
+			c.grantOrRefuse(w, decision, &states[index])
+			// The counts of the endpoint changed for every model that it serves.
+			clear(pass.states)
+			return true
+		}
+		if len(w.request.Exclude) > 0 {
+			continue
+		}
+		c.setNotLoaded(q, blocked <= scheduling.NotLoaded)
+		pass.blocked[q.key] = true
+		return false
+	}
+	return false
+}
+
+// grantOrRefuse starts the call, unless it is now too late for it to finish.
+func (c *Controller) grantOrRefuse(w *waiter, decision scheduling.Decision, state *endpoints.State) {
+	if time.Now().Add(c.likelyAt(w, state)).After(w.request.Deadline) {
+		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(w.queue)))
+		return
+	}
+	c.grant(w, decision, state)
+}
+
+func (c *Controller) setNotLoaded(q *modelQueue, notLoaded bool) {
+	if q.notLoaded == notLoaded {
+		return
+	}
+	c.countWaiting(q, -len(q.waiters))
+	q.notLoaded = notLoaded
+	c.countWaiting(q, len(q.waiters))
+}
+
+func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) {
+	call := c.parts.Registry.Begin(state.Endpoint.Name)
+	if call == nil {
+		// The endpoint was removed from the declarations after its state was read; the next pass reads new states.
+		return
+	}
+	t := &ticket{
+		controller:   c,
+		request:      w.request,
+		key:          w.key,
+		call:         call,
+		target:       engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
+		decision:     decision,
+		granted:      time.Now(),
+		linkBytes:    c.parts.Link.Charge(&w.request, state),
+		accelerators: c.acceleratorsOf(&w.request),
+	}
+	// The charge precedes the end of the wait, so that the counters of members that come later are lifted to it.
+	t.charge = c.parts.Shares.Start(w.request.Member, w.key.String(), c.expectedCost(w, call))
+	w.queue.started(w)
+	c.dequeue(w)
+	c.running[w.key]++
+	if c.parts.Prefixes != nil {
+		c.parts.Prefixes.Sent(&w.request, t.target.Name)
+	}
+	c.parts.Scope.Timer("admission_wait").Record(t.granted.Sub(w.enqueued))
+	c.parts.Decisions.Add(decisions.Record{
+		Kind:    decisions.Routing,
+		ID:      w.request.ID,
+		Time:    t.granted,
+		Subject: w.key.String(),
+		Chosen:  decision.Chosen,
+		Reason:  decision.Reason,
+		Detail:  decision,
+	})
+	w.done <- verdict{ticket: t}
+}
+
+// acceleratorsOf is the number of accelerators that one copy of the called model spans.
+func (c *Controller) acceleratorsOf(request *scheduling.Request) int {
+	if model := c.snapshot.Model(request.Model); model != nil {
+		return max(1, model.AcceleratorsPerCopy)
+	}
+	return 1
+}
+
+// expectedCost is charged at the start of a call.
+func (c *Controller) expectedCost(w *waiter, call *endpoints.Call) fairshare.Cost {
+	s := c.statisticsOf(w.key)
+	shared := s.likely(&w.request) / time.Duration(max(1, call.InFlight()))
+	return fairshare.Cost{
+		InputTokens:     w.request.InputTokens,
+		OutputTokens:    s.expectedTokens(&w.request),
+		AcceleratorTime: shared * time.Duration(c.acceleratorsOf(&w.request)),
+	}
+}
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
@@ -121,7 +122,7 @@
 				panic(err)
 			}
 			t.Release(admission.Result{})
-			s.registry.Begin("e").End()
+			s.registry.Begin("e").End(endpoints.CallResult{})
 		},
 	}
 	for name, end := range ways {
--- a/pkg/admission/harness_test.go
+++ b/pkg/admission/harness_test.go
@@ -100,7 +100,7 @@
 	scorers := []scheduling.Weighted{{Scorer: scheduling.LeastInFlight(), Weight: 1}}
 	return admission.NewController(admission.Parts{
 		Registry:  s.registry,
-		Pipeline:  scheduling.NewPipeline(filters, scorers, scheduling.LowestCost(1)),
+		Pipeline:  scheduling.NewPipeline(filters, scorers, scheduling.NewPicker(64, nil, 1)),
 		Demand:    s.demand,
 		Shares:    fairshare.NewAccountant(fairshare.DefaultWeights()),
 		Decisions: decisions.NewRecorder(zap.NewNop(), 64),
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -31,7 +31,9 @@
 	key      modelKey
 	sequence uint64
 	enqueued time.Time
-	queue    *modelQueue // nil once the call left the queue
+	// latestStart is when the call is refused because it could probably not finish any more.
+	latestStart time.Time
+	queue       *modelQueue // nil once the call left the queue
 	// done receives exactly one value when the call leaves the queue other than by its own goroutine.
 	done chan verdict
 }
@@ -50,6 +52,7 @@
 	// notLoaded is true while the calls wait for a loaded copy; they are then counted in the demand tracker and not in the
 	// fair share.
 	notLoaded bool
+	pace      pace
 }
 
 func (q *modelQueue) insert(w *waiter) {
@@ -58,14 +61,29 @@
 		at--
 	}
 	q.waiters = slices.Insert(q.waiters, at, w)
+	if q.pace.backlogged.IsZero() {
+		q.pace.backlogged = time.Now()
+	}
 	w.queue = q
 	q.member.calls++
 	q.member.bytes += int64(w.request.Bytes)
 }
 
+// started measures the pace of the queue. A call that did not wait says nothing about it.
+func (q *modelQueue) started(w *waiter) {
+	now := time.Now()
+	if now.After(w.enqueued) {
+		q.pace.interval.observe(now.Sub(q.pace.backlogged).Seconds())
+	}
+	q.pace.backlogged = now
+}
+
 func (q *modelQueue) remove(w *waiter) {
 	at := slices.Index(q.waiters, w)
 	q.waiters = slices.Delete(q.waiters, at, at+1)
+	if len(q.waiters) == 0 {
+		q.pace.backlogged = time.Time{}
+	}
 	w.queue = nil
 	q.member.calls--
 	q.member.bytes -= int64(w.request.Bytes)
--- /dev/null
+++ b/pkg/endpoints/call.go
@@ -0,0 +1,92 @@
+package endpoints
+
+import "time"
+
+// CallOutcome classifies the end of a call.
+type CallOutcome int
+
+const (
+	// CallSucceeded is a complete response that does not blame the endpoint.
+	CallSucceeded CallOutcome = iota
+	// CallFailed is a refused or broken connection, a 5xx response, or a truncated or mismatched response.
+	CallFailed
+	// CallBusy means that the endpoint refused the call for lack of capacity.
+	CallBusy
+	// CallCancelled says nothing about the endpoint.
+	CallCancelled
+)
+
+// CallResult is what a call showed about its endpoint. Zero durations are unknown.
+type CallResult struct {
+	Outcome CallOutcome
+	// FirstToken is the time from sending to the first token, BetweenTokens the mean time between later ones.
+	FirstToken    time.Duration
+	BetweenTokens time.Duration
+	Duration      time.Duration
+	InputTokens   int
+	// FirstTokenTarget and BetweenTokensTarget are the model's targets; zero means none.
+	FirstTokenTarget    time.Duration
+	BetweenTokensTarget time.Duration
+}
+
+// Call is one of this instance's calls at an endpoint.
+type Call struct {
+	registry *Registry
+	entry    *entry
+	// inFlight is the number of calls at the endpoint when this one was sent, itself included.
+	inFlight int
+}
+
+// Begin counts a call that is about to be sent; nil when the endpoint is not declared any more.
+func (r *Registry) Begin(name string) *Call {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.entries[name]
+	if e == nil {
+		return nil
+	}
+	e.own++
+	e.used = true
+	return &Call{registry: r, entry: e, inFlight: e.own + r.peerSums[e.hash]}
+}
+
+// InFlight is the number of calls at the endpoint when this one was sent, itself included.
+func (c *Call) InFlight() int { return c.inFlight }
+
+// End counts the end of a call and learns from it. It must be called once. It does not call the function of OnChange: the
+// caller knows that capacity became free.
+func (c *Call) End(result CallResult) {
+	r, e := c.registry, c.entry
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.own--
+	e.limiter.observe(result, c.inFlight, e.cap(), now)
+	if result.Outcome == CallSucceeded {
+		e.betweenTokens.observe(result.BetweenTokens)
+		e.duration.observe(result.Duration)
+	}
+	r.judge(e, result.Outcome, now)
+}
+
+// averageGain is the weight of a new value in a moving average.
+const averageGain = 0.125
+
+// average is a moving average of durations. The zero value is empty.
+type average struct {
+	seconds float64
+}
+
+func (a *average) observe(d time.Duration) {
+	switch {
+	case d <= 0:
+	case a.seconds == 0:
+		a.seconds = d.Seconds()
+	default:
+		a.seconds += averageGain * (d.Seconds() - a.seconds)
+	}
+}
+
+func (a *average) duration() time.Duration {
+	return time.Duration(a.seconds * float64(time.Second))
+}
--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -4,11 +4,16 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 )
 
+// peakDecay lowers the highest seen prefill rate at each report, so that a rate that is no longer reached is forgotten
+// within minutes.
+const peakDecay = 0.998
+
 // ServiceLoad is what a replica of a plain service answers to GET /load.
 type ServiceLoad struct {
 	Running    int  `json:"running"`
@@ -70,14 +75,66 @@
 	}
 	if err != nil {
 		r.log.Warn("load report failed", zap.String("endpoint", target.Name), zap.Error(err))
+		r.reportFailed(e, err)
 		return
 	}
+	r.accept(e, &report)
+	r.changed()
+	r.readEvents(callCtx, e, target, report.Incarnation)
+}
+
+func (r *Registry) accept(e *entry, report *engine.Report) {
 	r.mu.Lock()
-	e.report = &report
+	defer r.mu.Unlock()
+	if e.report != nil && e.report.Incarnation != report.Incarnation {
+		e.forgetProcess()
+	}
+	if r.entries[e.declared.Name] == e {
+		r.dropServing(e)
+		defer r.addServing(e)
+	}
+	e.report = report
 	e.reportedAt = time.Now()
 	e.ownAtReport = e.own
-	r.mu.Unlock()
-	r.changed()
+	e.outlier.reachable()
+	e.peakPrefill = max(e.peakPrefill*peakDecay, report.PrefillTokensPerSecond)
+}
+
+// forgetProcess drops what was learned of a process that was replaced.
+func (e *entry) forgetProcess() {
+	e.outlier = outlier{}
+	e.limiter = limiter{}
+	e.betweenTokens = average{}
+	e.duration = average{}
+	e.peakPrefill = 0
+}
+
+// reportFailed counts a failed poll. A status response shows that the process accepts connections, so that only the
+// report is at fault.
+func (r *Registry) reportFailed(e *entry, err error) {
+	var status *engine.StatusError
+	if errors.As(err, &status) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.outlier.failedPolls++
+	if e.outlier.failedPolls >= failedPollsToEject && !e.outlier.unreachable && r.mayEject(e) {
+		e.outlier.unreachable = true
+		r.log.Warn("endpoint ejected: reports cannot be read", zap.String("endpoint", e.declared.Name))
+	}
+}
+
+func (r *Registry) readEvents(ctx context.Context, e *entry, target engine.Target, incarnation string) {
+	if r.events == nil || e.plain {
+		return
+	}
+	events, err := r.reporter.CacheEvents(ctx, target, r.events.After(target.Name, incarnation))
+	if err != nil {
+		r.log.Debug("cache events not read", zap.String("endpoint", target.Name), zap.Error(err))
+		return
+	}
+	r.events.Apply(target.Name, incarnation, events)
 }
 
 func (r *Registry) readReport(ctx context.Context, e *entry, target engine.Target) (engine.Report, error) {
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -75,10 +77,27 @@
 	ctx       context.Context // nil while Run is not active
 	entries   map[string]*entry
 	byService map[string][]*entry
+	serving   map[artifactKey][]*entry
 	peers     map[string]*peer
 	peerSums  map[uint64]int
 	listed    map[string]bool
 	changed   func()
+	events    EventSink // nil when cache events are not read
+}
+
+// EventSink receives the cache events of engines.
+type EventSink interface {
+	// After returns the sequence number after which events of this incarnation are wanted.
+	After(endpoint, incarnation string) int64
+	// Apply takes events over in the order in which they were read.
+	Apply(endpoint, incarnation string, events []engine.CacheEvent)
+}
+
+// artifactKey names what endpoints of a service have loaded.
+type artifactKey struct {
+	service string
+	kind    engine.ArtifactKind
+	name    string
 }
 
 type peer struct {
@@ -97,7 +116,12 @@
 	ownAtReport int
 	own         int
 	used        bool // true once a call was sent; such endpoints are part of Local
-	health      Health
+
+	outlier       outlier
+	limiter       limiter
+	betweenTokens average
+	duration      average
+	peakPrefill   float64
 }
 
 // NewRegistry returns an empty registry.
@@ -109,6 +133,7 @@
 		options:   options.withDefaults(),
 		entries:   make(map[string]*entry),
 		byService: make(map[string][]*entry),
+		serving:   make(map[artifactKey][]*entry),
 		peers:     make(map[string]*peer),
 		peerSums:  make(map[uint64]int),
 		listed:    make(map[string]bool),
@@ -122,6 +147,11 @@
 	r.changed = changed
 }
 
+// ReadEvents sets the receiver of cache events. It must be set before Run.
+func (r *Registry) ReadEvents(sink EventSink) {
+	r.events = sink
+}
+
 // Run polls endpoints until the context ends.
 func (r *Registry) Run(ctx context.Context) {
 	r.mu.Lock()
@@ -161,6 +191,7 @@
 	}
 	r.entries = next
 	r.byService = byService
+	r.indexServing()
 	for _, e := range next {
 		r.startPoller(e)
 	}
@@ -174,7 +205,7 @@
 		old.declared = declared
 		return old
 	}
-	return &entry{declared: declared, hash: HashName(declared.Name), plain: plain, health: Healthy}
+	return &entry{declared: declared, hash: HashName(declared.Name), plain: plain}
 }
 
 // SetLeaving replaces the set of endpoints that the instance list names as leaving.
@@ -272,6 +303,64 @@
 	return dst
 }
 
+// AppendServing appends the states of the endpoints that have the artifact loaded according to their last report.
+func (r *Registry) AppendServing(dst []State, service string, kind engine.ArtifactKind, name string) []State {
+	now := time.Now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	stale := r.peersStale(now)
+	for _, e := range r.serving[artifactKey{service: service, kind: kind, name: name}] {
+		dst = append(dst, r.state(e, now, stale))
+	}
+	return dst
+}
+
+// indexServing rebuilds the index of loaded artifacts.
+func (r *Registry) indexServing() {
+	clear(r.serving)
+	for _, list := range r.byService {
+		for _, e := range list {
+			r.addServing(e)
+		}
+	}
+}
+
+func (r *Registry) addServing(e *entry) {
+	for _, key := range e.loadedKeys() {
+		list := r.serving[key]
+		at, _ := slices.BinarySearchFunc(list, e.declared.Name, func(other *entry, name string) int {
+			return strings.Compare(other.declared.Name, name)
+		})
+		r.serving[key] = slices.Insert(list, at, e)
+	}
+}
+
+func (r *Registry) dropServing(e *entry) {
+	for _, key := range e.loadedKeys() {
+		list := slices.DeleteFunc(r.serving[key], func(other *entry) bool { return other == e })
+		if len(list) == 0 {
+			delete(r.serving, key)
+			continue
+		}
+		r.serving[key] = list
+	}
+}
+
+// loadedKeys lists each loaded artifact once, in whatever number of versions it is loaded.
+func (e *entry) loadedKeys() []artifactKey {
+	if e.report == nil {
+		return nil
+	}
+	var keys []artifactKey
+	for _, a := range e.report.Artifacts {
+		key := artifactKey{service: e.declared.Service, kind: a.Kind, name: a.Name}
+		if a.State == engine.StateLoaded && !slices.Contains(keys, key) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 func (r *Registry) state(e *entry, now time.Time, stale bool) State {
 	s := State{
 		Endpoint:         e.declared,
@@ -281,9 +370,13 @@
 		OwnAtReport:      e.ownAtReport,
 		PeersStale:       stale,
 		Instances:        len(r.peers) + 1,
-		ConcurrencyLimit: e.limit(),
-		Health:           e.health,
+		ConcurrencyLimit: e.limiter.limit(e.cap()),
+		Health:           e.outlier.health(now),
 		Leaving:          e.declared.Leaving || r.listed[e.declared.Name],
+
+		BetweenTokens:          e.betweenTokens.duration(),
+		CallDuration:           e.duration.duration(),
+		PrefillTokensPerSecond: e.peakPrefill,
 	}
 	if e.report != nil {
 		s.ReportAge = now.Sub(e.reportedAt)
@@ -292,37 +385,11 @@
 	return s
 }
 
-func (e *entry) limit() int {
+// cap is the most calls that the endpoint may run: the declared limit, or the reported batch limit when it is lower.
+func (e *entry) cap() int {
 	limit := e.declared.MaxConcurrentRequests
 	if e.report != nil && e.report.MaxRunning > 0 {
 		limit = min(limit, e.report.MaxRunning)
 	}
 	return limit
 }
-
-// Call is one of this instance's calls at an endpoint.
-type Call struct {
-	registry *Registry
-	entry    *entry
-}
-
-// Begin counts a call that is about to be sent; nil when the endpoint is not declared any more.
-func (r *Registry) Begin(name string) *Call {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e := r.entries[name]
-	if e == nil {
-		return nil
-	}
-	e.own++
-	e.used = true
-	return &Call{registry: r, entry: e}
-}
-
-// End counts the end of a call. It must be called once. It does not call the function of OnChange: the caller knows that
-// capacity became free.
-func (c *Call) End() {
-	c.registry.mu.Lock()
-	defer c.registry.mu.Unlock()
-	c.entry.own--
-}
--- a/pkg/endpoints/registry_test.go
+++ b/pkg/endpoints/registry_test.go
@@ -136,7 +136,7 @@
 		g.Expect(r.States("s")).To(HaveLen(1))
 		g.Expect(r.States("s")[0].OwnInFlight).To(Equal(1))
 		g.Expect(r.Begin("f")).To(BeNil())
-		call.End()
+		call.End(endpoints.CallResult{})
 		g.Expect(r.States("s")[0].OwnInFlight).To(BeZero())
 	})
 }
@@ -168,7 +168,7 @@
 		state := r.States("s")[0]
 		g.Expect(state.PeerInFlight).To(Equal(3))
 		g.Expect(state.Instances).To(Equal(3))
-		call.End()
+		call.End(endpoints.CallResult{})
 		r.SetPeer("p", peerView.Local())
 		g.Expect(r.States("s")[0].PeerInFlight).To(Equal(2))
 		time.Sleep(4 * time.Second)
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -39,6 +39,13 @@
 	OwnAtReport int
 	// PeersStale is true when a known peer has been silent for longer than the registry's bound.
 	PeersStale bool
+	// BetweenTokens is the recent mean time between output tokens of this instance's calls; zero when unknown.
+	BetweenTokens time.Duration
+	// CallDuration is the recent mean duration of this instance's calls; zero when unknown.
+	CallDuration time.Duration
+	// PrefillTokensPerSecond is the highest recent rate that the endpoint reported; zero when unknown. The rate in the
+	// report itself is low whenever there is little to do.
+	PrefillTokensPerSecond float64
 	// Instances is the number of entry instances that share the endpoint, this one included.
 	Instances int
 	// ConcurrencyLimit is the adaptive limit of calls at once over all instances.
@@ -62,6 +69,10 @@
 	return max(s.PeerInFlight, s.Report.Running+s.Report.Waiting-s.OwnAtReport)
 }
 
+// headroomDivisor gives an instance without calls at a full endpoint an eighth of the limit on top. Otherwise an instance
+// that refills every slot it frees would keep all others out for as long as it has calls.
+const headroomDivisor = 8
+
 // HasCapacity tells whether one more call fits under the concurrency limit. When peers are silent this instance keeps to
 // its equal part of the limit, because the others may fill theirs unseen.
 func (s *State) HasCapacity() bool {
@@ -69,7 +80,11 @@
 		part := (s.ConcurrencyLimit + s.Instances - 1) / max(1, s.Instances)
 		return s.OwnInFlight < max(1, part)
 	}
-	return s.InFlight() < s.ConcurrencyLimit
+	limit := s.ConcurrencyLimit
+	if s.OwnInFlight == 0 && s.PeerInFlight > 0 {
+		limit += max(1, limit/headroomDivisor)
+	}
+	return s.InFlight() < limit
 }
 
 // CurrentRole is the reported role, or the declared one before the first report.
@@ -88,10 +103,25 @@
 	if s.Report == nil {
 		return false
 	}
-	for _, a := range s.Report.Artifacts {
+	for i := range s.Report.Artifacts {
+		a := &s.Report.Artifacts[i]
 		if a.Kind == kind && a.Name == name && a.State == engine.StateLoaded {
 			return true
 		}
 	}
 	return false
 }
+
+// HoldsAdapter tells whether the last report lists any adapter as loaded.
+func (s *State) HoldsAdapter() bool {
+	if s.Report == nil {
+		return false
+	}
+	for i := range s.Report.Artifacts {
+		a := &s.Report.Artifacts[i]
+		if a.Kind == engine.KindAdapter && a.State == engine.StateLoaded {
+			return true
+		}
+	}
+	return false
+}
--- a/pkg/scheduling/pipeline.go
+++ b/pkg/scheduling/pipeline.go
@@ -1,8 +1,12 @@
 package scheduling
 
 import (
+	"cmp"
+	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
+	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 )
@@ -27,8 +31,11 @@
 	Weight float64
 }
 
-// Picker chooses among candidates, of which there is at least one, and returns an index.
+// Picker chooses among candidates that passed the filters.
 type Picker interface {
+	// Sample returns the indexes of the states that are worth scoring, at least one of those given.
+	Sample(request *Request, states []endpoints.State, passed []int) []int
+	// Pick returns the index of the chosen candidate, of which there is at least one.
 	Pick(candidates []Candidate) int
 }
 
@@ -37,7 +44,7 @@
 type Blocked int
 
 const (
-	// NotDeclared means that the service has no endpoints.
+	// NotDeclared means that there is no endpoint.
 	NotDeclared Blocked = iota
 	// NotLoaded means that no usable endpoint has the artifact loaded.
 	NotLoaded
@@ -54,6 +61,8 @@
 	filters []Filter
 	scorers []Weighted
 	picker  Picker
+	// Index is asked once per call for the endpoints that hold its prefix; nil means none.
+	Index *PrefixIndex
 }
 
 // NewPipeline applies filters in order; filters of lasting conditions should precede those of load, so that a decision
@@ -64,34 +73,43 @@
 
 // Schedule chooses one of the states. The index is valid only with Chosen.
 func (p *Pipeline) Schedule(request *Request, states []endpoints.State) (Decision, int, Blocked) {
-	decision := Decision{RequestID: request.ID}
+	decision := Decision{RequestID: request.ID, Considered: len(states)}
+	passed, blocked := p.filter(request, states, &decision)
+	decision.Passed = len(passed)
+	if len(passed) == 0 {
+		decision.Reason = "no endpoint passed the filters"
+		return decision, -1, blocked
+	}
+	if p.Index != nil {
+		request.cached = p.Index.Lookup(request)
+	}
+	sample := p.picker.Sample(request, states, passed)
+	candidates := p.score(request, states, sample)
+	picked := p.picker.Pick(candidates)
+	chosen := &states[sample[picked]]
+	decision.Chosen = chosen.Endpoint.Name
+	decision.Reason = fmt.Sprintf("lowest cost of %d scored, %d passed", len(sample), len(passed))
+	decision.EstimatedFirstToken = EstimateFirstToken(request, chosen)
+	decision.Candidates = listed(candidates)
+	return decision, sample[picked], Chosen
+}
+
+func (p *Pipeline) filter(request *Request, states []endpoints.State, decision *Decision) ([]int, Blocked) {
 	blocked := NotDeclared
-	var candidates []Candidate
-	var indexes []int
+	passed := make([]int, 0, len(states))
 	for i := range states {
-		state := &states[i]
-		filter, reason := p.reject(request, state)
-		if reason != "" {
-			blocked = max(blocked, blockedBy(filter))
-			if len(decision.RuledOut) < maxListedExclusions {
-				decision.RuledOut = append(decision.RuledOut,
-					Exclusion{Name: state.Endpoint.Name, Filter: filter, Reason: reason})
-			}
+		filter, reason := p.reject(request, &states[i])
+		if reason == "" {
+			passed = append(passed, i)
 			continue
 		}
-		candidates = append(candidates, Candidate{State: *state, Name: state.Endpoint.Name})
-		indexes = append(indexes, i)
-	}
-	if len(candidates) == 0 {
-		decision.Reason = "no endpoint passed the filters"
-		return decision, -1, blocked
+		blocked = max(blocked, blockedBy(filter))
+		if len(decision.RuledOut) < maxListedExclusions {
+			decision.RuledOut = append(decision.RuledOut,
+				Exclusion{Name: states[i].Endpoint.Name, Filter: filter, Reason: reason})
+		}
 	}
-	p.score(request, candidates)
-	picked := p.picker.Pick(candidates)
-	decision.Chosen = candidates[picked].Name
-	decision.Reason = "lowest cost"
-	decision.Candidates = candidates
-	return decision, indexes[picked], Chosen
+	return passed, blocked
 }
 
 func (p *Pipeline) reject(request *Request, state *endpoints.State) (filter, reason string) {
@@ -103,15 +121,32 @@
 	return "", ""
 }
 
-func (p *Pipeline) score(request *Request, candidates []Candidate) {
-	for i := range candidates {
+func (p *Pipeline) score(request *Request, states []endpoints.State, sample []int) []Candidate {
+	candidates := make([]Candidate, len(sample))
+	// One allocation holds the details of all candidates.
+	details := make([]ScoreDetail, len(sample)*len(p.scorers))
+	for i, at := range sample {
 		c := &candidates[i]
-		for _, w := range p.scorers {
+		c.State = states[at]
+		c.Name = c.State.Endpoint.Name
+		c.Scores = details[i*len(p.scorers) : (i+1)*len(p.scorers)]
+		for j, w := range p.scorers {
 			value := w.Weight * w.Scorer.Score(request, &c.State)
-			c.Scores = append(c.Scores, ScoreDetail{Scorer: w.Scorer.Name(), Value: value})
+			c.Scores[j] = ScoreDetail{Scorer: w.Scorer.Name(), Value: value}
 			c.Score += value
 		}
 	}
+	return candidates
+}
+
+// listed returns the cheapest candidates, lowest cost first, without their states.
+func listed(candidates []Candidate) []Candidate {
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return cmp.Compare(a.Score, b.Score) })
+	candidates = slices.Clone(candidates[:min(len(candidates), maxListedCandidates)])
+	for i := range candidates {
+		candidates[i].State = endpoints.State{}
+	}
+	return candidates
 }
 
 func blockedBy(filter string) Blocked {
@@ -124,31 +159,78 @@
 	return Unavailable
 }
 
-// leastInFlight spreads calls evenly.
-type leastInFlight struct{}
-
-// LeastInFlight costs one second per call in flight relative to the limit.
-func LeastInFlight() Scorer { return leastInFlight{} }
+// EstimateFirstToken is the expected time to the first token if the call were sent to the endpoint now.
+func EstimateFirstToken(request *Request, state *endpoints.State) time.Duration {
+	seconds := firstTokenCost(request, state) - cachedGain(request, state)
+	return time.Duration(max(0, seconds) * float64(time.Second))
+}
 
-func (leastInFlight) Name() string { return "in-flight" }
+// choicesPerDistance is the number of random candidates that are scored at each distance when there are too many.
+const choicesPerDistance = 2
 
-func (leastInFlight) Score(_ *Request, state *endpoints.State) float64 {
-	return float64(state.InFlight()) / float64(max(1, state.ConcurrencyLimit))
-}
+// boundedPicker scores all candidates up to a bound. Beyond it, it scores the power of two choices: two random ones at
+// each distance, and the endpoints that hold the prompt's prefix.
+type boundedPicker struct {
+	bound    int
+	topology Topology
 
-// lowestCost picks the candidate with the lowest cost.
-type lowestCost struct {
 	mu     sync.Mutex
 	random *rand.Rand
 }
 
-// LowestCost picks the lowest cost and breaks ties at random, so that instances with the same view do not all choose the
-// same endpoint. The seed makes a run repeatable.
-func LowestCost(seed uint64) Picker {
-	return &lowestCost{random: rand.New(rand.NewPCG(seed, seed))}
+// NewPicker returns a picker of the lowest cost that breaks ties at random, so that instances with the same view do not
+// all choose the same endpoint. With more candidates than bound it scores a sample, which costs less and spreads the
+// choices of instances whose view is equally old. The seed makes a run repeatable. A nil topology means that all
+// endpoints are near.
+func NewPicker(bound int, topology Topology, seed uint64) Picker {
+	return &boundedPicker{bound: bound, topology: topology, random: rand.New(rand.NewPCG(seed, seed))}
+}
+
+func (p *boundedPicker) Sample(request *Request, states []endpoints.State, passed []int) []int {
+	if len(passed) <= p.bound {
+		return passed
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var seen [Distances]int
+	var reservoirs [Distances][choicesPerDistance]int
+	sample := make([]int, 0, Distances*choicesPerDistance+len(request.cached))
+	for _, at := range passed {
+		if request.holdsPrefix(states[at].Endpoint.Name) {
+			sample = append(sample, at)
+			continue
+		}
+		d := p.distance(&states[at])
+		if slot := p.slot(seen[d]); slot >= 0 {
+			reservoirs[d][slot] = at
+		}
+		seen[d]++
+	}
+	for d := range reservoirs {
+		sample = append(sample, reservoirs[d][:min(seen[d], choicesPerDistance)]...)
+	}
+	return sample
+}
+
+// slot returns the place of the n-th candidate in a reservoir sample, or -1.
+func (p *boundedPicker) slot(n int) int {
+	if n < choicesPerDistance {
+		return n
+	}
+	if at := p.random.IntN(n + 1); at < choicesPerDistance {
+		return at
+	}
+	return -1
+}
+
+func (p *boundedPicker) distance(state *endpoints.State) Distance {
+	if p.topology == nil {
+		return SameDataCentre
+	}
+	return p.topology.Distance(state.Endpoint.DataCentre)
 }
 
-func (p *lowestCost) Pick(candidates []Candidate) int {
+func (p *boundedPicker) Pick(candidates []Candidate) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	best, ties := 0, 1
--- a/pkg/scheduling/scheduling.go
+++ b/pkg/scheduling/scheduling.go
@@ -27,10 +27,14 @@
 	Deadline time.Time
 	// Exclude names endpoints that already failed this call.
 	Exclude []string
+
+	// cached are the endpoints that hold a part of the prompt's prefix; the pipeline sets them.
+	cached []CachedPrefix
 }
 
 // Candidate is an endpoint that passed all filters.
 type Candidate struct {
+	// State is cleared once a choice is made, so that decision records do not retain reports.
 	State endpoints.State `json:"-"`
 	Name  string          `json:"name"`
 	// Score is the estimated cost of the choice in seconds; lower is better.
@@ -59,6 +63,10 @@
 	Reason     string      `json:"reason"`
 	Candidates []Candidate `json:"candidates"`
 	RuledOut   []Exclusion `json:"ruledOut"`
+	// Passed and Considered count the endpoints that passed the filters and all that were looked at. The lists above are
+	// bounded and may name fewer.
+	Passed     int `json:"passed"`
+	Considered int `json:"considered"`
 	// EstimatedFirstToken is the expected time to the first token at the chosen endpoint.
 	EstimatedFirstToken time.Duration `json:"estimatedFirstTokenNs"`
 }
--- a/pkg/scheduling/topology.go
+++ b/pkg/scheduling/topology.go
@@ -59,6 +59,9 @@
 	return OtherRegion
 }
 
+// Distances is the number of values of Distance.
+const Distances = int(OtherRegion) + 1
+
 const (
 	// linkBurst is the time of link traffic that may be sent at once.
 	linkBurst = time.Second
