--- /dev/null
+++ b/pkg/claims/contract_test.go
@@ -0,0 +1,111 @@
+package claims_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberryglade/mulberryglade/pkg/claims"
+)
+
+const life = time.Minute
+
+// TestContract holds for both claimers, with the second call at the same and at another instance than the first.
+func TestContract(t *testing.T) {
+	ctx := context.Background()
+	refused := Or(MatchError(claims.ErrOutcomeUnknown), MatchError(claims.ErrInProgress))
+	cases := map[string]func(g *WithT, w *world, key, second string){
+		"replays the recorded response": func(g *WithT, w *world, key, second string) {
+			grant, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(grant.Complete(ctx, answer("booked"))).To(Succeed())
+			for range 2 {
+				again, response, err := w.claim(second, key, "a", life)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(again).To(BeNil())
+				g.Expect(*response).To(Equal(answer("booked")))
+			}
+		},
+		"rejects another request with the key": func(g *WithT, w *world, key, second string) {
+			grant, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, _, err = w.claim(second, key, "b", life)
+			g.Expect(err).To(MatchError(claims.ErrKeyReused))
+			g.Expect(grant.Complete(ctx, answer("booked"))).To(Succeed())
+			_, _, err = w.claim(second, key, "b", life)
+			g.Expect(err).To(MatchError(claims.ErrKeyReused))
+		},
+		"never grants a key whose call ended without a response": func(g *WithT, w *world, key, second string) {
+			_, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			_, _, err = w.claim(second, key, "a", time.Second)
+			g.Expect(err).To(refused)
+			time.Sleep(time.Hour)
+			_, _, err = w.claim(second, key, "a", life)
+			g.Expect(err).To(MatchError(claims.ErrOutcomeUnknown))
+		},
+		"grants a released key again": func(g *WithT, w *world, key, second string) {
+			grant, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(grant.Release(ctx)).To(Succeed())
+			g.Expect(grant.Complete(ctx, answer("late"))).NotTo(Succeed())
+			again, _, err := w.claim(second, key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(again).NotTo(BeNil())
+			g.Expect(grant.Release(ctx)).NotTo(Succeed())
+			_, _, err = w.claim("x", key, "a", time.Second)
+			g.Expect(err).To(refused)
+		},
+		"does not record a large response": func(g *WithT, w *world, key, second string) {
+			grant, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			large := claims.Response{Body: make([]byte, claims.MaxRecordedBytes+1)}
+			g.Expect(grant.Complete(ctx, large)).To(MatchError(claims.ErrNotRecorded))
+			_, _, err = w.claim(second, key, "a", time.Second)
+			g.Expect(err).To(refused)
+			time.Sleep(time.Hour)
+			_, _, err = w.claim(second, key, "a", life)
+			g.Expect(err).To(MatchError(claims.ErrOutcomeUnknown))
+		},
+		"rejects the key after the window": func(g *WithT, w *world, key, second string) {
+			grant, _, err := w.claim("x", key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(grant.Complete(ctx, answer("booked"))).To(Succeed())
+			time.Sleep(claims.AnswerWindow - time.Minute)
+			_, response, err := w.claim(second, key, "a", life)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(response).NotTo(BeNil())
+			for range 10 {
+				time.Sleep(39 * 24 * time.Hour)
+				_, _, err = w.claim(second, key, "a", life)
+				g.Expect(err).To(MatchError(claims.ErrExpired))
+			}
+		},
+		"grants one of many concurrent calls": func(g *WithT, w *world, key, second string) {
+			granted := make(chan claims.Grant, 40)
+			var wg conc.WaitGroup
+			for i := range cap(granted) {
+				wg.Go(func() {
+					grant, _, _ := w.claim([]string{"x", second}[i%2], key, "a", time.Second)
+					if grant != nil {
+						granted <- grant
+					}
+				})
+			}
+			wg.Wait()
+			g.Expect(granted).To(HaveLen(1))
+		},
+	}
+	for name, test := range cases {
+		for _, kind := range []string{"store", "issued"} {
+			for _, second := range instances {
+				t.Run(name+"/"+kind+"/"+second, func(t *testing.T) {
+					bubble(t, func(g *WithT, w *world) { test(g, w, w.key(g, kind), second) })
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/pkg/claims/world_test.go
@@ -0,0 +1,154 @@
+package claims_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/claims"
+)
+
+func init() {
+	// A fixed seed gives the same verdict every time.
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var errLost = errors.New("reply lost")
+
+// peerFault is what happens to one call between instances.
+type peerFault int
+
+const (
+	peerOK peerFault = iota
+	// peerUnsent loses the request.
+	peerUnsent
+	// peerLost loses the reply.
+	peerLost
+	// peerTwice delivers the request a second time, after a later step.
+	peerTwice
+)
+
+// network connects the issuers of a world; a crashed issuer is replaced by one of another incarnation.
+type network struct {
+	issuers map[string]*claims.Issuer
+	faults  []peerFault
+	late    []func()
+}
+
+func (n *network) next() peerFault {
+	if len(n.faults) == 0 {
+		return peerOK
+	}
+	fault := n.faults[0]
+	n.faults = n.faults[1:]
+	return fault
+}
+
+// deliver runs a call under the next fault. Instances run in one bubble and never inside deliver at the same time.
+func (n *network) deliver(call func()) error {
+	fault := n.next()
+	if fault == peerUnsent {
+		return errLost
+	}
+	call()
+	if fault == peerTwice {
+		n.late = append(n.late, call)
+	}
+	if fault == peerLost {
+		return errLost
+	}
+	return nil
+}
+
+func (n *network) Redeem(_ context.Context, instance, _ string, request claims.RedeemRequest) (claims.RedeemResult, error) {
+	var result claims.RedeemResult
+	err := n.deliver(func() { result = n.issuers[instance].Redeem(request) })
+	return result, err
+}
+
+func (n *network) Complete(_ context.Context, instance, _ string, request claims.CompleteRequest) error {
+	var result error
+	err := n.deliver(func() { result = n.issuers[instance].Complete(request) })
+	return errors.CombineErrors(err, result)
+}
+
+// world is a store and two instances that share it.
+type world struct {
+	store    *kv.Memory
+	net      *network
+	claimers map[string]claims.Router
+	stores   []*claims.StoreClaimer
+	starts   int
+}
+
+var instances = []string{"x", "y"}
+
+func newWorld() *world {
+	w := &world{
+		store:    kv.NewMemory(),
+		net:      &network{issuers: make(map[string]*claims.Issuer)},
+		claimers: make(map[string]claims.Router),
+	}
+	for _, name := range instances {
+		w.start(name)
+	}
+	return w
+}
+
+// start gives the instance a new incarnation with empty memory. What ran in the old one goes on as a paused process
+// would.
+func (w *world) start(name string) {
+	w.starts++
+	incarnation := fmt.Sprint("incarnation-", w.starts)
+	issuer := claims.NewIssuer(claims.IssuerOptions{Instance: name, Incarnation: incarnation})
+	w.net.issuers[name] = issuer
+	store := claims.NewStoreClaimer(claims.StoreOptions{Store: w.store, Instance: name, Incarnation: incarnation})
+	w.stores = append(w.stores, store)
+	w.claimers[name] = claims.Router{Issued: claims.NewIssuedClaimer(issuer, w.net), Store: store}
+}
+
+func (w *world) close() {
+	w.store.Faults.SetDown(false)
+	for _, s := range w.stores {
+		s.Close()
+	}
+}
+
+// key returns a fresh key of a kind: "store", or "issued" by instance x.
+func (w *world) key(g Gomega, kind string) string {
+	if kind == "store" {
+		return "order-17"
+	}
+	key, err := w.net.issuers["x"].Issue("farm")
+	g.Expect(err).NotTo(HaveOccurred())
+	return key
+}
+
+// claim makes a call of member farm whose context lives for the given time.
+func (w *world) claim(instance, key, body string, life time.Duration) (claims.Grant, *claims.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), life)
+	context.AfterFunc(ctx, cancel)
+	request := claims.Request{Member: "farm", Key: key, Hash: sha256.Sum256([]byte(body))}
+	return w.claimers[instance].Claim(ctx, request)
+}
+
+func bubble(t *testing.T, test func(g *WithT, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer w.close()
+		test(NewWithT(t), w)
+	})
+}
+
+func answer(text string) claims.Response {
+	return claims.Response{Status: 201, ContentType: "text/plain", Body: []byte(text)}
+}
