Carry redemptions of issued keys between instances

A redemption id makes a repeated request safe after a lost reply, and the incarnation keeps a restarted issuer from answering for keys that it never issued.

--- a/pkg/peer/client.go
+++ b/pkg/peer/client.go
@@ -41,40 +41,52 @@
 	return response.Msg.GetRevision(), response.Msg.GetHead(), bundles, nil
 }
 
-// RedeemKey asks the instance that issued the key for the right to send the call. Errors: those of claims.Claimer;
-// any failure of the connection is ErrOutcomeUnknown, since the key may have been granted.
-func (n *Node) RedeemKey(ctx context.Context, instanceID string, request claims.Request) (granted bool, recorded *claims.Response, err error) {
-	client, err := n.clientOf(instanceID)
+// Keys redeems issued keys at other instances. It implements claims.PeerKeys.
+type Keys struct {
+	Node *Node
+}
+
+var _ claims.PeerKeys = Keys{}
+
+// Redeem implements claims.PeerKeys.
+func (k Keys) Redeem(ctx context.Context, instance, incarnation string, request claims.RedeemRequest) (claims.RedeemResult, error) {
+	client, err := k.Node.clientOf(instance)
 	if err != nil {
-		return false, nil, errors.Mark(err, claims.ErrOutcomeUnknown)
+		return claims.RedeemResult{}, err
+	}
+	message := &peerv1.RedeemKeyRequest{
+		Member:      request.Member,
+		Key:         request.Key,
+		RequestHash: request.Hash[:],
+		Redemption:  request.Redemption,
+		Incarnation: incarnation,
 	}
-	message := &peerv1.RedeemKeyRequest{Member: request.Member, Key: request.Key, RequestHash: request.Hash[:]}
 	response, err := client.RedeemKey(ctx, connect.NewRequest(message))
 	if err != nil {
-		return false, nil, errors.Mark(errors.Wrap(err, "redeem key"), claims.ErrOutcomeUnknown)
+		return claims.RedeemResult{}, errors.Wrapf(err, "redeem key at %q", instance)
 	}
-	switch response.Msg.GetState() {
-	case peerv1.KeyState_KEY_STATE_GRANTED:
-		return true, nil, nil
-	case peerv1.KeyState_KEY_STATE_COMPLETED:
-		return false, responseFromProto(response.Msg.GetResponse()), nil
-	case peerv1.KeyState_KEY_STATE_IN_PROGRESS:
-		return false, nil, claims.ErrInProgress
-	case peerv1.KeyState_KEY_STATE_REUSED:
-		return false, nil, claims.ErrKeyReused
-	case peerv1.KeyState_KEY_STATE_EXPIRED:
-		return false, nil, claims.ErrExpired
-	}
-	return false, nil, claims.ErrOutcomeUnknown
+	return claims.RedeemResult{
+		State:    stateFromProto(response.Msg.GetState()),
+		Response: responseFromProto(response.Msg.GetResponse()),
+	}, nil
 }
 
-// CompleteKey records the response of a granted key at the issuing instance; a nil response returns the key unused.
-func (n *Node) CompleteKey(ctx context.Context, instanceID, member, key string, response *claims.Response) error {
-	client, err := n.clientOf(instanceID)
+// Complete implements claims.PeerKeys.
+func (k Keys) Complete(ctx context.Context, instance, incarnation string, request claims.CompleteRequest) error {
+	client, err := k.Node.clientOf(instance)
 	if err != nil {
 		return err
 	}
-	message := &peerv1.CompleteKeyRequest{Member: member, Key: key, Response: responseToProto(response)}
+	message := &peerv1.CompleteKeyRequest{
+		Member:      request.Member,
+		Key:         request.Key,
+		Redemption:  request.Redemption,
+		Incarnation: incarnation,
+		Released:    request.Released,
+	}
+	if !request.Released {
+		message.Response = responseToProto(&request.Response)
+	}
 	_, err = client.CompleteKey(ctx, connect.NewRequest(message))
-	return errors.Wrap(err, "complete key")
+	return errors.Wrapf(err, "complete key at %q", instance)
 }
--- a/pkg/peer/server.go
+++ b/pkg/peer/server.go
@@ -25,25 +25,17 @@
 	Newer(known int64, have []string) (revision int64, head []byte, bundles []Bundle)
 }
 
-// KeyServer answers for idempotency keys that this incarnation issued.
-type KeyServer interface {
-	// Redeem grants a key once. Errors are those of claims.Claimer.
-	Redeem(ctx context.Context, request claims.Request) (granted bool, recorded *claims.Response, err error)
-	// Complete records the response of a granted key; a nil response returns the key unused.
-	Complete(ctx context.Context, member, key string, response *claims.Response) error
-}
-
 // Server implements the peer protocol.
 type Server struct {
 	node   *Node
 	config ConfigServer
-	keys   KeyServer
+	keys   claims.Redeemer
 }
 
 var _ peerv1connect.PeerServiceHandler = (*Server)(nil)
 
 // NewServer returns the handler of the peer protocol.
-func NewServer(node *Node, config ConfigServer, keys KeyServer) *Server {
+func NewServer(node *Node, config ConfigServer, keys claims.Redeemer) *Server {
 	return &Server{node: node, config: config, keys: keys}
 }
 
@@ -84,46 +76,75 @@
 }
 
 // RedeemKey implements the peer protocol.
-func (s *Server) RedeemKey(ctx context.Context, request *connect.Request[peerv1.RedeemKeyRequest]) (*connect.Response[peerv1.RedeemKeyResponse], error) {
-	claim := claims.Request{Member: request.Msg.GetMember(), Key: request.Msg.GetKey()}
-	if copy(claim.Hash[:], request.Msg.GetRequestHash()) != len(claim.Hash) {
-		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("request hash must have 32 bytes"))
+func (s *Server) RedeemKey(_ context.Context, request *connect.Request[peerv1.RedeemKeyRequest]) (*connect.Response[peerv1.RedeemKeyResponse], error) {
+	m := request.Msg
+	redeem := claims.RedeemRequest{
+		Request:    claims.Request{Member: m.GetMember(), Key: m.GetKey()},
+		Redemption: m.GetRedemption(),
 	}
-	granted, recorded, err := s.keys.Redeem(ctx, claim)
-	state, err := keyState(granted, recorded, err)
-	if err != nil {
-		return nil, err
+	if copy(redeem.Hash[:], m.GetRequestHash()) != len(redeem.Hash) {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("request hash must have 32 bytes"))
 	}
-	return connect.NewResponse(&peerv1.RedeemKeyResponse{State: state, Response: responseToProto(recorded)}), nil
-}
-
-func keyState(granted bool, recorded *claims.Response, err error) (peerv1.KeyState, error) {
-	switch {
-	case err == nil && granted:
-		return peerv1.KeyState_KEY_STATE_GRANTED, nil
-	case err == nil && recorded != nil:
-		return peerv1.KeyState_KEY_STATE_COMPLETED, nil
-	case errors.Is(err, claims.ErrInProgress):
-		return peerv1.KeyState_KEY_STATE_IN_PROGRESS, nil
-	case errors.Is(err, claims.ErrKeyReused):
-		return peerv1.KeyState_KEY_STATE_REUSED, nil
-	case errors.Is(err, claims.ErrExpired):
-		return peerv1.KeyState_KEY_STATE_EXPIRED, nil
-	case errors.Is(err, claims.ErrOutcomeUnknown):
-		return peerv1.KeyState_KEY_STATE_UNKNOWN, nil
+	if m.GetIncarnation() != s.node.Self.Incarnation {
+		return connect.NewResponse(&peerv1.RedeemKeyResponse{State: peerv1.KeyState_KEY_STATE_UNKNOWN}), nil
 	}
-	return peerv1.KeyState_KEY_STATE_UNSPECIFIED, connect.NewError(connect.CodeUnavailable, errors.Wrap(err, "redeem key"))
+	result := s.keys.Redeem(redeem)
+	return connect.NewResponse(&peerv1.RedeemKeyResponse{
+		State:    stateToProto(result.State),
+		Response: responseToProto(result.Response),
+	}), nil
 }
 
 // CompleteKey implements the peer protocol.
-func (s *Server) CompleteKey(ctx context.Context, request *connect.Request[peerv1.CompleteKeyRequest]) (*connect.Response[peerv1.CompleteKeyResponse], error) {
+func (s *Server) CompleteKey(_ context.Context, request *connect.Request[peerv1.CompleteKeyRequest]) (*connect.Response[peerv1.CompleteKeyResponse], error) {
 	m := request.Msg
-	if err := s.keys.Complete(ctx, m.GetMember(), m.GetKey(), responseFromProto(m.GetResponse())); err != nil {
+	if m.GetIncarnation() != s.node.Self.Incarnation {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("key was issued by another incarnation"))
+	}
+	if !m.GetReleased() && m.GetResponse() == nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("completion without a response"))
+	}
+	complete := claims.CompleteRequest{
+		Member:     m.GetMember(),
+		Key:        m.GetKey(),
+		Redemption: m.GetRedemption(),
+		Released:   m.GetReleased(),
+	}
+	if response := responseFromProto(m.GetResponse()); response != nil {
+		complete.Response = *response
+	}
+	if err := s.keys.Complete(complete); err != nil {
 		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
 	}
 	return connect.NewResponse(&peerv1.CompleteKeyResponse{}), nil
 }
 
+// keyStates pairs the states of an issuer with their message values. A state that is missing is unknown.
+var keyStates = map[claims.KeyState]peerv1.KeyState{
+	claims.KeyUnknown:    peerv1.KeyState_KEY_STATE_UNKNOWN,
+	claims.KeyGranted:    peerv1.KeyState_KEY_STATE_GRANTED,
+	claims.KeyInProgress: peerv1.KeyState_KEY_STATE_IN_PROGRESS,
+	claims.KeyCompleted:  peerv1.KeyState_KEY_STATE_COMPLETED,
+	claims.KeyReused:     peerv1.KeyState_KEY_STATE_REUSED,
+	claims.KeyExpired:    peerv1.KeyState_KEY_STATE_EXPIRED,
+}
+
+func stateToProto(state claims.KeyState) peerv1.KeyState {
+	if p, known := keyStates[state]; known {
+		return p
+	}
+	return peerv1.KeyState_KEY_STATE_UNKNOWN
+}
+
+func stateFromProto(p peerv1.KeyState) claims.KeyState {
+	for state, value := range keyStates {
+		if value == p {
+			return state
+		}
+	}
+	return claims.KeyUnknown
+}
+
 func responseToProto(r *claims.Response) *peerv1.RecordedResponse {
 	if r == nil {
 		return nil
