Add the operators' command line and the messages of the admin port

Commands and queries are separate packages. Exit codes tell rejected, conflicting, unavailable and unknown outcomes apart. A test compares the committed JSON Schemas with what the build prints.

--- a/pkg/configstore/apply.go
+++ b/pkg/configstore/apply.go
@@ -92,17 +92,26 @@
 	return Result{}, a.explain(ErrContention)
 }
 
+// Comparison is what a change would do.
+type Comparison struct {
+	// Revision is the configuration revision that the change was compared with; zero when there is none.
+	Revision int64 `json:"revision"`
+	Difference
+	// Fields are the differences in updated records.
+	Fields []FieldDifference `json:"fields"`
+}
+
 // Compare returns what a change would do. Errors: as Apply.
-func (r *Repository) Compare(ctx context.Context, change Change) (Difference, error) {
+func (r *Repository) Compare(ctx context.Context, change Change) (Comparison, error) {
 	current, err := r.readOrEmpty(ctx, nil)
 	if err != nil {
-		return Difference{}, err
+		return Comparison{}, err
 	}
 	p, err := newPlan(r.options.WriterVersion, current.Records(), change)
 	if err != nil {
-		return Difference{}, err
+		return Comparison{}, err
 	}
-	return p.difference, nil
+	return Comparison{Revision: current.Head.Revision, Difference: p.difference, Fields: p.fields}, nil
 }
 
 // readOrEmpty reads the configuration; before the first change it is empty.
--- a/pkg/configstore/plan.go
+++ b/pkg/configstore/plan.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
+	"maps"
+	"slices"
 	"sort"
 
 	"github.com/cockroachdb/errors"
@@ -54,9 +57,18 @@
 	return len(d.Created)+len(d.Updated)+len(d.Deleted) == 0
 }
 
+// FieldDifference is a field of an updated record. Before or After is empty when the record does not have the field.
+type FieldDifference struct {
+	Record config.RecordID `json:"record"`
+	Field  string          `json:"field"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
 // plan is a change merged into stored records.
 type plan struct {
 	difference Difference
+	fields     []FieldDifference
 	records    []encodedRecord
 	// touched has the record ids that the change names, with their text after the change; nil for a deleted record.
 	touched map[config.RecordID][]byte
@@ -149,9 +161,37 @@
 	sortIDs(p.difference.Created)
 	sortIDs(p.difference.Updated)
 	sortIDs(p.difference.Deleted)
+	for _, id := range p.difference.Updated {
+		fields, err := compareFields(id, before[id], after[id])
+		if err != nil {
+			return nil, err
+		}
+		p.fields = append(p.fields, fields...)
+	}
 	return p, nil
 }
 
+func compareFields(id config.RecordID, before, after []byte) ([]FieldDifference, error) {
+	var old, wanted map[string]json.RawMessage
+	if err := errors.CombineErrors(json.Unmarshal(before, &old), json.Unmarshal(after, &wanted)); err != nil {
+		return nil, errors.Wrapf(err, "%s", id)
+	}
+	names := slices.Collect(maps.Keys(old))
+	for name := range wanted {
+		if _, both := old[name]; !both {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	var fields []FieldDifference
+	for _, name := range names {
+		if !bytes.Equal(old[name], wanted[name]) {
+			fields = append(fields, FieldDifference{Record: id, Field: name, Before: old[name], After: wanted[name]})
+		}
+	}
+	return fields, nil
+}
+
 func encodeAll(records []config.RawRecord) (map[config.RecordID][]byte, error) {
 	texts := make(map[config.RecordID][]byte, len(records))
 	for _, r := range records {
--- /dev/null
+++ b/pkg/operator/change.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+)
+
+// LoadChange reads the files of a change. Paths that follow the options, as a shell makes them of a pattern, count too.
+// Errors: *findings.Error.
+func LoadChange(files []flags.Filename, more []string, prune bool) (configstore.Change, error) {
+	records, found := config.LoadFiles(Paths(files, more))
+	return configstore.Change{Records: records, Prune: prune}, found.Err()
+}
+
+// Paths joins the values of -f and the paths that follow the options.
+func Paths(files []flags.Filename, more []string) []string {
+	var paths []string
+	for _, file := range files {
+		paths = append(paths, string(file))
+	}
+	return append(paths, more...)
+}
+
+// PrintDifference writes one line per record, and the changed fields below updated ones.
+func PrintDifference(w io.Writer, d configstore.Difference, fields []configstore.FieldDifference) error {
+	p := printer{w: w}
+	for _, id := range d.Created {
+		p.line("+ %s", id)
+	}
+	for _, id := range d.Updated {
+		p.line("~ %s", id)
+		for _, f := range fields {
+			if f.Record == id {
+				p.line("    %s: %s -> %s", f.Field, orAbsent(f.Before), orAbsent(f.After))
+			}
+		}
+	}
+	for _, id := range d.Deleted {
+		p.line("- %s", id)
+	}
+	p.line("%d created, %d updated, %d deleted, %d unchanged", len(d.Created), len(d.Updated), len(d.Deleted), d.Unchanged)
+	return p.err
+}
+
+func orAbsent(value []byte) string {
+	if len(value) == 0 {
+		return "(absent)"
+	}
+	return string(value)
+}
+
+// printer keeps the first error.
+type printer struct {
+	w   io.Writer
+	err error
+}
+
+func (p *printer) line(format string, args ...any) {
+	if p.err == nil {
+		_, p.err = fmt.Fprintf(p.w, format+"\n", args...)
+	}
+}
--- /dev/null
+++ b/pkg/operator/operator_test.go
@@ -0,0 +1,273 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
+	"github.com/mulberryglade/mulberryglade/pkg/operator"
+	"github.com/mulberryglade/mulberryglade/pkg/operator/commands"
+	"github.com/mulberryglade/mulberryglade/pkg/operator/queries"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+func TestOperator(t *testing.T) {
+	RegisterFailHandler(Fail)
+	suite, reporter := GinkgoConfiguration()
+	suite.RandomSeed = 1
+	RunSpecs(t, "operator", suite, reporter)
+}
+
+// openStore is replaced by tests that need no store over HTTP.
+func openStore(o operator.StoreOptions) (kvstore.Store, error) {
+	return etcdgateway.New(etcdgateway.Options{URLs: o.URLs})
+}
+
+type output struct {
+	code           int
+	stdout, stderr string
+}
+
+func run(open func(operator.StoreOptions) (kvstore.Store, error), stdin string, args ...string) output {
+	var stdout, stderr bytes.Buffer
+	env := &operator.Environment{
+		Context:   context.Background(),
+		Stdin:     strings.NewReader(stdin),
+		Stdout:    &stdout,
+		Stderr:    &stderr,
+		OpenStore: open,
+		Now:       func() time.Time { return time.UnixMilli(1) },
+	}
+	parser := operator.NewParser(env)
+	commands.Register(parser, env)
+	queries.Register(parser, env)
+	code := operator.Run(parser, env, args)
+	return output{code: code, stdout: stdout.String(), stderr: stderr.String()}
+}
+
+const sindhuli = "../../examples/sindhuli"
+
+func write(text string) string {
+	path := filepath.Join(GinkgoT().TempDir(), "f.json")
+	Expect(os.WriteFile(path, []byte(text), 0o600)).To(Succeed())
+	return path
+}
+
+var _ = Describe("configuration over the store's HTTP API", func() {
+	var memory *kv.Memory
+	var store string
+
+	BeforeEach(func() {
+		memory = kv.NewMemory()
+		server := kv.NewServer(memory)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		go func() { _ = server.Serve(listener) }()
+		DeferCleanup(server.Close)
+		store = "http://" + listener.Addr().String()
+	})
+
+	It("applies, shows and prunes declarations", func() {
+		result := run(openStore, "", "apply", "--store", store, "-f", sindhuli, "--change-id", "first")
+		Expect(result.code).To(Equal(operator.ExitOK), result.stderr)
+		Expect(result.stdout).To(ContainSubstring("98 created, 0 updated, 0 deleted"))
+		Expect(result.stdout).To(ContainSubstring("change first is in effect"))
+
+		changed := write(`{"kind":"Member","name":"district-office","schemaVersion":2,"share":4,"keys":[]}`)
+		result = run(openStore, "", "diff", "--store", store, "-f", changed)
+		Expect(result.code).To(Equal(operator.ExitOK))
+		Expect(result.stdout).To(ContainSubstring("~ Member/district-office\n"))
+		Expect(result.stdout).To(ContainSubstring("share: 1 -> 4"))
+		Expect(result.stdout).To(ContainSubstring("maxConcurrentRequests: 32 -> (absent)"))
+
+		result = run(openStore, "", "get", "--store", store, "members", "district-office")
+		Expect(result.stdout).To(ContainSubstring(`"share": 1`), "diff must not change anything")
+		result = run(openStore, "", "-o", "json", "get", "--store", store, "model")
+		var models []config.Model
+		Expect(json.Unmarshal([]byte(result.stdout), &models)).To(Succeed())
+		Expect(models).To(HaveLen(17))
+
+		result = run(openStore, "", "apply", "--store", store, "--prune", "-f", "../../examples/lusorenda")
+		Expect(result.code).To(Equal(operator.ExitOK), result.stderr)
+		Expect(result.stdout).To(ContainSubstring("93 created, 0 updated, 98 deleted"))
+	})
+
+	It("names the exit code of every kind of failure", func() {
+		Expect(run(openStore, "", "get", "--store", store, "Model").code).To(Equal(operator.ExitFailure))
+		Expect(run(openStore, "", "apply", "-f", sindhuli).code).To(Equal(operator.ExitUsage))
+		Expect(run(openStore, "", "get", "--store", store, "Rack").code).To(Equal(operator.ExitUsage))
+		Expect(run(openStore, "", "version", "extra").code).To(Equal(operator.ExitUsage))
+		Expect(run(openStore, "", "apply", "--store", store, "-f", sindhuli, "--change-id", "c").code).To(Equal(operator.ExitOK))
+
+		invalid := write(`{"kind":"Member","name":"m","schemaVersion":2,"share":0}`)
+		result := run(openStore, "", "-o", "json", "apply", "--store", store, "-f", invalid)
+		Expect(result.code).To(Equal(operator.ExitFindings))
+		Expect(result.stdout).To(ContainSubstring(`"pointer": "/share"`))
+		Expect(run(openStore, "", "check", "-f", invalid).code).To(Equal(operator.ExitFindings))
+
+		valid := write(`{"kind":"Member","name":"m","schemaVersion":2,"share":1}`)
+		Expect(run(openStore, "", "apply", "--store", store, "-f", valid, "--change-id", "c").code).To(Equal(operator.ExitConflict))
+		memory.Faults.SetDown(true)
+		Expect(run(openStore, "", "apply", "--store", store, "-f", valid).code).To(Equal(operator.ExitUnavailable))
+	})
+
+	It("reports an unknown outcome and the id to repeat", func() {
+		Expect(run(openStore, "", "apply", "--store", store, "-f", sindhuli).code).To(Equal(operator.ExitOK))
+		memory.Faults.Next(kv.CallCommit, kv.Fault{})
+		memory.Faults.Next(kv.CallCommit, kv.Fault{DropReply: true})
+		lost := func(o operator.StoreOptions) (kvstore.Store, error) {
+			inner, err := openStore(o)
+			return &downAfterLostReply{Store: inner, memory: memory}, err
+		}
+		valid := write(`{"kind":"Member","name":"m","schemaVersion":2,"share":1}`)
+		result := run(lost, "", "apply", "--store", store, "-f", valid, "--change-id", "c9")
+		Expect(result.code).To(Equal(operator.ExitOutcomeUnknown))
+		Expect(result.stderr).To(ContainSubstring("c9"))
+		memory.Faults.SetDown(false)
+		result = run(openStore, "", "apply", "--store", store, "-f", valid, "--change-id", "c9")
+		Expect(result.code).To(Equal(operator.ExitOK))
+		Expect(result.stdout).To(ContainSubstring("already in effect"))
+	})
+})
+
+// downAfterLostReply starts an outage when the reply of a write was lost.
+type downAfterLostReply struct {
+	kvstore.Store
+	memory *kv.Memory
+}
+
+func (d *downAfterLostReply) Commit(
+	ctx context.Context, writes []kvstore.ConditionalWrite,
+) ([]kvstore.WriteResult, error) {
+	results, err := d.Store.Commit(ctx, writes)
+	if err != nil {
+		d.memory.Faults.SetDown(true)
+	}
+	return results, err
+}
+
+var _ = Describe("key hash", func() {
+	It("prints a hash that the key matches, and not the key", func() {
+		key := "an-evaluation-key-with-enough-characters"
+		result := run(nil, key+"\n", "key", "hash")
+		Expect(result.code).To(Equal(operator.ExitOK), result.stderr)
+		Expect(result.stdout).NotTo(ContainSubstring(key))
+		var hash config.KeyHash
+		Expect(json.Unmarshal([]byte(result.stdout), &hash)).To(Succeed())
+		member := config.Member{Header: config.Header{Name: "m"}, Keys: []config.KeyHash{hash}}
+		snapshot := config.NewSnapshot(1, time.Time{}, config.Records{Members: []config.Member{member}})
+		Expect(snapshot.MemberByKey(key).Name).To(Equal("m"))
+		Expect(run(nil, "short\n", "key", "hash").code).To(Equal(operator.ExitFailure))
+	})
+})
+
+var _ = Describe("queries of an instance", func() {
+	serve := func(handler http.HandlerFunc) string {
+		server := httptest.NewServer(handler)
+		DeferCleanup(server.Close)
+		return server.URL
+	}
+
+	DescribeTable("read the documented path",
+		func(path, body, want string, args ...string) {
+			var asked, authorization string
+			url := serve(func(w http.ResponseWriter, r *http.Request) {
+				asked, authorization = r.Method+" "+r.URL.RequestURI(), r.Header.Get("Authorization")
+				_, _ = w.Write([]byte(body))
+			})
+			result := run(nil, "", append(args, "--admin", url, "--token-file", write("s3cret\n"))...)
+			Expect(result.code).To(Equal(operator.ExitOK), result.stderr)
+			Expect(asked).To(Equal(path))
+			Expect(authorization).To(Equal("Bearer s3cret"))
+			Expect(result.stdout).To(ContainSubstring(want))
+		},
+		Entry("status", "GET /v1/status", `{"instanceId":"entry-1","config":{"revision":17}}`, "revision 17", "status"),
+		Entry("members", "GET /v1/members", `{"items":[{"name":"m","shareFraction":0.25}]}`, "25.0%", "members"),
+		Entry("endpoints", "GET /v1/endpoints", `{"items":[{"name":"e-1","reportAgeMs":-1}]}`, "never", "endpoints"),
+		Entry("models", "GET /v1/models", `{"items":[{"name":"a","endpoints":["e-1","e-2"]}]}`, "e-1,e-2", "models"),
+		Entry("moves", "GET /v1/decisions?kind=placement", `{"items":[{"id":"order-1"}]}`, "order-1", "moves"),
+		Entry("explain request", "GET /v1/decisions/r%2F1", `{"kind":"routing","id":"r/1","detail":{"a":1}}`, `"a": 1`,
+			"explain", "request", "r/1"),
+		Entry("explain placement", "GET /v1/decisions/o-1", `{"kind":"placement","reason":"demand","detail":null}`, "demand",
+			"explain", "placement", "o-1"),
+		Entry("drain", "POST /v1/drain", `{"instanceId":"entry-1","inFlight":3}`, "3 calls in flight", "drain", "entry-1"),
+	)
+
+	It("tell unavailable from refused", func() {
+		refused := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.WriteHeader(http.StatusConflict)
+			_ = json.NewEncoder(w).Encode(problem.New(problem.TypeInvalidRequest, 409, problem.NotRun, "this is entry-2"))
+		})
+		result := run(nil, "", "drain", "entry-1", "--admin", refused)
+		Expect(result.code).To(Equal(operator.ExitFailure))
+		Expect(result.stderr).To(ContainSubstring("this is entry-2"))
+		Expect(run(nil, "", "status", "--admin", "http://127.0.0.1:1").code).To(Equal(operator.ExitUnavailable))
+		Expect(run(nil, "", "drain", "entry-1", "--admin", "http://127.0.0.1:1").code).To(Equal(operator.ExitUnavailable))
+	})
+
+	// Guards against "nothing took effect" for a command that the instance may have received.
+	It("report a lost reply of a command as unknown and of a query as unavailable", func() {
+		url := serve(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		Expect(run(nil, "", "drain", "entry-1", "--admin", url).code).To(Equal(operator.ExitOutcomeUnknown))
+		Expect(run(nil, "", "status", "--admin", url).code).To(Equal(operator.ExitUnavailable))
+	})
+
+	It("refuse to explain a decision of another kind", func() {
+		url := serve(func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(adminapi.Decision{Kind: "routing"})
+		})
+		Expect(run(nil, "", "explain", "placement", "x", "--admin", url).code).To(Equal(operator.ExitFailure))
+	})
+})
+
+var _ = Describe("schemas", func() {
+	// Guards against committed schemas that differ from what this build reads.
+	DescribeTable("are committed as this build prints them",
+		func(name string) {
+			committed, err := os.ReadFile("../../docs/schema/" + name + ".schema.json")
+			Expect(err).NotTo(HaveOccurred())
+			Expect(run(nil, "", "schema", name).stdout).To(Equal(string(committed)),
+				"run: mulberryglade schema %s > docs/schema/%s.schema.json", name, name)
+		},
+		Entry("declarations", "declarations"),
+		Entry("settings", "settings"),
+	)
+
+	It("admit the fields of the sample declarations", func() {
+		text, err := queries.Declarations()
+		Expect(err).NotTo(HaveOccurred())
+		var schema struct {
+			Defs map[string]struct {
+				Properties map[string]any `json:"properties"`
+				Required   []string       `json:"required"`
+			} `json:"$defs"`
+		}
+		Expect(json.Unmarshal(text, &schema)).To(Succeed())
+		records, found := config.LoadFiles([]string{sindhuli, "../../examples/lusorenda"})
+		Expect(found.Len()).To(BeZero())
+		for _, r := range records {
+			for field := range r.Fields {
+				Expect(schema.Defs[string(r.Kind)].Properties).To(HaveKey(field))
+			}
+			for _, field := range schema.Defs[string(r.Kind)].Required {
+				Expect(r.Fields).To(HaveKey(field), r.RecordID.String())
+			}
+		}
+	})
+})
--- /dev/null
+++ b/pkg/operator/run.go
@@ -0,0 +1,148 @@
+package operator
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+// Exit codes of the command line.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	// ExitUsage means that the command line makes no sense.
+	ExitUsage = 2
+	// ExitFindings means that declarations or settings have mistakes; nothing took effect.
+	ExitFindings = 3
+	// ExitConflict means that another change came first; nothing took effect.
+	ExitConflict = 4
+	// ExitUnavailable means that the store or the instance cannot be reached; nothing took effect.
+	ExitUnavailable = 5
+	// ExitOutcomeUnknown means that the command may have taken effect. Repeating it, for apply with the same
+	// --change-id, is safe and finds out.
+	ExitOutcomeUnknown = 6
+)
+
+const longDescription = `mulberryglade checks and applies declarations, and shows what an instance does.
+
+Exit codes:
+  0  done
+  1  failure
+  2  wrong usage
+  3  declarations have mistakes; nothing took effect
+  4  another change came first; nothing took effect
+  5  store or instance unavailable; nothing took effect
+  6  outcome unknown; repeat the command (apply: with the same --change-id)
+
+Shell completion for bash:
+  _mulberryglade() {
+    local IFS=$'\n'
+    COMPREPLY=($(GO_FLAGS_COMPLETION=1 "$1" "${COMP_WORDS[@]:1:$COMP_CWORD}"))
+  }
+  complete -F _mulberryglade mulberryglade`
+
+// NewParser returns a parser without commands.
+func NewParser(e *Environment) *flags.Parser {
+	parser := flags.NewNamedParser("mulberryglade", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = longDescription
+	if _, err := parser.AddGroup("Global options", "", &e.global); err != nil {
+		// Only a mistake in the struct tags can cause this.
+		panic(err)
+	}
+	return parser
+}
+
+// AddCommand adds a command; the data implements flags.Commander when the command has no subcommands.
+func AddCommand(parent interface {
+	AddCommand(name, short, long string, data any) (*flags.Command, error)
+}, name, short, long string, data any) *flags.Command {
+	command, err := parent.AddCommand(name, short, long, data)
+	if err != nil {
+		// Only a mistake in the struct tags can cause this.
+		panic(err)
+	}
+	return command
+}
+
+// Run executes the command line and returns the exit code.
+func Run(parser *flags.Parser, e *Environment, args []string) int {
+	_, err := parser.ParseArgs(args)
+	return e.finish(err)
+}
+
+// NoArguments is the error of a command that takes no arguments and got some.
+func NoArguments(args []string) error {
+	if len(args) == 0 {
+		return nil
+	}
+	return errors.Wrapf(ErrUsage, "unexpected argument %q", args[0])
+}
+
+// finish reports an error and returns its exit code.
+func (e *Environment) finish(err error) int {
+	if err == nil {
+		return ExitOK
+	}
+	var usage *flags.Error
+	if errors.As(err, &usage) && usage.Type == flags.ErrHelp {
+		_, _ = fmt.Fprintln(e.Stdout, usage.Message)
+		return ExitOK
+	}
+	code := exitCode(err)
+	if e.JSON() {
+		_ = e.PrintJSON(failureOf(err, code))
+	}
+	_, _ = fmt.Fprintf(e.Stderr, "mulberryglade: %v\n", err)
+	return code
+}
+
+func exitCode(err error) int {
+	var usage *flags.Error
+	var mistakes *findings.Error
+	var conflict *configstore.Conflict
+	var refused *problem.Problem
+	switch {
+	case errors.As(err, &usage), errors.Is(err, ErrUsage), errors.Is(err, configstore.ErrChangeID):
+		return ExitUsage
+	case errors.As(err, &mistakes):
+		return ExitFindings
+	case errors.As(err, &conflict), errors.Is(err, configstore.ErrChangeIDReused), errors.Is(err, configstore.ErrContention):
+		return ExitConflict
+	case errors.Is(err, kvstore.ErrOutcomeUnknown), errors.Is(err, adminapi.ErrNoReply):
+		return ExitOutcomeUnknown
+	case errors.As(err, &refused) && refused.Status >= 500 && refused.Outcome == problem.Unknown:
+		return ExitOutcomeUnknown
+	case errors.As(err, &refused) && refused.Status == http.StatusServiceUnavailable:
+		return ExitUnavailable
+	case errors.Is(err, kvstore.ErrUnavailable), errors.Is(err, adminapi.ErrUnreachable):
+		return ExitUnavailable
+	default:
+		return ExitFailure
+	}
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error    string                `json:"error"`
+	ExitCode int                   `json:"exitCode"`
+	Findings []findings.Finding    `json:"findings,omitempty"`
+	Conflict *configstore.Conflict `json:"conflict,omitempty"`
+}
+
+func failureOf(err error, code int) failure {
+	f := failure{Error: err.Error(), ExitCode: code}
+	var mistakes *findings.Error
+	if errors.As(err, &mistakes) {
+		f.Findings = mistakes.Findings
+	}
+	errors.As(err, &f.Conflict)
+	return f
+}
