--- a/pkg/configstore/apply_test.go
+++ b/pkg/configstore/apply_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -65,6 +67,30 @@
 		Expect(store.Faults.Count(kv.CallCommit)).To(Equal(commits))
 	})
 
+	It("rejects a record that would fill a bundle", func() {
+		_, repository := seeded()
+		_, err := repository.Apply(ctx, change("big", dataCentre("a", strings.Repeat("r", 200<<10))))
+		Expect(err).To(MatchError(ContainSubstring("must be at most 131072 bytes")))
+	})
+
+	// Two goroutines also let the race detector see the repository.
+	It("applies the changes of concurrent writers", func() {
+		store, repository := seeded()
+		var group conc.WaitGroup
+		for writer := range 2 {
+			group.Go(func() {
+				defer GinkgoRecover()
+				for i := range 8 {
+					name := fmt.Sprintf("w%d-%d", writer, i)
+					_, err := repository.Apply(ctx, change(name, member(name, 1)))
+					Expect(err).NotTo(HaveOccurred())
+				}
+			})
+		}
+		group.Wait()
+		Expect(stored(newRepository(store))).To(HaveLen(3 + 16))
+	})
+
 	It("rejects pruning a record that others need", func() {
 		_, repository := seeded()
 		_, err := repository.Apply(ctx, change("c1", model("x", "m")))
--- a/pkg/configstore/bundle.go
+++ b/pkg/configstore/bundle.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
 )
 
 const (
@@ -121,21 +122,28 @@
 	return b.Bytes()
 }
 
+// parsedBundle is a bundle's records, and the mistakes found while they were read.
+type parsedBundle struct {
+	records []config.RawRecord
+	found   findings.List
+}
+
 // parseBundle checks a bundle against its digest. Records are located by kind and name instead of their position, so
-// that a finding keeps its location when other records come and go.
-func parseBundle(digest string, content []byte) ([]config.RawRecord, error) {
+// that a finding keeps its location when other records come and go. Only a bundle that is unreadable as a whole is an
+// error, so that a mistake in one record, which another writer may have stored, does not hold back the others.
+func parseBundle(digest string, content []byte) (parsedBundle, error) {
 	if actual := Digest(content); actual != digest {
-		return nil, errors.Wrapf(ErrFormat, "bundle %s has digest %s", digest, actual)
+		return parsedBundle{}, errors.Wrapf(ErrFormat, "bundle %s has digest %s", digest, actual)
 	}
-	parsed, found := config.ParseFile(digest, content)
-	if err := found.Err(); err != nil {
-		return nil, errors.Wrapf(ErrFormat, "bundle %s: %v", digest, err)
+	raw, found := config.ParseFile(storedFile, content)
+	if len(raw) == 0 {
+		return parsedBundle{}, errors.Wrapf(ErrFormat, "bundle %s has no readable record: %v", digest, found.Err())
 	}
-	records := make([]config.RawRecord, len(parsed))
-	for i, r := range parsed {
-		records[i] = config.NewRawRecord(storedFile, "/"+r.RecordID.String(), r.Fields)
+	parsed := parsedBundle{found: found}
+	for _, r := range raw {
+		parsed.records = append(parsed.records, config.NewRawRecord(storedFile, "/"+r.RecordID.String(), r.Fields))
 	}
-	return records, nil
+	return parsed, nil
 }
 
 // storedFile is the file name in findings about stored records.
--- a/pkg/configstore/contents.go
+++ b/pkg/configstore/contents.go
@@ -4,6 +4,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
@@ -15,7 +16,7 @@
 	// Bundles has the content of every bundle of the head by digest.
 	Bundles map[string][]byte
 
-	parsed map[string][]config.RawRecord
+	parsed map[string]parsedBundle
 	// modRevision is the store revision of the head; zero when it came from a peer or does not exist.
 	modRevision kvstore.Revision
 	// storeRevision is the store's revision at the time of the read.
@@ -54,17 +55,17 @@
 		Head:      head,
 		HeadBytes: headBytes,
 		Bundles:   make(map[string][]byte, len(head.Bundles)),
-		parsed:    make(map[string][]config.RawRecord, len(head.Bundles)),
+		parsed:    make(map[string]parsedBundle, len(head.Bundles)),
 	}
 }
 
 func (c *Contents) add(digest string, content []byte) error {
-	records, err := parseBundle(digest, content)
+	parsed, err := parseBundle(digest, content)
 	if err != nil {
 		return err
 	}
 	c.Bundles[digest] = content
-	c.parsed[digest] = records
+	c.parsed[digest] = parsed
 	return nil
 }
 
@@ -84,11 +85,21 @@
 func (c *Contents) Records() []config.RawRecord {
 	var records []config.RawRecord
 	for _, ref := range c.Head.Bundles {
-		records = append(records, c.parsed[ref.Digest]...)
+		records = append(records, c.parsed[ref.Digest].records...)
 	}
 	return records
 }
 
+// Findings returns mistakes that were found while the bundles were read; those of the records' content are left to
+// config.BuildSnapshot.
+func (c *Contents) Findings() findings.List {
+	var found findings.List
+	for _, ref := range c.Head.Bundles {
+		found.Append(c.parsed[ref.Digest].found)
+	}
+	return found
+}
+
 // Missing returns the digests of a head's bundles that c lacks. c may be nil.
 func (c *Contents) Missing(head *Head) []string {
 	var missing []string
--- a/pkg/configstore/contents_test.go
+++ b/pkg/configstore/contents_test.go
@@ -92,6 +92,19 @@
 		Expect(errors.Is(err, configstore.ErrFormat)).To(BeTrue())
 	})
 
+	// Guards against one record of a foreign writer that holds back all others of its bundle.
+	It("are readable except for a record with a mistake", func() {
+		good := member("m", 1)
+		content := []byte(`{"records":[` + good + `,7,{"kind":"Member","name":"x","name":"y","schemaVersion":1,"share":1}]}`)
+		digest := configstore.Digest(content)
+		head := fmt.Sprintf(`{"formatVersion":1,"revision":1,"bundles":[{"kind":"Member","digest":%q}]}`, digest)
+		contents, err := configstore.NewContents([]byte(head), []configstore.Bundle{{Digest: digest, Content: content}}, nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(contents.Records()).To(HaveLen(2))
+		found := contents.Findings()
+		Expect(found.Len()).To(Equal(2))
+	})
+
 	// Guards against a value above the store's limit and against a small change that writes most of the configuration.
 	It("stay small at design size", func() {
 		store, repository := seeded()
--- a/pkg/configstore/plan.go
+++ b/pkg/configstore/plan.go
@@ -78,6 +78,9 @@
 // that the change brings in. Mistakes of stored records that the change does not touch do not block it.
 func newPlan(writer int, stored []config.RawRecord, change Change) (*plan, error) {
 	merged := mergeAll(writer, stored, change)
+	if err := checkSizes(change.Records); err != nil {
+		return nil, err
+	}
 	_, found := config.ValidateAs(writer, merged)
 	if found.Len() > 0 {
 		_, before := config.ValidateAs(writer, stored)
@@ -88,6 +91,23 @@
 	return comparePlan(stored, merged, change)
 }
 
+// maxRecordBytes keeps every bundle far below the store's value limit.
+const maxRecordBytes = 128 << 10
+
+func checkSizes(records []config.RawRecord) error {
+	var found findings.List
+	for _, r := range records {
+		text, err := r.Canonical()
+		if err != nil {
+			return errors.Wrapf(err, "%s", r.RecordID)
+		}
+		if len(text) > maxRecordBytes {
+			found.Addf(r.File, r.Pointer, "", "must be at most %d bytes, and has %d", maxRecordBytes, len(text))
+		}
+	}
+	return found.Err()
+}
+
 // mergeAll puts the change's records in place of stored ones. A record that the change names twice stays twice, so that
 // the validation reports it.
 func mergeAll(writer int, stored []config.RawRecord, change Change) []config.RawRecord {
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -244,6 +244,7 @@
 	}
 	snapshot, found := config.BuildSnapshotAs(
 		s.options.ReaderVersion, revision, contents.Head.CommittedAt(), contents.Records(), s.Current())
+	found.Append(contents.Findings())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.contents = contents
