--- a/pkg/config/build_test.go
+++ b/pkg/config/build_test.go
@@ -45,6 +45,21 @@
 		Expect(base.Model("big").Members).To(Equal([]string{"m1"}), "the previous snapshot must stay as it was")
 	})
 
+	// Guards against a result that leaks into the next validation of the same records.
+	It("gives the same result for the same records again", func() {
+		raw, _ := parse(strings.Replace(baseFile, `"share":1`, `"share":-1`, 1))
+		_, first := config.BuildSnapshot(2, timeZero, raw, nil)
+		older, _ := config.BuildSnapshotAs(config.SchemaVersion1, 2, timeZero, raw, nil)
+		again, second := config.BuildSnapshot(2, timeZero, raw, nil)
+		Expect(second.Items()).To(Equal(first.Items()))
+		Expect(older.Model("big").FirstTokenTargetMs).To(BeZero())
+		Expect(again.Model("big").FirstTokenTargetMs).To(Equal(int64(100)))
+		fixed, _ := parse(`{"kind":"Member","name":"m1","schemaVersion":2,"share":1}`)
+		third, found := config.BuildSnapshot(3, timeZero, append(raw[:2:2], append(fixed, raw[3:]...)...), again)
+		Expect(found.Err()).NotTo(HaveOccurred())
+		Expect(third.Model("big").MayCall("m1")).To(BeTrue())
+	})
+
 	// Guards against an older build that applies a form of a record that it would misread.
 	It("keeps the last understood form of a record for newer readers", func() {
 		text := strings.Replace(baseFile, `"weightBytes":80`, `"weightBytes":90,"minReaderVersion":3`, 1)
--- a/pkg/config/entry.go
+++ b/pkg/config/entry.go
@@ -11,7 +11,9 @@
 // entry is a record during validation.
 type entry struct {
 	raw RawRecord
-	// record is a pointer to the typed record.
+	// reader is the schema version that the record was decoded for.
+	reader int
+	// record is a pointer to the typed record. Other validations may share it, so it is replaced and never modified.
 	record any
 	// bad has the pointers of fields whose value could not be used, so that no second finding follows.
 	bad map[string]bool
@@ -42,9 +44,26 @@
 	}
 }
 
-// decodeRecord types one record and checks everything that does not depend on other records.
+// decodeRecord types one record and checks everything that does not depend on other records. The result is the caller's
+// own, except for the typed record.
 func decodeRecord(raw RawRecord, reader int) *entry {
-	e := &entry{raw: raw}
+	if raw.decoded == nil {
+		return decodeAfresh(raw, reader)
+	}
+	e := raw.decoded.Load()
+	if e == nil || e.reader != reader {
+		e = decodeAfresh(raw, reader)
+		raw.decoded.Store(e)
+	}
+	own := *e
+	own.raw = raw
+	own.found = findings.List{}
+	own.found.Append(e.found)
+	return &own
+}
+
+func decodeAfresh(raw RawRecord, reader int) *entry {
+	e := &entry{raw: raw, reader: reader}
 	version := e.headerVersion(reader)
 	e.record = newRecord(raw.Kind)
 	if e.record == nil {
--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 
@@ -39,6 +40,9 @@
 	Pointer string
 	// Fields is the parsed JSON object; numbers are json.Number. It is not modified after parsing.
 	Fields map[string]any
+
+	// decoded keeps the result of decodeRecord, since most records stay the same from one revision to the next.
+	decoded *atomic.Pointer[entry]
 }
 
 // Canonical returns the record as compact JSON with sorted fields.
@@ -176,7 +180,7 @@
 	kind, _ := fields[fieldKind].(string)
 	name, _ := fields[fieldName].(string)
 	id := RecordID{Kind: Kind(kind), Name: name}
-	return RawRecord{RecordID: id, File: file, Pointer: pointer, Fields: fields}
+	return RawRecord{RecordID: id, File: file, Pointer: pointer, Fields: fields, decoded: new(atomic.Pointer[entry])}
 }
 
 // NewRawRecord makes a record from parsed fields, for example after a merge. Findings name the given location.
--- a/pkg/config/references.go
+++ b/pkg/config/references.go
@@ -171,18 +171,23 @@
 	return service, ok
 }
 
-// dropMember removes a name from the record's list of members.
+// dropMember replaces the record by one whose list of members lacks a name.
 func (e *entry) dropMember(name string) {
-	// The list may be shared with an older snapshot, so it is copied first.
 	without := func(members []string) []string {
 		return slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m == name })
 	}
 	switch r := e.record.(type) {
 	case *Service:
-		r.Members = without(r.Members)
+		changed := *r
+		changed.Members = without(r.Members)
+		e.record = &changed
 	case *Model:
-		r.Members = without(r.Members)
+		changed := *r
+		changed.Members = without(r.Members)
+		e.record = &changed
 	case *Adapter:
-		r.Members = without(r.Members)
+		changed := *r
+		changed.Members = without(r.Members)
+		e.record = &changed
 	}
 }
--- a/pkg/configstore/apply.go
+++ b/pkg/configstore/apply.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
@@ -153,10 +154,13 @@
 	result Result
 }
 
-// explain turns an error into ErrOutcomeUnknown when a head write without a reply was not resolved.
+// explain turns an error into ErrOutcomeUnknown when a head write without a reply was not resolved. A rejection resolves
+// it: the rejecting attempt saw another head than the write was based on, so the write can no longer take effect.
 func (a *applier) explain(err error) error {
-	unresolved := errors.Is(err, kvstore.ErrUnavailable) || errors.Is(err, ErrContention)
-	if a.unsure && unresolved {
+	var conflict *Conflict
+	var mistakes *findings.Error
+	rejected := errors.As(err, &conflict) || errors.As(err, &mistakes) || errors.Is(err, ErrChangeIDReused)
+	if a.unsure && !rejected {
 		err = errors.Wrapf(kvstore.ErrOutcomeUnknown, "%v", err)
 	}
 	return errors.Wrapf(err, "change %s", a.change.ID)
--- a/pkg/configsync/relay.go
+++ b/pkg/configsync/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,14 +47,23 @@
 			cancel()
 		}
 	})
+	delay := retryInterval
 	for ctx.Err() == nil {
-		if at, ok := s.poll(ctx); ok {
+		at, ok := s.poll(ctx)
+		if ok {
+			delay = retryInterval
 			s.watch(ctx, at+1)
 		}
-		pause(ctx, retryInterval)
+		pause(ctx, jitter(delay))
+		delay = min(2*delay, maxRetryInterval)
 	}
 }
 
+// jitter shortens a wait by up to a half, so that relays do not return to a recovered store at once.
+func jitter(d time.Duration) time.Duration {
+	return d - rand.N(d/2)
+}
+
 // poll reads the configuration in the store and puts it into effect. It returns the store's revision at the read.
 func (s *Syncer) poll(ctx context.Context) (kvstore.Revision, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -24,6 +24,8 @@
 	pollInterval = 2 * time.Second
 	// retryInterval is the wait after a failed read, a broken watch or when no peer could deliver.
 	retryInterval = 500 * time.Millisecond
+	// maxRetryInterval bounds the wait between reads during an outage, in which more and more instances become relays.
+	maxRetryInterval = 4 * time.Second
 	// storeReadTimeout bounds one read of the head and its new bundles.
 	storeReadTimeout = 10 * time.Second
 	// peerFetchTimeout bounds one fetch; another peer is tried after it.
