--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -34,6 +34,11 @@
 		Expect(s.Limits).To(Equal(settings.Default().Limits))
 	})
 
+	It("accept the sample file", func() {
+		_, found := settings.Load("../../examples/settings/entry-1.json")
+		Expect(found.Err()).NotTo(HaveOccurred())
+	})
+
 	// Guards against a mistake that is accepted silently, and against a port open to other machines without a token.
 	DescribeTable("reports one mistake at its place",
 		func(old, new, pointer, message string) {
