--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -183,7 +183,8 @@
 		// How long a load takes is not known here: the call may wait as long as it can still finish.
 		wait = 0
 	}
-	if time.Now().Add(wait + c.statisticsOf(w.key).cautious(&w.request)).After(w.request.Deadline) {
+	remaining := time.Until(w.request.Deadline)
+	if wait+c.statisticsOf(w.key).reserve(&w.request, remaining) > remaining {
 		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(q)))
 	}
 }
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -15,13 +15,15 @@
 	if c.calls == 0 || c.snapshot == nil {
 		return
 	}
-	pass := &dispatchPass{states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
+	pass := &dispatchPass{part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
 	for c.grantNext(pass) {
 	}
 }
 
 // dispatchPass remembers within one dispatch which models cannot start another call.
 type dispatchPass struct {
+	// part is this instance's part of a full endpoint.
+	part    float64
 	states  map[modelKey][]endpoints.State
 	blocked map[modelKey]bool
 }
@@ -40,6 +42,9 @@
 	default:
 		states = registry.States(w.key.service)
 	}
+	for i := range states {
+		states[i].Part = p.part
+	}
 	p.states[w.key] = states
 	return states
 }
@@ -132,7 +137,8 @@
 }
 
 func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) {
-	call := c.parts.Registry.Begin(state.Endpoint.Name)
+	prefill := scheduling.PrefillTime(&w.request, state)
+	call := c.parts.Registry.Begin(state.Endpoint.Name, prefill)
 	if call == nil {
 		// The endpoint was removed from the declarations after its state was read; the next pass reads new states.
 		return
@@ -142,6 +148,7 @@
 		request:      w.request,
 		key:          w.key,
 		call:         call,
+		prefill:      prefill,
 		target:       engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
 		decision:     decision,
 		granted:      time.Now(),
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -9,10 +9,10 @@
 )
 
 const (
-	// meanGain and deviationGain are the gains of the retransmission timer of RFC 6298, which estimates a wait with
-	// unknown distribution in the same way.
-	meanGain      = 0.125
-	deviationGain = 0.25
+	// meanGain and deviationGain average over about 30 calls. The gains of the retransmission timer of RFC 6298, 1/8 and
+	// 1/4, let a few long responses in a row double the estimate, which refused calls that could finish.
+	meanGain      = 0.03
+	deviationGain = 0.03
 	// unlearnedTokens is the output expected of a model before any response ended; the caller's limit is often far above
 	// the length of the response, and a high guess would refuse calls that can finish.
 	unlearnedTokens = 64
@@ -33,8 +33,10 @@
 		a.mean, a.deviation = value, value/2
 		return
 	}
-	a.deviation += deviationGain * (math.Abs(value-a.mean) - a.deviation)
-	a.mean += meanGain * (value - a.mean)
+	// The first observations count equally, so that the first one alone does not decide for long.
+	gain := max(meanGain, 1/float64(a.count))
+	a.deviation += max(deviationGain, 1/float64(a.count)) * (math.Abs(value-a.mean) - a.deviation)
+	a.mean += gain * (value - a.mean)
 }
 
 // high is a value that most observations stay below.
@@ -77,6 +79,18 @@
 	return seconds(s.firstToken.mean + tokens*s.betweenTokens.mean)
 }
 
+// waitingPart is the part of the time to spare that a call may wait.
+const waitingPart = 0.5
+
+// reserve is the time that a waiting call keeps for its run: one that most calls stay below, but at most so much that a
+// part of the time to spare is left for waiting. Without that limit a model with widely different response lengths would
+// refuse every call that cannot start at once.
+func (s *modelStatistics) reserve(request *scheduling.Request, remaining time.Duration) time.Duration {
+	likely := s.likely(request)
+	spare := max(0, remaining-likely)
+	return min(s.cautious(request), likely+time.Duration((1-waitingPart)*float64(spare)))
+}
+
 // cautious is a time from grant to the end of the response that most calls stay below.
 func (s *modelStatistics) cautious(request *scheduling.Request) time.Duration {
 	if request.Model == "" {
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -23,6 +23,7 @@
 	granted      time.Time
 	linkBytes    int
 	accelerators int
+	prefill      time.Duration
 
 	mu         sync.Mutex
 	released   bool
@@ -77,13 +78,17 @@
 	return t.firstToken.Sub(t.granted)
 }
 
-// timeBetweenTokens is the mean time; of a response that came as a whole it is an upper bound that includes the prefill.
+// minTokensForPace is the shortest response whose total time says something about the time between tokens.
+const minTokensForPace = 16
+
+// timeBetweenTokens is the mean time. Of a response that came as a whole it is estimated from the time after the expected
+// prefill.
 func (t *ticket) timeBetweenTokens(result Result) time.Duration {
 	if t.streamed() && t.tokens > t.firstCount {
 		return t.lastToken.Sub(t.firstToken) / time.Duration(t.tokens-t.firstCount)
 	}
-	if result.OutputTokens > 0 {
-		return time.Since(t.granted) / time.Duration(result.OutputTokens)
+	if result.OutputTokens >= minTokensForPace {
+		return max(0, time.Since(t.granted)-t.prefill) / time.Duration(result.OutputTokens)
 	}
 	return 0
 }
@@ -120,7 +125,7 @@
 		FirstToken:    t.timeToFirstToken(),
 		BetweenTokens: t.timeBetweenTokens(result),
 		Duration:      time.Since(t.granted),
-		InputTokens:   t.request.InputTokens,
+		Prefill:       t.prefill,
 	}
 	if model := c.snapshot.Model(t.request.Model); model != nil {
 		r.FirstTokenTarget = targetOf(model.FirstTokenTargetMs, config.DefaultFirstTokenTarget)
--- a/pkg/endpoints/call.go
+++ b/pkg/endpoints/call.go
@@ -23,7 +23,8 @@
 	FirstToken    time.Duration
 	BetweenTokens time.Duration
 	Duration      time.Duration
-	InputTokens   int
+	// Prefill is the expected time to process the part of the prompt that the endpoint had not cached.
+	Prefill time.Duration
 	// FirstTokenTarget and BetweenTokensTarget are the model's targets; zero means none.
 	FirstTokenTarget    time.Duration
 	BetweenTokensTarget time.Duration
@@ -37,8 +38,9 @@
 	inFlight int
 }
 
-// Begin counts a call that is about to be sent; nil when the endpoint is not declared any more.
-func (r *Registry) Begin(name string) *Call {
+// Begin counts a call that is about to be sent; nil when the endpoint is not declared any more. Prefill is the time that
+// the endpoint needs for the part of the prompt that it has not cached.
+func (r *Registry) Begin(name string, prefill time.Duration) *Call {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.entries[name]
@@ -47,6 +49,10 @@
 	}
 	e.own++
 	e.used = true
+	if now := time.Now(); now.After(e.prefillFree) {
+		e.prefillFree = now
+	}
+	e.prefillFree = e.prefillFree.Add(prefill)
 	return &Call{registry: r, entry: e, inFlight: e.own + r.peerSums[e.hash]}
 }
 
--- a/pkg/endpoints/limit.go
+++ b/pkg/endpoints/limit.go
@@ -16,6 +16,8 @@
 	// inherentFactor is how much slower than its best time an endpoint must be for load to be the cause. Without it an
 	// endpoint that misses the target even alone, or a long prompt, would be throttled to one call for nothing.
 	inherentFactor = 1.5
+	// prefillOverhead is the time to first token of a prompt that is cached as a whole.
+	prefillOverhead = 20 * time.Millisecond
 	// bestGrowth raises the best times with each observation, so that one lucky value does not stay for ever.
 	bestGrowth = 1.005
 )
@@ -26,8 +28,8 @@
 	// below is how far the limit is under the cap.
 	below     float64
 	decreased time.Time
-	// bestFirst is the lowest time to first token per input token, and bestBetween the lowest time between tokens, in
-	// seconds.
+	// bestFirst is the lowest ratio of the time to first token to the expected prefill time. It absorbs a wrong prefill rate.
+	// bestBetween is the lowest time between tokens, in seconds.
 	bestFirst   float64
 	bestBetween float64
 }
@@ -55,7 +57,7 @@
 
 // slow tells whether the call missed a target because of load.
 func (l *limiter) slow(result CallResult) bool {
-	first := result.FirstToken.Seconds() / float64(max(1, result.InputTokens))
+	first := result.FirstToken.Seconds() / (result.Prefill + prefillOverhead).Seconds()
 	slowFirst := result.FirstTokenTarget > 0 && result.FirstToken > result.FirstTokenTarget &&
 		l.bestFirst > 0 && first > inherentFactor*l.bestFirst
 	slowBetween := result.BetweenTokensTarget > 0 && result.BetweenTokens > result.BetweenTokensTarget &&
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -122,6 +122,8 @@
 	betweenTokens average
 	duration      average
 	peakPrefill   float64
+	// prefillFree is when the prompts of own calls will have been processed.
+	prefillFree time.Time
 }
 
 // NewRegistry returns an empty registry.
@@ -377,6 +379,7 @@
 		BetweenTokens:          e.betweenTokens.duration(),
 		CallDuration:           e.duration.duration(),
 		PrefillTokensPerSecond: e.peakPrefill,
+		PrefillBacklog:         max(0, e.prefillFree.Sub(now)),
 	}
 	if e.report != nil {
 		s.ReportAge = now.Sub(e.reportedAt)
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -3,6 +3,7 @@
 package endpoints
 
 import (
+	"math"
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -46,6 +47,12 @@
 	// PrefillTokensPerSecond is the highest recent rate that the endpoint reported; zero when unknown. The rate in the
 	// report itself is low whenever there is little to do.
 	PrefillTokensPerSecond float64
+	// PrefillBacklog is the time until the endpoint has processed the prompts of this instance's calls, as estimated from
+	// their lengths and the prefill rate.
+	PrefillBacklog time.Duration
+	// Part is the part of the limit, 0 to 1, that this instance may use when other instances fill the endpoint. It is set by
+	// admission from the members' shares.
+	Part float64
 	// Instances is the number of entry instances that share the endpoint, this one included.
 	Instances int
 	// ConcurrencyLimit is the adaptive limit of calls at once over all instances.
@@ -69,22 +76,22 @@
 	return max(s.PeerInFlight, s.Report.Running+s.Report.Waiting-s.OwnAtReport)
 }
 
-// headroomDivisor gives an instance without calls at a full endpoint an eighth of the limit on top. Otherwise an instance
-// that refills every slot it frees would keep all others out for as long as it has calls.
-const headroomDivisor = 8
+// maxOvercommit bounds the calls at an endpoint, in limits, that instances may add up to when each keeps to its part but
+// does not yet know of the others' calls. The engine queues what its batch cannot hold.
+const maxOvercommit = 2
 
-// HasCapacity tells whether one more call fits under the concurrency limit. When peers are silent this instance keeps to
-// its equal part of the limit, because the others may fill theirs unseen.
+// HasCapacity tells whether one more call fits under the concurrency limit, or under this instance's part of it. When
+// peers are silent this instance keeps to an equal part, because the others may fill theirs unseen.
 func (s *State) HasCapacity() bool {
 	if s.PeersStale {
 		part := (s.ConcurrencyLimit + s.Instances - 1) / max(1, s.Instances)
 		return s.OwnInFlight < max(1, part)
 	}
-	limit := s.ConcurrencyLimit
-	if s.OwnInFlight == 0 && s.PeerInFlight > 0 {
-		limit += max(1, limit/headroomDivisor)
+	if s.InFlight() < s.ConcurrencyLimit {
+		return true
 	}
-	return s.InFlight() < limit
+	entitled := math.Ceil(s.Part * float64(s.ConcurrencyLimit))
+	return float64(s.OwnInFlight) < entitled && s.InFlight() < maxOvercommit*s.ConcurrencyLimit
 }
 
 // CurrentRole is the reported role, or the declared one before the first report.
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -161,6 +161,32 @@
 		cmp.Compare(x, y))
 }
 
+// recentTime is the time constant with which recent service is forgotten: a few exchange intervals, so that one lost
+// exchange does not make a member look idle.
+const recentTime = 2 * time.Second
+
+// LocalPart returns the part of an endpoint that this instance may fill although the endpoint is full of other instances'
+// calls: the shares of the members that are active here, each divided among the instances by the member's recent service,
+// relative to the shares of all active members. Without it an instance that refills every slot it frees would keep the
+// members of all others out. The parts of all instances add up to about one.
+func (a *Accountant) LocalPart() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	var local, all float64
+	for _, account := range a.members.accounts {
+		if !account.active(now) {
+			continue
+		}
+		all += account.share
+		local += account.share * account.localFraction(now)
+	}
+	if all == 0 {
+		return 0
+	}
+	return local / all
+}
+
 // Local returns this instance's usage, ordered by member.
 func (a *Accountant) Local() []Usage {
 	a.mu.Lock()
@@ -199,6 +225,7 @@
 	}
 	account := a.member(usage.Member)
 	account.remote += usage.Service - old.Service
+	account.remoteRecent.add(usage.Service-old.Service, time.Now())
 	a.members.waitRemotely(account, usage.Waiting-old.Waiting)
 	p.usages[usage.Member] = usage
 }
@@ -285,6 +312,7 @@
 
 func (c *Charge) deliver(service float64) {
 	c.member.delivered += service
+	c.member.localRecent.add(service, time.Now())
 	c.model.delivered += service
 	c.delivered += service
 }
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -200,3 +202,20 @@
 	a.SortModels("a", models)
 	g.Expect(models).To(Equal([]string{"quiet", "busy"}))
 }
+
+// Guards against parts of an endpoint that leave out a member at another instance or outlive its activity.
+func TestLocalPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := newAccountant(map[string]float64{"a": 1, "b": 3})
+		g.Expect(a.LocalPart()).To(BeZero())
+		a.Wait("a", "m", 1)
+		g.Expect(a.LocalPart()).To(Equal(1.0))
+		a.SetPeer("p", []fairshare.Usage{{Member: "b", Service: 100}})
+		g.Expect(a.LocalPart()).To(Equal(0.25))
+		a.SetPeer("p", []fairshare.Usage{{Member: "a", Waiting: 3}})
+		g.Expect(a.LocalPart()).To(Equal(0.25 / 4))
+		time.Sleep(time.Minute)
+		g.Expect(a.LocalPart()).To(Equal(0.25), "b is idle again")
+	})
+}
--- a/pkg/fairshare/level.go
+++ b/pkg/fairshare/level.go
@@ -1,5 +1,10 @@
 package fairshare
 
+import (
+	"math"
+	"time"
+)
+
 // level is a set of accounts that compete with one another: the members, or the models of one member.
 type level struct {
 	accounts map[string]*account
@@ -24,6 +29,8 @@
 	lift          float64
 	waiting       int
 	remoteWaiting int
+	localRecent   recent
+	remoteRecent  recent
 	models        *level // of a member; nil for a model
 }
 
@@ -86,3 +93,43 @@
 		l.reached = max(l.reached, lowest)
 	}
 }
+
+// recent is a sum that decays with recentTime. The zero value is empty.
+type recent struct {
+	sum     float64
+	updated time.Time
+}
+
+func (r *recent) at(now time.Time) float64 {
+	if r.sum == 0 {
+		return 0
+	}
+	return r.sum * math.Exp(-now.Sub(r.updated).Seconds()/recentTime.Seconds())
+}
+
+func (r *recent) add(value float64, now time.Time) {
+	r.sum = r.at(now) + value
+	r.updated = now
+}
+
+// leastRecent is the decayed service below which a member counts as idle: less than one token.
+const leastRecent = 1
+
+// active tells whether the member waits or recently received service, here or at another instance.
+func (a *account) active(now time.Time) bool {
+	return a.waiting+a.remoteWaiting > 0 || a.localRecent.at(now)+a.remoteRecent.at(now) >= leastRecent
+}
+
+// localFraction is the part of the member's activity that is here. A member that begins to wait here has no recent service
+// yet, so that the fraction of waiting calls counts when it is higher.
+func (a *account) localFraction(now time.Time) float64 {
+	fraction := 0.0
+	if waiting := a.waiting + a.remoteWaiting; waiting > 0 {
+		fraction = float64(a.waiting) / float64(waiting)
+	}
+	local, remote := a.localRecent.at(now), a.remoteRecent.at(now)
+	if local > 0 {
+		fraction = max(fraction, local/(local+remote))
+	}
+	return fraction
+}
--- a/pkg/scheduling/scorers.go
+++ b/pkg/scheduling/scorers.go
@@ -47,20 +47,28 @@
 }
 
 // firstTokenCost adds up the prefill of the call itself, the prefills that come before it, and the wait for a place in the
-// batch. The report tells of calls up to its age ago: calls that this instance sent since then are added to it.
+// batch. Own prefills are known; calls that the report counts as waiting have had the report's age to proceed; of other
+// instances' calls the part that is expected to be in prefill counts.
 func firstTokenCost(request *Request, state *endpoints.State) float64 {
 	prefill := float64(request.InputTokens) / prefillRate(state)
-	waiting, limit := 0, state.ConcurrencyLimit
+	ahead, limit := state.PrefillBacklog.Seconds(), state.ConcurrencyLimit
 	if state.Report != nil {
-		waiting = state.Report.Waiting
+		waiting := float64(state.Report.Waiting)*prefill - state.ReportAge.Seconds()
+		ahead = max(ahead, waiting)
 		if state.Report.MaxRunning > 0 {
 			limit = state.Report.MaxRunning
 		}
 	}
-	ahead := max(0, waiting+state.OwnInFlight-state.OwnAtReport)
+	others := float64(state.OthersInFlight()) * min(1, prefill/callSeconds(state)) * prefill
 	overflow := max(0, state.InFlight()+1-limit)
 	wait := float64(overflow) / float64(max(1, limit)) * callSeconds(state)
-	return prefill + float64(ahead)*prefill + wait
+	return prefill + ahead + others + wait
+}
+
+// PrefillTime is the expected time to process the part of the prompt that the endpoint has not cached.
+func PrefillTime(request *Request, state *endpoints.State) time.Duration {
+	prefill := float64(request.InputTokens)/prefillRate(state) - cachedGain(request, state)
+	return time.Duration(max(0, prefill) * float64(time.Second))
 }
 
 func prefillRate(state *endpoints.State) float64 {
@@ -95,12 +103,12 @@
 	return defaultBetweenTokensSeconds
 }
 
-// PrefixAffinity credits the prefill time that a cached prefix saves. The credit shrinks with load, so that a popular
-// prefix spreads to further endpoints before its holder is full.
+// PrefixAffinity credits the prefill time that a cached prefix saves. The credit shrinks once an endpoint is half full, so
+// that a popular prefix spreads to further endpoints before its holder is full.
 func PrefixAffinity() Scorer {
 	return scorerFunc{name: "prefix", score: func(request *Request, state *endpoints.State) float64 {
 		free := 1 - float64(state.InFlight())/float64(max(1, state.ConcurrencyLimit))
-		return -cachedGain(request, state) * max(0, free)
+		return -cachedGain(request, state) * max(0, min(1, 2*free))
 	}}
 }
 
