--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -115,11 +115,21 @@
 		case <-ticker.C:
 		}
 		c.mu.Lock()
+		c.divideLink()
 		c.dispatch()
 		c.mu.Unlock()
 	}
 }
 
+// divideLink gives this instance an equal part of the declared capacity of the region link.
+func (c *Controller) divideLink() {
+	if c.parts.Link == nil || c.snapshot == nil {
+		return
+	}
+	bits := c.snapshot.Deployment().RegionLinkBitsPerSecond
+	c.parts.Link.Budget.SetRate(bits / int64(c.parts.Registry.Instances()))
+}
+
 func (c *Controller) wakeUp() {
 	select {
 	case c.wake <- struct{}{}:
@@ -327,14 +337,14 @@
 	defer timer.Stop()
 	select {
 	case v := <-w.done:
-		return v.result()
+		return c.result(v)
 	case <-ctx.Done():
 		return c.abandon(w, func(v verdict) (Ticket, error) {
 			v.ticket.Release(Result{Status: Cancelled})
 			return nil, ctx.Err()
 		}, ctx.Err())
 	case <-timer.C:
-		return c.abandon(w, verdict.result,
+		return c.abandon(w, c.result,
 			c.deadlineProblem("no endpoint had capacity in time for the deadline", minRetryAfter))
 	}
 }
@@ -358,9 +368,20 @@
 	return late(v)
 }
 
-func (v verdict) result() (Ticket, error) {
+// result records a granted call. It runs in the caller's goroutine, so that a slow log does not hold up other calls.
+func (c *Controller) result(v verdict) (Ticket, error) {
 	if v.problem != nil {
 		return nil, v.problem
 	}
-	return v.ticket, nil
+	t := v.ticket
+	c.parts.Decisions.Add(decisions.Record{
+		Kind:    decisions.Routing,
+		ID:      t.request.ID,
+		Time:    t.granted,
+		Subject: t.key.String(),
+		Chosen:  t.decision.Chosen,
+		Reason:  t.decision.Reason,
+		Detail:  t.decision,
+	})
+	return t, nil
 }
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"net/http"
+	"slices"
 	"time"
 
-	"github.com/mulberryglade/mulberryglade/pkg/decisions"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
@@ -108,6 +110,11 @@
 			clear(pass.states)
 			return true
 		}
+		if allExcluded(w, states) {
+			c.refuse(w, problem.New(problem.TypeNoEndpoint, http.StatusServiceUnavailable, problem.NotRun,
+				"every endpoint that could run the call has failed it").WithRetryAfter(minRetryAfter))
+			return true
+		}
 		if len(w.request.Exclude) > 0 {
 			continue
 		}
@@ -118,6 +125,17 @@
 	return false
 }
 
+// allExcluded tells whether every endpoint that has what the call needs failed the call before. Waiting for another one to
+// load it would keep the caller from the result of its attempts.
+func allExcluded(w *waiter, states []endpoints.State) bool {
+	for i := range states {
+		if !slices.Contains(w.request.Exclude, states[i].Endpoint.Name) {
+			return false
+		}
+	}
+	return len(states) > 0
+}
+
 // grantOrRefuse starts the call, unless it is now too late for it to finish.
 func (c *Controller) grantOrRefuse(w *waiter, decision scheduling.Decision, state *endpoints.State) {
 	if time.Now().Add(c.likelyAt(w, state)).After(w.request.Deadline) {
@@ -164,15 +182,6 @@
 		c.parts.Prefixes.Sent(&w.request, t.target.Name)
 	}
 	c.parts.Scope.Timer("admission_wait").Record(t.granted.Sub(w.enqueued))
-	c.parts.Decisions.Add(decisions.Record{
-		Kind:    decisions.Routing,
-		ID:      w.request.ID,
-		Time:    t.granted,
-		Subject: w.key.String(),
-		Chosen:  decision.Chosen,
-		Reason:  decision.Reason,
-		Detail:  decision,
-	})
 	w.done <- verdict{ticket: t}
 }
 
--- a/pkg/endpoints/call.go
+++ b/pkg/endpoints/call.go
@@ -47,6 +47,9 @@
 	if e == nil {
 		return nil
 	}
+	if e.own == 0 {
+		r.inUse++
+	}
 	e.own++
 	e.used = true
 	if now := time.Now(); now.After(e.prefillFree) {
@@ -67,6 +70,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e.own--
+	if e.own == 0 {
+		r.inUse--
+	}
 	e.limiter.observe(result, c.inFlight, e.cap(), now)
 	if result.Outcome == CallSucceeded {
 		e.betweenTokens.observe(result.BetweenTokens)
--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -43,26 +43,39 @@
 }
 
 func (r *Registry) poll(ctx context.Context, e *entry, target engine.Target) {
+	wait := r.firstPoll(e)
 	for {
-		r.pollOnce(ctx, e, target)
-		timer := time.NewTimer(r.pollInterval(e))
+		timer := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return
 		case <-timer.C:
 		}
+		r.pollOnce(ctx, e, target)
+		wait = r.pollInterval(e)
+	}
+}
+
+// firstPoll spreads the first polls of a large fleet over one interval.
+func (r *Registry) firstPoll(e *entry) time.Duration {
+	interval := r.pollInterval(e)
+	if interval <= r.options.ReportInterval {
+		return 0
 	}
+	return time.Duration(e.hash % uint64(interval))
 }
 
-// pollInterval stretches the interval of endpoints without own calls when the fleet exceeds the poll budget.
+// pollInterval stretches the interval when the polls would exceed the budget: for endpoints with own calls, whose state
+// matters most, only when those alone exceed it.
 func (r *Registry) pollInterval(e *entry) time.Duration {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	polled := len(r.entries)
 	if e.own > 0 {
-		return r.options.ReportInterval
+		polled = r.inUse
 	}
-	stretched := time.Duration(float64(len(r.entries)) / r.options.PollsPerSecond * float64(time.Second))
+	stretched := time.Duration(float64(polled) / r.options.PollsPerSecond * float64(time.Second))
 	return max(r.options.ReportInterval, stretched)
 }
 
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -81,8 +81,10 @@
 	peers     map[string]*peer
 	peerSums  map[uint64]int
 	listed    map[string]bool
-	changed   func()
-	events    EventSink // nil when cache events are not read
+	// inUse counts endpoints with own calls.
+	inUse   int
+	changed func()
+	events  EventSink // nil when cache events are not read
 }
 
 // EventSink receives the cache events of engines.
@@ -222,6 +224,13 @@
 	r.changed()
 }
 
+// Instances returns the number of known entry instances, this one included.
+func (r *Registry) Instances() int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return len(r.peers) + 1
+}
+
 // Local returns this instance's in-flight counts, with zeros for endpoints that it used before, so that a receiver that
 // merges sees calls end.
 func (r *Registry) Local() []Load {
