--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"net/http"
+	"slices"
 	"time"
 
-	"github.com/mulberryglade/mulberryglade/pkg/decisions"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
@@ -15,13 +17,15 @@
 	if c.calls == 0 || c.snapshot == nil {
 		return
 	}
-	pass := &dispatchPass{states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
+	pass := &dispatchPass{part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
 	for c.grantNext(pass) {
 	}
 }
 
 // dispatchPass remembers within one dispatch which models cannot start another call.
 type dispatchPass struct {
+	// part is this instance's part of a full endpoint.
+	part    float64
 	states  map[modelKey][]endpoints.State
 	blocked map[modelKey]bool
 }
@@ -40,6 +44,9 @@
 	default:
 		states = registry.States(w.key.service)
 	}
+	for i := range states {
+		states[i].Part = p.part
+	}
 	p.states[w.key] = states
 	return states
 }
@@ -103,6 +110,11 @@
 			clear(pass.states)
 			return true
 		}
+		if allExcluded(w, states) {
+			c.refuse(w, problem.New(problem.TypeNoEndpoint, http.StatusServiceUnavailable, problem.NotRun,
+				"every endpoint that could run the call has failed it").WithRetryAfter(minRetryAfter))
+			return true
+		}
 		if len(w.request.Exclude) > 0 {
 			continue
 		}
@@ -113,6 +125,17 @@
 	return false
 }
 
+// allExcluded tells whether every endpoint that has what the call needs failed the call before. Waiting for another one to
+// load it would keep the caller from the result of its attempts.
+func allExcluded(w *waiter, states []endpoints.State) bool {
+	for i := range states {
+		if !slices.Contains(w.request.Exclude, states[i].Endpoint.Name) {
+			return false
+		}
+	}
+	return len(states) > 0
+}
+
 // grantOrRefuse starts the call, unless it is now too late for it to finish.
 func (c *Controller) grantOrRefuse(w *waiter, decision scheduling.Decision, state *endpoints.State) {
 	if time.Now().Add(c.likelyAt(w, state)).After(w.request.Deadline) {
@@ -132,7 +155,8 @@
 }
 
 func (c *Controller) grant(w *waiter, decision scheduling.Decision, state *endpoints.State) {
-	call := c.parts.Registry.Begin(state.Endpoint.Name)
+	prefill := scheduling.PrefillTime(&w.request, state)
+	call := c.parts.Registry.Begin(state.Endpoint.Name, prefill)
 	if call == nil {
 		// The endpoint was removed from the declarations after its state was read; the next pass reads new states.
 		return
@@ -142,6 +166,7 @@
 		request:      w.request,
 		key:          w.key,
 		call:         call,
+		prefill:      prefill,
 		target:       engine.Target{Name: state.Endpoint.Name, URL: state.Endpoint.URL},
 		decision:     decision,
 		granted:      time.Now(),
@@ -157,15 +182,6 @@
 		c.parts.Prefixes.Sent(&w.request, t.target.Name)
 	}
 	c.parts.Scope.Timer("admission_wait").Record(t.granted.Sub(w.enqueued))
-	c.parts.Decisions.Add(decisions.Record{
-		Kind:    decisions.Routing,
-		ID:      w.request.ID,
-		Time:    t.granted,
-		Subject: w.key.String(),
-		Chosen:  decision.Chosen,
-		Reason:  decision.Reason,
-		Detail:  decision,
-	})
 	w.done <- verdict{ticket: t}
 }
 
