Bound the prefill backlog by calls without a first token

A backlog estimated from a rate alone outlives its calls when prompts are processed faster than estimated, and an idle endpoint then looks too slow for any deadline.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +222,24 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// BenchmarkAcquire measures one admitted and ended call, with the model on the given number of endpoints.
+func BenchmarkAcquire(b *testing.B) {
+	for _, copies := range []int{2, 16, 128} {
+		b.Run(fmt.Sprint(copies), func(b *testing.B) {
+			byName := make(map[string]engine.Report)
+			for i := range copies {
+				byName[fmt.Sprint("e", i)] = loaded(8, "m")
+			}
+			s := startWith(b, limited(), &reports{byName: byName}, defaultRouting())
+			defer s.stop()
+			for s.registry.AppendServing(nil, "s", engine.KindModel, "m") == nil {
+				runtime.Gosched()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				mustAcquire(s, request()).Release(admission.Result{InputTokens: 10, OutputTokens: 10})
+			}
+		})
+	}
+}
--- a/pkg/admission/harness_test.go
+++ b/pkg/admission/harness_test.go
@@ -100,12 +100,12 @@
 }
 
 // start runs a system inside a synctest bubble; each report belongs to an endpoint of service s.
-func start(t *testing.T, records config.Records, byName map[string]engine.Report) *system {
+func start(t testing.TB, records config.Records, byName map[string]engine.Report) *system {
 	t.Helper()
 	return startWith(t, records, &reports{byName: byName}, defaultRouting())
 }
 
-func startWith(t *testing.T, records config.Records, source *reports, r routing) *system {
+func startWith(t testing.TB, records config.Records, source *reports, r routing) *system {
 	t.Helper()
 	records.Services = append(records.Services, config.Service{Header: config.Header{Name: "s"}, Type: config.EngineService})
 	for name, report := range source.byName {
@@ -123,7 +123,9 @@
 	done := make(chan struct{}, 2)
 	go func() { s.registry.Run(ctx); done <- struct{}{} }()
 	go func() { s.controller.Run(ctx); done <- struct{}{} }()
-	synctest.Wait()
+	if _, timed := t.(*testing.B); !timed {
+		synctest.Wait()
+	}
 	s.stop = func() {
 		cancel()
 		<-done
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -45,6 +45,7 @@
 	if t.tokens == 0 {
 		t.firstToken = t.lastToken
 		t.firstCount = count
+		t.call.FirstToken()
 	}
 	t.tokens += count
 	t.charge.Progress(count)
--- a/pkg/endpoints/call.go
+++ b/pkg/endpoints/call.go
@@ -36,6 +36,8 @@
 	entry    *entry
 	// inFlight is the number of calls at the endpoint when this one was sent, itself included.
 	inFlight int
+	// prefill is counted as pending until the first token.
+	prefill time.Duration
 }
 
 // Begin counts a call that is about to be sent; nil when the endpoint is not declared any more. Prefill is the time that
@@ -56,7 +58,24 @@
 		e.prefillFree = now
 	}
 	e.prefillFree = e.prefillFree.Add(prefill)
-	return &Call{registry: r, entry: e, inFlight: e.own + r.peerSums[e.hash]}
+	e.pendingPrefill += prefill
+	return &Call{registry: r, entry: e, inFlight: e.own + r.peerSums[e.hash], prefill: prefill}
+}
+
+// FirstToken notes that the prompt has been processed.
+func (c *Call) FirstToken() {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	c.prefilled(time.Now())
+}
+
+func (c *Call) prefilled(now time.Time) {
+	e := c.entry
+	e.pendingPrefill -= c.prefill
+	c.prefill = 0
+	if latest := now.Add(e.pendingPrefill); e.prefillFree.After(latest) {
+		e.prefillFree = latest
+	}
 }
 
 // InFlight is the number of calls at the endpoint when this one was sent, itself included.
@@ -69,6 +88,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	c.prefilled(now)
 	e.own--
 	if e.own == 0 {
 		r.inUse--
--- a/pkg/endpoints/outlier_test.go
+++ b/pkg/endpoints/outlier_test.go
@@ -237,3 +237,26 @@
 		})
 	}
 }
+
+// Guards against a backlog that outlives the calls that it consists of when prompts are processed faster than estimated:
+// it would make an idle endpoint look too slow for any deadline.
+func TestPrefillBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		_, r, stop := threeCopies(t)
+		defer stop()
+		backlog := func() time.Duration { return r.States("s")[0].PrefillBacklog }
+		first, second := r.Begin("e", time.Second), r.Begin("e", 2*time.Second)
+		g.Expect(backlog()).To(Equal(3 * time.Second))
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(backlog()).To(Equal(2500 * time.Millisecond))
+		first.FirstToken()
+		g.Expect(backlog()).To(Equal(2 * time.Second))
+		second.End(endpoints.CallResult{})
+		first.End(endpoints.CallResult{})
+		g.Expect(backlog()).To(BeZero())
+		r.Begin("e", time.Second)
+		time.Sleep(time.Minute)
+		g.Expect(backlog()).To(BeZero(), "a response that comes as a whole has no first token")
+	})
+}
--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -120,7 +120,6 @@
 	e.betweenTokens = average{}
 	e.duration = average{}
 	e.peakPrefill = 0
-	e.prefillFree = time.Time{}
 }
 
 // reportFailed counts a failed poll. A status response shows that the process accepts connections, so that only the
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -124,8 +124,10 @@
 	betweenTokens average
 	duration      average
 	peakPrefill   float64
-	// prefillFree is when the prompts of own calls will have been processed.
-	prefillFree time.Time
+	// prefillFree is when the prompts of own calls will have been processed; pendingPrefill is the sum of the prefill times
+	// of own calls without a first token, which bounds the error of a wrong rate.
+	prefillFree    time.Time
+	pendingPrefill time.Duration
 }
 
 // NewRegistry returns an empty registry.
@@ -388,7 +390,7 @@
 		BetweenTokens:          e.betweenTokens.duration(),
 		CallDuration:           e.duration.duration(),
 		PrefillTokensPerSecond: e.peakPrefill,
-		PrefillBacklog:         max(0, e.prefillFree.Sub(now)),
+		PrefillBacklog:         max(0, min(e.prefillFree.Sub(now), e.pendingPrefill)),
 	}
 	if e.report != nil {
 		s.ReportAge = now.Sub(e.reportedAt)
