Start a trial call of a model whose calls are expected to be late, bound reported rates

Estimates are learned from calls, so a model that was slow once, or an engine that reports low rates because it is idle, would otherwise be refused for ever.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -136,9 +136,10 @@
 	return len(states) > 0
 }
 
-// grantOrRefuse starts the call, unless it is now too late for it to finish.
+// grantOrRefuse starts the call, unless it is too late for it to finish.
 func (c *Controller) grantOrRefuse(w *waiter, decision scheduling.Decision, state *endpoints.State) {
-	if time.Now().Add(c.likelyAt(w, state)).After(w.request.Deadline) {
+	expected, remaining := c.likelyAt(w, state), time.Until(w.request.Deadline)
+	if expected > remaining && !c.statisticsOf(w.key).mayTry(expected, remaining) {
 		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(w.queue)))
 		return
 	}
--- a/pkg/admission/estimate.go
+++ b/pkg/admission/estimate.go
@@ -51,6 +51,25 @@
 	betweenTokens average
 	duration      average
 	outputTokens  average
+	// tried is when a call was last started against the estimate.
+	tried time.Time
+}
+
+const (
+	// trialInterval is the time between calls of a model that start although they are expected to be late. Estimates are
+	// learned from calls: without trials a model that was slow once would be refused for ever.
+	trialInterval = 10 * time.Second
+	// hopelessPart is the part of the expected duration that must fit before the deadline for a trial.
+	hopelessPart = 0.25
+)
+
+// mayTry tells whether a call that is expected to take longer than remains may start as a trial.
+func (s *modelStatistics) mayTry(expected, remaining time.Duration) bool {
+	if time.Duration(hopelessPart*float64(expected)) > remaining || time.Since(s.tried) < trialInterval {
+		return false
+	}
+	s.tried = time.Now()
+	return true
 }
 
 func (c *Controller) statisticsOf(key modelKey) *modelStatistics {
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -223,6 +223,36 @@
 	})
 }
 
+// Guards against a call that starts although it cannot finish in time, and against a model that is refused for ever after
+// it was slow once.
+func TestDeadlineAtAFreeEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, limited(), map[string]engine.Report{"e": loaded(2, "m")})
+		defer s.stop()
+		within := func(deadline time.Duration) error {
+			ticket, err := s.controller.Acquire(t.Context(), request(func(r *scheduling.Request) {
+				r.OutputTokens, r.Deadline = 1000, time.Now().Add(deadline)
+			}))
+			if err == nil {
+				ticket.Release(admission.Result{Status: admission.Cancelled})
+			}
+			return err
+		}
+		long := mustAcquire(s, request())
+		long.Tokens(1)
+		time.Sleep(5 * time.Second)
+		long.Tokens(99)
+		long.Release(admission.Result{})
+		g.Expect(within(6 * time.Second)).To(Succeed())
+		g.Expect(within(time.Second)).To(HaveOccurred(), "hopeless")
+		g.Expect(within(3*time.Second)).To(Succeed(), "trial")
+		g.Expect(within(3 * time.Second)).To(HaveOccurred())
+		time.Sleep(10 * time.Second)
+		g.Expect(within(3*time.Second)).To(Succeed(), "next trial")
+	})
+}
+
 // BenchmarkAcquire measures one admitted and ended call, with the model on the given number of endpoints.
 func BenchmarkAcquire(b *testing.B) {
 	for _, copies := range []int{2, 16, 128} {
--- a/pkg/scheduling/scorers.go
+++ b/pkg/scheduling/scorers.go
@@ -11,6 +11,10 @@
 	defaultPrefillTokensPerSecond = 5000
 	defaultCallSeconds            = 1
 	defaultBetweenTokensSeconds   = 0.015
+	// leastPrefillTokensPerSecond and mostBetweenTokensSeconds bound what reports say. An engine with little to do reports
+	// low recent rates; taken at their word they would keep all calls away and so never rise.
+	leastPrefillTokensPerSecond = 1000
+	mostBetweenTokensSeconds    = 0.1
 	// sameRegionSeconds and otherRegionSeconds are the round trips of 0.5 ms and 20 ms one-way latency.
 	sameRegionSeconds  = 0.001
 	otherRegionSeconds = 0.040
@@ -73,7 +77,7 @@
 
 func prefillRate(state *endpoints.State) float64 {
 	if state.PrefillTokensPerSecond > 0 {
-		return state.PrefillTokensPerSecond
+		return max(state.PrefillTokensPerSecond, leastPrefillTokensPerSecond)
 	}
 	return defaultPrefillTokensPerSecond
 }
@@ -98,7 +102,7 @@
 		return state.BetweenTokens.Seconds()
 	}
 	if state.Report != nil && state.Report.DecodeTokensPerSecond > 0 && state.Report.Running > 0 {
-		return float64(state.Report.Running) / state.Report.DecodeTokensPerSecond
+		return min(mostBetweenTokensSeconds, float64(state.Report.Running)/state.Report.DecodeTokensPerSecond)
 	}
 	return defaultBetweenTokensSeconds
 }
