--- a/pkg/dispatch/attempts.go
+++ b/pkg/dispatch/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -106,7 +107,7 @@
 			return withOutcome(failed.problem, earlier)
 		}
 		a.retries.Inc(1)
-		request.Exclude = append(request.Exclude, endpoint)
+		request.Exclude = append(slices.Clip(request.Exclude), endpoint)
 	}
 }
 
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -76,6 +76,9 @@
 			d.abandon(ticket.Target(), call, err)
 			return result, err
 		}
+		if result.InputTokens == 0 {
+			result.InputTokens = call.Request.InputTokens
+		}
 		response = got
 		d.succeeded(call.Request.Member, ticket, result)
 		return result, nil
@@ -86,7 +89,9 @@
 // abandon cancels a request that may still run at an endpoint and whose response nobody waits for any more.
 func (d *ModelDispatcher) abandon(target engine.Target, call ModelCall, err error) {
 	canceller, ok := d.inference.(engine.Canceller)
-	if ok && (errors.Is(err, engine.ErrConnectionLost) || errors.Is(err, engine.ErrTruncated)) {
+	mayRun := errors.Is(err, engine.ErrConnectionLost) || errors.Is(err, engine.ErrTruncated) ||
+		errors.Is(err, engine.ErrRequestIDMismatch)
+	if ok && mayRun {
 		canceller.Cancel(target, call.Request.ID)
 	}
 }
@@ -126,11 +131,13 @@
 	first      []byte
 	firstErr   error
 	// next is the offset of the next chunk that the caller has not been given.
-	next     int
-	tokens   int
-	finished bool
-	resumes  int
-	released bool
+	next int
+	// tokens counts the output; inputTokens is the engine's count.
+	tokens      int
+	inputTokens int
+	finished    bool
+	resumes     int
+	released    bool
 }
 
 // Next returns the data of the next chunk. io.EOF follows the engine's regular end of stream and nothing else; any other
@@ -177,6 +184,7 @@
 		s.next++
 		s.finished = s.finished || chunk.Finish
 		s.tokens += chunk.Tokens
+		s.inputTokens = max(s.inputTokens, chunk.InputTokens)
 		if chunk.Tokens > 0 {
 			s.ticket.Tokens(chunk.Tokens)
 		}
@@ -216,8 +224,18 @@
 	return d.options.Budget.Take(s.call.Request.Member, s.ticket.Target().Name, d.options.Now())
 }
 
+// result reports the estimate of the input tokens when the stream ended before the engine's count, so that a caller who
+// leaves early is still charged for its prompt.
 func (s *ModelStream) result() admission.Result {
-	return admission.Result{OutputTokens: s.tokens, Duration: s.dispatcher.options.Now().Sub(s.began)}
+	input := s.inputTokens
+	if input == 0 && s.next > 0 {
+		input = s.call.Request.InputTokens
+	}
+	return admission.Result{
+		InputTokens:  input,
+		OutputTokens: s.tokens,
+		Duration:     s.dispatcher.options.Now().Sub(s.began),
+	}
 }
 
 // end returns io.EOF when the response is complete. An end without a finish reason is not repaired by resuming: the
@@ -251,7 +269,10 @@
 		zap.Int("chunks", s.next),
 		zap.Error(err))
 	s.release(failed.status)
-	return withOutcome(failed.problem, problem.Unknown)
+	if failed.problem.Outcome == problem.NotRun {
+		return withOutcome(failed.problem, problem.Unknown)
+	}
+	return failed.problem
 }
 
 func (s *ModelStream) release(status admission.Status) {
--- a/pkg/dispatch/model_test.go
+++ b/pkg/dispatch/model_test.go
@@ -60,7 +60,7 @@
 
 func modelCall(id string, stream bool) dispatch.ModelCall {
 	return dispatch.ModelCall{
-		Request: scheduling.Request{ID: id, Member: "a", Model: "m", Deadline: time.Now().Add(time.Minute)},
+		Request: scheduling.Request{ID: id, Member: "a", Model: "m", InputTokens: 3, Deadline: time.Now().Add(time.Minute)},
 		Path:    "/v1/chat/completions",
 		Body:    fmt.Appendf(nil, `{"model":"m","messages":[{"role":"user","content":"x"}],"stream":%v}`, stream),
 	}
@@ -163,6 +163,9 @@
 			Expect(err).To(MatchError(io.EOF))
 			Expect(chunks).To(Equal(outputTokens + 1))
 			Expect(f.gate.tokens).To(Equal(outputTokens), "tokens are reported to the ticket")
+			last := f.gate.results[len(f.gate.results)-1]
+			Expect(last.InputTokens).To(Equal(inputTokens))
+			Expect(last.OutputTokens).To(Equal(outputTokens))
 			return nil
 		})
 	}, modelCases)
@@ -220,6 +223,7 @@
 		Expect(failed).To(BeNil())
 		stream.Close()
 		Expect(f.gate.statuses()).To(HaveExactElements(admission.Cancelled))
+		Expect(f.gate.results[0].InputTokens).To(Equal(3), "the estimate is charged")
 	})
 
 	// Guards against lost, repeated or reordered chunks over any sequence of breaks and resumptions, against a regular
--- a/pkg/engine/engine.go
+++ b/pkg/engine/engine.go
@@ -84,6 +84,8 @@
 	Data []byte
 	// Tokens is the number of output tokens that the chunk carries.
 	Tokens int
+	// InputTokens is the engine's count; zero except in the chunk that carries it, which is usually the last.
+	InputTokens int
 	// Finish is true when the chunk carries a finish reason; a stream without one is not complete.
 	Finish bool
 }
--- a/pkg/engine/openaihttp/stream.go
+++ b/pkg/engine/openaihttp/stream.go
@@ -151,12 +151,12 @@
 		if offset > s.next {
 			return engine.Chunk{}, errors.Wrapf(engine.ErrTruncated, "chunk %d follows %d", offset, s.next-1)
 		}
-		tokens, finished, err := inspectChunk(ev.data)
-		if err != nil {
+		chunk := engine.Chunk{Offset: offset, Data: ev.data}
+		if err := inspectChunk(&chunk); err != nil {
 			return engine.Chunk{}, err
 		}
-		s.finished = s.finished || finished
-		return engine.Chunk{Offset: offset, Data: ev.data, Tokens: tokens, Finish: finished}, nil
+		s.finished = s.finished || chunk.Finish
+		return chunk, nil
 	}
 }
 
@@ -173,8 +173,8 @@
 	return io.EOF
 }
 
-// inspectChunk counts the output tokens of a chunk: engines send one per choice with content.
-func inspectChunk(data []byte) (tokens int, finished bool, err error) {
+// inspectChunk fills in what the chunk says. Engines send one output token per choice with content.
+func inspectChunk(chunk *engine.Chunk) error {
 	var parsed struct {
 		Choices []struct {
 			Text  string `json:"text"`
@@ -184,17 +184,19 @@
 			} `json:"delta"`
 			FinishReason *string `json:"finish_reason"`
 		} `json:"choices"`
+		Usage usage `json:"usage"`
 	}
-	if err := json.Unmarshal(data, &parsed); err != nil {
-		return 0, false, errors.Wrapf(engine.ErrTruncated, "chunk is not JSON: %v", err)
+	if err := json.Unmarshal(chunk.Data, &parsed); err != nil {
+		return errors.Wrapf(engine.ErrTruncated, "chunk is not JSON: %v", err)
 	}
 	for _, choice := range parsed.Choices {
 		if choice.Text != "" || choice.Delta.Content != "" || len(choice.Delta.ToolCalls) > 0 {
-			tokens++
+			chunk.Tokens++
 		}
-		finished = finished || (choice.FinishReason != nil && *choice.FinishReason != "")
+		chunk.Finish = chunk.Finish || (choice.FinishReason != nil && *choice.FinishReason != "")
 	}
-	return tokens, finished, nil
+	chunk.InputTokens = parsed.Usage.PromptTokens
+	return nil
 }
 
 // Close implements engine.Stream. A stream that broke is not cancelled, so that it can be resumed; one whose context or
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -38,7 +38,7 @@
 	RunSpecs(t, "gateway", suite, reporter)
 }
 
-const memberKey = "key-of-member-a"
+const memberKey = "key-of-member-a-for-the-gateway-tests"
 
 // gate admits every call at the engine or the service.
 type gate struct {
@@ -95,9 +95,11 @@
 var declared = snapshot()
 
 func snapshot() *config.Snapshot {
+	key, err := config.HashKey(memberKey)
+	must(err)
 	header := func(name string) config.Header { return config.Header{Name: name} }
 	return config.NewSnapshot(1, time.Unix(1000, 0), config.Records{
-		Members: []config.Member{{Header: header("a"), Keys: []config.KeyHash{config.HashKey(memberKey)}}},
+		Members: []config.Member{{Header: header("a"), Keys: []config.KeyHash{key}}},
 		Models: []config.Model{
 			{Header: header("m"), Members: []string{"a"}, MaxOutputTokens: 100, MaxInputTokens: 1000},
 			{Header: header("theirs"), Members: []string{"b"}},
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -79,7 +79,8 @@
 	return p.unsolicited.Load()
 }
 
-// Do sends the request on an idle or a new connection and reads the complete response. Errors: as Conn.Do.
+// Do sends the request on an idle or a new connection and reads the complete response. A zero deadline means none.
+// Errors: as Conn.Do.
 func (p *Pool) Do(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
 	conn, err := p.take(ctx, baseURL, deadline)
 	if err != nil {
@@ -117,7 +118,10 @@
 }
 
 func (p *Pool) dial(ctx context.Context, baseURL string, deadline time.Time) (*Conn, error) {
-	timeout := min(p.options.DialTimeout, time.Until(deadline))
+	timeout := p.options.DialTimeout
+	if !deadline.IsZero() {
+		timeout = min(timeout, time.Until(deadline))
+	}
 	if timeout <= 0 {
 		return nil, notSent(context.DeadlineExceeded)
 	}
