--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -190,6 +190,9 @@
 // Up starts a process after Down; it does nothing while one runs or after Close.
 func (e *Engine) Up() error { return e.server.Up() }
 
+// Quiesce waits until no request is being handled, requests of ended processes included.
+func (e *Engine) Quiesce() { e.server.Quiesce() }
+
 // Close ends the process for good, makes Serve return and waits for what Start began.
 func (e *Engine) Close() { e.server.Close() }
 
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -41,11 +41,38 @@
 	current *Process
 	address string
 	closed  bool
+	// active counts the requests being handled; handled is signalled when it falls.
+	active  int
+	handled *sync.Cond
 }
 
 // NewServer returns a server that is not running.
 func NewServer(handler func(*Process, *fasthttp.RequestCtx)) *Server {
-	return &Server{handler: handler, started: make(chan *Process, 1)}
+	s := &Server{handler: handler, started: make(chan *Process, 1)}
+	s.handled = sync.NewCond(&s.mu)
+	return s
+}
+
+// Quiesce waits until no request is being handled, requests of ended processes included.
+func (s *Server) Quiesce() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.active > 0 {
+		s.handled.Wait()
+	}
+}
+
+func (s *Server) handle(p *Process, ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	s.active++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.active--
+		s.handled.Broadcast()
+		s.mu.Unlock()
+	}()
+	s.handler(p, ctx)
 }
 
 // Serve accepts connections until Close.
@@ -82,7 +109,7 @@
 func (s *Server) serve() {
 	for p := range s.started {
 		server := &fasthttp.Server{
-			Handler:               func(ctx *fasthttp.RequestCtx) { s.handler(p, ctx) },
+			Handler:               func(ctx *fasthttp.RequestCtx) { s.handle(p, ctx) },
 			MaxRequestBodySize:    maxRequestBodyBytes,
 			NoDefaultServerHeader: true,
 			Logger:                log.New(io.Discard, "", 0),
