--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -190,6 +190,9 @@
 // Up starts a process after Down; it does nothing while one runs or after Close.
 func (e *Engine) Up() error { return e.server.Up() }
 
+// Connections returns the number of connections that the current process has accepted.
+func (e *Engine) Connections() int { return e.server.Accepted() }
+
 // Quiesce waits until no request is being handled, requests of ended processes included.
 func (e *Engine) Quiesce() { e.server.Quiesce() }
 
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -23,9 +23,10 @@
 	workers  conc.WaitGroup
 	listener net.Listener
 
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	ended bool
+	mu       sync.Mutex
+	conns    map[net.Conn]struct{}
+	accepted int
+	ended    bool
 }
 
 // Server runs one process after the other. It is safe for concurrent use.
@@ -53,6 +54,19 @@
 	return s
 }
 
+// Accepted returns the number of connections that the current process has accepted.
+func (s *Server) Accepted() int {
+	s.mu.Lock()
+	p := s.current
+	s.mu.Unlock()
+	if p == nil {
+		return 0
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accepted
+}
+
 // Quiesce waits until no request is being handled, requests of ended processes included.
 func (s *Server) Quiesce() {
 	s.mu.Lock()
@@ -247,6 +261,7 @@
 		_ = conn.Close()
 		return nil, net.ErrClosed
 	}
+	l.process.accepted++
 	l.process.conns[conn] = struct{}{}
 	return &trackedConn{Conn: conn, process: l.process}, nil
 }
--- a/pkg/engine/openaihttp/contract_test.go
+++ b/pkg/engine/openaihttp/contract_test.go
@@ -138,6 +138,18 @@
 		Entry("lost", standin.Fault{Lose: true}, engine.ErrConnectionLost),
 	)
 
+	// Guards against a new connection per stream, which would add a round trip between regions to each first token.
+	It("reuses the connection of a complete stream", func() {
+		f := newFixture(standin.Options{})
+		for range 3 {
+			stream, err := f.client.Open(background(), f.target, call(true), 0)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = readAll(stream)
+			Expect(err).To(MatchError(io.EOF))
+		}
+		Expect(f.engine.Connections()).To(Equal(1))
+	})
+
 	// Guards against repeats that go unnoticed by operators.
 	It("counts repeated chunks", func() {
 		f := newFixture(standin.Options{})
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -187,6 +187,7 @@
 	status  int
 	header  http.Header
 	body    string
+	close   bool
 	problem problem.Problem
 }
 
@@ -220,7 +221,7 @@
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	Expect(err).NotTo(HaveOccurred())
-	r := reply{status: response.StatusCode, header: response.Header, body: string(body)}
+	r := reply{status: response.StatusCode, header: response.Header, body: string(body), close: response.Close}
 	Expect(r.header.Get("X-Request-Id")).NotTo(BeEmpty())
 	if r.status >= 400 {
 		Expect(r.header.Get("Content-Type")).To(Equal(problem.ContentType), r.body)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -194,6 +194,19 @@
 		Entry("streamed", `,"stream":true`),
 		Entry("not streamed", ""))
 
+	// Guards against a deadline that is reported as not_run or as a complete stream, and against work that goes on after it.
+	DescribeTable("ends at the deadline", func(extra string, status int) {
+		f := newFixture(slow(), gateway.Limits{}, nil)
+		r := f.do("POST", chatPath, chat(extra), "X-Request-Timeout-Ms", "500")
+		Expect(r.status).To(Equal(status))
+		Expect(r.body).To(ContainSubstring(string(problem.TypeDeadlineExceeded)))
+		Expect(r.body).To(ContainSubstring(`"outcome":"unknown"`))
+		Expect(r.body).NotTo(ContainSubstring("[DONE]"))
+		Eventually(f.engine.Running).Should(BeZero())
+	},
+		Entry("streamed", `,"stream":true`, 200),
+		Entry("not streamed", "", 504))
+
 	// Guards against a shutdown that interrupts a request in flight or accepts a new one.
 	It("drains", func() {
 		f := newFixture(standin.Options{}, gateway.Limits{}, nil)
@@ -212,7 +225,9 @@
 		Expect(refused.problem.Type).To(Equal(problem.TypeShuttingDown))
 		Expect(refused.problem.Outcome).To(Equal(problem.NotRun))
 		close(proceed)
-		Expect((<-inFlight).status).To(Equal(200))
+		finished := <-inFlight
+		Expect(finished.status).To(Equal(200))
+		Expect(finished.close).To(BeTrue(), "the load balancer must not reuse the connection")
 		Expect(f.server.Drain(context.Background())).To(Succeed())
 	})
 
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -61,6 +61,9 @@
 		if failed != nil {
 			s.writeProblem(c.RequestCtx(), r.id, failed)
 		}
+		if s.isDraining() {
+			c.RequestCtx().Response.SetConnectionClose()
+		}
 		s.options.Scope.Timer("request_time").Record(s.options.Now().Sub(r.began))
 		return nil
 	}
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -227,6 +227,12 @@
 	}
 }
 
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int {
 	s.mu.Lock()
