--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/url"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -39,16 +40,32 @@
 	broken    bool
 }
 
-// countingConn counts the bytes that the kernel accepted.
+// countingConn counts the bytes that the kernel accepted and notes timeouts: fasthttp wraps some errors so that their
+// cause cannot be found.
 type countingConn struct {
 	net.Conn
-	written atomic.Int64
+	written  atomic.Int64
+	timedOut atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.note(err)
+	return n, err
+}
+
+func (c *countingConn) note(err error) {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.timedOut.Store(true)
+	}
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
+	c.note(err)
 	return n, err
 }
 
@@ -164,7 +181,7 @@
 	if c.raw.written.Load() == before {
 		return nil, notSent(err)
 	}
-	if timeErr := timeError(ctx, err); timeErr != nil {
+	if timeErr := c.timeError(ctx); timeErr != nil {
 		return nil, timeErr
 	}
 	return nil, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
@@ -188,12 +205,12 @@
 	return nil
 }
 
-func timeError(ctx context.Context, err error) error {
+// timeError returns the context's error or context.DeadlineExceeded when time ran out, else nil.
+func (c *Conn) timeError(ctx context.Context) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
-	var netErr net.Error
-	if errors.As(err, &netErr) && netErr.Timeout() {
+	if c.raw.timedOut.Load() {
 		return context.DeadlineExceeded
 	}
 	return nil
@@ -224,7 +241,7 @@
 		return nil
 	}
 	c.broken = true
-	if timeErr := timeError(ctx, err); timeErr != nil {
+	if timeErr := c.timeError(ctx); timeErr != nil {
 		return timeErr
 	}
 	return errors.Wrapf(engine.ErrTruncated, "%v", err)
@@ -241,7 +258,7 @@
 		return n, io.EOF
 	}
 	b.conn.broken = true
-	if timeErr := timeError(b.ctx, err); timeErr != nil {
+	if timeErr := b.conn.timeError(b.ctx); timeErr != nil {
 		return n, timeErr
 	}
 	return n, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -127,6 +128,29 @@
 		Expect(err).To(MatchError(engine.ErrNotSent))
 	})
 
+	// Guards against a deadline that is reported as a broken connection, whatever part of the response it cut.
+	DescribeTable("ends at the deadline", func(part string) {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { _ = listener.Close() })
+		go func() {
+			conn, err := listener.Accept()
+			if err == nil {
+				_, _ = conn.Write([]byte(part))
+				_, _ = io.Copy(io.Discard, conn)
+			}
+		}()
+		url := "http://" + listener.Addr().String()
+		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+		req.SetRequestURI(url + "/x")
+		err = pool.Do(context.Background(), url, time.Now().Add(200*time.Millisecond), req, resp, maxBytes)
+		Expect(err).To(MatchError(context.DeadlineExceeded))
+	},
+		Entry("before the header", ""),
+		Entry("in the header", "HTTP/1.1 200 OK\r\nContent-"),
+		Entry("in the body", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc"),
+		Entry("in a chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc"))
+
 	const ok = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
 
 	// Guards against a reply that came without or after its request being taken as the reply to the next request.
