--- a/pkg/claims/periodlease.go
+++ b/pkg/claims/periodlease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,9 +23,15 @@
 // periodLeases grants one store lease per kind and period, when it is first needed.
 type periodLeases struct {
 	store kvstore.Leaser
+	// slots is a channel of one element that serves as the lock, so that waiting for a grant in progress ends with the
+	// context.
+	slots chan [2]leaseSlot
+}
 
-	mu    sync.Mutex
-	slots [2]leaseSlot
+func newPeriodLeases(store kvstore.Leaser) *periodLeases {
+	l := &periodLeases{store: store, slots: make(chan [2]leaseSlot, 1)}
+	l.slots <- [2]leaseSlot{}
+	return l
 }
 
 type leaseSlot struct {
@@ -39,9 +44,14 @@
 	if kind == answerLease {
 		window, period = AnswerWindow, answerPeriod
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	slot := &l.slots[kind]
+	var slots [2]leaseSlot
+	select {
+	case slots = <-l.slots:
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+	defer func() { l.slots <- slots }()
+	slot := slots[kind]
 	if slot.id != 0 && time.Since(slot.granted) < period {
 		return slot.id, nil
 	}
@@ -53,13 +63,12 @@
 	if ttl < window+period {
 		return 0, errors.Newf("store granted a lease of %s instead of %s", ttl, window+period)
 	}
-	*slot = leaseSlot{id: id, granted: granted}
+	slots[kind] = leaseSlot{id: id, granted: granted}
 	return id, nil
 }
 
 // forget drops the leases after the store reported one as missing.
 func (l *periodLeases) forget() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.slots = [2]leaseSlot{}
+	<-l.slots
+	l.slots <- [2]leaseSlot{}
 }
--- a/pkg/claims/storeclaimer.go
+++ b/pkg/claims/storeclaimer.go
@@ -73,7 +73,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	leases := &periodLeases{store: o.Store}
+	leases := newPeriodLeases(o.Store)
 	return &StoreClaimer{
 		options:   o,
 		committer: newCommitter(o.Store, leases, o.MaxDelay, o.MaxBatch, o.Scope.SubScope("claims")),
--- a/pkg/claims/world_test.go
+++ b/pkg/claims/world_test.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -39,6 +40,7 @@
 
 // network connects the issuers of a world; a crashed issuer is replaced by one of another incarnation.
 type network struct {
+	mu      sync.Mutex
 	issuers map[string]*claims.Issuer
 	faults  []peerFault
 	late    []func()
@@ -53,8 +55,10 @@
 	return fault
 }
 
-// deliver runs a call under the next fault. Instances run in one bubble and never inside deliver at the same time.
+// deliver runs a call under the next fault.
 func (n *network) deliver(call func()) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	fault := n.next()
 	if fault == peerUnsent {
 		return errLost
@@ -69,6 +73,22 @@
 	return nil
 }
 
+func (n *network) inject(fault peerFault) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = append(n.faults, fault)
+}
+
+// deliverLate delivers the second copies of requests.
+func (n *network) deliverLate() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, call := range n.late {
+		call()
+	}
+	n.late = nil
+}
+
 func (n *network) Redeem(_ context.Context, instance, _ string, request claims.RedeemRequest) (claims.RedeemResult, error) {
 	var result claims.RedeemResult
 	err := n.deliver(func() { result = n.issuers[instance].Redeem(request) })
@@ -83,6 +103,7 @@
 
 // world is a store and two instances that share it.
 type world struct {
+	mu       sync.Mutex
 	store    *kv.Memory
 	net      *network
 	claimers map[string]claims.Router
@@ -107,10 +128,14 @@
 // start gives the instance a new incarnation with empty memory. What ran in the old one goes on as a paused process
 // would.
 func (w *world) start(name string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.starts++
 	incarnation := fmt.Sprint("incarnation-", w.starts)
 	issuer := claims.NewIssuer(claims.IssuerOptions{Instance: name, Incarnation: incarnation})
+	w.net.mu.Lock()
 	w.net.issuers[name] = issuer
+	w.net.mu.Unlock()
 	store := claims.NewStoreClaimer(claims.StoreOptions{Store: w.store, Instance: name, Incarnation: incarnation})
 	w.stores = append(w.stores, store)
 	w.claimers[name] = claims.Router{Issued: claims.NewIssuedClaimer(issuer, w.net), Store: store}
@@ -138,7 +163,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), life)
 	context.AfterFunc(ctx, cancel)
 	request := claims.Request{Member: "farm", Key: key, Hash: sha256.Sum256([]byte(body))}
-	return w.claimers[instance].Claim(ctx, request)
+	w.mu.Lock()
+	claimer := w.claimers[instance]
+	w.mu.Unlock()
+	return claimer.Claim(ctx, request)
 }
 
 func bubble(t *testing.T, test func(g *WithT, w *world)) {
