--- a/pkg/claims/committer.go
+++ b/pkg/claims/committer.go
@@ -184,7 +184,7 @@
 		full := len(batch) >= c.maxBatch || len(batch) > 0 && size+p.bytes > maxBatchBytes
 		if full || taken[p.key] {
 			rest = append(rest, p)
-			// Later writes of the key keep their order.
+			// A later write of the key must not pass this one in the queue.
 			taken[p.key] = true
 			continue
 		}
--- a/pkg/claims/issuedclaimer_test.go
+++ b/pkg/claims/issuedclaimer_test.go
@@ -56,6 +56,8 @@
 		grant, _, err = w.claim("x", key, "a", life)
 		g.Expect(err).NotTo(HaveOccurred())
 		w.net.late[1]()
+		stray := claims.CompleteRequest{Member: "farm", Key: key, Redemption: "never granted", Released: true}
+		g.Expect(w.net.issuers["x"].Complete(stray)).To(Succeed())
 		_, _, err = w.claim("y", key, "a", life)
 		g.Expect(err).To(MatchError(claims.ErrInProgress))
 		g.Expect(grant.Complete(context.Background(), answer("done"))).To(Succeed())
--- a/pkg/claims/storeclaimer_test.go
+++ b/pkg/claims/storeclaimer_test.go
@@ -194,3 +194,20 @@
 		g.Expect(w.store.Faults.Count(kv.CallCommit) - before).To(BeNumerically("<", 100))
 	})
 }
+
+// Guards against a release that reaches the store late and deletes the claim of a later call.
+func TestLateReleaseLeavesLaterClaim(t *testing.T) {
+	bubble(t, func(g *WithT, w *world) {
+		grant, _, err := w.claim("x", "k", "a", life)
+		g.Expect(err).NotTo(HaveOccurred())
+		w.store.Faults.Next(kv.CallCommit, kv.Fault{Hold: true})
+		g.Expect(grant.Release(context.Background())).To(Succeed())
+		grant, _, err = w.claim("y", "k", "a", life)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant).NotTo(BeNil())
+		w.store.ApplyHeld()
+		grant, _, err = w.claim("x", "k", "a", time.Second)
+		g.Expect(grant).To(BeNil())
+		g.Expect(err).To(MatchError(claims.ErrInProgress))
+	})
+}
