--- /dev/null
+++ b/internal/httpjson/httpjson.go
@@ -0,0 +1,100 @@
+// Package httpjson reads JSON documents over HTTP from one of several equivalent servers.
+package httpjson
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// maxDocumentBytes bounds the memory that a document can take.
+	maxDocumentBytes = 16 << 20
+	// defaultTimeout is used when Options.Timeout is not set.
+	defaultTimeout = 2 * time.Second
+)
+
+// ErrUnavailable means that no server returned a usable document.
+var ErrUnavailable = errors.New("no server returned the document")
+
+// Options are the parameters of New.
+type Options struct {
+	// URLs are base URLs of equivalent servers.
+	URLs []string
+	// Timeout bounds each call, all URLs together; zero means 2 s.
+	Timeout time.Duration
+}
+
+// Reader reads documents. It is safe for concurrent use.
+type Reader struct {
+	urls    []string
+	timeout time.Duration
+	client  http.Client
+}
+
+// New returns a reader; it opens no connection.
+func New(o Options) (*Reader, error) {
+	if len(o.URLs) == 0 {
+		return nil, errors.New("no URL")
+	}
+	r := &Reader{timeout: o.Timeout}
+	if r.timeout <= 0 {
+		r.timeout = defaultTimeout
+	}
+	for _, url := range o.URLs {
+		r.urls = append(r.urls, strings.TrimRight(url, "/"))
+	}
+	r.client.Transport = &http.Transport{DisableCompression: true, IdleConnTimeout: time.Minute}
+	return r, nil
+}
+
+// Close closes idle connections.
+func (r *Reader) Close() {
+	r.client.CloseIdleConnections()
+}
+
+// Get decodes the document at the path. The servers are tried in turn, each with an equal part of the time that is left,
+// so that one silent server does not use it up. Errors wrap ErrUnavailable.
+func (r *Reader) Get(ctx context.Context, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	var err error
+	for i, url := range r.urls {
+		share := time.Until(deadline) / time.Duration(len(r.urls)-i)
+		if err = r.get(ctx, url+path, share, into); err == nil {
+			return nil
+		}
+	}
+	return errors.Wrap(ErrUnavailable, err.Error())
+}
+
+func (r *Reader) get(ctx context.Context, url string, timeout time.Duration, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "send request")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s: status %d", url, response.StatusCode)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxDocumentBytes+1))
+	if err != nil {
+		return errors.Wrap(err, "read document")
+	}
+	if len(raw) > maxDocumentBytes {
+		return errors.Newf("%s: document exceeds %d bytes", url, maxDocumentBytes)
+	}
+	return errors.Wrapf(json.Unmarshal(raw, into), "decode %s", url)
+}
--- a/pkg/claims/issuer.go
+++ b/pkg/claims/issuer.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"strings"
 	"sync"
 	"time"
 
@@ -127,6 +128,8 @@
 func (i *Issuer) Issue(member string) (string, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	// The HTTP server may reuse the bytes of the name.
+	member = strings.Clone(member)
 	now := time.Now()
 	i.expire(now)
 	own := i.members[member]
--- a/pkg/claims/storeclaimer.go
+++ b/pkg/claims/storeclaimer.go
@@ -340,6 +340,8 @@
 		return errGrantUsed
 	}
 	g.stop()
+	// Calls that wait share the response; the caller may reuse the bytes.
+	response.Body = append([]byte(nil), response.Body...)
 	defer g.claimer.leave(g.key, g.call, &response, nil)
 	if len(response.Body) > MaxRecordedBytes {
 		return ErrNotRecorded
