--- a/pkg/config/load.go
+++ b/pkg/config/load.go
@@ -40,6 +40,8 @@
 	Pointer string
 	// Fields is the parsed JSON object; numbers are json.Number. It is not modified after parsing.
 	Fields map[string]any
+	// Revision is the configuration revision that last changed the record; zero when the record is not stored.
+	Revision int64
 
 	// decoded keeps the result of decodeRecord, since most records stay the same from one revision to the next.
 	decoded *atomic.Pointer[entry]
@@ -124,12 +126,18 @@
 
 // ParseFile parses the content of one declaration file.
 func ParseFile(file string, data []byte) ([]RawRecord, findings.List) {
-	var found findings.List
 	doc, err := strictjson.Parse(data)
 	if err != nil {
+		var found findings.List
 		found.Addf(file, "", "", "is not valid JSON: %v", errors.UnwrapAll(err))
 		return nil, found
 	}
+	return ParseDocument(file, doc)
+}
+
+// ParseDocument takes the records from a parsed declaration file.
+func ParseDocument(file string, doc strictjson.Document) ([]RawRecord, findings.List) {
+	var found findings.List
 	for _, pointer := range doc.Duplicates {
 		found.Addf(file, pointer, "", "the field occurs more than once")
 	}
--- a/pkg/configstore/apply.go
+++ b/pkg/configstore/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,8 @@
 	ErrChangeIDReused = errors.New("the change id belongs to another change")
 	// ErrContention means that other writers kept winning the race. Nothing took effect.
 	ErrContention = errors.New("too many other changes at the same time")
+	// ErrBaseRevision means that a change was made from a revision that the store does not have yet. Nothing took effect.
+	ErrBaseRevision = errors.New("the base revision is above the revision in the store")
 	// ErrChangeID means that a change has no usable id. Nothing took effect.
 	ErrChangeID = errors.New("a change id has 1 to 64 characters")
 )
@@ -215,21 +218,29 @@
 	return true, nil
 }
 
+// checkConflict compares the present configuration with the one that the first attempt saw, and with the change's base
+// revision if it has one.
 func (a *applier) checkConflict(current *Contents, p *plan) error {
-	if current.Head.Revision == a.base.Head.Revision {
-		return nil
+	if a.change.BaseRevision > current.Head.Revision {
+		return ErrBaseRevision
+	}
+	since := a.base.Head.Revision
+	ids, err := overlap(a.base, current, p, a.change.Prune)
+	if err == nil && len(ids) == 0 && a.change.BaseRevision > 0 {
+		since = a.change.BaseRevision
+		ids, err = changedSince(since, current.Records(), p, a.change.Prune)
 	}
-	ids, err := overlap(a.base.Records(), current.Records(), p, a.change.Prune)
 	if err != nil || len(ids) == 0 {
 		return err
 	}
-	return errors.WithStack(&Conflict{Records: ids, ChangeIDs: current.Head.changesAfter(a.base.Head.Revision)})
+	return errors.WithStack(&Conflict{Records: ids, ChangeIDs: current.Head.changesAfter(since)})
 }
 
 func (a *applier) write(ctx context.Context, current *Contents, p *plan) (bool, error) {
-	refs, contents, buckets := group(p.records, current.Head.Buckets)
+	revision := max(current.Head.Revision, int64(current.storeRevision)) + 1
+	refs, contents, buckets := group(atRevision(p.records, revision), current.Head.Buckets)
 	head, deletes := current.Head.successor(refs, buckets)
-	head.Revision = max(current.Head.Revision, int64(current.storeRevision)) + 1
+	head.Revision = revision
 	head.CommittedAtMs = a.repository.options.Now().UnixMilli()
 	head.addChange(current.Head.Changes, AppliedChange{ID: a.change.ID, Hash: a.hash, Revision: head.Revision})
 	a.result.Revision = head.Revision
@@ -240,6 +251,17 @@
 	return a.replaceHead(ctx, current, head, deletes)
 }
 
+// atRevision completes the records that a change makes.
+func atRevision(records []encodedRecord, revision int64) []encodedRecord {
+	completed := slices.Clone(records)
+	for i := range completed {
+		if completed[i].revision == 0 {
+			completed[i].revision = revision
+		}
+	}
+	return completed
+}
+
 // replaceHead puts the head in place if nobody else did since it was read, and deletes bundles in the same
 // transaction. A writer that counts on a deleted bundle therefore fails its own comparison and writes the bundle again.
 func (a *applier) replaceHead(ctx context.Context, current *Contents, head *Head, deletes []string) (bool, error) {
--- a/pkg/configstore/bundle.go
+++ b/pkg/configstore/bundle.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"sort"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberryglade/mulberryglade/internal/strictjson"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/findings"
 )
@@ -41,6 +44,8 @@
 type encodedRecord struct {
 	id   config.RecordID
 	text []byte
+	// revision is the configuration revision that last changed the record; zero stands for the one being prepared.
+	revision int64
 }
 
 // group distributes the records over bundles. previous has the numbers of buckets in use.
@@ -93,13 +98,13 @@
 }
 
 func splitInto(records []encodedRecord, count int) map[int][]byte {
-	texts := make(map[int][][]byte)
+	lists := make(map[int][]encodedRecord)
 	for _, r := range records {
 		bucket := int(xxhash.Sum64String(r.id.Name) % uint64(count))
-		texts[bucket] = append(texts[bucket], r.text)
+		lists[bucket] = append(lists[bucket], r)
 	}
-	split := make(map[int][]byte, len(texts))
-	for bucket, list := range texts {
+	split := make(map[int][]byte, len(lists))
+	for bucket, list := range lists {
 		split[bucket] = encodeBundle(list)
 	}
 	return split
@@ -113,12 +118,27 @@
 	return most
 }
 
-// encodeBundle writes the same form that a declaration file has, one record per line.
-func encodeBundle(texts [][]byte) []byte {
+// revisionsField has the revisions of a bundle's records by kind and name.
+const revisionsField = "revisions"
+
+// encodeBundle writes the form of a declaration file, one record per line, with the revisions of the records.
+func encodeBundle(records []encodedRecord) []byte {
 	var b bytes.Buffer
-	b.WriteString("{\"records\":[\n")
-	b.Write(bytes.Join(texts, []byte(",\n")))
-	b.WriteString("\n]}\n")
+	separator := "{\"records\":[\n"
+	for _, r := range records {
+		b.WriteString(separator)
+		b.Write(r.text)
+		separator = ",\n"
+	}
+	separator = "\n],\"" + revisionsField + "\":{\n"
+	for _, r := range records {
+		b.WriteString(separator)
+		b.WriteString(strconv.Quote(r.id.String()))
+		b.WriteByte(':')
+		b.WriteString(strconv.FormatInt(r.revision, 10))
+		separator = ",\n"
+	}
+	b.WriteString("\n}}\n")
 	return b.Bytes()
 }
 
@@ -135,16 +155,37 @@
 	if actual := Digest(content); actual != digest {
 		return parsedBundle{}, errors.Wrapf(ErrFormat, "bundle %s has digest %s", digest, actual)
 	}
-	raw, found := config.ParseFile(storedFile, content)
+	doc, err := strictjson.Parse(content)
+	if err != nil {
+		return parsedBundle{}, errors.Wrapf(ErrFormat, "bundle %s: %v", digest, err)
+	}
+	revisions := takeRevisions(doc)
+	raw, found := config.ParseDocument(storedFile, doc)
 	if len(raw) == 0 {
 		return parsedBundle{}, errors.Wrapf(ErrFormat, "bundle %s has no readable record: %v", digest, found.Err())
 	}
 	parsed := parsedBundle{found: found}
 	for _, r := range raw {
-		parsed.records = append(parsed.records, config.NewRawRecord(storedFile, "/"+r.RecordID.String(), r.Fields))
+		record := config.NewRawRecord(storedFile, "/"+r.RecordID.String(), r.Fields)
+		record.Revision = revisions[r.RecordID.String()]
+		parsed.records = append(parsed.records, record)
 	}
 	return parsed, nil
 }
 
+// takeRevisions removes the revisions from a bundle and leaves the form of a declaration file.
+func takeRevisions(doc strictjson.Document) map[string]int64 {
+	root, _ := doc.Root.(map[string]any)
+	nodes, _ := root[revisionsField].(map[string]any)
+	delete(root, revisionsField)
+	revisions := make(map[string]int64, len(nodes))
+	for id, node := range nodes {
+		number, _ := node.(json.Number)
+		// A revision that cannot be read is zero: the record then counts as changed long ago.
+		revisions[id], _ = number.Int64()
+	}
+	return revisions
+}
+
 // storedFile is the file name in findings about stored records.
 const storedFile = "stored"
--- a/pkg/configstore/plan.go
+++ b/pkg/configstore/plan.go
@@ -20,6 +20,9 @@
 	// ID identifies the change over repeated attempts; it must be unique.
 	ID      string
 	Records []config.RawRecord
+	// BaseRevision is the configuration revision that the change was made from; zero means none. A record that another
+	// change replaced or created since is then a conflict. A record that was deleted since is created again.
+	BaseRevision int64
 	// Prune also deletes every stored record that is not in Records.
 	Prune bool
 }
@@ -156,9 +159,13 @@
 	if err != nil {
 		return nil, err
 	}
+	revisions := make(map[config.RecordID]int64, len(stored))
+	for _, r := range stored {
+		revisions[r.RecordID] = r.Revision
+	}
 	p := &plan{touched: make(map[config.RecordID][]byte)}
 	for id, text := range after {
-		p.records = append(p.records, encodedRecord{id: id, text: text})
+		record := encodedRecord{id: id, text: text}
 		old, existed := before[id]
 		switch {
 		case !existed:
@@ -167,7 +174,9 @@
 			p.difference.Updated = append(p.difference.Updated, id)
 		default:
 			p.difference.Unchanged++
+			record.revision = revisions[id]
 		}
+		p.records = append(p.records, record)
 	}
 	for id := range before {
 		if _, stays := after[id]; !stays {
@@ -235,12 +244,15 @@
 
 // overlap returns the records that the change names and that differ between two revisions, except those that the newer
 // revision already has as the change wants them. With prune a change names every record.
-func overlap(base, current []config.RawRecord, p *plan, prune bool) ([]config.RecordID, error) {
-	before, err := encodeAll(base)
+func overlap(base, current *Contents, p *plan, prune bool) ([]config.RecordID, error) {
+	if base.Head.Revision == current.Head.Revision {
+		return nil, nil
+	}
+	before, err := encodeAll(base.Records())
 	if err != nil {
 		return nil, err
 	}
-	after, err := encodeAll(current)
+	after, err := encodeAll(current.Records())
 	if err != nil {
 		return nil, err
 	}
@@ -262,3 +274,24 @@
 	sortIDs(ids)
 	return ids, nil
 }
+
+// changedSince returns the records that the change names, that other changes replaced after a revision, and that are
+// not as the change wants them. With prune a change names every record.
+func changedSince(revision int64, stored []config.RawRecord, p *plan, prune bool) ([]config.RecordID, error) {
+	var ids []config.RecordID
+	for _, r := range stored {
+		wanted, named := p.touched[r.RecordID]
+		if r.Revision <= revision || (!named && !prune) {
+			continue
+		}
+		text, err := r.Canonical()
+		if err != nil {
+			return nil, errors.Wrapf(err, "%s", r.RecordID)
+		}
+		if !bytes.Equal(text, wanted) {
+			ids = append(ids, r.RecordID)
+		}
+	}
+	sortIDs(ids)
+	return ids, nil
+}
--- a/pkg/configstore/suite_test.go
+++ b/pkg/configstore/suite_test.go
@@ -89,6 +89,25 @@
 	return store, repository
 }
 
+// backToSeed returns a change that deletes everything that seeded has not stored.
+func backToSeed(id string) configstore.Change {
+	c := change(id, deployment, member("m", 1), service)
+	c.Prune = true
+	return c
+}
+
+// memberBundle returns the digest of the only bundle of members.
+func memberBundle(repository *configstore.Repository) string {
+	contents, err := repository.Read(ctx, nil)
+	ExpectWithOffset(1, err).NotTo(HaveOccurred())
+	for _, ref := range contents.Head.Bundles {
+		if ref.Kind == config.KindMember {
+			return ref.Digest
+		}
+	}
+	return ""
+}
+
 // commitFault wraps a store and replaces the n-th commit, counted from zero.
 type commitFault struct {
 	*kv.Memory
--- a/pkg/operator/commands/commands.go
+++ b/pkg/operator/commands/commands.go
@@ -32,13 +32,15 @@
 
 Examples:
   mulberryglade apply --store http://10.0.0.1:2379 -f declarations/
-  mulberryglade apply -f declarations/ --prune --change-id 2026-12-04-shares`
+  mulberryglade apply -f declarations/ --prune --change-id 2026-12-04-shares
+  mulberryglade apply -f members.json --base-revision 4711`
 
 type applyCommand struct {
-	Files    []flags.Filename      `short:"f" long:"file" required:"true" value-name:"PATH" description:"Declaration file, or directory with files *.json; may be given more than once"`
-	Prune    bool                  `long:"prune" description:"Delete all records that no file names"`
-	ChangeID string                `long:"change-id" value-name:"ID" description:"Identifies the change over repeated attempts (default: a new UUID)"`
-	Store    operator.StoreOptions `group:"Key-value store"`
+	Files        []flags.Filename      `short:"f" long:"file" required:"true" value-name:"PATH" description:"Declaration file, or directory with files *.json; may be given more than once"`
+	Prune        bool                  `long:"prune" description:"Delete all records that no file names"`
+	BaseRevision int64                 `long:"base-revision" value-name:"N" description:"Revision that the files were made from; records that changed since are a conflict"`
+	ChangeID     string                `long:"change-id" value-name:"ID" description:"Identifies the change over repeated attempts (default: a new UUID)"`
+	Store        operator.StoreOptions `group:"Key-value store"`
 
 	env *operator.Environment
 }
@@ -50,6 +52,7 @@
 		return err
 	}
 	change.ID = c.ChangeID
+	change.BaseRevision = c.BaseRevision
 	if change.ID == "" {
 		change.ID = uuid.NewString()
 	}
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -122,6 +122,11 @@
 		Expect(run(openStore, "", "check", "-f", invalid).code).To(Equal(operator.ExitFindings))
 
 		valid := write(`{"kind":"Member","name":"m","schemaVersion":2,"share":1}`)
+		result = run(openStore, "", "apply", "--store", store, "-f", sindhuli, "--base-revision", "1", "--prune", "-f", valid)
+		Expect(result.code).To(Equal(operator.ExitOK), "the files have what changed since")
+		result = run(openStore, "", "apply", "--store", store, "-f", sindhuli, "--base-revision", "1", "--prune")
+		Expect(result.code).To(Equal(operator.ExitConflict), result.stderr)
+		Expect(result.stderr).To(ContainSubstring("Member/m"))
 		Expect(run(openStore, "", "apply", "--store", store, "-f", valid, "--change-id", "c").code).To(Equal(operator.ExitConflict))
 		memory.Faults.SetDown(true)
 		Expect(run(openStore, "", "apply", "--store", store, "-f", valid).code).To(Equal(operator.ExitUnavailable))
--- a/pkg/operator/queries/queries.go
+++ b/pkg/operator/queries/queries.go
@@ -99,6 +99,9 @@
 	if q.env.JSON() {
 		return q.env.PrintJSON(comparison)
 	}
+	if _, err := fmt.Fprintf(q.env.Stdout, "compared with revision %d\n", comparison.Revision); err != nil {
+		return err
+	}
 	return operator.PrintDifference(q.env.Stdout, comparison.Difference, comparison.Fields)
 }
 
@@ -145,11 +148,11 @@
 			continue
 		}
 		fields = append(fields, r.Fields)
-		rows = append(rows, []string{r.Name, fmt.Sprint(r.SchemaVersion()), summary(r)})
+		rows = append(rows, []string{r.Name, fmt.Sprint(r.SchemaVersion()), fmt.Sprint(r.Revision), summary(r)})
 	}
 	if q.Arguments.Name == "" {
 		sortRows(rows)
-		return q.env.Print(fields, []string{"NAME", "SCHEMA", "SUMMARY"}, rows)
+		return q.env.Print(fields, []string{"NAME", "SCHEMA", "REVISION", "SUMMARY"}, rows)
 	}
 	if len(fields) == 0 {
 		return errors.Newf("there is no %s %q in revision %d", q.Arguments.Kind, q.Arguments.Name, contents.Head.Revision)
