--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -220,3 +222,54 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// Guards against a call that starts although it cannot finish in time, and against a model that is refused for ever after
+// it was slow once.
+func TestDeadlineAtAFreeEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := start(t, limited(), map[string]engine.Report{"e": loaded(2, "m")})
+		defer s.stop()
+		within := func(deadline time.Duration) error {
+			ticket, err := s.controller.Acquire(t.Context(), request(func(r *scheduling.Request) {
+				r.OutputTokens, r.Deadline = 1000, time.Now().Add(deadline)
+			}))
+			if err == nil {
+				ticket.Release(admission.Result{Status: admission.Cancelled})
+			}
+			return err
+		}
+		long := mustAcquire(s, request())
+		long.Tokens(1)
+		time.Sleep(5 * time.Second)
+		long.Tokens(99)
+		long.Release(admission.Result{})
+		g.Expect(within(6 * time.Second)).To(Succeed())
+		g.Expect(within(time.Second)).To(HaveOccurred(), "hopeless")
+		g.Expect(within(3*time.Second)).To(Succeed(), "trial")
+		g.Expect(within(3 * time.Second)).To(HaveOccurred())
+		time.Sleep(10 * time.Second)
+		g.Expect(within(3*time.Second)).To(Succeed(), "next trial")
+	})
+}
+
+// BenchmarkAcquire measures one admitted and ended call, with the model on the given number of endpoints.
+func BenchmarkAcquire(b *testing.B) {
+	for _, copies := range []int{2, 16, 128} {
+		b.Run(fmt.Sprint(copies), func(b *testing.B) {
+			byName := make(map[string]engine.Report)
+			for i := range copies {
+				byName[fmt.Sprint("e", i)] = loaded(8, "m")
+			}
+			s := startWith(b, limited(), &reports{byName: byName}, defaultRouting())
+			defer s.stop()
+			for s.registry.AppendServing(nil, "s", engine.KindModel, "m") == nil {
+				runtime.Gosched()
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				mustAcquire(s, request()).Release(admission.Result{InputTokens: 10, OutputTokens: 10})
+			}
+		})
+	}
+}
