Limit each attempt to start waiting calls to the models that can have become startable

Every arrival and every end of a call tried all waiting models. Now an arrival tries its own model, the end of a call those that its endpoint has loaded, and changed endpoints are handled at most every 50 ms.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -6,6 +6,7 @@
 	"path"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -22,9 +23,12 @@
 const (
 	// defaultDeadline applies to a request without a deadline.
 	defaultDeadline = 60 * time.Second
-	// dispatchInterval is the time between two attempts when nothing was reported to have changed; it covers conditions
-	// that end by time alone, such as an ejection or an empty link budget.
+	// dispatchInterval is the shortest time between two attempts to start all waiting calls after endpoints changed. It
+	// bounds the cost when many models wait; the end of a call and a new call are handled at once.
 	dispatchInterval = 50 * time.Millisecond
+	// idleDispatches is the number of intervals after which an attempt is made although nothing was reported to have
+	// changed; it covers conditions that end by time alone, such as an ejection or an empty link budget.
+	idleDispatches = 4
 	// defaultQueueRequests and defaultQueueBytes apply to a deployment that declares no bounds.
 	defaultQueueRequests = 1000
 	defaultQueueBytes    = 64 << 20
@@ -50,7 +54,8 @@
 // Controller implements Gate. It is safe for concurrent use.
 type Controller struct {
 	parts Parts
-	wake  chan struct{}
+	// changed is true when endpoints changed since the last attempt to start all waiting calls.
+	changed atomic.Bool
 
 	mu       sync.Mutex
 	snapshot *config.Snapshot // nil before the first Apply
@@ -74,7 +79,6 @@
 	}
 	c := &Controller{
 		parts:      parts,
-		wake:       make(chan struct{}, 1),
 		members:    make(map[string]*memberQueue),
 		running:    make(map[modelKey]int),
 		statistics: make(map[modelKey]*modelStatistics),
@@ -107,16 +111,19 @@
 func (c *Controller) Run(ctx context.Context) {
 	ticker := time.NewTicker(dispatchInterval)
 	defer ticker.Stop()
-	for {
+	for idle := 0; ; idle++ {
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.wake:
 		case <-ticker.C:
 		}
+		if !c.changed.Swap(false) && idle < idleDispatches {
+			continue
+		}
+		idle = 0
 		c.mu.Lock()
 		c.divideLink()
-		c.dispatch()
+		c.dispatch(everyQueue)
 		c.mu.Unlock()
 	}
 }
@@ -131,10 +138,7 @@
 }
 
 func (c *Controller) wakeUp() {
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
+	c.changed.Store(true)
 }
 
 // Acquire implements Gate.
@@ -174,7 +178,8 @@
 	member := c.member(request.Member)
 	member.inProgress++
 	c.enqueue(member.queueFor(w.key), w)
-	c.dispatch()
+	// No other call can start: what kept it waiting did not change.
+	c.dispatch(func(key modelKey) bool { return key == w.key })
 	c.refuseIfTooLate(w)
 	c.shedOverflow()
 	return w, nil
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -12,18 +12,22 @@
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
-// dispatch starts every waiting call that can start. A model without capacity does not hold up calls of other models.
-func (c *Controller) dispatch() {
+func everyQueue(modelKey) bool { return true }
+
+// dispatch starts every waiting call of the eligible models that can start. A model without capacity does not hold up
+// calls of other models.
+func (c *Controller) dispatch(eligible func(modelKey) bool) {
 	if c.calls == 0 || c.snapshot == nil {
 		return
 	}
-	pass := &dispatchPass{part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
+	pass := &dispatchPass{eligible: eligible, part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
 	for c.grantNext(pass) {
 	}
 }
 
 // dispatchPass remembers within one dispatch which models cannot start another call.
 type dispatchPass struct {
+	eligible func(modelKey) bool
 	// part is this instance's part of a full endpoint.
 	part    float64
 	states  map[modelKey][]endpoints.State
@@ -52,19 +56,17 @@
 }
 
 func (c *Controller) grantNext(pass *dispatchPass) bool {
-	for _, q := range c.queuesInOrder() {
-		if pass.blocked[q.key] {
-			continue
-		}
-		if c.grantFrom(q, pass) {
+	for _, q := range c.queuesInOrder(pass) {
+		// Another member's calls for the same model may have found it blocked in this round.
+		if !pass.blocked[q.key] && c.grantFrom(q, pass) {
 			return true
 		}
 	}
 	return false
 }
 
-// queuesInOrder returns all queues: members by fair share, and the models of a member by fair share within it.
-func (c *Controller) queuesInOrder() []*modelQueue {
+// queuesInOrder returns the queues that may be able to start a call: members by fair share, and the models of a member by fair share within it.
+func (c *Controller) queuesInOrder(pass *dispatchPass) []*modelQueue {
 	var members []string
 	for name, m := range c.members {
 		if m.calls > 0 {
@@ -74,16 +76,16 @@
 	c.parts.Shares.SortMembers(members)
 	var queues []*modelQueue
 	for _, name := range members {
-		queues = append(queues, c.modelsInOrder(c.members[name])...)
+		queues = append(queues, c.modelsInOrder(c.members[name], pass)...)
 	}
 	return queues
 }
 
-func (c *Controller) modelsInOrder(m *memberQueue) []*modelQueue {
+func (c *Controller) modelsInOrder(m *memberQueue, pass *dispatchPass) []*modelQueue {
 	byName := make(map[string]*modelQueue, len(m.models))
 	names := make([]string, 0, len(m.models))
 	for key, q := range m.models {
-		if len(q.waiters) == 0 {
+		if len(q.waiters) == 0 || pass.blocked[key] || !pass.eligible(key) {
 			continue
 		}
 		byName[key.String()] = q
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -253,19 +253,31 @@
 	})
 }
 
-// BenchmarkAcquire measures one admitted and ended call, with the model on the given number of endpoints.
+// BenchmarkAcquire measures one admitted and ended call, with its model on the given number of endpoints and with calls
+// for so many other models waiting.
 func BenchmarkAcquire(b *testing.B) {
-	for _, copies := range []int{2, 16, 128} {
-		b.Run(fmt.Sprint(copies), func(b *testing.B) {
+	for _, c := range []struct{ copies, waiting int }{{2, 0}, {16, 0}, {128, 0}, {16, 500}} {
+		b.Run(fmt.Sprintf("copies=%d,waiting=%d", c.copies, c.waiting), func(b *testing.B) {
 			byName := make(map[string]engine.Report)
-			for i := range copies {
+			for i := range c.copies {
 				byName[fmt.Sprint("e", i)] = loaded(8, "m")
 			}
-			s := startWith(b, limited(), &reports{byName: byName}, defaultRouting())
+			records := limited()
+			records.Deployment = config.Deployment{}
+			s := startWith(b, records, &reports{byName: byName}, defaultRouting())
 			defer s.stop()
 			for s.registry.AppendServing(nil, "s", engine.KindModel, "m") == nil {
 				runtime.Gosched()
 			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for i := range c.waiting {
+				go func() {
+					_, _ = s.controller.Acquire(ctx, request(func(r *scheduling.Request) {
+						r.Model, r.Deadline = fmt.Sprint("absent", i), time.Now().Add(time.Hour)
+					}))
+				}()
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				mustAcquire(s, request()).Release(admission.Result{InputTokens: 10, OutputTokens: 10})
--- a/pkg/admission/ticket.go
+++ b/pkg/admission/ticket.go
@@ -107,7 +107,7 @@
 		delete(c.running, t.key)
 	}
 	c.leave(t.request.Member)
-	c.dispatch()
+	c.dispatch(func(key modelKey) bool { return c.parts.Registry.ServesID(t.target.Name, key.service, key.id) })
 }
 
 // actualCost counts the time of the endpoint's accelerators divided among the calls that shared them.
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -328,6 +328,23 @@
 	return dst
 }
 
+// ServesID tells whether an endpoint belongs to the service and, unless the id is empty, has a model or adapter of that id
+// loaded.
+func (r *Registry) ServesID(endpoint, service, id string) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e := r.entries[endpoint]
+	if e == nil || e.declared.Service != service {
+		return false
+	}
+	if id == "" {
+		return true
+	}
+	return e.report != nil && slices.ContainsFunc(e.report.Artifacts, func(a engine.LoadedArtifact) bool {
+		return a.Name == id && a.State == engine.StateLoaded
+	})
+}
+
 // indexServing rebuilds the index of loaded artifacts.
 func (r *Registry) indexServing() {
 	clear(r.serving)
