--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -95,11 +95,37 @@
 	}
 	c.parts.Shares.SetShares(shares)
 	c.mu.Lock()
+	before := c.snapshot
 	c.snapshot = snapshot
+	for key := range c.statistics {
+		if !declares(snapshot, key) {
+			delete(c.statistics, key)
+		}
+	}
 	c.mu.Unlock()
+	c.forgetPrefixes(before, snapshot)
 	c.wakeUp()
 }
 
+func declares(snapshot *config.Snapshot, key modelKey) bool {
+	if key.id == "" {
+		return snapshot.Service(key.service) != nil
+	}
+	return snapshot.Model(key.id) != nil || snapshot.Adapter(key.id) != nil
+}
+
+// forgetPrefixes drops the cached prefixes of endpoints that are not declared any more.
+func (c *Controller) forgetPrefixes(before, after *config.Snapshot) {
+	if c.parts.Prefixes == nil || before == nil {
+		return
+	}
+	for _, e := range before.Records().Endpoints {
+		if after.Endpoint(e.Name) == nil {
+			c.parts.Prefixes.Forget(e.Name)
+		}
+	}
+}
+
 // Drain makes Acquire refuse new calls; calls that already wait are still served.
 func (c *Controller) Drain() {
 	c.mu.Lock()
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -223,6 +223,35 @@
 	})
 }
 
+// Guards against a call that runs where its adapter is missing, and against an adapter or plain service that is never
+// reached.
+func TestWhatCallsNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		withAdapter := loaded(4, "m")
+		withAdapter.Artifacts = append(withAdapter.Artifacts, engine.LoadedArtifact{
+			Artifact: engine.Artifact{Kind: engine.KindAdapter, Name: "m-a"}, State: engine.StateLoaded,
+		})
+		records := limited()
+		records.Services = []config.Service{{Header: config.Header{Name: "plain"}, Type: config.PlainService}}
+		records.Endpoints = []config.Endpoint{
+			{Header: config.Header{Name: "p"}, Service: "plain", URL: "http://127.0.0.1:1", MaxConcurrentRequests: 1},
+		}
+		s := start(t, records, map[string]engine.Report{"e": loaded(4, "m"), "f": withAdapter})
+		defer s.stop()
+		for range 4 {
+			ticket := mustAcquire(s, request(func(r *scheduling.Request) { r.Adapter = "m-a" }))
+			g.Expect(ticket.Target().Name).To(Equal("f"))
+		}
+		g.Expect(mustAcquire(s, request()).Target().Name).To(Equal("e"))
+		first := mustAcquire(s, request(func(r *scheduling.Request) { r.Service, r.Model = "plain", "" }))
+		g.Expect(first.Target()).To(Equal(engine.Target{Name: "p", URL: "http://127.0.0.1:1"}))
+		time.AfterFunc(time.Second, func() { first.Release(admission.Result{}) })
+		second := mustAcquire(s, request(func(r *scheduling.Request) { r.Service, r.Model = "plain", "" }))
+		g.Expect(second.Target().Name).To(Equal("p"))
+	})
+}
+
 // Guards against a call that starts although it cannot finish in time, and against a model that is refused for ever after
 // it was slow once.
 func TestDeadlineAtAFreeEndpoint(t *testing.T) {
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -87,7 +87,8 @@
 	}
 }
 
-// SetShares replaces the shares. A counter keeps its value, so that a new share affects later service only.
+// SetShares replaces the shares. A counter keeps its value, so that a new share affects later service only. Members that
+// are not named keep their accounts, because a member that is declared again must not publish less service than before.
 func (a *Accountant) SetShares(shares map[string]float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/pkg/scheduling/scorers_test.go
+++ b/pkg/scheduling/scorers_test.go
@@ -158,6 +158,13 @@
 			chosen[run] = append(chosen[run], decision.Chosen)
 		}
 	}
+	index := scheduling.NewPrefixIndex(10)
+	request := scheduling.Request{Model: "m", InputTokens: 4000, PrefixHashes: []uint64{1}}
+	index.Sent(&request, "e0777")
+	decision, _, _ := pipeline(index).Schedule(&request, states)
+	g.Expect(decision.Chosen).To(Equal("e0777"), "the holder of the prefix is always scored")
+	index.Forget("e0777")
+	g.Expect(index.Lookup(&request)).To(BeEmpty())
 	g.Expect(chosen[0]).To(Equal(chosen[1]))
 	g.Expect(chosen[0]).NotTo(HaveEach(chosen[0][0]), "all calls went to one of many equal endpoints")
 }
--- a/pkg/scheduling/topology_test.go
+++ b/pkg/scheduling/topology_test.go
@@ -7,6 +7,8 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
@@ -38,3 +40,28 @@
 		g.Expect(sent).To(BeNumerically(">=", 9*1000))
 	})
 }
+
+// Guards against a link budget that calls within the region use up, or that keeps what a short response did not need.
+func TestLinkIsChargedForOtherRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		records := config.Records{DataCentres: []config.DataCentre{
+			{Header: config.Header{Name: "a"}, Region: "near"},
+			{Header: config.Header{Name: "b"}, Region: "near"},
+			{Header: config.Header{Name: "c"}, Region: "far"},
+		}}
+		topology := scheduling.NewSnapshotTopology("a")
+		g.Expect(topology.Distance("b")).To(Equal(scheduling.OtherRegion), "nothing is known yet")
+		topology.Apply(config.NewSnapshot(1, time.Time{}, records))
+		budget := scheduling.NewLinkBudget(8000)
+		link := &scheduling.Link{Topology: topology, Budget: budget}
+		request := scheduling.Request{Bytes: 100, OutputTokens: 3}
+		for dataCentre, charged := range map[string]int{"a": 0, "b": 0, "c": 600, "unknown": 600} {
+			state := serving(func(s *endpoints.State) { s.Endpoint.DataCentre = dataCentre })
+			g.Expect(link.Charge(&request, &state)).To(Equal(charged), dataCentre)
+			link.Settle(charged, &request, 0)
+		}
+		g.Expect(budget.Has(600)).To(BeTrue())
+		g.Expect(budget.Has(601)).To(BeFalse(), "two calls took 100 bytes each")
+	})
+}
