--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -223,6 +223,35 @@
 	})
 }
 
+// Guards against a call that runs where its adapter is missing, and against an adapter or plain service that is never
+// reached.
+func TestWhatCallsNeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		withAdapter := loaded(4, "m")
+		withAdapter.Artifacts = append(withAdapter.Artifacts, engine.LoadedArtifact{
+			Artifact: engine.Artifact{Kind: engine.KindAdapter, Name: "m-a"}, State: engine.StateLoaded,
+		})
+		records := limited()
+		records.Services = []config.Service{{Header: config.Header{Name: "plain"}, Type: config.PlainService}}
+		records.Endpoints = []config.Endpoint{
+			{Header: config.Header{Name: "p"}, Service: "plain", URL: "http://127.0.0.1:1", MaxConcurrentRequests: 1},
+		}
+		s := start(t, records, map[string]engine.Report{"e": loaded(4, "m"), "f": withAdapter})
+		defer s.stop()
+		for range 4 {
+			ticket := mustAcquire(s, request(func(r *scheduling.Request) { r.Adapter = "m-a" }))
+			g.Expect(ticket.Target().Name).To(Equal("f"))
+		}
+		g.Expect(mustAcquire(s, request()).Target().Name).To(Equal("e"))
+		first := mustAcquire(s, request(func(r *scheduling.Request) { r.Service, r.Model = "plain", "" }))
+		g.Expect(first.Target()).To(Equal(engine.Target{Name: "p", URL: "http://127.0.0.1:1"}))
+		time.AfterFunc(time.Second, func() { first.Release(admission.Result{}) })
+		second := mustAcquire(s, request(func(r *scheduling.Request) { r.Service, r.Model = "plain", "" }))
+		g.Expect(second.Target().Name).To(Equal("p"))
+	})
+}
+
 // Guards against a call that starts although it cannot finish in time, and against a model that is refused for ever after
 // it was slow once.
 func TestDeadlineAtAFreeEndpoint(t *testing.T) {
@@ -253,19 +282,31 @@
 	})
 }
 
-// BenchmarkAcquire measures one admitted and ended call, with the model on the given number of endpoints.
+// BenchmarkAcquire measures one admitted and ended call, with its model on the given number of endpoints and with calls
+// for so many other models waiting.
 func BenchmarkAcquire(b *testing.B) {
-	for _, copies := range []int{2, 16, 128} {
-		b.Run(fmt.Sprint(copies), func(b *testing.B) {
+	for _, c := range []struct{ copies, waiting int }{{2, 0}, {16, 0}, {128, 0}, {16, 500}} {
+		b.Run(fmt.Sprintf("copies=%d,waiting=%d", c.copies, c.waiting), func(b *testing.B) {
 			byName := make(map[string]engine.Report)
-			for i := range copies {
+			for i := range c.copies {
 				byName[fmt.Sprint("e", i)] = loaded(8, "m")
 			}
-			s := startWith(b, limited(), &reports{byName: byName}, defaultRouting())
+			records := limited()
+			records.Deployment = config.Deployment{}
+			s := startWith(b, records, &reports{byName: byName}, defaultRouting())
 			defer s.stop()
 			for s.registry.AppendServing(nil, "s", engine.KindModel, "m") == nil {
 				runtime.Gosched()
 			}
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			for i := range c.waiting {
+				go func() {
+					_, _ = s.controller.Acquire(ctx, request(func(r *scheduling.Request) {
+						r.Model, r.Deadline = fmt.Sprint("absent", i), time.Now().Add(time.Hour)
+					}))
+				}()
+			}
 			b.ReportAllocs()
 			for b.Loop() {
 				mustAcquire(s, request()).Release(admission.Result{InputTokens: 10, OutputTokens: 10})
