--- a/cmd/mulberrygladed/main.go
+++ b/cmd/mulberrygladed/main.go
@@ -1,4 +1,72 @@
-// Command mulberrygladed is the entry daemon.
+// Command mulberrygladed is the entry daemon: it serves callers, exchanges state with its peers and places models.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/daemon"
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
+	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitFindings = 3
+)
+
+type options struct {
+	Settings string `short:"s" long:"settings" description:"JSON settings file" required:"true"`
+	Check    bool   `long:"check" description:"check the settings and exit"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	os.Exit(run(o))
+}
+
+func run(o options) int {
+	s, found := settings.Load(o.Settings)
+	if err := found.Err(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFindings
+	}
+	if o.Check {
+		return 0
+	}
+	log, err := telemetry.NewLogger(s.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailure
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return serve(ctx, s, log)
+}
+
+func serve(ctx context.Context, s settings.Settings, log *zap.Logger) int {
+	d, err := daemon.New(s, log)
+	if err != nil {
+		log.Error("start failed", zap.Error(err))
+		return exitFailure
+	}
+	if err := d.Run(ctx); err != nil {
+		return exitFailure
+	}
+	return 0
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples embeds the sample declarations.
+package examples
+
+import "embed"
+
+// Files holds a folder with declarations for each sample deployment.
+//
+//go:embed sindhuli/*.json lusorenda/*.json
+var Files embed.FS
--- /dev/null
+++ b/internal/loadtest/fleet.go
@@ -0,0 +1,142 @@
+package loadtest
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
+)
+
+const (
+	readyTimeout  = time.Minute
+	readyInterval = 50 * time.Millisecond
+	stopTimeout   = 30 * time.Second
+	filePrivate   = 0o600
+)
+
+// Instance is one daemon process.
+type Instance struct {
+	Settings settings.Settings
+	process  *exec.Cmd
+	log      *os.File
+	exited   chan error
+}
+
+// Fleet is a set of daemon processes. Only the load tool starts processes; the system itself never does.
+type Fleet struct {
+	// Binary is the daemon's executable; Folder takes settings and logs.
+	Binary    string
+	Folder    string
+	Instances []*Instance
+}
+
+// Start starts a daemon with the settings, whose ports must be fixed.
+func (f *Fleet) Start(s settings.Settings) (*Instance, error) {
+	text, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	path := filepath.Join(f.Folder, s.InstanceID+".json")
+	if err := os.WriteFile(path, text, filePrivate); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	log, err := os.OpenFile(filepath.Join(f.Folder, s.InstanceID+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, filePrivate)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	instance := &Instance{Settings: s, log: log, exited: make(chan error, 1)}
+	instance.process = exec.Command(f.Binary, "--settings", path)
+	instance.process.Stderr = log
+	if err := instance.process.Start(); err != nil {
+		_ = log.Close()
+		return nil, errors.Wrapf(err, "start %q", f.Binary)
+	}
+	go func() { instance.exited <- instance.process.Wait() }()
+	f.Instances = append(f.Instances, instance)
+	return instance, nil
+}
+
+// WaitReady waits until the instance is ready.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		status, _, err := fasthttp.GetTimeout(nil, "http://"+i.Settings.AdminAddress+"/readyz", time.Second)
+		if err == nil && status == fasthttp.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Newf("instance %q is not ready; see its log", i.Settings.InstanceID)
+		case err := <-i.exited:
+			i.exited <- err
+			return errors.Wrapf(err, "instance %q exited", i.Settings.InstanceID)
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+// Kill ends the process at once, as a crash does.
+func (i *Instance) Kill() {
+	_ = i.process.Process.Kill()
+	i.exited <- <-i.exited
+}
+
+// Pause and Resume freeze the process and let it go on.
+func (i *Instance) Pause() error {
+	return errors.WithStack(i.process.Process.Signal(syscall.SIGSTOP))
+}
+
+// Resume lets a paused process go on.
+func (i *Instance) Resume() error {
+	return errors.WithStack(i.process.Process.Signal(syscall.SIGCONT))
+}
+
+// Terminate asks for a graceful shutdown and waits for its end.
+func (i *Instance) Terminate() error {
+	_ = i.process.Process.Signal(syscall.SIGTERM)
+	select {
+	case err := <-i.exited:
+		i.exited <- err
+		return err
+	case <-time.After(stopTimeout):
+		i.Kill()
+		return errors.Newf("instance %q did not stop in time and was killed", i.Settings.InstanceID)
+	}
+}
+
+// Usage returns the processor time and the largest resident memory of an ended process.
+func (i *Instance) Usage() (cpu time.Duration, maxRSSBytes int64) {
+	state := i.process.ProcessState
+	if state == nil {
+		return 0, 0
+	}
+	usage, ok := state.SysUsage().(*syscall.Rusage)
+	if !ok {
+		return 0, 0
+	}
+	const kilobyte = 1024 // Linux reports Maxrss in kilobytes.
+	return state.UserTime() + state.SystemTime(), usage.Maxrss * kilobyte
+}
+
+// Stop ends all instances gracefully and returns the first error.
+func (f *Fleet) Stop() error {
+	var first error
+	for _, i := range f.Instances {
+		if i.process.ProcessState == nil {
+			if err := i.Terminate(); err != nil && first == nil {
+				first = err
+			}
+		}
+		_ = i.log.Close()
+	}
+	return first
+}
--- /dev/null
+++ b/internal/testbed/testbed.go
@@ -0,0 +1,236 @@
+// Package testbed runs stand-ins of everything that a deployment meets on loopback: the key-value store and one stand-in
+// per declared endpoint. Daemons are started by its users.
+package testbed
+
+import (
+	"context"
+	"io/fs"
+	"maps"
+	"net"
+	"path"
+	"sort"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/internal/standin/service"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
+)
+
+// Options configure a Testbed.
+type Options struct {
+	// Declarations is the folder with the JSON files of the deployment.
+	Declarations fs.FS
+	Folder       string
+	// Engine returns the options of one engine, whose Memory is set by the testbed.
+	Engine func(endpoint config.Endpoint) engine.Options
+	// Service returns the options of one replica of a plain service.
+	Service func(endpoint config.Endpoint) service.Options
+	// Adjust changes the fields of a record before it is used; nil means no change.
+	Adjust func(kind config.Kind, fields map[string]any)
+	// Listen opens the listener of a stand-in; nil means a free port of 127.0.0.1. The data centre is empty for the store.
+	Listen func(dataCentre string) (net.Listener, error)
+}
+
+// Testbed is a running set of stand-ins.
+type Testbed struct {
+	Store    *kv.Memory
+	StoreURL string
+	Engines  map[string]*engine.Engine
+	Services map[string]*service.Service
+	// Records are the declarations with the addresses of the stand-ins.
+	Records []config.RawRecord
+	Typed   config.Records
+
+	options Options
+	server  *kv.Server
+}
+
+// Start reads the declarations and starts the stand-ins. Errors: *findings.Error, or a port that cannot be opened.
+func Start(options Options) (*Testbed, error) {
+	if options.Listen == nil {
+		options.Listen = func(string) (net.Listener, error) { return net.Listen("tcp", "127.0.0.1:0") }
+	}
+	t := &Testbed{
+		Store:    kv.NewMemory(),
+		Engines:  make(map[string]*engine.Engine),
+		Services: make(map[string]*service.Service),
+		options:  options,
+	}
+	if err := t.load(); err != nil {
+		return nil, err
+	}
+	if err := t.startStore(); err != nil {
+		return nil, err
+	}
+	if err := t.startEndpoints(); err != nil {
+		t.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+func (t *Testbed) load() error {
+	names, err := fs.Glob(t.options.Declarations, path.Join(t.options.Folder, "*.json"))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	sort.Strings(names)
+	var found findings.List
+	for _, name := range names {
+		data, err := fs.ReadFile(t.options.Declarations, name)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		records, mistakes := config.ParseFile(name, data)
+		t.Records = append(t.Records, records...)
+		found.Append(mistakes)
+	}
+	t.adjust()
+	typed, mistakes := config.Validate(t.Records)
+	found.Append(mistakes)
+	t.Typed = typed
+	return found.Err()
+}
+
+func (t *Testbed) adjust() {
+	if t.options.Adjust == nil {
+		return
+	}
+	for i, record := range t.Records {
+		fields := maps.Clone(record.Fields)
+		t.options.Adjust(record.Kind, fields)
+		t.Records[i] = config.NewRawRecord(record.File, record.Pointer, fields)
+	}
+}
+
+func (t *Testbed) startStore() error {
+	listener, err := t.options.Listen("")
+	if err != nil {
+		return errors.Wrap(err, "store listener")
+	}
+	t.server = kv.NewServer(t.Store)
+	t.StoreURL = "http://" + listener.Addr().String()
+	go func() { _ = t.server.Serve(listener) }()
+	return nil
+}
+
+func (t *Testbed) startEndpoints() error {
+	addresses := make(map[string]string)
+	for _, e := range t.Typed.Endpoints {
+		listener, err := t.options.Listen(e.DataCentre)
+		if err != nil {
+			return errors.Wrapf(err, "listener of endpoint %q", e.Name)
+		}
+		addresses[e.Name] = "http://" + listener.Addr().String()
+		if len(e.Accelerators) > 0 {
+			t.startEngine(e, listener)
+			continue
+		}
+		t.startService(e, listener)
+	}
+	t.replaceAddresses(addresses)
+	return nil
+}
+
+func (t *Testbed) startEngine(e config.Endpoint, listener net.Listener) {
+	var capacity []int64
+	for _, a := range e.Accelerators {
+		capacity = append(capacity, a.MemoryBytes)
+	}
+	options := engine.Options{}
+	if t.options.Engine != nil {
+		options = t.options.Engine(e)
+	}
+	options.Memory = engine.NewMemory(capacity, e.Name+"-1", e.ChecksFencing)
+	standIn := engine.New(options)
+	t.Engines[e.Name] = standIn
+	go func() { _ = standIn.Serve(listener) }()
+}
+
+func (t *Testbed) startService(e config.Endpoint, listener net.Listener) {
+	options := service.Options{}
+	if t.options.Service != nil {
+		options = t.options.Service(e)
+	}
+	standIn := service.New(options)
+	t.Services[e.Name] = standIn
+	go func() { _ = standIn.Serve(listener) }()
+}
+
+// replaceAddresses puts the stand-ins' addresses into the records.
+func (t *Testbed) replaceAddresses(addresses map[string]string) {
+	for i, record := range t.Records {
+		address, known := addresses[record.Name]
+		if record.Kind != config.KindEndpoint || !known {
+			continue
+		}
+		fields := maps.Clone(record.Fields)
+		fields["url"] = address
+		t.Records[i] = config.NewRawRecord(record.File, record.Pointer, fields)
+	}
+	for i := range t.Typed.Endpoints {
+		t.Typed.Endpoints[i].URL = addresses[t.Typed.Endpoints[i].Name]
+	}
+}
+
+// Apply writes the declarations to the store.
+func (t *Testbed) Apply(ctx context.Context, changeID string) error {
+	repository := configstore.New(t.Store, configstore.Options{Prefix: settings.Default().Store.Prefix})
+	_, err := repository.Apply(ctx, configstore.Change{ID: changeID, Records: t.Records})
+	return err
+}
+
+// Settings returns settings of a daemon in the data centre, with ports chosen by the system on the address.
+func (t *Testbed) Settings(instanceID, dataCentre, ip string) settings.Settings {
+	s := settings.Default()
+	s.SchemaVersion = settings.SchemaVersion
+	s.InstanceID = instanceID
+	s.DataCentre = dataCentre
+	for _, d := range t.Typed.DataCentres {
+		if d.Name == dataCentre {
+			s.Region = d.Region
+		}
+	}
+	anyPort := net.JoinHostPort(ip, "0")
+	s.CallerAddress = anyPort
+	s.PeerAddress = anyPort
+	s.AdminAddress = anyPort
+	s.Store.URLs = []string{t.StoreURL}
+	return s
+}
+
+// Executions returns how often the plain service ran the order, over all replicas.
+func (t *Testbed) Executions(orderID string) int {
+	total := 0
+	for _, s := range t.Services {
+		total += s.Executions(orderID)
+	}
+	return total
+}
+
+// Violations returns how often an accelerator's memory was exceeded, over all engines.
+func (t *Testbed) Violations() int {
+	total := 0
+	for _, e := range t.Engines {
+		total += e.Memory().Violations()
+	}
+	return total
+}
+
+// Close ends all stand-ins.
+func (t *Testbed) Close() {
+	for _, e := range t.Engines {
+		e.Close()
+	}
+	for _, s := range t.Services {
+		s.Close()
+	}
+	if t.server != nil {
+		_ = t.server.Close()
+	}
+}
--- /dev/null
+++ b/pkg/admin/commands.go
@@ -0,0 +1,35 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+// Commands change the instance.
+type Commands interface {
+	// Drain begins a graceful shutdown; a repeated call changes nothing.
+	Drain() adminapi.DrainResponse
+	// InstanceID is the id that a drain must name.
+	InstanceID() string
+}
+
+func (s *Server) addCommands() {
+	s.app.Post(adminapi.PathDrain, s.drain)
+}
+
+func (s *Server) drain(c fiber.Ctx) error {
+	var request adminapi.DrainRequest
+	if err := json.Unmarshal(c.Body(), &request); err != nil {
+		return invalid("the body must be a JSON object with the field instanceId")
+	}
+	if request.InstanceID != s.options.Commands.InstanceID() {
+		return problem.New(problem.TypeInvalidRequest, http.StatusConflict, problem.NotRun,
+			"This is instance "+s.options.Commands.InstanceID()+", not "+request.InstanceID+"; nothing was drained.")
+	}
+	return c.JSON(s.options.Commands.Drain())
+}
--- /dev/null
+++ b/pkg/admin/server.go
@@ -0,0 +1,116 @@
+// Package admin serves the admin port: health, readiness, metrics, profiles, and the operators' queries and commands.
+package admin
+
+import (
+	"crypto/subtle"
+	"net"
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gofiber/fiber/v3"
+	"github.com/gofiber/fiber/v3/middleware/adaptor"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+const (
+	tokenScheme = "Bearer "
+	// maxBodyBytes is ample for the commands, which have no or a small body.
+	maxBodyBytes = 64 << 10
+)
+
+// Options configure a Server.
+type Options struct {
+	// Ready returns why the instance must get no new work, or nil.
+	Ready   func() error
+	Metrics http.Handler
+	// Token authenticates operators; empty means that mutual TLS or a loopback address protects the port.
+	Token    string
+	Queries  Queries
+	Commands Commands
+	Log      *zap.Logger
+}
+
+// Server is the admin port.
+type Server struct {
+	options Options
+	app     *fiber.App
+}
+
+// NewServer returns a server; Serve starts it.
+func NewServer(options Options) *Server {
+	s := &Server{options: options}
+	s.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: s.fail})
+	s.app.Get("/healthz", s.health)
+	s.app.Get("/readyz", s.ready)
+	s.app.Use(s.authenticate)
+	s.app.Get("/metrics", adaptor.HTTPHandler(options.Metrics))
+	s.addProfiles()
+	s.addQueries()
+	s.addCommands()
+	return s
+}
+
+// Serve answers on the listener until Close.
+func (s *Server) Serve(listener net.Listener) error {
+	config := fiber.ListenConfig{DisableStartupMessage: true}
+	return errors.Wrap(s.app.Listener(listener, config), "admin server")
+}
+
+// Close stops the server.
+func (s *Server) Close() error {
+	return errors.Wrap(s.app.Shutdown(), "close admin server")
+}
+
+// health tells that the process runs.
+func (s *Server) health(c fiber.Ctx) error {
+	return c.SendString("ok\n")
+}
+
+// ready tells the load balancer whether to send new work.
+func (s *Server) ready(c fiber.Ctx) error {
+	if err := s.options.Ready(); err != nil {
+		return c.Status(http.StatusServiceUnavailable).SendString(err.Error() + "\n")
+	}
+	return c.SendString("ready\n")
+}
+
+func (s *Server) authenticate(c fiber.Ctx) error {
+	if s.options.Token == "" {
+		return c.Next()
+	}
+	want := []byte(tokenScheme + s.options.Token)
+	if subtle.ConstantTimeCompare([]byte(c.Get(fiber.HeaderAuthorization)), want) == 1 {
+		return c.Next()
+	}
+	return problem.New(problem.TypeUnauthenticated, http.StatusUnauthorized, problem.NotRun, "operator token is missing or wrong")
+}
+
+func (s *Server) addProfiles() {
+	s.app.Get("/debug/pprof/cmdline", adaptor.HTTPHandlerFunc(pprof.Cmdline))
+	s.app.Get("/debug/pprof/profile", adaptor.HTTPHandlerFunc(pprof.Profile))
+	s.app.Get("/debug/pprof/symbol", adaptor.HTTPHandlerFunc(pprof.Symbol))
+	s.app.Get("/debug/pprof/trace", adaptor.HTTPHandlerFunc(pprof.Trace))
+	s.app.Get("/debug/pprof/*", adaptor.HTTPHandlerFunc(pprof.Index))
+}
+
+// fail answers with a problem document.
+func (s *Server) fail(c fiber.Ctx, err error) error {
+	var p *problem.Problem
+	if !errors.As(err, &p) {
+		p = s.wrap(err)
+	}
+	c.Set(fiber.HeaderContentType, problem.ContentType)
+	return c.Status(p.Status).JSON(p, problem.ContentType)
+}
+
+func (s *Server) wrap(err error) *problem.Problem {
+	var f *fiber.Error
+	if errors.As(err, &f) {
+		return problem.New(problem.TypeNotFound, f.Code, problem.NotRun, f.Message)
+	}
+	s.options.Log.Error("admin call failed", zap.Error(err))
+	return problem.New(problem.TypeInternal, http.StatusInternalServerError, problem.Unknown, "internal error; see the log")
+}
--- a/pkg/config/keys.go
+++ b/pkg/config/keys.go
@@ -39,14 +39,15 @@
 // MemberByKey returns the member that owns the bearer key, or nil. Hashes are compared in constant time.
 func (s *Snapshot) MemberByKey(key string) *Member {
 	for _, owner := range s.keysByPrefix[keyPrefix(key)] {
-		if owner.key.matches(key) {
+		if owner.key.Matches(key) {
 			return owner.member
 		}
 	}
 	return nil
 }
 
-func (k KeyHash) matches(key string) bool {
+// Matches tells whether this is the hash of the key. Hashes are compared in constant time.
+func (k KeyHash) Matches(key string) bool {
 	salt, err := base64.StdEncoding.DecodeString(k.Salt)
 	if err != nil {
 		return false
--- /dev/null
+++ b/pkg/daemon/build.go
@@ -0,0 +1,297 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/admin"
+	"github.com/mulberryglade/mulberryglade/pkg/admission"
+	"github.com/mulberryglade/mulberryglade/pkg/claims"
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	"github.com/mulberryglade/mulberryglade/pkg/configsync"
+	"github.com/mulberryglade/mulberryglade/pkg/decisions"
+	"github.com/mulberryglade/mulberryglade/pkg/demand"
+	"github.com/mulberryglade/mulberryglade/pkg/dispatch"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/openaihttp"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/plainhttp"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+	"github.com/mulberryglade/mulberryglade/pkg/gateway"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+	"github.com/mulberryglade/mulberryglade/pkg/peer"
+	"github.com/mulberryglade/mulberryglade/pkg/placement"
+	"github.com/mulberryglade/mulberryglade/pkg/retry"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+const (
+	// peerStaleAfter is the silence of a peer after which its in-flight counts are not relied on. The exchange interval
+	// is at most 2.25 s at the design size, so one lost exchange is not yet a silence.
+	peerStaleAfter = 5 * time.Second
+	// retryBase and retryMax bound the wait before a retry.
+	retryBase = 20 * time.Millisecond
+	retryMax  = 500 * time.Millisecond
+	// prefixBlocks bounds the index of cached prompt prefixes; an entry takes about 100 bytes.
+	prefixBlocks = 100_000
+	// pickerCandidates is the number of candidates up to which all are scored.
+	pickerCandidates = 64
+	// engineDialTimeout bounds connecting to an endpoint; a dead one must not use up the time to the first token.
+	engineDialTimeout = 200 * time.Millisecond
+)
+
+func (d *Daemon) build() error {
+	d.recorder = decisions.NewRecorder(d.log, d.settings.DecisionRecords)
+	if err := d.buildStore(); err != nil {
+		return err
+	}
+	if err := d.buildEndpoints(); err != nil {
+		return err
+	}
+	d.buildAdmission()
+	if err := d.buildPeers(); err != nil {
+		return err
+	}
+	d.buildPlacement()
+	d.buildGateway()
+	return d.buildAdmin()
+}
+
+func (d *Daemon) buildStore() error {
+	tlsConfig, err := clientTLS(d.settings.TLS.StoreCAFile, "tls.storeCaFile")
+	if err != nil {
+		return err
+	}
+	d.storeClient, err = etcdgateway.New(etcdgateway.Options{
+		URLs:    d.settings.Store.URLs,
+		Timeout: config.Milliseconds(d.settings.Store.TimeoutMs),
+		Scope:   d.metrics.Scope,
+		TLS:     tlsConfig,
+	})
+	if err != nil {
+		return errors.Wrap(err, "store.urls")
+	}
+	d.store = contactStore{Store: d.storeClient, contact: func() { d.syncer.NoteStoreContact() }}
+	d.syncer = configsync.New(configsync.Options{
+		Store:  d.store,
+		Prefix: d.settings.Store.Prefix,
+		Peers:  peerSource{daemon: d},
+		Log:    d.log,
+		Scope:  d.metrics.Scope,
+	})
+	return nil
+}
+
+func (d *Daemon) buildEndpoints() error {
+	tlsConfig, err := clientTLS(d.settings.TLS.EngineCAFile, "tls.engineCaFile")
+	if err != nil {
+		return err
+	}
+	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout}
+	d.engine = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
+	d.services = httpconn.NewPool(connections)
+	d.serviceLoads = plainhttp.NewReporter(connections)
+	options := endpoints.Options{StaleAfter: peerStaleAfter}
+	d.registry = endpoints.NewRegistry(d.engine, serviceLoads{reporter: d.serviceLoads}, d.log, options)
+	return nil
+}
+
+func (d *Daemon) buildAdmission() {
+	d.tracker = demand.NewTracker()
+	d.accountant = fairshare.NewAccountant(fairshare.DefaultWeights())
+	d.topology = scheduling.NewSnapshotTopology(d.settings.DataCentre)
+	d.linkBudget = scheduling.NewLinkBudget(0)
+	d.prefixes = scheduling.NewPrefixIndex(prefixBlocks)
+	d.registry.ReadEvents(d.prefixes)
+	seed := d.identity.Seed()
+	d.admission = admission.NewController(admission.Parts{
+		Registry: d.registry,
+		Pipeline: scheduling.NewPipeline(
+			scheduling.DefaultFilters(d.topology, d.linkBudget),
+			scheduling.DefaultScorers(d.topology),
+			scheduling.NewPicker(pickerCandidates, d.topology, seed)),
+		Demand:    d.tracker,
+		Shares:    d.accountant,
+		Decisions: d.recorder,
+		Link:      &scheduling.Link{Topology: d.topology, Budget: d.linkBudget},
+		Prefixes:  d.prefixes,
+		Scope:     d.metrics.Scope,
+	})
+}
+
+func (d *Daemon) buildPeers() error {
+	tlsConfig, err := d.peerTLS()
+	if err != nil {
+		return err
+	}
+	token, err := readToken(d.settings.PeerTokenFile)
+	if err != nil {
+		return errors.Wrap(err, "peerTokenFile")
+	}
+	shared := newExchange(d.registry, d.accountant, d.tracker, d.presence)
+	d.node = peer.NewNode(peer.Options{
+		Self:      d.identity,
+		Seeds:     d.settings.SeedPeers,
+		Interval:  config.Milliseconds(d.settings.ExchangeIntervalMs),
+		Local:     shared,
+		Sink:      shared,
+		Announcer: d.syncer,
+		Dial:      peer.NewDialer(token, tlsConfig),
+		Log:       d.log,
+		Scope:     d.metrics.Scope,
+	})
+	d.issuer = claims.NewIssuer(claims.IssuerOptions{
+		Instance:    d.identity.InstanceID,
+		Incarnation: d.identity.Incarnation,
+		Scope:       d.metrics.Scope,
+	})
+	server := peer.NewServer(d.node, configServer{syncer: d.syncer}, d.issuer)
+	d.peerServer = peer.NewHTTPServer(server, token, tlsConfig)
+	return nil
+}
+
+func (d *Daemon) presence() peer.Presence {
+	p := peer.Presence{
+		ConfigRevision:  d.syncer.Revision(),
+		StoreContactAge: d.syncer.StoreContactAge(),
+		Draining:        d.draining.Load(),
+		ConfigBehind:    d.syncer.Behind(),
+	}
+	if snapshot := d.syncer.Current(); snapshot != nil {
+		p.ConfigCommittedAt = snapshot.CommittedAt
+	}
+	return p
+}
+
+func (d *Daemon) buildPlacement() {
+	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
+	d.planner = placement.Static{}
+	d.modelPacer = newSharedPacer()
+	d.adapterPacer = newSharedPacer()
+}
+
+// dispatchers returns what runs calls after admission.
+func (d *Daemon) dispatchers() (*dispatch.ModelDispatcher, *dispatch.ServiceDispatcher) {
+	d.storeClaims = claims.NewStoreClaimer(claims.StoreOptions{
+		Store:       d.store,
+		Prefix:      d.settings.Store.Prefix,
+		Instance:    d.identity.InstanceID,
+		Incarnation: d.identity.Incarnation,
+		Scope:       d.metrics.Scope,
+	})
+	router := claims.Router{
+		Issued: claims.NewIssuedClaimer(d.issuer, peer.Keys{Node: d.node}),
+		Store:  d.storeClaims,
+	}
+	options := dispatch.Options{
+		Gate:    d.admission,
+		Budget:  retry.NewBudget(d.retryLimits),
+		Backoff: retry.Backoff{Base: retryBase, Max: retryMax},
+		Log:     d.log,
+		Scope:   d.metrics.Scope,
+	}
+	return dispatch.NewModelDispatcher(d.engine, options), dispatch.NewServiceDispatcher(d.services, router, options)
+}
+
+func (d *Daemon) retryLimits() retry.Limits {
+	snapshot := d.syncer.Current()
+	if snapshot == nil {
+		return retry.DefaultLimits(0)
+	}
+	return retry.DefaultLimits(snapshot.Deployment().RetryBudgetRatio)
+}
+
+// readToken reads a token file; an empty name means no token.
+func readToken(path string) (string, error) {
+	if path == "" {
+		return "", nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	token := strings.TrimSpace(string(text))
+	if token == "" {
+		return "", errors.Newf("file %q is empty", path)
+	}
+	return token, nil
+}
+
+// peerSource fetches configurations from peers.
+type peerSource struct {
+	daemon *Daemon
+}
+
+var _ configsync.PeerSource = peerSource{}
+
+// Fetch implements configsync.PeerSource.
+func (p peerSource) Fetch(ctx context.Context, instance string, known int64, have []string) ([]byte, int64, []configstore.Bundle, error) {
+	revision, head, bundles, err := p.daemon.node.FetchConfig(ctx, instance, known, have)
+	if err != nil {
+		return nil, 0, nil, err
+	}
+	converted := make([]configstore.Bundle, 0, len(bundles))
+	for _, b := range bundles {
+		converted = append(converted, configstore.Bundle{Digest: b.Digest, Content: b.Content})
+	}
+	return head, revision, converted, nil
+}
+
+// configServer gives peers the configuration in effect.
+type configServer struct {
+	syncer *configsync.Syncer
+}
+
+var _ peer.ConfigServer = configServer{}
+
+// Newer implements peer.ConfigServer.
+func (c configServer) Newer(known int64, have []string) (int64, []byte, []peer.Bundle) {
+	head, revision, bundles := c.syncer.CurrentHead(known, have)
+	converted := make([]peer.Bundle, 0, len(bundles))
+	for _, b := range bundles {
+		converted = append(converted, peer.Bundle{Digest: b.Digest, Content: b.Content})
+	}
+	return revision, head, converted
+}
+
+func (d *Daemon) buildGateway() {
+	models, services := d.dispatchers()
+	limits := d.settings.Limits
+	d.gateway = gateway.New(gateway.Options{
+		Snapshot: d.syncer.Current,
+		Models:   models,
+		Services: services,
+		Keys:     d.issuer,
+		Log:      d.log,
+		Scope:    d.metrics.Scope,
+		Limits: gateway.Limits{
+			MaxBodyBytes:   int(limits.BodyBytes),
+			MaxHeaderBytes: limits.HeaderBytes,
+			MaxConnections: limits.ConcurrentConnections,
+			ReadTimeout:    config.Milliseconds(limits.ReadTimeoutMs),
+			IdleTimeout:    config.Milliseconds(limits.ConnectionIdleMs),
+		},
+	})
+}
+
+func (d *Daemon) buildAdmin() error {
+	token, err := readToken(d.settings.OperatorTokenFile)
+	if err != nil {
+		return errors.Wrap(err, "operatorTokenFile")
+	}
+	d.admin = admin.NewServer(admin.Options{
+		Ready:    d.Ready,
+		Metrics:  d.metrics.Handler,
+		Token:    token,
+		Queries:  queries{daemon: d},
+		Commands: commands{daemon: d},
+		Log:      d.log,
+	})
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,147 @@
+// Package daemon builds the components of an entry instance, runs them and shuts them down in order.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/admin"
+	"github.com/mulberryglade/mulberryglade/pkg/admission"
+	"github.com/mulberryglade/mulberryglade/pkg/claims"
+	"github.com/mulberryglade/mulberryglade/pkg/configsync"
+	"github.com/mulberryglade/mulberryglade/pkg/decisions"
+	"github.com/mulberryglade/mulberryglade/pkg/demand"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/openaihttp"
+	"github.com/mulberryglade/mulberryglade/pkg/engine/plainhttp"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+	"github.com/mulberryglade/mulberryglade/pkg/gateway"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+	"github.com/mulberryglade/mulberryglade/pkg/peer"
+	"github.com/mulberryglade/mulberryglade/pkg/placement"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
+	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
+)
+
+// Daemon is one entry instance.
+type Daemon struct {
+	settings  settings.Settings
+	identity  peer.Identity
+	log       *zap.Logger
+	metrics   *telemetry.Metrics
+	listeners listeners
+	startedAt time.Time
+
+	storeClient *etcdgateway.Client
+	store       contactStore
+	syncer      *configsync.Syncer
+
+	registry   *endpoints.Registry
+	tracker    *demand.Tracker
+	accountant *fairshare.Accountant
+	topology   *scheduling.SnapshotTopology
+	linkBudget *scheduling.LinkBudget
+	prefixes   *scheduling.PrefixIndex
+	admission  *admission.Controller
+	recorder   *decisions.Recorder
+
+	engine       *openaihttp.Client
+	services     *httpconn.Pool
+	serviceLoads *plainhttp.Reporter
+	storeClaims  *claims.StoreClaimer
+	issuer       *claims.Issuer
+
+	node       *peer.Node
+	peerServer *http.Server
+
+	ledger       *ledger.Ledger
+	planner      placement.Planner
+	modelPacer   *sharedPacer
+	adapterPacer *sharedPacer
+	controllers  controllerSet
+
+	gateway *gateway.Server
+	admin   *admin.Server
+
+	// rates serves the operators' queries; placement shards have meters of their own.
+	rates rateWindow
+
+	draining atomic.Bool
+	// stop is closed by Stop.
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// listeners are the ports of an instance.
+type listeners struct {
+	caller net.Listener
+	peer   net.Listener
+	admin  net.Listener
+}
+
+// Addresses are the ports that an instance listens on, as IP addresses with ports.
+type Addresses struct {
+	Caller string
+	Peer   string
+	Admin  string
+}
+
+// New opens the ports and builds all components; Run starts them. Errors name the setting that cannot be used.
+func New(s settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings:  s,
+		log:       log.With(zap.String("instance", s.InstanceID)),
+		metrics:   telemetry.NewMetrics(),
+		startedAt: time.Now(),
+		stop:      make(chan struct{}),
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.identity = peer.Identity{
+		InstanceID:  s.InstanceID,
+		Incarnation: uuid.NewString(),
+		DataCentre:  s.DataCentre,
+		Region:      s.Region,
+		Address:     d.listeners.peer.Addr().String(),
+	}
+	if err := d.build(); err != nil {
+		d.closeListeners()
+		return nil, err
+	}
+	return d, nil
+}
+
+// Addresses returns the ports, also when the settings left their choice to the system.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Caller: d.listeners.caller.Addr().String(),
+		Peer:   d.listeners.peer.Addr().String(),
+		Admin:  d.listeners.admin.Addr().String(),
+	}
+}
+
+// Stop begins a graceful shutdown, as the end of Run's context does. A repeated call changes nothing.
+func (d *Daemon) Stop() {
+	d.stopOnce.Do(func() { close(d.stop) })
+}
+
+// sleep waits for the duration or the end of the context.
+func sleep(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/pkg/daemon/placement.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/lease"
+	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+	"github.com/mulberryglade/mulberryglade/pkg/placement"
+)
+
+const (
+	// leaseCandidates is the number of instances of a data centre that try to acquire a placement lease; with more, the
+	// store's calls would grow with the fleet.
+	leaseCandidates = 2
+	// leasePollInterval is how often a placement goroutine looks whether this instance holds the lease.
+	leasePollInterval = 250 * time.Millisecond
+)
+
+// guard lets the ledger add the lease condition to each write.
+type guard struct {
+	holder *lease.Holder
+}
+
+var _ ledger.Guard = guard{}
+
+// Condition implements ledger.Guard.
+func (g guard) Condition() (kvstore.Condition, bool) {
+	token, held := g.holder.Held()
+	return token.Condition(), held
+}
+
+// runPlacement keeps one goroutine pair per placement shard: one holds the lease, one places while it is held.
+func (d *Daemon) runPlacement(ctx context.Context) {
+	var group conc.WaitGroup
+	defer group.Wait()
+	running := make(map[int]context.CancelFunc)
+	for ctx.Err() == nil {
+		shards := d.placementShards()
+		for shard := range shards {
+			if running[shard] != nil {
+				continue
+			}
+			shardCtx, cancel := context.WithCancel(ctx)
+			running[shard] = cancel
+			group.Go(func() { d.runShard(shardCtx, shard) })
+		}
+		for shard, cancel := range running {
+			if shard >= shards {
+				cancel()
+				delete(running, shard)
+			}
+		}
+		sleep(ctx, time.Second)
+	}
+}
+
+func (d *Daemon) placementShards() int {
+	snapshot := d.syncer.Current()
+	if snapshot == nil {
+		return 0
+	}
+	return max(1, snapshot.Deployment().PlacementShards)
+}
+
+func (d *Daemon) runShard(ctx context.Context, shard int) {
+	key := fmt.Sprintf("%splacement/%s/%d/holder", d.settings.Store.Prefix, d.settings.DataCentre, shard)
+	holder := lease.New(lease.Options{
+		Store:    d.store,
+		Key:      key,
+		Identity: d.identity.InstanceID,
+		Eligible: func() bool { return !d.draining.Load() && d.node.Table.RelayPosition() < leaseCandidates },
+		Log:      d.log,
+		Scope:    d.metrics.Scope,
+	})
+	meter := newRateMeter(d.tracker.Total, time.Now, d.placementShards)
+	controller := placement.NewController(placement.Options{
+		DataCentre:   d.settings.DataCentre,
+		Shard:        shard,
+		Ledger:       d.ledger,
+		Guard:        guard{holder: holder},
+		Dialer:       d.engine,
+		Planner:      d.planner,
+		Snapshot:     d.syncer.Current,
+		Status:       d.endpointStatus,
+		Demand:       meter.Demand,
+		ModelPacer:   d.modelPacer,
+		AdapterPacer: d.adapterPacer,
+		Recorder:     d.recorder,
+		Log:          d.log,
+		Scope:        d.metrics.Scope,
+	})
+	d.controllers.set(shard, shardParts{controller: controller, holder: holder})
+	defer d.controllers.remove(shard)
+
+	var group conc.WaitGroup
+	defer group.Wait()
+	group.Go(func() { d.runHolder(ctx, holder) })
+	for ctx.Err() == nil {
+		if _, held := holder.Held(); held {
+			d.log.Info("placement lease acquired", zap.Int("shard", shard))
+			err := controller.Run(ctx)
+			d.log.Info("placement stopped", zap.Int("shard", shard), zap.Error(err))
+		}
+		sleep(ctx, leasePollInterval)
+	}
+}
+
+func (d *Daemon) runHolder(ctx context.Context, holder *lease.Holder) {
+	if err := holder.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		d.log.Error("lease holder stopped", zap.Error(err))
+	}
+}
+
+// endpointStatus tells placement what routing knows of an endpoint.
+func (d *Daemon) endpointStatus(name string) placement.Status {
+	state, known := d.registry.State(name)
+	if !known {
+		return placement.Status{Unreachable: true}
+	}
+	return placement.Status{Leaving: state.Leaving, Unreachable: d.registry.Unreachable(name)}
+}
+
+// controllerSet holds the placement shards that this instance runs. It is safe for concurrent use.
+type controllerSet struct {
+	mu      sync.Mutex
+	byShard map[int]shardParts
+}
+
+type shardParts struct {
+	controller *placement.Controller
+	holder     *lease.Holder
+}
+
+func (s *controllerSet) set(shard int, parts shardParts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byShard == nil {
+		s.byShard = make(map[int]shardParts)
+	}
+	s.byShard[shard] = parts
+}
+
+func (s *controllerSet) remove(shard int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byShard, shard)
+}
+
+// status returns each shard with what its last plan could not place.
+func (s *controllerSet) status() []adminapi.ShardStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := []adminapi.ShardStatus{}
+	for shard, parts := range s.byShard {
+		_, held := parts.holder.Held()
+		status := adminapi.ShardStatus{Shard: shard, Held: held}
+		if held {
+			status.Unplaced = unplacedOf(parts.controller)
+		}
+		list = append(list, status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Shard < list[j].Shard })
+	return list
+}
+
+func unplacedOf(controller *placement.Controller) []adminapi.Unplaced {
+	var list []adminapi.Unplaced
+	for _, u := range controller.Unplaced() {
+		list = append(list, adminapi.Unplaced{
+			Artifact: adminapi.Artifact{
+				Kind:    string(u.Artifact.Kind),
+				Name:    u.Artifact.Name,
+				Version: u.Artifact.Version,
+			},
+			Reason: u.Reason,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/pkg/endpoints/lookup.go
@@ -0,0 +1,33 @@
+package endpoints
+
+import "time"
+
+// missedPolls is the number of poll intervals without a report after which an endpoint counts as unreachable.
+const missedPolls = 4
+
+// State returns the state of one endpoint.
+func (r *Registry) State(name string) (State, bool) {
+	now := time.Now()
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	e := r.entries[name]
+	if e == nil {
+		return State{}, false
+	}
+	return r.state(e, now, r.peersStale(now)), true
+}
+
+// Unreachable tells whether the endpoint has no recent load report. An endpoint that was never heard counts as
+// unreachable.
+func (r *Registry) Unreachable(name string) bool {
+	r.mu.RLock()
+	e := r.entries[name]
+	r.mu.RUnlock()
+	if e == nil {
+		return true
+	}
+	limit := missedPolls * r.pollInterval(e)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return e.report == nil || time.Since(e.reportedAt) > limit
+}
--- a/pkg/peer/identity.go
+++ b/pkg/peer/identity.go
@@ -25,6 +25,12 @@
 	return xxhash.Sum64String(i.InstanceID + "/" + i.Incarnation)
 }
 
+// Seed returns a random seed that differs between instances and incarnations, so that instances with the same view do
+// not make the same random choices.
+func (i Identity) Seed() uint64 {
+	return i.epoch()
+}
+
 func (i Identity) toProto() *peerv1.Identity {
 	return &peerv1.Identity{
 		InstanceId:  i.InstanceID,
--- a/pkg/peer/inbox.go
+++ b/pkg/peer/inbox.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"strings"
 	"time"
 
 	peerv1 "github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1"
@@ -62,10 +63,29 @@
 type inbox struct {
 	now     func() time.Time
 	sources map[string]*remoteSource
+	// departed sums the counters of forgotten instances of the own data centre, so that its sum never decreases.
+	departed Load
 }
 
 func newInbox(now func() time.Time) *inbox {
-	return &inbox{now: now, sources: make(map[string]*remoteSource)}
+	return &inbox{now: now, sources: make(map[string]*remoteSource), departed: newLoad()}
+}
+
+// sum adds up the instances of the own data centre. Counters include instances that are silent or gone.
+func (b *inbox) sum(own Load) Load {
+	total := newLoad()
+	total.add(own)
+	total.add(b.departed)
+	for source, s := range b.sources {
+		switch {
+		case strings.HasPrefix(source, dataCentrePrefix):
+		case s.reported:
+			total.add(s.load)
+		default:
+			total.add(s.load.withoutGauges())
+		}
+	}
+	return total
 }
 
 // apply merges a message from a peer and returns the load to report, or false when the message cannot be applied: it
@@ -173,8 +193,12 @@
 // forget drops sources that have been silent for so long that their instance was replaced.
 func (b *inbox) forget() {
 	for source, s := range b.sources {
-		if b.now().Sub(s.lastHeard) > forgetAfter {
-			delete(b.sources, source)
+		if b.now().Sub(s.lastHeard) <= forgetAfter {
+			continue
+		}
+		if !strings.HasPrefix(source, dataCentrePrefix) {
+			b.departed.add(s.load.withoutGauges())
 		}
+		delete(b.sources, source)
 	}
 }
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -117,7 +117,7 @@
 	local := n.Local.Load()
 	n.mu.Lock()
 	n.own.update(local)
-	n.centre.update(n.sumDataCentre(local))
+	n.centre.update(n.inbox.sum(local))
 	n.updateForwards()
 	silent := n.inbox.expire()
 	n.mu.Unlock()
@@ -128,18 +128,6 @@
 	n.Scope.Gauge("peers_live").Update(float64(len(n.Table.Live())))
 }
 
-func (n *Node) sumDataCentre(local Load) Load {
-	sum := newLoad()
-	sum.add(local)
-	for source, s := range n.inbox.sources {
-		if strings.HasPrefix(source, dataCentrePrefix) || !s.reported {
-			continue
-		}
-		sum.add(s.load)
-	}
-	return sum
-}
-
 // updateForwards passes on the sums of other data centres that came from there directly.
 func (n *Node) updateForwards() {
 	for source, s := range n.inbox.sources {
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -165,6 +165,33 @@
 		Expect(a.node.Table.Live()).To(BeEmpty())
 	})
 
+	// Guards against counting a member's service twice: a receiver takes a decreasing sum for a restart of its source.
+	It("keeps the sum of a data centre from decreasing when an instance leaves", func() {
+		a := startInstance("a", "1", "x", "", clock)
+		b := startInstance("b", "1", "x", "", clock)
+		far := startInstance("far", "1", "y", "", clock)
+		exchangeAll := func() {
+			Expect(a.exchange(b)).To(Succeed())
+			Expect(a.exchange(far)).To(Succeed())
+		}
+		for range 3 {
+			exchangeAll()
+		}
+		a.local.load.Members["m"] = MemberUsage{Service: 100}
+		b.local.load.Members["m"] = MemberUsage{Service: 50}
+		for range 2 {
+			exchangeAll()
+		}
+		Expect(far.sink.loads["dc:x"].Members["m"].Service).To(Equal(150.0))
+
+		for elapsed := time.Duration(0); elapsed < 2*forgetAfter; elapsed += silentAfter {
+			now = now.Add(silentAfter)
+			Expect(a.exchange(far)).To(Succeed())
+			Expect(far.sink.loads["dc:x"].Members["m"].Service).To(Equal(150.0))
+		}
+		Expect(a.node.inbox.sources).NotTo(HaveKey("b"))
+	})
+
 	It("sends another data centre the sum and passes its sum on to the own data centre", func() {
 		a := startInstance("a", "1", "x", "", clock)
 		b := startInstance("b", "1", "x", "", clock)
