--- a/pkg/demand/demand_test.go
+++ b/pkg/demand/demand_test.go
@@ -77,3 +77,16 @@
 		t.Fatalf("local demand %v, want two waiting calls", got)
 	}
 }
+
+// Guards against demand that is lost when more peers leave than are remembered apart.
+func TestManyRemovedPeersStayInTotal(t *testing.T) {
+	tracker := demand.NewTracker()
+	for i := range 100 {
+		peer := fmt.Sprint(i)
+		tracker.SetPeer(peer, []demand.Count{{Model: "m", Requests: 1, Tokens: 5}})
+		tracker.RemovePeer(peer)
+	}
+	if got := requests(tracker); got != 100 {
+		t.Fatalf("total %d, want 100", got)
+	}
+}
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -32,14 +32,14 @@
 	return a
 }
 
-// exchange sends the usage of every instance to every other, twice and once out of order.
+// exchange sends the usage of every instance to every other, twice and followed by an old one.
 func exchange(instances []*fairshare.Accountant) {
 	for i, from := range instances {
 		for j, to := range instances {
 			if i != j {
 				to.SetPeer(fmt.Sprint(i), from.Local())
-				to.SetPeer(fmt.Sprint(i), []fairshare.Usage{{Member: "a"}})
 				to.SetPeer(fmt.Sprint(i), from.Local())
+				to.SetPeer(fmt.Sprint(i), []fairshare.Usage{{Member: "a"}})
 			}
 		}
 	}
