--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -1,6 +1,7 @@
 package fairshare_test
 
 import (
+	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -16,6 +17,13 @@
 // tokens makes service equal to the number of input plus output tokens.
 var tokens = fairshare.Weights{InputToken: 1, OutputToken: 1}
 
+// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
+
 const tolerance = 1e-6
 
 func newAccountant(shares map[string]float64) *fairshare.Accountant {
@@ -24,14 +32,14 @@
 	return a
 }
 
-// exchange sends the usage of every instance to every other, twice and once out of order.
+// exchange sends the usage of every instance to every other, twice and followed by an old one.
 func exchange(instances []*fairshare.Accountant) {
 	for i, from := range instances {
 		for j, to := range instances {
 			if i != j {
 				to.SetPeer(fmt.Sprint(i), from.Local())
-				to.SetPeer(fmt.Sprint(i), []fairshare.Usage{{Member: "a"}})
 				to.SetPeer(fmt.Sprint(i), from.Local())
+				to.SetPeer(fmt.Sprint(i), []fairshare.Usage{{Member: "a"}})
 			}
 		}
 	}
--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -23,6 +23,8 @@
 	DefaultPlanInterval = time.Second
 	// DefaultOrderTimeout is longer than the load of a large model at the weight store's full rate.
 	DefaultOrderTimeout = 2 * time.Minute
+	// verifyInterval keeps the reports of 390 endpoints at 78 per second.
+	verifyInterval = 5 * time.Second
 	// guardInterval is how often a lost lease is noticed while orders run.
 	guardInterval = 200 * time.Millisecond
 	// refreshInterval is how often the records of other shards are read.
@@ -42,7 +44,9 @@
 	// Status tells what routing knows of an endpoint.
 	Status func(endpoint string) Status
 	// Demand returns the current demand in the data centre.
-	Demand       func() []Demand
+	Demand func() []Demand
+	// Elsewhere counts loaded copies of models in other data centres; nil when that is not known.
+	Elsewhere    func() map[string]int
 	ModelPacer   Pacer
 	AdapterPacer Pacer
 	Recorder     *decisions.Recorder
@@ -219,6 +223,9 @@
 // state collects the planner's input: all engine endpoints of the data centre, of all shards.
 func (c *Controller) state(snapshot *config.Snapshot) State {
 	state := State{DataCentre: c.DataCentre, Snapshot: snapshot, Demand: c.averages.Snapshot()}
+	if c.Elsewhere != nil {
+		state.Elsewhere = c.Elsewhere()
+	}
 	records := snapshot.Records()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -347,15 +354,16 @@
 
 func (c *Controller) tools() tools {
 	return tools{
-		ledger:       c.Ledger,
-		guard:        c.Guard,
-		dialer:       c.Dialer,
-		modelPacer:   c.ModelPacer,
-		adapterPacer: c.AdapterPacer,
-		recorder:     c.Recorder,
-		log:          c.Log,
-		newOrderID:   uuid.NewString,
-		now:          time.Now,
-		orderTimeout: c.OrderTimeout,
+		ledger:         c.Ledger,
+		guard:          c.Guard,
+		dialer:         c.Dialer,
+		modelPacer:     c.ModelPacer,
+		adapterPacer:   c.AdapterPacer,
+		recorder:       c.Recorder,
+		log:            c.Log,
+		newOrderID:     uuid.NewString,
+		now:            time.Now,
+		orderTimeout:   c.OrderTimeout,
+		verifyInterval: verifyInterval,
 	}
 }
