Place by demand and take leaving endpoints from the instance list

Cause: the static planner gave each model its minimum of copies in one data centre in order of size, so that the smallest models had no copy at all; mulberryglade-dev waited 100 s in vain for crop-advice-7b.

--- a/cmd/mulberryglade-dev/system.go
+++ b/cmd/mulberryglade-dev/system.go
@@ -130,9 +130,6 @@
 		}
 	}
 	for _, m := range s.bed.Typed.Models {
-		if s.options.Demo && m.Name != s.modelFor(scenarioOf(s.options.Deployment).key) {
-			continue
-		}
 		if !s.loaded(engine.Artifact{Kind: engine.KindModel, Name: m.Name, Version: m.Version}) {
 			return fmt.Sprintf("model %q has no loaded copy", m.Name)
 		}
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -23,12 +23,14 @@
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/gateway"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 	"github.com/mulberryglade/mulberryglade/pkg/placement"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
 )
 
 const (
@@ -59,6 +61,9 @@
 		return err
 	}
 	d.buildPlacement()
+	if err := d.buildInstanceList(); err != nil {
+		return err
+	}
 	d.buildGateway()
 	return d.buildAdmin()
 }
@@ -171,9 +176,21 @@
 
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
-	d.planner = placement.Static{}
-	d.modelPacer = newSharedPacer()
-	d.adapterPacer = newSharedPacer()
+	d.planner = placement.Weighted{}
+	d.modelPacer = weightstore.NewPacer(0, 0)
+	d.adapterPacer = weightstore.NewPacer(0, 0)
+}
+
+func (d *Daemon) buildInstanceList() error {
+	if d.settings.InstanceList.URL == "" {
+		return nil
+	}
+	var err error
+	d.instances, err = instancelist.New(instancelist.Options{
+		URLs:  []string{d.settings.InstanceList.URL},
+		Scope: d.metrics.Scope,
+	})
+	return errors.Wrap(err, "instanceList.url")
 }
 
 // dispatchers returns what runs calls after admission.
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/gateway"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
@@ -31,6 +32,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 	"github.com/mulberryglade/mulberryglade/pkg/settings"
 	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
+	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
 )
 
 // Daemon is one entry instance.
@@ -66,10 +68,13 @@
 
 	ledger       *ledger.Ledger
 	planner      placement.Planner
-	modelPacer   *sharedPacer
-	adapterPacer *sharedPacer
+	modelPacer   *weightstore.Pacer
+	adapterPacer *weightstore.Pacer
 	controllers  controllerSet
 
+	// instances is nil when the settings name no instance list.
+	instances *instancelist.Client
+
 	gateway *gateway.Server
 	admin   *admin.Server
 
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
@@ -93,6 +94,7 @@
 		Snapshot:     d.syncer.Current,
 		Status:       d.endpointStatus,
 		Demand:       meter.Demand,
+		Elsewhere:    d.copiesElsewhere,
 		ModelPacer:   d.modelPacer,
 		AdapterPacer: d.adapterPacer,
 		Recorder:     d.recorder,
@@ -130,6 +132,31 @@
 	return placement.Status{Leaving: state.Leaving, Unreachable: d.registry.Unreachable(name)}
 }
 
+// copiesElsewhere counts the loaded copies of models in other data centres, as far as reports tell.
+func (d *Daemon) copiesElsewhere() map[string]int {
+	copies := make(map[string]int)
+	snapshot := d.syncer.Current()
+	if snapshot == nil {
+		return copies
+	}
+	for _, service := range snapshot.Records().Services {
+		for _, state := range d.registry.States(service.Name) {
+			if state.Endpoint.DataCentre != d.settings.DataCentre && state.Report != nil {
+				countModels(copies, state.Report.Artifacts)
+			}
+		}
+	}
+	return copies
+}
+
+func countModels(copies map[string]int, artifacts []engine.LoadedArtifact) {
+	for _, a := range artifacts {
+		if a.Kind == engine.KindModel && a.State == engine.StateLoaded {
+			copies[a.Name]++
+		}
+	}
+}
+
 // controllerSet holds the placement shards that this instance runs. It is safe for concurrent use.
 type controllerSet struct {
 	mu      sync.Mutex
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -57,6 +57,7 @@
 	group.Go(func() { d.admission.Run(background) })
 	group.Go(func() { d.applyChanges(background) })
 	group.Go(func() { d.followPeers(background) })
+	group.Go(func() { d.followInstances(background) })
 	group.Go(func() { d.runPlacement(control) })
 
 	var err error
@@ -133,6 +134,9 @@
 	d.services.Close()
 	d.serviceLoads.Close()
 	d.storeClient.Close()
+	if d.instances != nil {
+		d.instances.Close()
+	}
 	if err := d.metrics.Close(); err != nil {
 		d.log.Warn("metrics", zap.Error(err))
 	}
@@ -154,8 +158,8 @@
 
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	limits := limitsOf(snapshot)
-	d.modelPacer.setLimits(limits.modelsPerSecond, limits.concurrentModels)
-	d.adapterPacer.setLimits(0, limits.concurrentAdapters)
+	d.modelPacer.Set(limits.modelsPerSecond, limits.concurrentModels)
+	d.adapterPacer.Set(0, limits.concurrentAdapters)
 	d.topology.Apply(snapshot)
 	d.registry.Apply(snapshot)
 	d.admission.Apply(snapshot)
