--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -263,6 +264,43 @@
 		Expect(f.engine.TotalExecutions()).To(Equal(80))
 	})
 
+	// Guards against any mix of faults that makes the gateway say not_run for a call that ran, end an incomplete stream
+	// like a complete one, pass on another call's response, or lose count of its requests.
+	It("misleads no caller under random faults", func() {
+		f := newFixture(standin.Options{OutputTokens: 3}, gateway.Limits{}, nil)
+		faults := []standin.Fault{
+			{}, {Refuse: true}, {Status: 500}, {Lose: true}, {DropReply: true}, {WrongRequestID: true},
+			{TruncateBody: true}, {NoFinishReason: true}, {CloseAfterChunks: 1}, {EndAfterChunks: 2}, {SkipChunk: 1}, {RepeatChunk: 1},
+		}
+		var wait sync.WaitGroup
+		for worker := range uint64(6) {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				random := rand.New(rand.NewPCG(1, worker))
+				for range 40 {
+					f.engine.Faults().Next(standin.CallInference, faults[random.IntN(len(faults))])
+					if worker == 0 && random.IntN(10) == 0 {
+						f.engine.Down()
+						Expect(f.engine.Up()).To(Succeed())
+					}
+					stream := random.IntN(2) == 0
+					r := f.do("POST", chatPath, chat(fmt.Sprintf(`,"stream":%v`, stream)))
+					id := r.header.Get("X-Request-Id")
+					if r.status == 200 {
+						Expect(strings.Count(r.body, `"id":"`+id+`"`)).To(Equal(strings.Count(r.body, `"id":`)))
+						failed := strings.Contains(r.body, "event: error")
+						Expect(strings.HasSuffix(r.body, "data: [DONE]\n\n")).To(Equal(stream && !failed))
+						Expect(failed || strings.Contains(r.body, `"finish_reason":"stop"`)).To(BeTrue(), r.body)
+					} else if r.problem.Outcome == problem.NotRun {
+						Expect(f.engine.Executions(id)).To(BeZero())
+					}
+				}
+			})
+		}
+		wait.Wait()
+		Eventually(f.server.InFlight).Should(BeZero())
+	})
+
 	// Guards against chunks that are held back until the end of the stream.
 	It("flushes each chunk", func() {
 		f := newFixture(slow(), gateway.Limits{}, nil)
