--- a/pkg/kvstore/etcdgateway/client.go
+++ b/pkg/kvstore/etcdgateway/client.go
@@ -47,7 +47,7 @@
 	timeout   time.Duration
 	scope     tally.Scope
 	transport *http.Transport
-	// preferred is the index of the URL that answered last.
+	// preferred is the index of the URL that is tried first: the one that answered last, or the one after a failure.
 	preferred atomic.Int32
 	watches   atomic.Int64
 }
@@ -203,6 +203,11 @@
 			c.preferred.Store(int32(index))
 			return nil
 		}
+		if errors.IsAny(err, kvstore.ErrUnavailable, kvstore.ErrOutcomeUnknown) {
+			// A write whose reply is lost is not sent again; without the change of the preferred URL the next write would go
+			// to the same silent server.
+			c.preferred.Store(int32((index + 1) % len(c.urls)))
+		}
 		if !again || ctx.Err() != nil {
 			return err
 		}
--- a/pkg/kvstore/etcdgateway/client_test.go
+++ b/pkg/kvstore/etcdgateway/client_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -79,6 +82,36 @@
 		Expect(requests()).To(Equal(1))
 	})
 
+	It("sends the next write to another URL after a lost reply", func() {
+		url, _ := breaking()
+		client := newClient(nil, time.Minute, url, serve(back, false))
+		_, err := client.Commit(ctx, []kvstore.ConditionalWrite{create("a", "1")})
+		Expect(err).To(MatchError(kvstore.ErrOutcomeUnknown))
+		Expect(commit(ctx, client, create("a", "1"))[0].Applied).To(BeTrue())
+	})
+
+	It("tells a failed TLS handshake from a lost reply", func() {
+		authority := httptest.NewTLSServer(nil)
+		DeferCleanup(authority.Close)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := kv.NewServer(back)
+		var wg conc.WaitGroup
+		DeferCleanup(wg.Wait)
+		DeferCleanup(server.Close)
+		wg.Go(func() { _ = server.Serve(tls.NewListener(listener, authority.TLS)) })
+		url := "https://" + listener.Addr().String()
+		trusted := authority.Client().Transport.(*http.Transport).TLSClientConfig
+		client, err := etcdgateway.New(etcdgateway.Options{URLs: []string{url}, TLS: trusted, Timeout: time.Minute})
+		Expect(err).NotTo(HaveOccurred())
+		commit(ctx, client, create("a", "1"))
+		back.Faults.Next(kv.CallCommit, kv.Fault{DropReply: true})
+		_, err = client.Commit(ctx, []kvstore.ConditionalWrite{put("a", "2")})
+		Expect(err).To(MatchError(kvstore.ErrOutcomeUnknown))
+		_, err = newClient(nil, time.Minute, url).Commit(ctx, []kvstore.ConditionalWrite{put("a", "2")})
+		Expect(err).To(MatchError(kvstore.ErrUnavailable))
+	})
+
 	It("repeats a read at the next URL", func() {
 		url, _ := breaking()
 		client := newClient(nil, time.Minute, url, serve(back, false))
