--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -43,6 +43,8 @@
 	Demand    *demand.Tracker
 	Shares    *fairshare.Accountant
 	Decisions *decisions.Recorder
+	// Order is the order in which waiting calls start; nil means FairOrder.
+	Order Order
 	// Link is charged for calls to other regions; nil means that there is no such link.
 	Link *scheduling.Link
 	// Prefixes is told which calls were sent where; nil means that prefixes are not tracked.
@@ -77,6 +79,9 @@
 	if parts.Scope == nil {
 		parts.Scope = tally.NoopScope
 	}
+	if parts.Order == nil {
+		parts.Order = FairOrder{}
+	}
 	c := &Controller{
 		parts:      parts,
 		members:    make(map[string]*memberQueue),
@@ -321,7 +326,7 @@
 func (c *Controller) shedOverflow() {
 	maxCalls, maxBytes := c.bounds()
 	for c.calls > maxCalls || c.bytes > maxBytes {
-		victim := c.heaviest(c.bytes > maxBytes).newest()
+		victim := c.parts.Order.victim(c, c.bytes > maxBytes)
 		c.refuse(victim, problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.NotRun,
 			"the admission queue is full").WithRetryAfter(c.retryAfter(victim.queue)))
 	}
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -56,7 +56,7 @@
 }
 
 func (c *Controller) grantNext(pass *dispatchPass) bool {
-	for _, q := range c.queuesInOrder(pass) {
+	for _, q := range c.parts.Order.queues(c, pass) {
 		// Another member's calls for the same model may have found it blocked in this round.
 		if !pass.blocked[q.key] && c.grantFrom(q, pass) {
 			return true
@@ -65,40 +65,6 @@
 	return false
 }
 
-// queuesInOrder returns the queues that may be able to start a call: members by fair share, and the models of a member by fair share within it.
-func (c *Controller) queuesInOrder(pass *dispatchPass) []*modelQueue {
-	var members []string
-	for name, m := range c.members {
-		if m.calls > 0 {
-			members = append(members, name)
-		}
-	}
-	c.parts.Shares.SortMembers(members)
-	var queues []*modelQueue
-	for _, name := range members {
-		queues = append(queues, c.modelsInOrder(c.members[name], pass)...)
-	}
-	return queues
-}
-
-func (c *Controller) modelsInOrder(m *memberQueue, pass *dispatchPass) []*modelQueue {
-	byName := make(map[string]*modelQueue, len(m.models))
-	names := make([]string, 0, len(m.models))
-	for key, q := range m.models {
-		if len(q.waiters) == 0 || pass.blocked[key] || !pass.eligible(key) {
-			continue
-		}
-		byName[key.String()] = q
-		names = append(names, key.String())
-	}
-	c.parts.Shares.SortModels(m.name, names)
-	queues := make([]*modelQueue, len(names))
-	for i, name := range names {
-		queues[i] = byName[name]
-	}
-	return queues
-}
-
 // grantFrom starts the first call of the queue that an endpoint can take. Calls that exclude endpoints are passed over
 // when only the excluded ones have capacity.
 func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -26,7 +26,6 @@
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
-	"github.com/mulberryglade/mulberryglade/pkg/placement"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
@@ -73,6 +72,7 @@
 		Timeout: config.Milliseconds(d.settings.Store.TimeoutMs),
 		Scope:   d.metrics.Scope,
 		TLS:     tlsConfig,
+		Source:  d.outboundAddress(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "store.urls")
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout}
+	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress()}
 	d.engine = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.services = httpconn.NewPool(connections)
 	d.serviceLoads = plainhttp.NewReporter(connections)
@@ -111,11 +111,9 @@
 	d.registry.ReadEvents(d.prefixes)
 	seed := d.identity.Seed()
 	d.admission = admission.NewController(admission.Parts{
-		Registry: d.registry,
-		Pipeline: scheduling.NewPipeline(
-			scheduling.DefaultFilters(d.topology, d.linkBudget),
-			scheduling.DefaultScorers(d.topology),
-			scheduling.NewPicker(pickerCandidates, d.topology, seed)),
+		Registry:  d.registry,
+		Pipeline:  d.pipeline(seed),
+		Order:     queueOrder(d.settings.Policies.Queueing),
 		Demand:    d.tracker,
 		Shares:    d.accountant,
 		Decisions: d.recorder,
@@ -142,7 +140,7 @@
 		Local:     shared,
 		Sink:      shared,
 		Announcer: d.syncer,
-		Dial:      peer.NewDialer(token, tlsConfig),
+		Dial:      peer.NewDialerFrom(d.outboundAddress(), token, tlsConfig),
 		Log:       d.log,
 		Scope:     d.metrics.Scope,
 	})
@@ -171,7 +169,7 @@
 
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
-	d.planner = placement.Static{}
+	d.planner = planner(d.settings.Policies.Placement)
 	d.modelPacer = newSharedPacer()
 	d.adapterPacer = newSharedPacer()
 }
--- /dev/null
+++ b/pkg/daemon/policies.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"net"
+
+	"github.com/mulberryglade/mulberryglade/pkg/admission"
+	"github.com/mulberryglade/mulberryglade/pkg/placement"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
+)
+
+// outboundAddress returns the source address of connections, or nil when the system chooses it.
+func (d *Daemon) outboundAddress() net.IP {
+	return net.ParseIP(d.settings.OutboundAddress)
+}
+
+// pipeline returns the routing that the settings name.
+func (d *Daemon) pipeline(seed uint64) *scheduling.Pipeline {
+	filters := scheduling.DefaultFilters(d.topology, d.linkBudget)
+	picker := scheduling.NewPicker(pickerCandidates, d.topology, seed)
+	switch d.settings.Policies.Routing {
+	case settings.RoutingRoundRobin:
+		return scheduling.NewPipeline(filters, nil, scheduling.NewRoundRobinPicker())
+	case settings.RoutingLeastOutstanding:
+		return scheduling.NewPipeline(filters, scheduling.LeastOutstandingScorers(), picker)
+	}
+	return scheduling.NewPipeline(filters, scheduling.DefaultScorers(d.topology), picker)
+}
+
+func queueOrder(policy string) admission.Order {
+	if policy == settings.QueueingFCFS {
+		return admission.ArrivalOrder{}
+	}
+	return admission.FairOrder{}
+}
+
+// planner returns the planner that the settings name.
+func planner(string) placement.Planner {
+	return placement.Static{}
+}
--- a/pkg/engine/openaihttp/orders.go
+++ b/pkg/engine/openaihttp/orders.go
@@ -42,7 +42,7 @@
 
 // DialOrders implements engine.OrderDialer.
 func (c *Client) DialOrders(ctx context.Context, target engine.Target) (engine.OrderSession, error) {
-	conn, err := httpconn.Dial(ctx, target.URL, dialTimeout, c.options.Connections.TLSConfig)
+	conn, err := httpconn.DialFrom(ctx, c.options.Connections.Source, target.URL, dialTimeout, c.options.Connections.TLSConfig)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -54,11 +54,19 @@
 
 // Dial connects to the host of a URL. The error wraps engine.ErrNotSent.
 func Dial(ctx context.Context, baseURL string, timeout time.Duration, tlsConfig *tls.Config) (*Conn, error) {
+	return DialFrom(ctx, nil, baseURL, timeout, tlsConfig)
+}
+
+// DialFrom is Dial from a source address; nil lets the system choose it.
+func DialFrom(ctx context.Context, source net.IP, baseURL string, timeout time.Duration, tlsConfig *tls.Config) (*Conn, error) {
 	parsed, err := url.Parse(baseURL)
 	if err != nil {
 		return nil, notSent(err)
 	}
 	dialer := net.Dialer{Timeout: timeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	raw, err := dialer.DialContext(ctx, "tcp", parsed.Host)
 	if err != nil {
 		return nil, notSent(err)
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +22,8 @@
 	// MaxIdlePerAddress bounds the unused connections per endpoint.
 	MaxIdlePerAddress int
 	TLSConfig         *tls.Config
+	// Source is the source address of connections; nil lets the system choose.
+	Source net.IP
 }
 
 const (
@@ -125,7 +128,7 @@
 	if timeout <= 0 {
 		return nil, notSent(context.DeadlineExceeded)
 	}
-	return Dial(ctx, baseURL, timeout, p.options.TLSConfig)
+	return DialFrom(ctx, p.options.Source, baseURL, timeout, p.options.TLSConfig)
 }
 
 func (p *Pool) take(ctx context.Context, baseURL string, deadline time.Time) (*Conn, error) {
--- a/pkg/kvstore/etcdgateway/client.go
+++ b/pkg/kvstore/etcdgateway/client.go
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	Scope tally.Scope
 	// TLS is used for https URLs.
 	TLS *tls.Config
+	// Source is the source address of connections; nil lets the system choose.
+	Source net.IP
 }
 
 // Client is a kvstore.Store. It is safe for concurrent use.
@@ -70,7 +73,7 @@
 		c.scope = tally.NoopScope
 	}
 	c.scope = c.scope.SubScope("kvstore")
-	c.transport = newTransport(o.TLS, c.timeout/time.Duration(len(c.urls)))
+	c.transport = newTransport(o.TLS, o.Source, c.timeout/time.Duration(len(c.urls)))
 	return c, nil
 }
 
--- a/pkg/kvstore/etcdgateway/conn.go
+++ b/pkg/kvstore/etcdgateway/conn.go
@@ -102,7 +102,7 @@
 
 // newTransport returns an HTTP/1.1 transport. HTTP/2 is off because its transport resends refused streams itself and
 // shares one connection between requests, which would make the written-bytes check meaningless.
-func newTransport(tlsConfig *tls.Config, dialTimeout time.Duration) *http.Transport {
+func newTransport(tlsConfig *tls.Config, source net.IP, dialTimeout time.Duration) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -112,6 +112,9 @@
 			Count:    keepAliveProbes,
 		},
 	}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -32,7 +32,12 @@
 
 // NewDialer returns clients over HTTP/2, in cleartext when tlsConfig is nil. Each address has one connection.
 func NewDialer(token string, tlsConfig *tls.Config) Dialer {
-	client := &http.Client{Transport: newTransport(tlsConfig)}
+	return NewDialerFrom(nil, token, tlsConfig)
+}
+
+// NewDialerFrom is NewDialer from a source address; nil lets the system choose it.
+func NewDialerFrom(source net.IP, token string, tlsConfig *tls.Config) Dialer {
+	client := &http.Client{Transport: newTransport(source, tlsConfig)}
 	scheme := "http://"
 	if tlsConfig != nil {
 		scheme = "https://"
@@ -54,7 +59,11 @@
 	}
 }
 
-func newTransport(tlsConfig *tls.Config) *http.Transport {
+func newTransport(source net.IP, tlsConfig *tls.Config) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: source}
+	}
 	protocols := new(http.Protocols)
 	if tlsConfig == nil {
 		protocols.SetUnencryptedHTTP2(true)
@@ -64,7 +73,7 @@
 	return &http.Transport{
 		Protocols:       protocols,
 		TLSClientConfig: tlsConfig,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dialer.DialContext,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: keepAlive, PingTimeout: keepAlive},
 	}
 }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -76,6 +77,7 @@
 	c.address("/callerAddress", s.CallerAddress)
 	c.address("/peerAddress", s.PeerAddress)
 	c.address("/adminAddress", s.AdminAddress)
+	c.outboundAddress(s.OutboundAddress)
 	for i, peer := range s.SeedPeers {
 		c.address("/seedPeers/"+strconv.Itoa(i), peer)
 	}
@@ -83,10 +85,31 @@
 	c.checkTLS(&s.TLS)
 	c.checkTokens(s)
 	c.checkNumbers(s)
-	switch s.LogLevel {
-	case "debug", "info", "warn", "error":
-	default:
-		c.add("/logLevel", strconv.Quote(s.LogLevel), "must be debug, info, warn or error")
+	c.oneOf("/logLevel", s.LogLevel, "debug", "info", "warn", "error")
+	c.oneOf("/policies/routing", s.Policies.Routing, RoutingCost, RoutingRoundRobin, RoutingLeastOutstanding)
+	c.oneOf("/policies/queueing", s.Policies.Queueing, QueueingFair, QueueingFCFS)
+	c.oneOf("/policies/placement", s.Policies.Placement, PlacementStatic)
+}
+
+// oneOf requires one of the values.
+func (c *checker) oneOf(pointer, value string, allowed ...string) {
+	if slices.Contains(allowed, value) {
+		return
+	}
+	last := len(allowed) - 1
+	list := allowed[last]
+	if last > 0 {
+		list = strings.Join(allowed[:last], ", ") + " or " + list
+	}
+	c.add(pointer, strconv.Quote(value), "must be "+list)
+}
+
+func (c *checker) outboundAddress(value string) {
+	if value == "" {
+		return
+	}
+	if _, err := netip.ParseAddr(value); err != nil {
+		c.add("/outboundAddress", strconv.Quote(value), "must be an IP address without a port")
 	}
 }
 
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -19,6 +19,9 @@
 	CallerAddress string `json:"callerAddress"`
 	PeerAddress   string `json:"peerAddress"`
 	AdminAddress  string `json:"adminAddress,omitempty"`
+	// OutboundAddress is the source IP address of connections to the store, to endpoints and to peers; empty lets the
+	// system choose it. Instances with several addresses need it where paths or firewalls depend on the source.
+	OutboundAddress string `json:"outboundAddress,omitempty"`
 	// SeedPeers are peer addresses that are tried before the instance list is known.
 	SeedPeers    []string     `json:"seedPeers,omitempty"`
 	Store        Store        `json:"store"`
@@ -31,6 +34,7 @@
 	LogLevel          string   `json:"logLevel,omitempty"`
 	Limits            Limits   `json:"limits,omitempty"`
 	Shutdown          Shutdown `json:"shutdown,omitempty"`
+	Policies          Policies `json:"policies,omitempty"`
 	// DecisionRecords is the number of decision records that are kept for explain.
 	DecisionRecords    int   `json:"decisionRecords,omitempty"`
 	ExchangeIntervalMs int64 `json:"exchangeIntervalMs,omitempty"`
@@ -89,6 +93,29 @@
 	DrainMs int64 `json:"drainMs,omitempty"`
 }
 
+// Policies select how an instance decides. All instances of a deployment should have the same; the values other than the
+// defaults are baselines to measure against.
+type Policies struct {
+	// Routing is cost, round-robin or least-outstanding.
+	Routing string `json:"routing,omitempty"`
+	// Queueing is fair or fcfs (first come, first served).
+	Queueing string `json:"queueing,omitempty"`
+	// Placement is static.
+	Placement string `json:"placement,omitempty"`
+}
+
+// Values of Policies; the first of each kind is the default.
+const (
+	RoutingCost             = "cost"
+	RoutingRoundRobin       = "round-robin"
+	RoutingLeastOutstanding = "least-outstanding"
+
+	QueueingFair = "fair"
+	QueueingFCFS = "fcfs"
+
+	PlacementStatic = "static"
+)
+
 // Defaults of the fields that may be left out.
 const (
 	DefaultAdminAddress          = "127.0.0.1:9480"
@@ -123,6 +150,7 @@
 			GraceMs: DefaultGrace.Milliseconds(),
 			DrainMs: DefaultDrain.Milliseconds(),
 		},
+		Policies:           Policies{Routing: RoutingCost, Queueing: QueueingFair, Placement: PlacementStatic},
 		DecisionRecords:    DefaultDecisionRecords,
 		ExchangeIntervalMs: DefaultExchangeInterval.Milliseconds(),
 	}
