--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -27,7 +27,6 @@
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
-	"github.com/mulberryglade/mulberryglade/pkg/placement"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
@@ -78,6 +77,7 @@
 		Timeout: config.Milliseconds(d.settings.Store.TimeoutMs),
 		Scope:   d.metrics.Scope,
 		TLS:     tlsConfig,
+		Source:  d.outboundAddress(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "store.urls")
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout}
+	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress()}
 	d.engine = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.services = httpconn.NewPool(connections)
 	d.serviceLoads = plainhttp.NewReporter(connections)
@@ -116,11 +116,9 @@
 	d.registry.ReadEvents(d.prefixes)
 	seed := d.identity.Seed()
 	d.admission = admission.NewController(admission.Parts{
-		Registry: d.registry,
-		Pipeline: scheduling.NewPipeline(
-			scheduling.DefaultFilters(d.topology, d.linkBudget),
-			scheduling.DefaultScorers(d.topology),
-			scheduling.NewPicker(pickerCandidates, d.topology, seed)),
+		Registry:  d.registry,
+		Pipeline:  d.pipeline(seed),
+		Order:     queueOrder(d.settings.Policies.Queueing),
 		Demand:    d.tracker,
 		Shares:    d.accountant,
 		Decisions: d.recorder,
@@ -147,7 +145,7 @@
 		Local:     shared,
 		Sink:      shared,
 		Announcer: d.syncer,
-		Dial:      peer.NewDialer(token, tlsConfig),
+		Dial:      peer.NewDialerFrom(d.outboundAddress(), token, tlsConfig),
 		Log:       d.log,
 		Scope:     d.metrics.Scope,
 	})
@@ -176,6 +174,7 @@
 
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
+<<<<<<< HEAD
 	d.planner = placement.Weighted{}
 	d.modelPacer = weightstore.NewPacer(0, 0)
 	d.adapterPacer = weightstore.NewPacer(0, 0)
@@ -191,6 +190,11 @@
 		Scope: d.metrics.Scope,
 	})
 	return errors.Wrap(err, "instanceList.url")
+=======
+	d.planner = planner(d.settings.Policies.Placement)
+	d.modelPacer = newSharedPacer()
+	d.adapterPacer = newSharedPacer()
+>>>>>>> loadtool
 }
 
 // dispatchers returns what runs calls after admission.
