--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -174,8 +174,7 @@
 
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
-<<<<<<< HEAD
-	d.planner = placement.Weighted{}
+	d.planner = planner(d.settings.Policies.Placement)
 	d.modelPacer = weightstore.NewPacer(0, 0)
 	d.adapterPacer = weightstore.NewPacer(0, 0)
 }
@@ -190,11 +189,6 @@
 		Scope: d.metrics.Scope,
 	})
 	return errors.Wrap(err, "instanceList.url")
-=======
-	d.planner = planner(d.settings.Policies.Placement)
-	d.modelPacer = newSharedPacer()
-	d.adapterPacer = newSharedPacer()
->>>>>>> loadtool
 }
 
 // dispatchers returns what runs calls after admission.
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -88,7 +88,7 @@
 	c.oneOf("/logLevel", s.LogLevel, "debug", "info", "warn", "error")
 	c.oneOf("/policies/routing", s.Policies.Routing, RoutingCost, RoutingRoundRobin, RoutingLeastOutstanding)
 	c.oneOf("/policies/queueing", s.Policies.Queueing, QueueingFair, QueueingFCFS)
-	c.oneOf("/policies/placement", s.Policies.Placement, PlacementStatic)
+	c.oneOf("/policies/placement", s.Policies.Placement, PlacementDemand, PlacementStatic, PlacementChase)
 }
 
 // oneOf requires one of the values.
