--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -45,6 +45,8 @@
 	NoFinishReason bool `json:"noFinishReason,omitempty"`
 	// Hook runs before the call takes effect.
 	Hook func() `json:"-"`
+	// OnChunk runs before each chunk of a stream is sent, with the number of those sent before.
+	OnChunk func(sent int) `json:"-"`
 }
 
 // Faults holds queued and permanent faults. It is safe for concurrent use.
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -64,6 +64,9 @@
 		s.pending = fmt.Appendf(nil, "id: %d\ndata: [DONE]\n\n", s.offset)
 		return nil
 	}
+	if s.fault.OnChunk != nil {
+		s.fault.OnChunk(s.sent)
+	}
 	if s.fault.SkipChunk > 0 && s.offset == s.fault.SkipChunk {
 		s.offset++
 		return s.fill()
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -24,6 +24,8 @@
 	Lose         bool `json:"lose,omitempty"`
 	DropReply    bool `json:"dropReply,omitempty"`
 	TruncateBody bool `json:"truncateBody,omitempty"`
+	// Hook runs after the request was read and before the call takes effect.
+	Hook func() `json:"-"`
 }
 
 // Load is the reply to GET /load. Its fields are those of engine.Report that apply to a plain service.
@@ -171,6 +173,9 @@
 	}
 	defer s.end()
 	ctx.Response.Header.Set("X-Request-Id", string(ctx.Request.Header.Peek("X-Request-Id")))
+	if fault.Hook != nil {
+		fault.Hook()
+	}
 	if !p.Wait(fault.Delay) {
 		process.Drop(ctx)
 		return
