--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -39,8 +39,6 @@
 	// retryBase and retryMax bound the wait before a retry.
 	retryBase = 20 * time.Millisecond
 	retryMax  = 500 * time.Millisecond
-	// prefixBlocks bounds the index of cached prompt prefixes; an entry takes about 100 bytes.
-	prefixBlocks = 100_000
 	// pickerCandidates is the number of candidates up to which all are scored.
 	pickerCandidates = 64
 	// engineDialTimeout bounds connecting to an endpoint; a dead one must not use up the time to the first token.
@@ -112,7 +110,7 @@
 	d.accountant = fairshare.NewAccountant(fairshare.DefaultWeights())
 	d.topology = scheduling.NewSnapshotTopology(d.settings.DataCentre)
 	d.linkBudget = scheduling.NewLinkBudget(0)
-	d.prefixes = scheduling.NewPrefixIndex(prefixBlocks)
+	d.prefixes = scheduling.NewPrefixIndex(scheduling.DefaultPrefixBlocks)
 	d.registry.ReadEvents(d.prefixes)
 	seed := d.identity.Seed()
 	d.admission = admission.NewController(admission.Parts{
