--- a/pkg/engine/openaihttp/stream.go
+++ b/pkg/engine/openaihttp/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"io"
 	"strconv"
 	"time"
@@ -173,32 +172,6 @@
 	return io.EOF
 }
 
-// inspectChunk fills in what the chunk says. Engines send one output token per choice with content.
-func inspectChunk(chunk *engine.Chunk) error {
-	var parsed struct {
-		Choices []struct {
-			Text  string `json:"text"`
-			Delta struct {
-				Content   string          `json:"content"`
-				ToolCalls json.RawMessage `json:"tool_calls"`
-			} `json:"delta"`
-			FinishReason *string `json:"finish_reason"`
-		} `json:"choices"`
-		Usage usage `json:"usage"`
-	}
-	if err := json.Unmarshal(chunk.Data, &parsed); err != nil {
-		return errors.Wrapf(engine.ErrTruncated, "chunk is not JSON: %v", err)
-	}
-	for _, choice := range parsed.Choices {
-		if choice.Text != "" || choice.Delta.Content != "" || len(choice.Delta.ToolCalls) > 0 {
-			chunk.Tokens++
-		}
-		chunk.Finish = chunk.Finish || (choice.FinishReason != nil && *choice.FinishReason != "")
-	}
-	chunk.InputTokens = parsed.Usage.PromptTokens
-	return nil
-}
-
 // Close implements engine.Stream. A stream that broke is not cancelled, so that it can be resumed; one whose context or
 // deadline ended was cancelled by Next.
 func (s *stream) Close() {
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -24,9 +24,11 @@
 	requestID string
 	stream    *dispatch.ModelStream
 	cancel    context.CancelFunc
-	pending   []byte
-	ended     bool
-	closed    sync.Once
+	// pending is the rest of the current event in buffer, which is reused for the next one.
+	pending []byte
+	buffer  []byte
+	ended   bool
+	closed  sync.Once
 }
 
 // Read implements io.Reader.
@@ -56,7 +58,8 @@
 func (b *eventBody) next() []byte {
 	data, err := b.stream.Next()
 	if err == nil {
-		return appendEvent(nil, "", data)
+		b.buffer = appendEvent(b.buffer[:0], "", data)
+		return b.buffer
 	}
 	b.ended = true
 	if errors.Is(err, io.EOF) {
