--- a/internal/standin/kv/wire.go
+++ b/internal/standin/kv/wire.go
@@ -330,6 +330,7 @@
 			if kv.Key == key {
 				read.KVs = append(read.KVs, encodeKV(kv))
 				read.Count = 1
+				break
 			}
 		}
 		response.Responses = append(response.Responses, responseOp{Range: read})
--- a/pkg/claims/issuer.go
+++ b/pkg/claims/issuer.go
@@ -10,8 +10,8 @@
 	"github.com/uber-go/tally/v4"
 )
 
-// Defaults of IssuerOptions. At about 300 bytes per key and with the bound on recorded bodies, an issuer stays below
-// 32 MB.
+// Defaults of IssuerOptions. An unused key takes 362 bytes of heap (50,000 keys, one measurement), so that an issuer at
+// its bounds takes about 34 MB with the recorded bodies.
 const (
 	DefaultMaxKeys          = 50_000
 	DefaultMaxKeysPerMember = 10_000
