--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -143,6 +143,7 @@
 		Local:     shared,
 		Sink:      shared,
 		Announcer: d.syncer,
+		Control:   d.linkBudget,
 		Dial:      peer.NewDialerFrom(d.outboundAddress(), token, tlsConfig),
 		Log:       d.log,
 		Scope:     d.metrics.Scope,
@@ -202,9 +203,10 @@
 		Issued: claims.NewIssuedClaimer(d.issuer, peer.Keys{Node: d.node}),
 		Store:  d.storeClaims,
 	}
+	d.retryBudget = retry.NewBudget(d.retryLimits)
 	options := dispatch.Options{
 		Gate:    d.admission,
-		Budget:  retry.NewBudget(d.retryLimits),
+		Budget:  d.retryBudget,
 		Backoff: retry.Backoff{Base: retryBase, Max: retryMax},
 		Log:     d.log,
 		Scope:   d.metrics.Scope,
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 	"github.com/mulberryglade/mulberryglade/pkg/placement"
+	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 	"github.com/mulberryglade/mulberryglade/pkg/settings"
 	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
@@ -60,6 +61,7 @@
 	engine       *openaihttp.Client
 	services     *httpconn.Pool
 	serviceLoads *plainhttp.Reporter
+	retryBudget  *retry.Budget
 	storeClaims  *claims.StoreClaimer
 	issuer       *claims.Issuer
 
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -144,10 +144,13 @@
 
 // applyChanges puts each configuration into effect in all components.
 func (d *Daemon) applyChanges(ctx context.Context) {
+	var previous *config.Snapshot
 	for ctx.Err() == nil {
 		changed := d.syncer.Changed()
 		if snapshot := d.syncer.Current(); snapshot != nil {
 			d.apply(snapshot)
+			d.forgetEndpoints(previous, snapshot)
+			previous = snapshot
 		}
 		select {
 		case <-ctx.Done():
@@ -177,3 +180,15 @@
 		sleep(ctx, peerCheckInterval)
 	}
 }
+
+// forgetEndpoints drops the retry state of endpoints that are not declared any more.
+func (d *Daemon) forgetEndpoints(previous, current *config.Snapshot) {
+	if previous == nil {
+		return
+	}
+	for _, e := range previous.Records().Endpoints {
+		if current.Endpoint(e.Name) == nil {
+			d.retryBudget.Forget(e.Name)
+		}
+	}
+}
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -119,6 +119,7 @@
 		Local:     &fakeLocal{load: newLoad()},
 		Sink:      &fakeSink{loads: make(map[string]Load)},
 		Announcer: &fakeAnnouncer{seen: make(map[string]int64)},
+		Control:   &fakeMeter{},
 		Dial:      NewDialer(token, nil),
 		Log:       zap.NewNop(),
 		Scope:     tally.NoopScope,
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1/peerv1connect"
 )
@@ -38,6 +39,14 @@
 // Announcer learns which configuration revisions peers have.
 type Announcer interface {
 	Announce(peer string, revision int64)
+	// Forget drops what a peer announced, after it was silent for a long time.
+	Forget(peer string)
+}
+
+// ControlMeter counts the bytes of an exchange with another region, so that calls leave room for control traffic on the
+// link between regions.
+type ControlMeter interface {
+	TakeControl(bytes int)
 }
 
 // Dialer returns a client for a peer address.
@@ -51,6 +60,7 @@
 	Local     Local
 	Sink      Sink
 	Announcer Announcer
+	Control   ControlMeter
 	Dial      Dialer
 	Log       *zap.Logger
 	Scope     tally.Scope
@@ -124,7 +134,9 @@
 	for _, source := range silent {
 		n.Sink.RemoveLoad(source)
 	}
-	n.Table.ForgetSilent()
+	for _, id := range n.Table.ForgetSilent() {
+		n.Announcer.Forget(id)
+	}
 	n.Scope.Gauge("peers_live").Update(float64(len(n.Table.Live())))
 }
 
@@ -271,6 +283,9 @@
 		return err
 	}
 	n.absorb(response.Msg)
+	if p, _ := n.Table.Find(id); id != "" && p.Identity.Region != n.Self.Region {
+		n.Control.TakeControl(proto.Size(request) + proto.Size(response.Msg))
+	}
 	return nil
 }
 
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -60,12 +60,28 @@
 	f.seen[peer] = revision
 }
 
+func (f *fakeAnnouncer) Forget(peer string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.seen, peer)
+}
+
+// fakeMeter counts control bytes.
+type fakeMeter struct {
+	bytes int
+}
+
+func (f *fakeMeter) TakeControl(bytes int) {
+	f.bytes += bytes
+}
+
 // instance is a node with its server on a loopback port.
 type instance struct {
 	node      *Node
 	local     *fakeLocal
 	sink      *fakeSink
 	announcer *fakeAnnouncer
+	meter     *fakeMeter
 	address   string
 }
 
@@ -77,14 +93,22 @@
 		local:     &fakeLocal{load: newLoad()},
 		sink:      &fakeSink{loads: make(map[string]Load)},
 		announcer: &fakeAnnouncer{seen: make(map[string]int64)},
+		meter:     &fakeMeter{},
 		address:   address,
 	}
 	in.node = NewNode(Options{
-		Self:      Identity{InstanceID: id, Incarnation: incarnation, DataCentre: dataCentre, Address: address},
+		Self: Identity{
+			InstanceID:  id,
+			Incarnation: incarnation,
+			DataCentre:  dataCentre,
+			Region:      "region of " + dataCentre,
+			Address:     address,
+		},
 		Interval:  time.Second,
 		Local:     in.local,
 		Sink:      in.sink,
 		Announcer: in.announcer,
+		Control:   in.meter,
 		Dial:      NewDialer(token, nil),
 		Log:       zap.NewNop(),
 		Scope:     tally.NoopScope,
@@ -204,6 +228,8 @@
 			Expect(a.exchange(far)).To(Succeed())
 		}
 		Expect(far.sink.loads).To(HaveLen(1))
+		Expect(a.meter.bytes).To(BeNumerically(">", 0), "exchanges between regions count as control traffic")
+		Expect(b.meter.bytes).To(BeZero())
 		Expect(far.sink.loads["dc:x"].Endpoints).To(HaveKeyWithValue(uint64(11), uint32(7)))
 		Expect(b.sink.loads["dc:y"].Endpoints).To(HaveKeyWithValue(uint64(99), uint32(5)))
 	})
