Answer unknown when an idempotency key cannot be looked up

Cause: with the store away, or at an instance that shuts down, a repeated call with a key was told not_run although an earlier call with the key may have run. A caller that trusts it books again with another key. Before: store unavailable -> 503 not_run; shutting down -> 503 not_run. After: both unknown for a call with a key; nothing is sent in either case.

--- a/pkg/dispatch/service.go
+++ b/pkg/dispatch/service.go
@@ -224,8 +224,10 @@
 		return problem.New(problem.TypeKeyExpired, http.StatusConflict, problem.Unknown,
 			"The idempotency key is older than the time for which responses are kept.")
 	case errors.Is(err, claims.ErrUnavailable):
-		return problem.New(problem.TypeStoreUnavailable, http.StatusServiceUnavailable, problem.NotRun,
-			"The idempotency key cannot be claimed now.").WithRetryAfter(retryAfter)
+		// This call was not sent, but an earlier one with the key may have run, and nobody can look that up now.
+		return problem.New(problem.TypeStoreUnavailable, http.StatusServiceUnavailable, problem.Unknown,
+			"The idempotency key cannot be looked up now, so this call was not sent; an earlier call with the key may have run. "+
+				"Repeat the call with the same key.").WithRetryAfter(retryAfter)
 	default:
 		return problem.New(problem.TypeKeyOutcomeUnknown, http.StatusConflict, problem.Unknown,
 			"A call with this idempotency key was or may have been sent, and its response is not known.")
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -225,6 +225,8 @@
 		refused := f.do("POST", chatPath, chat(""))
 		Expect(refused.problem.Type).To(Equal(problem.TypeShuttingDown))
 		Expect(refused.problem.Outcome).To(Equal(problem.NotRun))
+		keyed := f.do("POST", chatPath, chat(""), "Idempotency-Key", "k")
+		Expect(keyed.problem.Outcome).To(Equal(problem.Unknown), "an earlier call with the key may have run")
 		close(proceed)
 		finished := <-inFlight
 		Expect(finished.status).To(Equal(200))
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -44,7 +44,7 @@
 	return func(c fiber.Ctx) error {
 		r := s.newRequest(c)
 		if !s.begin() {
-			p := problem.New(problem.TypeShuttingDown, fiber.StatusServiceUnavailable, problem.NotRun,
+			p := problem.New(problem.TypeShuttingDown, fiber.StatusServiceUnavailable, outcomeBeforeLookup(c),
 				"This instance is shutting down.").WithRetryAfter(time.Second)
 			s.writeProblem(c.RequestCtx(), r.id, p)
 			return nil
@@ -69,6 +69,15 @@
 	}
 }
 
+// outcomeBeforeLookup is the outcome of a request that is refused before its idempotency key was looked up. The request
+// was not sent, but an earlier one with the key may have run, and a caller that is told not_run may use another key.
+func outcomeBeforeLookup(c fiber.Ctx) problem.Outcome {
+	if c.Get(headerIdempotency) != "" {
+		return problem.Unknown
+	}
+	return problem.NotRun
+}
+
 func (s *Server) newRequest(c fiber.Ctx) *request {
 	id := requestIDOf(c)
 	callID := id
