--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -115,7 +115,10 @@
 		})
 		r := f.do("GET", "/v1/models", "")
 		Expect(r.problem.Type).To(Equal(problem.TypeNotReady))
+		Expect(r.problem.Outcome).To(Equal(problem.NotRun))
 		Expect(r.header.Get("Retry-After")).To(Equal("1"))
+		keyed := f.do("POST", "/v1/services/order-desk/orders", "{}", "Idempotency-Key", "k")
+		Expect(keyed.problem.Outcome).To(Equal(problem.Unknown), "an earlier call with the key may have run")
 	})
 
 	// Guards against a response that is not passed on in full, and against adapters that cannot be called by their id.
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -97,7 +97,7 @@
 	}
 	r.snapshot = s.options.Snapshot()
 	if r.snapshot == nil {
-		return problem.New(problem.TypeNotReady, fiber.StatusServiceUnavailable, problem.NotRun,
+		return problem.New(problem.TypeNotReady, fiber.StatusServiceUnavailable, outcomeBeforeLookup(r.c),
 			"This instance has not received its configuration.").WithRetryAfter(time.Second)
 	}
 	scheme, key, _ := strings.Cut(r.c.Get(fiber.HeaderAuthorization), " ")
