Speak HTTP/2 on the peer listener with TLS

Cause: with TLS on, every exchange between instances failed with 'unexpected EOF'. The peer server was given the client TLS configuration, which names no protocol, so net/http read HTTP/2 frames as HTTP/1. Ruled out: certificates (handshakes succeeded) and the token.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -154,7 +154,7 @@
 		Scope:       d.metrics.Scope,
 	})
 	server := peer.NewServer(d.node, configServer{syncer: d.syncer}, d.issuer)
-	d.peerServer = peer.NewHTTPServer(server, token, tlsConfig)
+	d.peerServer = peer.NewHTTPServer(server, token, tlsConfig != nil)
 	return nil
 }
 
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -111,7 +111,7 @@
 		if _, held := holder.Held(); held {
 			d.log.Info("placement lease acquired", zap.Int("shard", shard))
 			err := controller.Run(ctx)
-			d.log.Info("placement stopped", zap.Int("shard", shard), zap.Error(err))
+			d.log.Info("placement stopped", zap.Int("shard", shard), zap.String("reason", err.Error()))
 		}
 		sleep(ctx, leasePollInterval)
 	}
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -78,8 +78,9 @@
 	}
 }
 
-// NewHTTPServer returns a server of the peer protocol, in cleartext HTTP/2 when tlsConfig is nil.
-func NewHTTPServer(server *Server, token string, tlsConfig *tls.Config) *http.Server {
+// NewHTTPServer returns a server of the peer protocol over HTTP/2. Encrypted tells that its listener speaks TLS; net/http
+// then offers HTTP/2 only if the server's own TLS configuration names it.
+func NewHTTPServer(server *Server, token string, encrypted bool) *http.Server {
 	path, handler := server.Handler(
 		connect.WithInterceptors(checkToken(token)),
 		connect.WithCompressMinBytes(compressBytes),
@@ -87,12 +88,12 @@
 	mux := http.NewServeMux()
 	mux.Handle(path, handler)
 	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
-	protocols.SetUnencryptedHTTP2(tlsConfig == nil)
+	protocols.SetHTTP2(encrypted)
+	protocols.SetUnencryptedHTTP2(!encrypted)
 	return &http.Server{
 		Handler:           mux,
 		Protocols:         protocols,
-		TLSConfig:         tlsConfig,
+		TLSConfig:         &tls.Config{NextProtos: []string{"h2"}},
 		ReadHeaderTimeout: dialTimeout,
 	}
 }
