Finish calls in flight when an instance shuts down between two of their steps

Cause: the shutdown made admission refuse every call before the gateway had drained. A call in flight asks admission after its claim and before each further attempt, so one that was at such a point was refused as shutting-down. The gateway alone refuses new calls; admission refuses once it has drained.

--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -105,12 +105,14 @@
 	d.draining.Store(true)
 	stopControl()
 	sleep(context.Background(), config.Milliseconds(d.settings.Shutdown.GraceMs))
-	d.admission.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), config.Milliseconds(d.settings.Shutdown.DrainMs))
 	defer cancel()
+	// The gateway refuses new calls. Admission must not refuse yet: calls in flight still ask it, after their claim and
+	// before each further attempt.
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.log.Error("requests were still in flight at the end of the drain time", zap.Error(err))
 	}
+	d.admission.Drain()
 }
 
 func (d *Daemon) closeServers() {
--- /dev/null
+++ b/pkg/daemon/streams_test.go
@@ -0,0 +1,346 @@
+package daemon_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/conc"
+
+	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+// outputTokens is the length of each response in these tests.
+const outputTokens = 12
+
+// streamed is what a caller has received of a stream.
+type streamed struct {
+	// ids are the distinct ids and tokens the contents of the chunks.
+	ids      map[string]bool
+	tokens   []string
+	finished bool
+	done     bool
+	failure  *problem.Problem
+	err      error
+}
+
+// chunk is an event or a whole response of an engine.
+type chunk struct {
+	ID      string
+	Choices []struct {
+		Delta, Message struct{ Content string }
+		FinishReason   *string `json:"finish_reason"`
+	}
+}
+
+func chatBody(model string, stream bool) string {
+	return fmt.Sprintf(`{"model":%q,"stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`,
+		model, stream, outputTokens)
+}
+
+func (i *instance) chat(id, model string) reply {
+	return i.do(http.MethodPost, "/v1/chat/completions", chatBody(model, false), "X-Request-Id", id)
+}
+
+// stream makes a streamed call and reads it to its end.
+func (i *instance) stream(id, model string) streamed {
+	s := streamed{ids: make(map[string]bool)}
+	r := i.do(http.MethodPost, "/v1/chat/completions", chatBody(model, true), "X-Request-Id", id)
+	s.err = r.err
+	if r.status >= http.StatusBadRequest {
+		s.failure = &r.problem
+		return s
+	}
+	event := ""
+	lines := bufio.NewScanner(strings.NewReader(r.body))
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), ": ")
+		switch {
+		case name == "":
+			event = ""
+		case name == "event":
+			event = value
+		case event == "error":
+			s.failure = new(problem.Problem)
+			s.err = errors.Join(s.err, json.Unmarshal([]byte(value), s.failure))
+		case value == "[DONE]":
+			s.done = true
+		default:
+			s.add(value)
+		}
+	}
+	return s
+}
+
+func (s *streamed) add(data string) {
+	var c chunk
+	s.err = errors.Join(s.err, json.Unmarshal([]byte(data), &c))
+	s.ids[c.ID] = true
+	for _, choice := range c.Choices {
+		s.finished = s.finished || choice.FinishReason != nil
+		if choice.Delta.Content != "" {
+			s.tokens = append(s.tokens, choice.Delta.Content)
+		}
+	}
+}
+
+// check verifies what holds for every stream: it has chunks of its own request only, in order and without gaps, and
+// either its end marker after the whole text or a failure.
+func (s streamed) check(id string) {
+	GinkgoHelper()
+	for own := range s.ids {
+		Expect(own).To(HavePrefix(id+"."), "chunk of another request")
+	}
+	Expect(len(s.ids)).To(BeNumerically("<=", 1))
+	expectTokens(s.tokens)
+	if s.done {
+		Expect(s.failure).To(BeNil())
+		Expect(s.finished).To(BeTrue())
+		Expect(s.tokens).To(HaveLen(outputTokens), "end marker on a truncated stream")
+		return
+	}
+	Expect(s.failure != nil || s.err != nil).To(BeTrue(), "stream ended without end marker and without failure")
+}
+
+// expectTokens checks that tokens come from one run, in order and without gaps: each is "<run>.<position> ".
+func expectTokens(tokens []string) {
+	GinkgoHelper()
+	for n, token := range tokens {
+		run, _, _ := strings.Cut(tokens[0], ".")
+		Expect(token).To(Equal(fmt.Sprintf("%s.%d ", run, n)))
+	}
+}
+
+// checkComplete verifies a response without streaming.
+func (r reply) checkComplete(id string) {
+	GinkgoHelper()
+	Expect(r.outcome()).To(BeEmpty(), r.body)
+	var c chunk
+	Expect(json.Unmarshal([]byte(r.body), &c)).To(Succeed())
+	Expect(c.ID).To(HavePrefix(id+"."), "response of another request")
+	Expect(c.Choices).To(HaveLen(1))
+	tokens := strings.SplitAfter(strings.TrimSuffix(c.Choices[0].Message.Content, " "), " ")
+	Expect(tokens).To(HaveLen(outputTokens))
+	tokens[outputTokens-1] += " "
+	expectTokens(tokens)
+}
+
+// earnRetries makes successful calls, each of which allows one retry.
+func (i *instance) earnRetries(model string) {
+	GinkgoHelper()
+	for range 10 {
+		i.chat("earn", model).checkComplete("earn")
+	}
+}
+
+var _ = Describe("a response of an engine", Ordered, func() {
+	var w *world
+	var a *instance
+
+	BeforeAll(func() {
+		w = newWorld(worldOptions{engines: 2, placed: true})
+		a = w.startReady("entry-1", dcA)
+	})
+
+	BeforeEach(func() {
+		a.earnRetries("menu")
+	})
+
+	AfterEach(func() {
+		w.eachEngine(func(e *standin.Engine) { e.Faults().Clear() })
+	})
+
+	// Guards against a stream that ends when its connection breaks, against chunks that are missing or repeated after
+	// it was resumed, and against another text from another engine.
+	DescribeTable("is resumed and complete after", func(id string, fault standin.Fault) {
+		w.eachEngine(func(e *standin.Engine) { e.Faults().Next(standin.CallInference, fault) })
+		s := a.stream(id, "menu")
+		s.check(id)
+		Expect(s.done).To(BeTrue())
+		for own := range s.ids {
+			executions := 0
+			w.eachEngine(func(e *standin.Engine) { executions += e.Executions(own) })
+			Expect(executions).To(Equal(1))
+		}
+	},
+		Entry("a broken connection", "broken", standin.Fault{CloseAfterChunks: 4}),
+		Entry("an end without its marker", "ended", standin.Fault{EndAfterChunks: 4}),
+		Entry("a missing chunk", "missing", standin.Fault{SkipChunk: 4}),
+		Entry("a repeated chunk", "repeated", standin.Fault{RepeatChunk: 4}),
+	)
+
+	// Guards against an end marker after a part of the text, or the response of another request.
+	DescribeTable("is never passed on as complete after", func(id string, fault standin.Fault) {
+		w.eachEngine(func(e *standin.Engine) { e.Faults().Always(standin.CallInference, fault) })
+		s := a.stream("stream-"+id, "menu")
+		s.check("stream-" + id)
+		Expect(s.done).To(BeFalse())
+		r := a.chat("whole-"+id, "menu")
+		if fault.WrongRequestID || fault.NoFinishReason {
+			Expect(r.outcome()).To(Equal(problem.Unknown), r.body)
+		} else if r.outcome() == "" {
+			r.checkComplete("whole-" + id)
+		}
+	},
+		Entry("a wrong request id", "crossed", standin.Fault{WrongRequestID: true}),
+		Entry("an end without a finish reason", "unfinished", standin.Fault{NoFinishReason: true}),
+		Entry("one broken connection after the other", "breaking", standin.Fault{CloseAfterChunks: 1}),
+		Entry("one early end after the other", "ending", standin.Fault{EndAfterChunks: 1}),
+	)
+
+	// Guards against a half response, and against not_run although the engine ran the request.
+	DescribeTable("without streaming comes from the other engine or not at all after", func(id string, fault standin.Fault) {
+		w.eachEngine(func(e *standin.Engine) { e.Faults().Always(standin.CallInference, fault) })
+		r := a.chat("always-"+id, "menu")
+		Expect(r.outcome()).To(Equal(problem.Unknown), r.body)
+		w.eachEngine(func(e *standin.Engine) { e.Faults().Clear() })
+		a.earnRetries("menu")
+		w.bed.Engines[engineName(dcA, 0)].Faults().Next(standin.CallInference, fault)
+		w.bed.Engines[engineName(dcA, 1)].Faults().Next(standin.CallInference, standin.Fault{})
+		a.chat("once-"+id, "menu").checkComplete("once-" + id)
+	},
+		Entry("a truncated body", "truncated", standin.Fault{TruncateBody: true}),
+		Entry("a lost reply", "lost", standin.Fault{DropReply: true}),
+		Entry("a wrong request id", "wrong", standin.Fault{WrongRequestID: true}),
+	)
+
+	// Guards against responses that reach another caller when many connections break and replies come late.
+	It("reaches its own caller while connections break and replies are late", func() {
+		faults := []standin.Fault{
+			{CloseAfterChunks: 3}, {}, {WrongRequestID: true}, {DropReply: true}, {Delay: 30 * time.Millisecond}, {TruncateBody: true},
+			{RepeatChunk: 2}, {}, {SkipChunk: 5}, {Delay: time.Millisecond},
+		}
+		const calls = 60
+		w.eachEngine(func(e *standin.Engine) {
+			for n := range calls {
+				e.Faults().Next(standin.CallInference, faults[n%len(faults)])
+			}
+		})
+		var mu sync.Mutex
+		streams, replies := make(map[string]streamed), make(map[string]reply)
+		var group conc.WaitGroup
+		for n := range calls {
+			id := fmt.Sprintf("many-%d", n)
+			group.Go(func() {
+				defer GinkgoRecover()
+				if n%2 == 0 {
+					s := a.stream(id, "menu")
+					mu.Lock()
+					defer mu.Unlock()
+					streams[id] = s
+					return
+				}
+				r := a.chat(id, "menu")
+				mu.Lock()
+				defer mu.Unlock()
+				replies[id] = r
+			})
+		}
+		group.Wait()
+		complete := 0
+		for id, s := range streams {
+			s.check(id)
+		}
+		for id, r := range replies {
+			if r.outcome() == "" {
+				r.checkComplete(id)
+				complete++
+			}
+		}
+		Expect(complete).To(BeNumerically(">", 0))
+	})
+})
+
+func (w *world) eachEngine(do func(*standin.Engine)) {
+	for _, e := range w.bed.Engines {
+		do(e)
+	}
+}
+
+var _ = Describe("a stream of an engine that cannot resume it", func() {
+	// Guards against an end marker on a truncated stream, and against a text that is continued by another run.
+	It("ends with an error event when the engine keeps no streams", func() {
+		w := newWorld(worldOptions{engines: 2, placed: true, engine: standin.Options{NoResume: true}})
+		a := w.startReady("entry-1", dcA)
+		a.earnRetries("menu")
+		w.eachEngine(func(e *standin.Engine) {
+			e.Faults().Next(standin.CallInference, standin.Fault{CloseAfterChunks: 4})
+		})
+		s := a.stream("no-resume", "menu")
+		s.check("no-resume")
+		Expect(s.done).To(BeFalse())
+		Expect(s.tokens).NotTo(BeEmpty())
+		Expect(s.failure).NotTo(BeNil())
+		Expect(s.failure.Outcome).To(Equal(problem.Unknown))
+	})
+
+	// Guards against streams that seem complete, or hang, when their engine's process is replaced; the new process must
+	// get its model back.
+	It("ends with an error event when the engine restarts, and the engine serves again", func() {
+		w := newWorld(worldOptions{placed: true})
+		a := w.startReady("entry-1", dcA)
+		e := w.bed.Engines[engineName(dcA, 0)]
+		const streams = 6
+		hold := newHold(streams)
+		e.Faults().Always(standin.CallInference, standin.Fault{OnChunk: hold.at(5)})
+		results := make([]<-chan streamed, streams)
+		for n := range streams {
+			results[n] = inBackground(func() streamed { return a.stream(fmt.Sprintf("restart-%d", n), "menu") })
+		}
+		Eventually(hold.reached).Should(BeClosed())
+		e.Down()
+		hold.release()
+		Expect(e.Up()).To(Succeed())
+		for n, result := range results {
+			var s streamed
+			Eventually(result).Should(Receive(&s))
+			s.check(fmt.Sprintf("restart-%d", n))
+			Expect(s.done).To(BeFalse())
+			Expect(s.failure).NotTo(BeNil())
+		}
+		Eventually(func() problem.Outcome { return a.chat("after", "menu").outcome() }).Should(BeEmpty())
+		Expect(w.bed.Violations()).To(BeZero())
+	})
+})
+
+// hold stops calls at a point until they are released.
+type hold struct {
+	mu sync.Mutex
+	// missing is the number of calls that have not reached the point; reached is closed when it is zero.
+	missing  int
+	reached  chan struct{}
+	released chan struct{}
+}
+
+func newHold(calls int) *hold {
+	return &hold{missing: calls, reached: make(chan struct{}), released: make(chan struct{})}
+}
+
+func (h *hold) wait() {
+	h.mu.Lock()
+	h.missing--
+	if h.missing == 0 {
+		close(h.reached)
+	}
+	h.mu.Unlock()
+	<-h.released
+}
+
+// at returns a function for Fault.OnChunk that stops streams before a chunk.
+func (h *hold) at(chunk int) func(int) {
+	return func(sent int) {
+		if sent == chunk {
+			h.wait()
+		}
+	}
+}
+
+func (h *hold) release() { close(h.released) }
