--- a/pkg/daemon/streams_test.go
+++ b/pkg/daemon/streams_test.go
@@ -141,23 +141,17 @@
 	}
 }
 
-var _ = Describe("a response of an engine", Ordered, func() {
+var _ = Describe("a response of an engine", func() {
 	var w *world
 	var a *instance
 
-	BeforeAll(func() {
+	// An instance of its own for each test, since the failures of one would keep an engine ejected during the next.
+	BeforeEach(func() {
 		w = newWorld(worldOptions{engines: 2, placed: true})
 		a = w.startReady("entry-1", dcA)
-	})
-
-	BeforeEach(func() {
 		a.earnRetries("menu")
 	})
 
-	AfterEach(func() {
-		w.eachEngine(func(e *standin.Engine) { e.Faults().Clear() })
-	})
-
 	// Guards against a stream that ends when its connection breaks, against chunks that are missing or repeated after
 	// it was resumed, and against another text from another engine.
 	DescribeTable("is resumed and complete after", func(id string, fault standin.Fault) {
--- a/pkg/daemon/world_test.go
+++ b/pkg/daemon/world_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -21,9 +22,11 @@
 	"github.com/mulberryglade/mulberryglade/internal/testbed"
 	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/configstore"
 	"github.com/mulberryglade/mulberryglade/pkg/daemon"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
+	"github.com/mulberryglade/mulberryglade/pkg/settings"
 )
 
 func TestDaemon(t *testing.T) {
@@ -202,6 +205,30 @@
 	return i
 }
 
+// change returns the declarations with changed records.
+func (w *world) change(edit func(kind config.Kind, name string, record fields)) []config.RawRecord {
+	var records []config.RawRecord
+	for _, r := range w.bed.Records {
+		record := maps.Clone(r.Fields)
+		edit(r.Kind, r.Name, record)
+		records = append(records, config.NewRawRecord(r.File, r.Pointer, record))
+	}
+	return records
+}
+
+// apply changes records in the store, as an operator does.
+func (w *world) apply(changeID string, edit func(kind config.Kind, name string, record fields)) configstore.Result {
+	GinkgoHelper()
+	w.bed.Records = w.change(edit)
+	result, err := w.repository().Apply(context.Background(), configstore.Change{ID: changeID, Records: w.bed.Records})
+	Expect(err).NotTo(HaveOccurred())
+	return result
+}
+
+func (w *world) repository() *configstore.Repository {
+	return configstore.New(w.bed.Store, configstore.Options{Prefix: settings.DefaultStorePrefix})
+}
+
 // startReady runs an instance and waits until it has a configuration and a report of each endpoint.
 func (w *world) startReady(id, dc string) *instance {
 	i := w.start(id, dc)
