--- a/pkg/kvstore/etcdgateway/client.go
+++ b/pkg/kvstore/etcdgateway/client.go
@@ -12,6 +12,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -39,6 +40,8 @@
 	Scope tally.Scope
 	// TLS is used for https URLs.
 	TLS *tls.Config
+	// Source is the source address of connections; nil lets the system choose.
+	Source net.IP
 }
 
 // Client is a kvstore.Store. It is safe for concurrent use.
@@ -47,7 +50,7 @@
 	timeout   time.Duration
 	scope     tally.Scope
 	transport *http.Transport
-	// preferred is the index of the URL that answered last.
+	// preferred is the index of the URL that is tried first: the one that answered last, or the one after a failure.
 	preferred atomic.Int32
 	watches   atomic.Int64
 }
@@ -70,7 +73,7 @@
 		c.scope = tally.NoopScope
 	}
 	c.scope = c.scope.SubScope("kvstore")
-	c.transport = newTransport(o.TLS, c.timeout/time.Duration(len(c.urls)))
+	c.transport = newTransport(o.TLS, o.Source, c.timeout/time.Duration(len(c.urls)))
 	return c, nil
 }
 
@@ -203,6 +206,11 @@
 			c.preferred.Store(int32(index))
 			return nil
 		}
+		if errors.IsAny(err, kvstore.ErrUnavailable, kvstore.ErrOutcomeUnknown) {
+			// A write whose reply is lost is not sent again; without the change of the preferred URL the next write would go
+			// to the same silent server.
+			c.preferred.Store(int32((index + 1) % len(c.urls)))
+		}
 		if !again || ctx.Err() != nil {
 			return err
 		}
