Authenticate operators in routes, not in middleware

Cause: fiber runs middleware also for connections that fail before a request and logged an error for each refused TLS client.

--- a/pkg/admin/commands.go
+++ b/pkg/admin/commands.go
@@ -19,7 +19,7 @@
 }
 
 func (s *Server) addCommands() {
-	s.app.Post(adminapi.PathDrain, s.drain)
+	s.app.Post(adminapi.PathDrain, s.authenticate, s.drain)
 }
 
 func (s *Server) drain(c fiber.Ctx) error {
--- a/pkg/admin/queries.go
+++ b/pkg/admin/queries.go
@@ -29,12 +29,12 @@
 
 func (s *Server) addQueries() {
 	q := s.options.Queries
-	s.app.Get(adminapi.PathStatus, func(c fiber.Ctx) error { return c.JSON(q.Status()) })
-	s.app.Get(adminapi.PathMembers, func(c fiber.Ctx) error { return sendList(c, q.Members()) })
-	s.app.Get(adminapi.PathEndpoints, func(c fiber.Ctx) error { return sendList(c, q.Endpoints()) })
-	s.app.Get(adminapi.PathModels, func(c fiber.Ctx) error { return sendList(c, q.Models()) })
-	s.app.Get(adminapi.PathDecisions, s.listDecisions)
-	s.app.Get(adminapi.PathDecisions+"/:id", s.findDecision)
+	s.get(adminapi.PathStatus, func(c fiber.Ctx) error { return c.JSON(q.Status()) })
+	s.get(adminapi.PathMembers, func(c fiber.Ctx) error { return sendList(c, q.Members()) })
+	s.get(adminapi.PathEndpoints, func(c fiber.Ctx) error { return sendList(c, q.Endpoints()) })
+	s.get(adminapi.PathModels, func(c fiber.Ctx) error { return sendList(c, q.Models()) })
+	s.get(adminapi.PathDecisions, s.listDecisions)
+	s.get(adminapi.PathDecisions+"/:id", s.findDecision)
 }
 
 func sendList[T any](c fiber.Ctx, items []T) error {
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -45,8 +45,7 @@
 	s.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: s.fail})
 	s.app.Get("/healthz", s.health)
 	s.app.Get("/readyz", s.ready)
-	s.app.Use(s.authenticate)
-	s.app.Get("/metrics", adaptor.HTTPHandler(options.Metrics))
+	s.get("/metrics", adaptor.HTTPHandler(options.Metrics))
 	s.addProfiles()
 	s.addQueries()
 	s.addCommands()
@@ -77,6 +76,12 @@
 	return c.SendString("ready\n")
 }
 
+// get adds a route for operators. Authentication is part of the route and not a middleware: fiber also runs middleware for
+// connections that fail before a request, and would log an error for each.
+func (s *Server) get(path string, handler fiber.Handler) {
+	s.app.Get(path, s.authenticate, handler)
+}
+
 func (s *Server) authenticate(c fiber.Ctx) error {
 	if s.options.Token == "" {
 		return c.Next()
@@ -89,11 +94,11 @@
 }
 
 func (s *Server) addProfiles() {
-	s.app.Get("/debug/pprof/cmdline", adaptor.HTTPHandlerFunc(pprof.Cmdline))
-	s.app.Get("/debug/pprof/profile", adaptor.HTTPHandlerFunc(pprof.Profile))
-	s.app.Get("/debug/pprof/symbol", adaptor.HTTPHandlerFunc(pprof.Symbol))
-	s.app.Get("/debug/pprof/trace", adaptor.HTTPHandlerFunc(pprof.Trace))
-	s.app.Get("/debug/pprof/*", adaptor.HTTPHandlerFunc(pprof.Index))
+	s.get("/debug/pprof/cmdline", adaptor.HTTPHandlerFunc(pprof.Cmdline))
+	s.get("/debug/pprof/profile", adaptor.HTTPHandlerFunc(pprof.Profile))
+	s.get("/debug/pprof/symbol", adaptor.HTTPHandlerFunc(pprof.Symbol))
+	s.get("/debug/pprof/trace", adaptor.HTTPHandlerFunc(pprof.Trace))
+	s.get("/debug/pprof/*", adaptor.HTTPHandlerFunc(pprof.Index))
 }
 
 // fail answers with a problem document.
