Add the load and experiment tool

mulberryglade-load runs a seeded open-loop schedule against daemon processes and stand-ins with the latency, bandwidth and partitions of the declared network, injects the scenario's faults and writes a report and a plot. Placement policies are selected by a setting; the daemon now uses the demand-driven planner, tells it the copies in other data centres, and gives the pipeline the prefix index, which was built but never read.

--- a/internal/loadtest/client.go
+++ b/internal/loadtest/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,6 +16,10 @@
 // callTimeout bounds one call beyond the deadline that it states.
 const callTimeout = 2 * time.Minute
 
+// maxIdle is below the grace period of a shutdown: an unused connection to an instance that stops is dropped by the caller
+// first, as the platform's balancer does, so that no call is sent on a connection that is about to be closed.
+const maxIdle = 300 * time.Millisecond
+
 // Observation is what a caller saw of one call.
 type Observation struct {
 	Arrival Arrival
@@ -51,12 +56,18 @@
 			MaxIdemponentCallAttempts: 1,
 			RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			MaxConnsPerHost:           4096,
+			MaxIdleConnDuration:       maxIdle,
 		},
 		keys:  keys,
 		order: orderPath,
 	}
 }
 
+// Dial replaces how connections are opened.
+func (c *Client) Dial(dial func(address string) (net.Conn, error)) {
+	c.http.Dial = dial
+}
+
 // Call sends one call and reads its response to the end.
 func (c *Client) Call(address string, a Arrival, scheduled time.Time) Observation {
 	request := fasthttp.AcquireRequest()
--- /dev/null
+++ b/internal/loadtest/compare.go
@@ -0,0 +1,148 @@
+package loadtest
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// WriteReport writes a report as JSON.
+func WriteReport(path string, r Report) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(os.WriteFile(path, append(text, '\n'), filePrivate))
+}
+
+// ReadReport reads what WriteReport wrote.
+func ReadReport(path string) (Report, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Report{}, errors.WithStack(err)
+	}
+	var r Report
+	return r, errors.Wrapf(json.Unmarshal(text, &r), "report %q", path)
+}
+
+// group is a set of reports that differ in the seed only.
+func groups(reports []Report) [][]Report {
+	key := func(r Report) string {
+		return fmt.Sprintf("%s/%s/%s/%g/%g", r.Deployment, r.Scenario, r.Policy, r.Rate, r.Seconds)
+	}
+	index := make(map[string]int)
+	var list [][]Report
+	for _, r := range reports {
+		at, known := index[key(r)]
+		if !known {
+			at = len(list)
+			index[key(r)] = at
+			list = append(list, nil)
+		}
+		list[at] = append(list[at], r)
+	}
+	return list
+}
+
+// spread is a mean with the lowest and highest value.
+type spread struct{ mean, low, high float64 }
+
+func spreadOf(reports []Report, value func(Report) float64) spread {
+	values := make([]float64, len(reports))
+	total := 0.0
+	for i, r := range reports {
+		values[i] = value(r)
+		total += values[i]
+	}
+	return spread{mean: total / float64(len(values)), low: slices.Min(values), high: slices.Max(values)}
+}
+
+// String prints the bounds only where there are several values.
+func (s spread) String() string {
+	if s.low == s.high {
+		return fmt.Sprintf("%.4g", s.mean)
+	}
+	return fmt.Sprintf("%.4g (%.4g-%.4g)", s.mean, s.low, s.high)
+}
+
+// columns are the figures of the table.
+var columns = []struct {
+	name  string
+	value func(Report) float64
+}{
+	{"attainment", func(r Report) float64 { return r.Attainment }},
+	{"in time/accel/s", func(r Report) float64 { return r.AttainmentPerAccelerator }},
+	{"lowest quiet", lowestQuiet},
+	{"goodput/s", func(r Report) float64 { return r.Goodput }},
+	{"model moves", func(r Report) float64 { return float64(r.ModelMoves) }},
+	{"adapter moves", func(r Report) float64 { return float64(r.AdapterMoves) }},
+	{"share error", func(r Report) float64 { return r.ShareError }},
+	{"first p50", func(r Report) float64 { return r.FirstToken.P50 }},
+	{"first p95", func(r Report) float64 { return r.FirstToken.P95 }},
+	{"first p99", func(r Report) float64 { return r.FirstToken.P99 }},
+	{"between p95", func(r Report) float64 { return r.BetweenTokens.P95 }},
+	{"store/s", func(r Report) float64 { return r.StoreCallsPerSec }},
+	{"link KB/s", func(r Report) float64 { return float64(r.RegionLinkBytes) / 1000 / r.Seconds }},
+	{"cpu cores", func(r Report) float64 { return r.DaemonCPUSeconds / r.Seconds }},
+	{"rss MB", func(r Report) float64 { return float64(r.DaemonMaxRSSBytes) / 1e6 }},
+	{"late p99 ms", func(r Report) float64 { return r.LateP99Ms }},
+	{"dup", func(r Report) float64 { return float64(r.DuplicateOrders) }},
+	{"ran", func(r Report) float64 { return float64(r.NotRunOrdersThatRan) }},
+	{"memory", func(r Report) float64 { return float64(r.MemoryViolations) }},
+}
+
+// lowestQuiet is the lowest attainment of a member other than the one with the most calls.
+func lowestQuiet(r Report) float64 {
+	most, lowest := 0, 1.0
+	for _, m := range r.Members {
+		most = max(most, m.Calls)
+	}
+	for _, m := range r.Members {
+		if m.Calls < most || len(r.Members) == 1 {
+			lowest = min(lowest, m.Attainment)
+		}
+	}
+	return lowest
+}
+
+// Print writes a table with one row per deployment, scenario and policy.
+func Print(w io.Writer, reports []Report) {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprint(table, "deployment\tscenario\tpolicy\tseeds")
+	for _, c := range columns {
+		fmt.Fprint(table, "\t", c.name)
+	}
+	fmt.Fprintln(table)
+	for _, g := range groups(reports) {
+		fmt.Fprintf(table, "%s\t%s\t%s\t%d", g[0].Deployment, g[0].Scenario, g[0].Policy, len(g))
+		for _, c := range columns {
+			fmt.Fprint(table, "\t", spreadOf(g, c.value))
+		}
+		fmt.Fprintln(table)
+	}
+	_ = table.Flush()
+}
+
+// Pool adds up the time series of reports that differ in the seed only, for a plot with one line per policy.
+func Pool(reports []Report) []Report {
+	var pooled []Report
+	for _, g := range groups(reports) {
+		total := g[0]
+		total.Series = slices.Clone(total.Series)
+		for _, r := range g[1:] {
+			for i := range min(len(r.Series), len(total.Series)) {
+				total.Series[i].Calls += r.Series[i].Calls
+				total.Series[i].InTime += r.Series[i].InTime
+			}
+		}
+		pooled = append(pooled, total)
+	}
+	slices.SortStableFunc(pooled, func(a, b Report) int { return cmp.Compare(a.Policy, b.Policy) })
+	return pooled
+}
--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -3,13 +3,19 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
 	"github.com/valyala/fasthttp"
 
 	"github.com/mulberryglade/mulberryglade/pkg/settings"
@@ -28,14 +34,25 @@
 	process  *exec.Cmd
 	log      *os.File
 	exited   chan error
+	// ended is true once the process was killed or stopped; a replaced one remains in the fleet for its usage.
+	ended bool
 }
 
-// Fleet is a set of daemon processes. Only the load tool starts processes; the system itself never does.
+// Fleet is a set of daemon processes. It is safe for concurrent use, each instance by one goroutine at a time. Only the load tool starts processes; the system itself never does.
 type Fleet struct {
 	// Binary is the daemon's executable; Folder takes settings and logs.
-	Binary    string
-	Folder    string
-	Instances []*Instance
+	Binary string
+	Folder string
+
+	mu        sync.Mutex
+	instances []*Instance
+}
+
+// All returns the instances in the order of their start.
+func (f *Fleet) All() []*Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.instances)
 }
 
 // Start starts a daemon with the settings, whose ports must be fixed.
@@ -55,12 +72,16 @@
 	instance := &Instance{Settings: s, log: log, exited: make(chan error, 1)}
 	instance.process = exec.Command(f.Binary, "--settings", path)
 	instance.process.Stderr = log
+	// A load tool that crashes must not leave daemons behind, which would keep the ports.
+	instance.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := instance.process.Start(); err != nil {
 		_ = log.Close()
 		return nil, errors.Wrapf(err, "start %q", f.Binary)
 	}
 	go func() { instance.exited <- instance.process.Wait() }()
-	f.Instances = append(f.Instances, instance)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = append(f.instances, instance)
 	return instance, nil
 }
 
@@ -86,6 +107,7 @@
 
 // Kill ends the process at once, as a crash does.
 func (i *Instance) Kill() {
+	i.ended = true
 	_ = i.process.Process.Kill()
 	i.exited <- <-i.exited
 }
@@ -102,6 +124,7 @@
 
 // Terminate asks for a graceful shutdown and waits for its end.
 func (i *Instance) Terminate() error {
+	i.ended = true
 	_ = i.process.Process.Signal(syscall.SIGTERM)
 	select {
 	case err := <-i.exited:
@@ -127,16 +150,50 @@
 	return state.UserTime() + state.SystemTime(), usage.Maxrss * kilobyte
 }
 
+// CPUTime returns the processor time that the instances have used so far, ended ones included.
+func (f *Fleet) CPUTime() time.Duration {
+	total := time.Duration(0)
+	for _, i := range f.All() {
+		total += i.cpuTime()
+	}
+	return total
+}
+
+// cpuTime reads the times of a running process from the kernel.
+func (i *Instance) cpuTime() time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.process.Process.Pid))
+	if err != nil {
+		cpu, _ := i.Usage()
+		return cpu
+	}
+	return parseCPUTime(string(text))
+}
+
+// parseCPUTime adds the user and system time of a stat file. The fields after the command's closing parenthesis begin with
+// the state, which is field 3; the times are fields 14 and 15, in ticks of 10 ms.
+func parseCPUTime(stat string) time.Duration {
+	const tick = 10 * time.Millisecond
+	rest := stat[strings.LastIndex(stat, ")")+1:]
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * tick
+}
+
 // Stop ends all instances gracefully and returns the first error.
 func (f *Fleet) Stop() error {
-	var first error
-	for _, i := range f.Instances {
-		if i.process.ProcessState == nil {
-			if err := i.Terminate(); err != nil && first == nil {
-				first = err
+	p := pool.New().WithErrors().WithFirstError()
+	for _, i := range f.All() {
+		p.Go(func() error {
+			defer i.log.Close()
+			if i.ended {
+				return nil
 			}
-		}
-		_ = i.log.Close()
+			return i.Terminate()
+		})
 	}
-	return first
+	return p.Wait()
 }
--- /dev/null
+++ b/internal/loadtest/loadtest_test.go
@@ -0,0 +1,162 @@
+package loadtest
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/examples"
+	"github.com/mulberryglade/mulberryglade/internal/testbed"
+	"github.com/mulberryglade/mulberryglade/pkg/problem"
+)
+
+func loadOf(t *testing.T, deployment string) Load {
+	t.Helper()
+	records, err := testbed.Declarations(testbed.Options{Declarations: examples.Files, Folder: deployment})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Load{Records: records, Rate: 12, Warmup: 5 * time.Second, Duration: 20 * time.Second}
+}
+
+// Guards against a comparison of policies under different loads: the schedule depends on the seed alone.
+func TestScheduleIsDeterministic(t *testing.T) {
+	g := NewWithT(t)
+	for _, deployment := range []string{"sindhuli", "lusorenda"} {
+		load := loadOf(t, deployment)
+		for _, name := range ScenarioNames() {
+			draw := func(seed uint64) []Arrival {
+				return Schedule(Scenarios()[name].Mixes(load), load.Warmup+load.Duration, seed)
+			}
+			first := draw(1)
+			g.Expect(first).NotTo(BeEmpty())
+			g.Expect(draw(1)).To(Equal(first), name)
+			g.Expect(draw(2)).NotTo(Equal(first), name)
+		}
+	}
+}
+
+// Guards against a scenario that does not load what its name says: a run would then show nothing about the policies.
+func TestScenariosChangeTheLoad(t *testing.T) {
+	count := func(arrivals []Arrival, from, to time.Duration, matches func(Arrival) bool) float64 {
+		n := 0
+		for _, a := range arrivals {
+			if a.At >= from && a.At < to && matches(a) {
+				n++
+			}
+		}
+		return float64(n) / (to - from).Seconds()
+	}
+	for _, deployment := range []string{"sindhuli", "lusorenda"} {
+		g := NewWithT(t)
+		load := loadOf(t, deployment)
+		change, end := load.at(changePart), load.Warmup+load.Duration
+		draw := func(name string) []Arrival { return Schedule(Scenarios()[name].Mixes(load), end, 1) }
+
+		mix := growth(load)[0]
+		model := mix.Models[len(mix.Models)/growthFactor]
+		grows := func(a Arrival) bool { return a.Member == mix.Member && a.Model == model }
+		arrivals := draw("growth")
+		g.Expect(count(arrivals, change, end, grows)).To(BeNumerically(">", 4*count(arrivals, 0, change, grows)))
+
+		noisiest := ""
+		for _, m := range noisy(load) {
+			if m.Shape != nil {
+				noisiest = m.Member
+			}
+		}
+		isNoisy := func(a Arrival) bool { return a.Member == noisiest }
+		rate := count(draw("noisy"), load.Warmup, end, isNoisy)
+		share := count(draw("steady"), load.Warmup, end, isNoisy)
+		g.Expect(rate / share).To(BeNumerically("~", noisyFactor, 0.25*noisyFactor))
+	}
+}
+
+// Guards against a call that counts as answered in time although it was late, cut off or failed.
+func TestInTime(t *testing.T) {
+	targets := map[string]Targets{"m": {FirstToken: 300 * time.Millisecond, BetweenTokens: 27 * time.Millisecond}}
+	good := Observation{
+		Arrival: Arrival{Kind: ModelCall, Model: "m"}, Complete: true,
+		FirstToken: 300 * time.Millisecond, BetweenTokens: 27 * time.Millisecond,
+	}
+	order := Observation{Arrival: Arrival{Kind: OrderCall}, Complete: true, Total: time.Second}
+	cases := map[string]struct {
+		from    Observation
+		change  func(*Observation)
+		inTime  bool
+		outcome string
+	}{
+		"at the targets":       {good, func(*Observation) {}, true, "complete"},
+		"first token late":     {good, func(o *Observation) { o.FirstToken++ }, false, "complete"},
+		"tokens too far apart": {good, func(o *Observation) { o.BetweenTokens++ }, false, "complete"},
+		"stream without end":   {good, func(o *Observation) { o.Complete = false }, false, "truncated"},
+		"connection broken":    {good, func(o *Observation) { o.Complete, o.Err = false, "reset" }, false, "broken"},
+		"refused":              {good, func(o *Observation) { o.Complete, o.Outcome = false, problem.NotRun }, false, "not_run"},
+		"order at its target":  {order, func(*Observation) {}, true, "complete"},
+		"order late":           {order, func(o *Observation) { o.Total++ }, false, "complete"},
+	}
+	for name, c := range cases {
+		g := NewWithT(t)
+		o := c.from
+		c.change(&o)
+		g.Expect(InTime(o, targets, time.Second)).To(Equal(c.inTime), name)
+		g.Expect(outcomeOf(o)).To(Equal(c.outcome), name)
+	}
+}
+
+// Guards against a report that hides a duplicate order, or an order that ran although the caller was told that it did not.
+func TestCheckOrders(t *testing.T) {
+	g := NewWithT(t)
+	ran := map[string]int{"twice": 2, "despite-not-run": 1, "once": 1, "unknown": 1}
+	order := func(id string, outcome problem.Outcome) Observation {
+		return Observation{Arrival: Arrival{Kind: OrderCall, OrderID: id}, Outcome: outcome}
+	}
+	var report Report
+	CheckOrders(&report, []Observation{
+		order("once", ""), order("twice", ""), order("unknown", problem.Unknown), order("despite-not-run", problem.NotRun),
+		order("refused", problem.NotRun), {Arrival: Arrival{Kind: ModelCall, OrderID: "twice"}},
+	}, func(id string) int { return ran[id] })
+	g.Expect(report.DuplicateOrders).To(Equal(1))
+	g.Expect(report.NotRunOrdersThatRan).To(Equal(1))
+}
+
+// Guards against blaming the policy for shares that the members did not ask for.
+func TestShareError(t *testing.T) {
+	shares := map[string]float64{"a": 3, "b": 1}
+	cases := map[string]struct {
+		a, b MemberReport
+		want float64
+	}{
+		"by shares under overload":   {MemberReport{Tokens: 75, Demanded: 1000}, MemberReport{Tokens: 25, Demanded: 1000}, 0},
+		"rest of an idle member":     {MemberReport{Tokens: 10, Demanded: 10}, MemberReport{Tokens: 90, Demanded: 1000}, 0},
+		"half instead of a quarter":  {MemberReport{Tokens: 50, Demanded: 1000}, MemberReport{Tokens: 50, Demanded: 1000}, 0.25},
+		"demand of a member not met": {MemberReport{Tokens: 0, Demanded: 10}, MemberReport{Tokens: 100, Demanded: 1000}, 0.1},
+	}
+	for name, c := range cases {
+		g := NewWithT(t)
+		g.Expect(ShareError(map[string]MemberReport{"a": c.a, "b": c.b}, shares)).To(BeNumerically("~", c.want, 1e-9), name)
+	}
+}
+
+// Guards against a stat file whose command name contains blanks and parentheses.
+func TestParseCPUTime(t *testing.T) {
+	g := NewWithT(t)
+	stat := "77 (a ) b) S 1 77 77 0 -1 4194560 100 0 0 0 250 150 0 0 20 0 9 0 1 2 3"
+	g.Expect(parseCPUTime(stat)).To(Equal(4 * time.Second))
+	g.Expect(parseCPUTime("")).To(BeZero())
+}
+
+// Guards against a balancer that spreads evenly, under which a policy that only counts its own calls looks good, and
+// against calls to an instance that is not ready.
+func TestBalancer(t *testing.T) {
+	g := NewWithT(t)
+	b := NewBalancer([]string{"a", "b", "c"}, 1)
+	b.ready[1] = false
+	taken := make(map[string]int)
+	for range 3000 {
+		taken[b.Pick("m")]++
+	}
+	g.Expect(taken["b"]).To(BeZero())
+	g.Expect(max(taken["a"], taken["c"])).To(BeNumerically("~", 2000, 150))
+}
--- a/internal/loadtest/report.go
+++ b/internal/loadtest/report.go
@@ -1,6 +1,7 @@
 package loadtest
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -71,8 +72,9 @@
 	Calls      int     `json:"calls"`
 	InTime     int     `json:"inTime"`
 	Attainment float64 `json:"attainment"`
-	// Tokens are the output tokens received.
-	Tokens int `json:"tokens"`
+	// Tokens are the output tokens received and Demanded those that its calls asked for.
+	Tokens   int `json:"tokens"`
+	Demanded int `json:"demandedTokens"`
 }
 
 // Report is the result of one run.
@@ -81,7 +83,11 @@
 	Deployment   string  `json:"deployment"`
 	Scenario     string  `json:"scenario"`
 	Policy       string  `json:"policy"`
+	Commit       string  `json:"commit"`
+	Command      string  `json:"command"`
 	Seed         uint64  `json:"seed"`
+	Rate         float64 `json:"ratePerSecond"`
+	Instances    int     `json:"instances"`
 	Accelerators int     `json:"accelerators"`
 	Seconds      float64 `json:"seconds"`
 
@@ -91,6 +97,9 @@
 	Attainment float64 `json:"attainment"`
 	// AttainmentPerAccelerator is InTime per accelerator and second.
 	AttainmentPerAccelerator float64 `json:"attainmentPerAcceleratorSecond"`
+	// ShareError is the largest distance of a member's part of the delivered tokens from its fair part: the declared shares,
+	// where what a member did not ask for goes to the others.
+	ShareError float64 `json:"shareError"`
 	// Goodput is complete responses per second.
 	Goodput       float64                 `json:"goodputPerSecond"`
 	FirstToken    Quantiles               `json:"firstToken"`
@@ -102,12 +111,17 @@
 	DuplicateOrders     int `json:"duplicateOrders"`
 	NotRunOrdersThatRan int `json:"notRunOrdersThatRan"`
 	MemoryViolations    int `json:"memoryViolations"`
-	// Moves are loads and unloads carried out after the warm-up.
-	Moves             int     `json:"moves"`
+	// ModelMoves and AdapterMoves are the loads and unloads completed after the warm-up.
+	ModelMoves        int     `json:"modelMoves"`
+	AdapterMoves      int     `json:"adapterMoves"`
+	ModelsWithoutCopy int     `json:"modelsWithoutCopyAtStart"`
 	StoreCallsPerSec  float64 `json:"storeCallsPerSecond"`
 	RegionLinkBytes   int64   `json:"regionLinkBytes"`
+	// DaemonCPUSeconds is over all instances, DaemonMaxRSSBytes the largest of one.
 	DaemonCPUSeconds  float64 `json:"daemonCpuSeconds"`
 	DaemonMaxRSSBytes int64   `json:"daemonMaxRssBytes"`
+	// Faults tells when each fault was injected and what failed about it or about the shutdown.
+	Faults []string `json:"faults,omitempty"`
 	// LateP99Ms is the lateness of the load generator itself; a large value spoils the run.
 	LateP99Ms float64 `json:"generatorLateP99Ms"`
 	Series    []Point `json:"series"`
@@ -149,7 +163,10 @@
 	report.Outcomes = make(map[string]int)
 	report.Problems = make(map[string]int)
 	report.Members = make(map[string]MemberReport)
-	report.Series = make([]Point, int(report.Seconds)+1)
+	report.Series = make([]Point, max(1, int(math.Ceil(report.Seconds))))
+	for i := range report.Series {
+		report.Series[i].Second = i
+	}
 	complete := 0
 	for _, o := range observations {
 		inTime := InTime(o, targets, order)
@@ -182,8 +199,10 @@
 	m := r.Members[o.Arrival.Member]
 	m.Calls++
 	m.Tokens += o.Tokens
+	if o.Arrival.Kind == ModelCall {
+		m.Demanded += o.Arrival.OutputTokens
+	}
 	second := min(int(o.Arrival.At.Seconds()), len(r.Series)-1)
-	r.Series[second].Second = second
 	r.Series[second].Calls++
 	if inTime {
 		r.InTime++
@@ -213,6 +232,53 @@
 	return float64(part) / float64(whole)
 }
 
+// ShareError returns the largest distance of a member's part of the delivered tokens from its fair part, which divides the
+// delivered tokens by the shares and gives no member more than it asked for.
+func ShareError(members map[string]MemberReport, shares map[string]float64) float64 {
+	delivered := 0.0
+	open := make(map[string]float64)
+	for name, m := range members {
+		delivered += float64(m.Tokens)
+		open[name] = shares[name]
+	}
+	if delivered == 0 {
+		return 0
+	}
+	fair := fairParts(members, open, delivered)
+	largest := 0.0
+	for name, m := range members {
+		largest = max(largest, math.Abs(float64(m.Tokens)-fair[name])/delivered)
+	}
+	return largest
+}
+
+// fairParts fills members by share until each has what it demanded or nothing is left.
+func fairParts(members map[string]MemberReport, open map[string]float64, left float64) map[string]float64 {
+	fair := make(map[string]float64)
+	for len(open) > 0 {
+		shares := 0.0
+		for _, share := range open {
+			shares += share
+		}
+		satisfied := ""
+		for name, share := range open {
+			if float64(members[name].Demanded) <= left*share/shares {
+				satisfied = name
+			}
+		}
+		if satisfied == "" {
+			for name, share := range open {
+				fair[name] = left * share / shares
+			}
+			return fair
+		}
+		fair[satisfied] = float64(members[satisfied].Demanded)
+		left -= fair[satisfied]
+		delete(open, satisfied)
+	}
+	return fair
+}
+
 // CheckOrders compares what callers were told with what the services ran.
 func CheckOrders(report *Report, observations []Observation, executions func(orderID string) int) {
 	for _, o := range observations {
--- a/internal/loadtest/workload.go
+++ b/internal/loadtest/workload.go
@@ -7,7 +7,9 @@
 	"math"
 	"math/rand/v2"
 	"sort"
+	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -142,13 +144,28 @@
 
 // prompt is the model's shared instructions followed by words of this call only.
 func prompt(model string, words int, random *rand.Rand) string {
+	var b strings.Builder
+	b.WriteString(sharedPrefix(model))
+	for range words {
+		b.WriteByte('w')
+		b.WriteString(strconv.Itoa(random.IntN(10_000)))
+		b.WriteByte(' ')
+	}
+	return b.String()
+}
+
+// prefixes holds the instructions of each model, since a schedule has many thousand prompts of a few models.
+var prefixes sync.Map
+
+func sharedPrefix(model string) string {
+	if known, ok := prefixes.Load(model); ok {
+		return known.(string)
+	}
 	var b strings.Builder
 	for i := range sharedPrefixWords {
 		fmt.Fprintf(&b, "%s-rule-%d ", model, i)
 	}
-	for range words {
-		fmt.Fprintf(&b, "w%d ", random.IntN(10_000))
-	}
+	prefixes.Store(model, b.String())
 	return b.String()
 }
 
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/process"
@@ -81,6 +82,8 @@
 	cache   *prefixCache
 	batch   *batch
 	server  *process.Server
+	// modelLoad is Timing.ModelLoad in nanoseconds until SetModelLoad.
+	modelLoad atomic.Int64
 	// first is the incarnation before any restart.
 	first string
 
@@ -118,6 +121,7 @@
 		leaving:  options.Leaving,
 		first:    options.Memory.Incarnation(),
 	}
+	e.modelLoad.Store(int64(options.Timing.ModelLoad))
 	e.server = process.NewServer(e.handle)
 	e.cache = newPrefixCache(options.CacheBlocks, options.CacheEventLoss, options.Seed)
 	return e
@@ -143,6 +147,11 @@
 	e.reported = time.Time{}
 }
 
+// SetModelLoad changes the duration of later loads of models, in model time.
+func (e *Engine) SetModelLoad(span time.Duration) {
+	e.modelLoad.Store(int64(span))
+}
+
 // Executions returns how many runs were started for a request id, over all incarnations.
 func (e *Engine) Executions(requestID string) int {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -359,7 +359,7 @@
 	case order.Artifact.Kind == engine.KindAdapter:
 		return timing.AdapterLoad
 	default:
-		return timing.ModelLoad
+		return time.Duration(e.modelLoad.Load())
 	}
 }
 
--- a/internal/standin/engine/memory.go
+++ b/internal/standin/engine/memory.go
@@ -26,6 +26,7 @@
 	artifacts   map[engine.Artifact]engine.LoadedArtifact
 	lastOrders  []string
 	violations  int
+	moves       map[engine.ArtifactKind]int
 	role        string
 }
 
@@ -36,6 +37,7 @@
 		capacity:      append([]int64(nil), capacityBytes...),
 		incarnation:   incarnation,
 		artifacts:     make(map[engine.Artifact]engine.LoadedArtifact),
+		moves:         make(map[engine.ArtifactKind]int),
 		role:          "serve",
 	}
 }
@@ -82,8 +84,10 @@
 	switch order.Verb {
 	case engine.VerbLoad:
 		m.setState(order.Artifact, engine.StateLoaded)
+		m.moves[order.Artifact.Kind]++
 	case engine.VerbUnload:
 		delete(m.artifacts, order.Artifact)
+		m.moves[order.Artifact.Kind]++
 	case engine.VerbSetRole:
 		m.role = order.Role
 	}
@@ -146,6 +150,13 @@
 	return m.violations
 }
 
+// Moves returns how many loads and unloads of artifacts of the kind were completed.
+func (m *Memory) Moves(kind engine.ArtifactKind) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.moves[kind]
+}
+
 // Loaded tells whether the artifact can serve.
 func (m *Memory) Loaded(artifact engine.Artifact) bool {
 	m.mu.Lock()
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -62,6 +62,9 @@
 	// DataCentreOf returns the data centre of a loopback address; empty means a caller outside all of them.
 	DataCentreOf func(net.Addr) string
 
+	// transparent is true while no data is delayed or counted.
+	transparent atomic.Bool
+
 	mu    sync.Mutex
 	cut   map[[2]string]bool
 	conns map[*conn]bool
@@ -93,6 +96,12 @@
 	}
 }
 
+// SetTransparent stops or starts the delay and the count of data on all connections, so that a deployment can be set up
+// quickly. Partitions stay in effect.
+func (n *Network) SetTransparent(transparent bool) {
+	n.transparent.Store(transparent)
+}
+
 func (n *Network) isCut(from, to string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -104,6 +113,11 @@
 	return &listener{Listener: inner, network: n, dataCentre: dataCentre}
 }
 
+// Wrap gives a connection that a process outside of all data centres dialled the latency of its path to the data centre.
+func (n *Network) Wrap(inner net.Conn, dataCentre string) net.Conn {
+	return n.wrap(inner, dataCentre, "")
+}
+
 type listener struct {
 	net.Listener
 	network    *Network
@@ -176,8 +190,11 @@
 	deadline *deadline
 }
 
-func due(path Path, n int) time.Time {
+func (c *conn) due(path Path, n int) time.Time {
 	at := time.Now()
+	if c.network.transparent.Load() {
+		return at
+	}
 	if path.Pipe != nil {
 		at = path.Pipe.reserve(n, at)
 	}
@@ -188,7 +205,7 @@
 	for {
 		buffer := make([]byte, segmentBytes)
 		n, err := c.Conn.Read(buffer)
-		s := segment{data: buffer[:n], due: due(c.inbound, n), err: err}
+		s := segment{data: buffer[:n], due: c.due(c.inbound, n), err: err}
 		select {
 		case c.arrived <- s:
 		case <-c.closed:
@@ -271,7 +288,7 @@
 
 // Write queues data; the other side gets it after the latency.
 func (c *conn) Write(p []byte) (int, error) {
-	s := segment{data: append([]byte(nil), p...), due: due(c.outbound, len(p))}
+	s := segment{data: append([]byte(nil), p...), due: c.due(c.outbound, len(p))}
 	select {
 	case c.leaving <- s:
 		return len(p), nil
--- a/internal/testbed/testbed.go
+++ b/internal/testbed/testbed.go
@@ -17,6 +17,7 @@
 	"github.com/mulberryglade/mulberryglade/internal/standin/service"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/configstore"
+	enginetypes "github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/findings"
 	"github.com/mulberryglade/mulberryglade/pkg/settings"
 )
@@ -74,6 +75,13 @@
 	return t, nil
 }
 
+// Declarations returns the declarations that Start would use, with their declared addresses. Errors: *findings.Error.
+func Declarations(options Options) (config.Records, error) {
+	t := &Testbed{options: options}
+	err := t.load()
+	return t.Typed, err
+}
+
 func (t *Testbed) load() error {
 	names, err := fs.Glob(t.options.Declarations, path.Join(t.options.Folder, "*.json"))
 	if err != nil {
@@ -185,6 +193,21 @@
 	return err
 }
 
+// Change applies changed fields of the records to the store.
+func (t *Testbed) Change(ctx context.Context, changeID string, change func(kind config.Kind, fields map[string]any)) error {
+	for i, record := range t.Records {
+		fields := maps.Clone(record.Fields)
+		change(record.Kind, fields)
+		t.Records[i] = config.NewRawRecord(record.File, record.Pointer, fields)
+	}
+	typed, mistakes := config.Validate(t.Records)
+	if err := mistakes.Err(); err != nil {
+		return err
+	}
+	t.Typed = typed
+	return t.Apply(ctx, changeID)
+}
+
 // Settings returns settings of a daemon in the data centre, with ports chosen by the system on the address.
 func (t *Testbed) Settings(instanceID, dataCentre, ip string) settings.Settings {
 	s := settings.Default()
@@ -213,6 +236,26 @@
 	return total
 }
 
+// Moves returns how many loads and unloads of models and of adapters the engines completed.
+func (t *Testbed) Moves() (models, adapters int) {
+	for _, e := range t.Engines {
+		models += e.Memory().Moves(enginetypes.KindModel)
+		adapters += e.Memory().Moves(enginetypes.KindAdapter)
+	}
+	return models, adapters
+}
+
+// StoreCalls returns the number of calls that the store read; a watch counts as one.
+func (t *Testbed) StoreCalls() int {
+	total := 0
+	for _, call := range []kv.Call{
+		kv.CallGet, kv.CallRange, kv.CallCommit, kv.CallGrant, kv.CallKeepAlive, kv.CallRevoke, kv.CallWatch,
+	} {
+		total += t.Store.Faults.Count(call)
+	}
+	return total
+}
+
 // Violations returns how often an accelerator's memory was exceeded, over all engines.
 func (t *Testbed) Violations() int {
 	total := 0
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -314,3 +314,42 @@
 		})
 	}
 }
+
+// Guards against a baseline that is not what its name says: under first come, first served the calls of a member that
+// arrived first all start before another member's call; under fair share they do not.
+func TestOrderOfWaitingCalls(t *testing.T) {
+	cases := map[string]struct {
+		order admission.Order
+		last  bool
+	}{
+		"first come, first served": {admission.ArrivalOrder{}, true},
+		"fair share":               {admission.FairOrder{}, false},
+	}
+	for name, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			r := defaultRouting()
+			r.order = c.order
+			s := startWith(t, twoMembers(), &reports{byName: map[string]engine.Report{"e": loaded(1, "m")}}, r)
+			defer s.stop()
+			as := func(member string) scheduling.Request {
+				return request(func(r *scheduling.Request) { r.Member = member })
+			}
+			cost := admission.Result{Status: admission.Succeeded, InputTokens: 1000, OutputTokens: 1000, Duration: time.Second}
+			running := mustAcquire(s, as("noisy"))
+			var started []string
+			for _, member := range []string{"noisy", "noisy", "quiet"} {
+				go func() {
+					ticket := mustAcquire(s, as(member))
+					started = append(started, member)
+					ticket.Release(cost)
+				}()
+				synctest.Wait()
+			}
+			running.Release(cost)
+			synctest.Wait()
+			g.Expect(started).To(HaveLen(3), name)
+			g.Expect(started[2] == "quiet").To(Equal(c.last), name)
+		})
+	}
+}
--- a/pkg/admission/harness_test.go
+++ b/pkg/admission/harness_test.go
@@ -38,6 +38,8 @@
 	picker  scheduling.Picker
 	// prefixes tells whether the pipeline knows of cached prefixes.
 	prefixes bool
+	// order is nil for the default.
+	order admission.Order
 	// second, if set, starts a second instance in front of the same endpoints; the function starts the exchange between the
 	// two and returns the function that stops it.
 	second func(a, b *system) (stop func())
@@ -147,6 +149,7 @@
 	return admission.NewController(admission.Parts{
 		Registry:  s.registry,
 		Pipeline:  p,
+		Order:     r.order,
 		Demand:    s.demand,
 		Shares:    s.shares,
 		Decisions: s.decisions,
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
@@ -93,6 +94,7 @@
 		Snapshot:     d.syncer.Current,
 		Status:       d.endpointStatus,
 		Demand:       meter.Demand,
+		Elsewhere:    d.copiesElsewhere,
 		ModelPacer:   d.modelPacer,
 		AdapterPacer: d.adapterPacer,
 		Recorder:     d.recorder,
@@ -121,6 +123,31 @@
 	}
 }
 
+// copiesElsewhere counts the loaded copies of models in other data centres, as the endpoints reported them last.
+func (d *Daemon) copiesElsewhere() map[string]int {
+	copies := make(map[string]int)
+	snapshot := d.syncer.Current()
+	if snapshot == nil {
+		return copies
+	}
+	for _, service := range snapshot.Records().Services {
+		for _, state := range d.registry.States(service.Name) {
+			if state.Endpoint.DataCentre != d.settings.DataCentre && state.Report != nil && !state.Leaving {
+				countModels(copies, state.Report)
+			}
+		}
+	}
+	return copies
+}
+
+func countModels(copies map[string]int, report *engine.Report) {
+	for _, held := range report.Artifacts {
+		if held.Artifact.Kind == engine.KindModel && held.State == engine.StateLoaded {
+			copies[held.Artifact.Name]++
+		}
+	}
+}
+
 // endpointStatus tells placement what routing knows of an endpoint.
 func (d *Daemon) endpointStatus(name string) placement.Status {
 	state, known := d.registry.State(name)
--- a/pkg/daemon/policies.go
+++ b/pkg/daemon/policies.go
@@ -24,7 +24,9 @@
 	case settings.RoutingLeastOutstanding:
 		return scheduling.NewPipeline(filters, scheduling.LeastOutstandingScorers(), picker)
 	}
-	return scheduling.NewPipeline(filters, scheduling.DefaultScorers(d.topology), picker)
+	p := scheduling.NewPipeline(filters, scheduling.DefaultScorers(d.topology), picker)
+	p.Index = d.prefixes
+	return p
 }
 
 func queueOrder(policy string) admission.Order {
@@ -35,6 +37,12 @@
 }
 
 // planner returns the planner that the settings name.
-func planner(string) placement.Planner {
-	return placement.Static{}
+func planner(policy string) placement.Planner {
+	switch policy {
+	case settings.PlacementStatic:
+		return placement.Static{}
+	case settings.PlacementChase:
+		return placement.Reactive{}
+	}
+	return placement.Weighted{}
 }
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -88,20 +88,16 @@
 	c.oneOf("/logLevel", s.LogLevel, "debug", "info", "warn", "error")
 	c.oneOf("/policies/routing", s.Policies.Routing, RoutingCost, RoutingRoundRobin, RoutingLeastOutstanding)
 	c.oneOf("/policies/queueing", s.Policies.Queueing, QueueingFair, QueueingFCFS)
-	c.oneOf("/policies/placement", s.Policies.Placement, PlacementStatic)
+	c.oneOf("/policies/placement", s.Policies.Placement, PlacementDemand, PlacementStatic, PlacementChase)
 }
 
-// oneOf requires one of the values.
+// oneOf requires one of at least two values.
 func (c *checker) oneOf(pointer, value string, allowed ...string) {
 	if slices.Contains(allowed, value) {
 		return
 	}
 	last := len(allowed) - 1
-	list := allowed[last]
-	if last > 0 {
-		list = strings.Join(allowed[:last], ", ") + " or " + list
-	}
-	c.add(pointer, strconv.Quote(value), "must be "+list)
+	c.add(pointer, strconv.Quote(value), "must be "+strings.Join(allowed[:last], ", ")+" or "+allowed[last])
 }
 
 func (c *checker) outboundAddress(value string) {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -100,7 +100,7 @@
 	Routing string `json:"routing,omitempty"`
 	// Queueing is fair or fcfs (first come, first served).
 	Queueing string `json:"queueing,omitempty"`
-	// Placement is static.
+	// Placement is demand, static or chase.
 	Placement string `json:"placement,omitempty"`
 }
 
@@ -113,7 +113,9 @@
 	QueueingFair = "fair"
 	QueueingFCFS = "fcfs"
 
+	PlacementDemand = "demand"
 	PlacementStatic = "static"
+	PlacementChase  = "chase"
 )
 
 // Defaults of the fields that may be left out.
@@ -150,7 +152,7 @@
 			GraceMs: DefaultGrace.Milliseconds(),
 			DrainMs: DefaultDrain.Milliseconds(),
 		},
-		Policies:           Policies{Routing: RoutingCost, Queueing: QueueingFair, Placement: PlacementStatic},
+		Policies:           Policies{Routing: RoutingCost, Queueing: QueueingFair, Placement: PlacementDemand},
 		DecisionRecords:    DefaultDecisionRecords,
 		ExchangeIntervalMs: DefaultExchangeInterval.Milliseconds(),
 	}
