--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -23,12 +23,13 @@
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/gateway"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
-	"github.com/mulberryglade/mulberryglade/pkg/placement"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
 )
 
 const (
@@ -38,8 +39,6 @@
 	// retryBase and retryMax bound the wait before a retry.
 	retryBase = 20 * time.Millisecond
 	retryMax  = 500 * time.Millisecond
-	// prefixBlocks bounds the index of cached prompt prefixes; an entry takes about 100 bytes.
-	prefixBlocks = 100_000
 	// pickerCandidates is the number of candidates up to which all are scored.
 	pickerCandidates = 64
 	// engineDialTimeout bounds connecting to an endpoint; a dead one must not use up the time to the first token.
@@ -59,6 +58,9 @@
 		return err
 	}
 	d.buildPlacement()
+	if err := d.buildInstanceList(); err != nil {
+		return err
+	}
 	d.buildGateway()
 	return d.buildAdmin()
 }
@@ -73,6 +75,7 @@
 		Timeout: config.Milliseconds(d.settings.Store.TimeoutMs),
 		Scope:   d.metrics.Scope,
 		TLS:     tlsConfig,
+		Source:  d.outboundAddress(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "store.urls")
@@ -93,7 +96,7 @@
 	if err != nil {
 		return err
 	}
-	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout}
+	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress()}
 	d.engine = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.services = httpconn.NewPool(connections)
 	d.serviceLoads = plainhttp.NewReporter(connections)
@@ -107,15 +110,13 @@
 	d.accountant = fairshare.NewAccountant(fairshare.DefaultWeights())
 	d.topology = scheduling.NewSnapshotTopology(d.settings.DataCentre)
 	d.linkBudget = scheduling.NewLinkBudget(0)
-	d.prefixes = scheduling.NewPrefixIndex(prefixBlocks)
+	d.prefixes = scheduling.NewPrefixIndex(scheduling.DefaultPrefixBlocks)
 	d.registry.ReadEvents(d.prefixes)
 	seed := d.identity.Seed()
 	d.admission = admission.NewController(admission.Parts{
-		Registry: d.registry,
-		Pipeline: scheduling.NewPipeline(
-			scheduling.DefaultFilters(d.topology, d.linkBudget),
-			scheduling.DefaultScorers(d.topology),
-			scheduling.NewPicker(pickerCandidates, d.topology, seed)),
+		Registry:  d.registry,
+		Pipeline:  d.pipeline(seed),
+		Order:     queueOrder(d.settings.Policies.Queueing),
 		Demand:    d.tracker,
 		Shares:    d.accountant,
 		Decisions: d.recorder,
@@ -142,7 +143,8 @@
 		Local:     shared,
 		Sink:      shared,
 		Announcer: d.syncer,
-		Dial:      peer.NewDialer(token, tlsConfig),
+		Control:   d.linkBudget,
+		Dial:      peer.NewDialerFrom(d.outboundAddress(), token, tlsConfig),
 		Log:       d.log,
 		Scope:     d.metrics.Scope,
 	})
@@ -171,9 +173,21 @@
 
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
-	d.planner = placement.Static{}
-	d.modelPacer = newSharedPacer()
-	d.adapterPacer = newSharedPacer()
+	d.planner = planner(d.settings.Policies.Placement)
+	d.modelPacer = weightstore.NewPacer(0, 0)
+	d.adapterPacer = weightstore.NewPacer(0, 0)
+}
+
+func (d *Daemon) buildInstanceList() error {
+	if d.settings.InstanceList.URL == "" {
+		return nil
+	}
+	var err error
+	d.instances, err = instancelist.New(instancelist.Options{
+		URLs:  []string{d.settings.InstanceList.URL},
+		Scope: d.metrics.Scope,
+	})
+	return errors.Wrap(err, "instanceList.url")
 }
 
 // dispatchers returns what runs calls after admission.
@@ -189,9 +203,10 @@
 		Issued: claims.NewIssuedClaimer(d.issuer, peer.Keys{Node: d.node}),
 		Store:  d.storeClaims,
 	}
+	d.retryBudget = retry.NewBudget(d.retryLimits)
 	options := dispatch.Options{
 		Gate:    d.admission,
-		Budget:  retry.NewBudget(d.retryLimits),
+		Budget:  d.retryBudget,
 		Backoff: retry.Backoff{Base: retryBase, Max: retryMax},
 		Log:     d.log,
 		Scope:   d.metrics.Scope,
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -114,7 +115,10 @@
 		})
 		r := f.do("GET", "/v1/models", "")
 		Expect(r.problem.Type).To(Equal(problem.TypeNotReady))
+		Expect(r.problem.Outcome).To(Equal(problem.NotRun))
 		Expect(r.header.Get("Retry-After")).To(Equal("1"))
+		keyed := f.do("POST", "/v1/services/order-desk/orders", "{}", "Idempotency-Key", "k")
+		Expect(keyed.problem.Outcome).To(Equal(problem.Unknown), "an earlier call with the key may have run")
 	})
 
 	// Guards against a response that is not passed on in full, and against adapters that cannot be called by their id.
@@ -194,6 +198,19 @@
 		Entry("streamed", `,"stream":true`),
 		Entry("not streamed", ""))
 
+	// Guards against a deadline that is reported as not_run or as a complete stream, and against work that goes on after it.
+	DescribeTable("ends at the deadline", func(extra string, status int) {
+		f := newFixture(slow(), gateway.Limits{}, nil)
+		r := f.do("POST", chatPath, chat(extra), "X-Request-Timeout-Ms", "500")
+		Expect(r.status).To(Equal(status))
+		Expect(r.body).To(ContainSubstring(string(problem.TypeDeadlineExceeded)))
+		Expect(r.body).To(ContainSubstring(`"outcome":"unknown"`))
+		Expect(r.body).NotTo(ContainSubstring("[DONE]"))
+		Eventually(f.engine.Running).Should(BeZero())
+	},
+		Entry("streamed", `,"stream":true`, 200),
+		Entry("not streamed", "", 504))
+
 	// Guards against a shutdown that interrupts a request in flight or accepts a new one.
 	It("drains", func() {
 		f := newFixture(standin.Options{}, gateway.Limits{}, nil)
@@ -211,8 +228,12 @@
 		refused := f.do("POST", chatPath, chat(""))
 		Expect(refused.problem.Type).To(Equal(problem.TypeShuttingDown))
 		Expect(refused.problem.Outcome).To(Equal(problem.NotRun))
+		keyed := f.do("POST", chatPath, chat(""), "Idempotency-Key", "k")
+		Expect(keyed.problem.Outcome).To(Equal(problem.Unknown), "an earlier call with the key may have run")
 		close(proceed)
-		Expect((<-inFlight).status).To(Equal(200))
+		finished := <-inFlight
+		Expect(finished.status).To(Equal(200))
+		Expect(finished.close).To(BeTrue(), "the load balancer must not reuse the connection")
 		Expect(f.server.Drain(context.Background())).To(Succeed())
 	})
 
@@ -248,6 +269,43 @@
 		Expect(f.engine.TotalExecutions()).To(Equal(80))
 	})
 
+	// Guards against any mix of faults that makes the gateway say not_run for a call that ran, end an incomplete stream
+	// like a complete one, pass on another call's response, or lose count of its requests.
+	It("misleads no caller under random faults", func() {
+		f := newFixture(standin.Options{OutputTokens: 3}, gateway.Limits{}, nil)
+		faults := []standin.Fault{
+			{}, {Refuse: true}, {Status: 500}, {Lose: true}, {DropReply: true}, {WrongRequestID: true},
+			{TruncateBody: true}, {NoFinishReason: true}, {CloseAfterChunks: 1}, {EndAfterChunks: 2}, {SkipChunk: 1}, {RepeatChunk: 1},
+		}
+		var wait sync.WaitGroup
+		for worker := range uint64(6) {
+			wait.Go(func() {
+				defer GinkgoRecover()
+				random := rand.New(rand.NewPCG(1, worker))
+				for range 40 {
+					f.engine.Faults().Next(standin.CallInference, faults[random.IntN(len(faults))])
+					if worker == 0 && random.IntN(10) == 0 {
+						f.engine.Down()
+						Expect(f.engine.Up()).To(Succeed())
+					}
+					stream := random.IntN(2) == 0
+					r := f.do("POST", chatPath, chat(fmt.Sprintf(`,"stream":%v`, stream)))
+					id := r.header.Get("X-Request-Id")
+					if r.status == 200 {
+						Expect(strings.Count(r.body, `"id":"`+id+`"`)).To(Equal(strings.Count(r.body, `"id":`)))
+						failed := strings.Contains(r.body, "event: error")
+						Expect(strings.HasSuffix(r.body, "data: [DONE]\n\n")).To(Equal(stream && !failed))
+						Expect(failed || strings.Contains(r.body, `"finish_reason":"stop"`)).To(BeTrue(), r.body)
+					} else if r.problem.Outcome == problem.NotRun {
+						Expect(f.engine.Executions(id)).To(BeZero())
+					}
+				}
+			})
+		}
+		wait.Wait()
+		Eventually(f.server.InFlight).Should(BeZero())
+	})
+
 	// Guards against chunks that are held back until the end of the stream.
 	It("flushes each chunk", func() {
 		f := newFixture(slow(), gateway.Limits{}, nil)
--- a/pkg/placement/worker.go
+++ b/pkg/placement/worker.go
@@ -24,6 +24,10 @@
 // errUnresolved means that an order's outcome is unknown; the endpoint's remaining steps are dropped.
 var errUnresolved = errors.New("order outcome unknown")
 
+// errSuperseded means that the latest plan no longer has the step, for example because another endpoint has loaded the
+// model while this one waited.
+var errSuperseded = errors.New("step is no longer planned")
+
 // tools are the dependencies of the workers.
 type tools struct {
 	ledger       *ledger.Ledger
@@ -37,12 +41,16 @@
 	now          func() time.Time
 	// orderTimeout is how long a worker waits for an order's reply before it treats the order as unresolved.
 	orderTimeout time.Duration
+	// verifyInterval is the longest time between two reports, which show a restart or an artifact that is gone.
+	verifyInterval time.Duration
 }
 
 // worker sends the orders of one endpoint, one at a time. Only its own goroutine uses it, except for the record.
 type worker struct {
 	tools
 	endpoint ledger.Endpoint
+	// wanted tells whether the latest plan still has a step that waited for pacing; nil means that it has.
+	wanted func(Step) bool
 
 	session engine.OrderSession
 	fence   ledger.FenceOrder
@@ -50,6 +58,7 @@
 	lastID     string
 	lastNumber int64
 	reconciled bool
+	verified   time.Time
 	// outcomes holds what this process knows of its own orders and could not record yet. They stay true when the lease
 	// was lost in between.
 	outcomes map[string]ledger.Outcome
@@ -116,6 +125,7 @@
 	ledger.ErrLastCopy,
 	ledger.ErrBaseNotLoaded,
 	engine.ErrOrderRejected,
+	errSuperseded,
 	kvstore.ErrUnavailable,
 }
 
@@ -203,9 +213,10 @@
 	return w.session.Send(ctx, order)
 }
 
-// reconcile reads a report when the session is new or an order is unresolved.
+// reconcile reads a report when the session is new, when an order is unresolved and at intervals.
 func (w *worker) reconcile(ctx context.Context, declared *config.Endpoint) error {
-	if w.reconciled && !hasPending(w.Record()) {
+	recent := w.now().Sub(w.verified) < w.verifyInterval
+	if w.reconciled && recent && !hasPending(w.Record()) {
 		return nil
 	}
 	report, err := w.session.Report(ctx)
@@ -226,6 +237,7 @@
 	w.setRecord(record)
 	w.setRole(report.Role)
 	w.reconciled = true
+	w.verified = w.now()
 	return nil
 }
 
@@ -246,6 +258,9 @@
 		return err
 	}
 	defer release()
+	if w.wanted != nil && !w.wanted(step) {
+		return errSuperseded
+	}
 	order, err := w.reserve(ctx, declared, step)
 	if err != nil {
 		w.decide(step, order, "refused", err)
