Test placement through lost orders, store outages, restarts, a crashed lease holder and version changes

On engines that check fencing numbers and on engines that ignore them: no accelerator is overcommitted, and every model has a loaded copy again after each failure. The interval of plans and the lease's time to live become fields of the daemon so that tests can shorten them; their defaults do not change.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -73,6 +73,9 @@
 	modelPacer   *weightstore.Pacer
 	adapterPacer *weightstore.Pacer
 	controllers  controllerSet
+	// planInterval and leaseTTL are shortened by tests; zero means the packages' defaults.
+	planInterval time.Duration
+	leaseTTL     time.Duration
 
 	// instances is nil when the settings name no instance list.
 	instances *instancelist.Client
--- a/pkg/daemon/export_test.go
+++ b/pkg/daemon/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/cockroachdb/errors"
@@ -24,11 +25,20 @@
 	unreachable map[string]bool
 }
 
+const (
+	// testPlanInterval shortens the tests; a plan of their few models takes less than a millisecond.
+	testPlanInterval = 100 * time.Millisecond
+	// TestLeaseTTL shortens the time until another instance looks at a placement lease, which is half of it.
+	TestLeaseTTL = 3 * time.Second
+)
+
 // NewWire wraps the listeners and the peer dialer of an instance that does not run yet.
 func NewWire(d *Daemon) *Wire {
 	w := &Wire{daemon: d, unreachable: make(map[string]bool)}
 	d.listeners.caller = &wiredListener{Listener: d.listeners.caller, wire: w}
 	d.listeners.peer = &wiredListener{Listener: d.listeners.peer, wire: w}
+	d.planInterval = testPlanInterval
+	d.leaseTTL = TestLeaseTTL
 	dial := d.node.Dial
 	d.node.Dial = func(address string) peerv1connect.PeerServiceClient {
 		return wiredPeer{PeerServiceClient: dial(address), wire: w, address: address}
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -79,6 +79,7 @@
 		Store:    d.store,
 		Key:      key,
 		Identity: d.identity.InstanceID,
+		TTL:      d.leaseTTL,
 		Eligible: func() bool { return !d.draining.Load() && d.node.Table.RelayPosition() < leaseCandidates },
 		Log:      d.log,
 		Scope:    d.metrics.Scope,
@@ -100,6 +101,7 @@
 		Recorder:     d.recorder,
 		Log:          d.log,
 		Scope:        d.metrics.Scope,
+		PlanInterval: d.planInterval,
 	})
 	d.controllers.set(shard, shardParts{controller: controller, holder: holder})
 	defer d.controllers.remove(shard)
--- a/pkg/daemon/world_test.go
+++ b/pkg/daemon/world_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/fstest"
 	"time"
@@ -125,7 +126,9 @@
 type world struct {
 	bed       *testbed.Testbed
 	instances map[string]*instance
-	seeds     []string
+	// storeAhead is the time by which the store's clock is ahead, in nanoseconds.
+	storeAhead atomic.Int64
+	seeds      []string
 }
 
 // instance is a running daemon with the parts of the network around it.
@@ -160,6 +163,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	w := &world{bed: bed, instances: make(map[string]*instance)}
 	DeferCleanup(w.close)
+	bed.Store.Now = func() time.Time { return time.Now().Add(time.Duration(w.storeAhead.Load())) }
 	Expect(bed.Apply(context.Background(), "initial")).To(Succeed())
 	if o.placed {
 		w.place(o.models)
@@ -248,6 +252,12 @@
 	return nil
 }
 
+// expireLeases lets the placement leases of all instances end at the store.
+func (w *world) expireLeases() {
+	w.storeAhead.Add(int64(daemon.TestLeaseTTL))
+	w.bed.Store.ExpireLeases()
+}
+
 // crash ends the process of an instance abruptly.
 func (i *instance) crash() {
 	i.store.set(false)
