--- a/pkg/daemon/shutdown_test.go
+++ b/pkg/daemon/shutdown_test.go
@@ -28,12 +28,11 @@
 		Eventually(func() problem.Type {
 			return a.do(http.MethodGet, "/v1/models", "").problem.Type
 		}).Should(Equal(problem.TypeShuttingDown))
-		call := a.chat("late", "menu")
+		call, order := a.chat("late", "menu"), a.order("late", "late")
 		Expect(call.problem.Type).To(Equal(problem.TypeShuttingDown), call.body)
 		Expect(call.outcome()).To(Equal(problem.NotRun))
-		order := a.order("late", "late")
 		Expect(order.problem.Type).To(Equal(problem.TypeShuttingDown), order.body)
-		Expect(order.outcome()).To(Equal(problem.Unknown), "an earlier order with the key may have run")
+		Expect(order.outcome()).To(Equal(problem.Unknown), "an earlier call with the key may have run")
 		Expect(w.bed.Executions("late")).To(BeZero())
 	}
 	ended := func() {
