Share load reports between the instances of a data centre

In fleets of more than 20 endpoints each endpoint of a data centre is polled by one instance, chosen by rendezvous hash among the live ones; the result goes to the others as deltas of the peer exchange, with its age. The next in order polls when the poller gets no reports or the shared report is older than 6 s per position. Smaller fleets are polled by each instance as before.

--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -100,7 +100,11 @@
 	d.engine = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.services = httpconn.NewPool(connections)
 	d.serviceLoads = plainhttp.NewReporter(connections)
-	options := endpoints.Options{StaleAfter: peerStaleAfter}
+	options := endpoints.Options{
+		StaleAfter: peerStaleAfter,
+		Instance:   d.identity.InstanceID,
+		DataCentre: d.settings.DataCentre,
+	}
 	d.registry = endpoints.NewRegistry(d.engine, serviceLoads{reporter: d.serviceLoads}, d.log, options)
 	return nil
 }
--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -51,6 +51,7 @@
 		Endpoints: make(map[uint64]uint32),
 		Members:   make(map[string]peer.MemberUsage),
 		Models:    make(map[string]peer.ModelDemand),
+		Reports:   make(map[uint64]peer.EndpointReport),
 	}
 	for _, l := range x.registry.Local() {
 		load.Endpoints[l.EndpointHash] = uint32(l.InFlight)
@@ -61,12 +62,16 @@
 	for _, c := range x.tracker.Local() {
 		load.Models[c.Model] = peer.ModelDemand{Requests: c.Requests, Tokens: c.Tokens, Waiting: uint32(c.Waiting)}
 	}
+	for _, r := range x.registry.LocalReports() {
+		load.Reports[r.EndpointHash] = reportToPeer(r)
+	}
 	return load
 }
 
 // SetLoad implements peer.Sink.
 func (x *exchange) SetLoad(source string, load peer.Load) {
 	x.registry.SetPeer(source, x.endpointLoads(source, load))
+	x.registry.SetReports(source, sharedReports(load))
 	x.accountant.SetPeer(source, memberUsages(load))
 	x.tracker.SetPeer(source, demandCounts(source, load))
 }
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -171,16 +171,28 @@
 		zap.Duration("age", time.Since(snapshot.CommittedAt)))
 }
 
-// followPeers keeps current whether this instance watches the store. It also observes the demand for the operators'
+// followPeers keeps current whether this instance watches the store and which endpoints it polls. It also observes the demand for the operators'
 // queries.
 func (d *Daemon) followPeers(ctx context.Context) {
 	for ctx.Err() == nil {
 		d.syncer.SetRelay(d.node.Table.IsRelay())
+		d.registry.SetInstances(d.pollers())
 		d.rates.observe(d.tracker.Total(), time.Now())
 		sleep(ctx, peerCheckInterval)
 	}
 }
 
+// pollers returns the other instances of the data centre among which polls are divided.
+func (d *Daemon) pollers() []string {
+	var ids []string
+	for _, p := range d.node.Table.Live() {
+		if p.Identity.DataCentre == d.settings.DataCentre && !p.Presence.Draining {
+			ids = append(ids, p.Identity.InstanceID)
+		}
+	}
+	return ids
+}
+
 // forgetEndpoints drops the retry state of endpoints that are not declared any more.
 func (d *Daemon) forgetEndpoints(previous, current *config.Snapshot) {
 	if previous == nil {
--- a/pkg/endpoints/lookup.go
+++ b/pkg/endpoints/lookup.go
@@ -5,6 +5,9 @@
 // missedPolls is the number of poll intervals without a report after which an endpoint counts as unreachable.
 const missedPolls = 4
 
+// sharedUnreachable leaves the next poller in order time to take over before an endpoint counts as unreachable.
+const sharedUnreachable = 2 * reportFallback
+
 // State returns the state of one endpoint.
 func (r *Registry) State(name string) (State, bool) {
 	now := time.Now()
@@ -29,5 +32,8 @@
 	limit := missedPolls * r.pollInterval(e)
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	if r.shares() {
+		limit = max(limit, sharedUnreachable)
+	}
 	return e.report == nil || time.Since(e.reportedAt) > limit
 }
--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -43,20 +43,58 @@
 }
 
 func (r *Registry) poll(ctx context.Context, e *entry, target engine.Target) {
-	wait := r.firstPoll(e)
+	if !sleep(ctx, r.firstPoll(e)) {
+		return
+	}
+	var last time.Time
 	for {
-		timer := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
+		wait, due := r.untilPoll(e, time.Since(last))
+		switch {
+		case wait > 0:
+			if !sleep(ctx, wait) {
+				return
+			}
+		case due:
+			if !sleep(ctx, r.reserveSlot()) {
+				return
+			}
+			r.pollOnce(ctx, e, target)
+			last = time.Now()
 		}
-		r.pollOnce(ctx, e, target)
-		wait = r.pollInterval(e)
 	}
 }
 
+// sleep waits and tells whether the context is still active.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// reserveSlot keeps the polls under the budget when many endpoints need the fallback at once.
+func (r *Registry) reserveSlot() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.shares() {
+		return 0
+	}
+	now := time.Now()
+	if r.nextPoll.Before(now) {
+		r.nextPoll = now
+	}
+	wait := r.nextPoll.Sub(now)
+	r.nextPoll = r.nextPoll.Add(time.Duration(float64(time.Second) / r.options.PollsPerSecond))
+	return wait
+}
+
 // firstPoll spreads the first polls of a large fleet over one interval.
 func (r *Registry) firstPoll(e *entry) time.Duration {
 	interval := r.pollInterval(e)
@@ -71,9 +109,20 @@
 func (r *Registry) pollInterval(e *entry) time.Duration {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	return r.pollIntervalLocked(e)
+}
+
+// pollIntervalLocked is pollInterval for callers that hold the lock. An instance that shares polls counts its part of the
+// endpoints of its data centre; one that is alone there polls endpoints with own calls first.
+func (r *Registry) pollIntervalLocked(e *entry) time.Duration {
 	polled := len(r.entries)
-	if e.own > 0 {
+	switch {
+	case r.shares() && len(r.candidates) > 0:
+		polled = r.local / (len(r.candidates) + 1)
+	case e.own > 0:
 		polled = r.inUse
+	case r.shares():
+		polled = r.local
 	}
 	stretched := time.Duration(float64(polled) / r.options.PollsPerSecond * float64(time.Second))
 	return max(r.options.ReportInterval, stretched)
@@ -91,25 +140,41 @@
 		r.reportFailed(e, err)
 		return
 	}
-	r.accept(e, &report)
+	replaced := r.accept(e, &report)
 	r.changed()
-	r.readEvents(callCtx, e, target, report.Incarnation)
+	switch {
+	case r.events == nil || e.plain:
+	case r.readsEvents(e):
+		r.readEvents(callCtx, e, target, report.Incarnation)
+	case replaced:
+		r.noteIncarnation(e, report.Incarnation)
+	}
 }
 
-func (r *Registry) accept(e *entry, report *engine.Report) {
+// accept takes over an own report and tells whether it is of another incarnation than the last one.
+func (r *Registry) accept(e *entry, report *engine.Report) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	replaced := e.report == nil || e.report.Incarnation != report.Incarnation
+	r.takeOver(e, report, time.Now())
+	e.outlier.reachable()
+	e.ownReport = true
+	e.triedAt = e.reportedAt
+	return replaced
+}
+
+// takeOver replaces the report of an endpoint. The caller holds the lock.
+func (r *Registry) takeOver(e *entry, report *engine.Report, polledAt time.Time) {
 	if e.report != nil && e.report.Incarnation != report.Incarnation {
 		e.forgetProcess()
 	}
-	if r.entries[e.declared.Name] == e {
+	if r.entries[e.declared.Name] == e && !sameArtifacts(e.report, report) {
 		r.dropServing(e)
 		defer r.addServing(e)
 	}
 	e.report = report
-	e.reportedAt = time.Now()
+	e.reportedAt = polledAt
 	e.ownAtReport = e.own
-	e.outlier.reachable()
 	e.peakPrefill = max(e.peakPrefill*peakDecay, report.PrefillTokensPerSecond)
 }
 
@@ -131,17 +196,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	e.triedAt = time.Now()
 	e.outlier.failedPolls++
-	if e.outlier.failedPolls >= failedPollsToEject && !e.outlier.unreachable && r.mayEject(e) {
-		e.outlier.unreachable = true
-		r.log.Warn("endpoint ejected: reports cannot be read", zap.String("endpoint", e.declared.Name))
+	if e.outlier.failedPolls >= failedPollsToEject {
+		r.ejectUnreachable(e)
 	}
 }
 
-func (r *Registry) readEvents(ctx context.Context, e *entry, target engine.Target, incarnation string) {
-	if r.events == nil || e.plain {
+// ejectUnreachable ejects an endpoint whose reports cannot be read. The caller holds the lock.
+func (r *Registry) ejectUnreachable(e *entry) {
+	if e.outlier.unreachable || !r.mayEject(e) {
 		return
 	}
+	e.outlier.unreachable = true
+	r.log.Warn("endpoint ejected: reports cannot be read", zap.String("endpoint", e.declared.Name))
+}
+
+func (r *Registry) readEvents(ctx context.Context, e *entry, target engine.Target, incarnation string) {
 	events, err := r.reporter.CacheEvents(ctx, target, r.events.After(target.Name, incarnation))
 	if err != nil {
 		r.log.Debug("cache events not read", zap.String("endpoint", target.Name), zap.Error(err))
@@ -150,6 +221,14 @@
 	r.events.Apply(target.Name, incarnation, events)
 }
 
+// readsEvents tells whether cache events of the endpoint are read. An instance that shares polls sees only a part of the
+// endpoints regularly; for the others it learns from its own calls, and events of a part are not worth their bytes.
+func (r *Registry) readsEvents(e *entry) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	return !r.shares() || e.own > 0
+}
+
 func (r *Registry) readReport(ctx context.Context, e *entry, target engine.Target) (engine.Report, error) {
 	if !e.plain {
 		return r.reporter.Report(ctx, target)
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -36,6 +36,9 @@
 	PollsPerSecond float64
 	// StaleAfter is the silence of a peer after which its in-flight counts are no longer relied on.
 	StaleAfter time.Duration
+	// Instance and DataCentre name this instance. Without a data centre it polls all endpoints itself.
+	Instance   string
+	DataCentre string
 }
 
 func (o Options) withDefaults() Options {
@@ -76,13 +79,21 @@
 	pollers   conc.WaitGroup
 	ctx       context.Context // nil while Run is not active
 	entries   map[string]*entry
+	byHash    map[uint64]*entry
 	byService map[string][]*entry
 	serving   map[artifactKey][]*entry
 	peers     map[string]*peer
 	peerSums  map[uint64]int
 	listed    map[string]bool
-	// inUse counts endpoints with own calls.
-	inUse   int
+	// inUse counts endpoints with own calls, local those of the own data centre.
+	inUse int
+	local int
+	// self is the hash of this instance; candidates are the other live instances of its data centre.
+	self       uint64
+	candidates []candidate
+	// nextPoll is the earliest time of the next poll under the budget.
+	nextPoll time.Time
+
 	changed func()
 	events  EventSink // nil when cache events are not read
 }
@@ -105,6 +116,8 @@
 type peer struct {
 	heard    time.Time
 	inFlight map[uint64]int
+	// failed has the endpoints of which the peer gets no reports.
+	failed map[uint64]bool
 }
 
 type entry struct {
@@ -113,8 +126,13 @@
 	plain    bool
 	stop     context.CancelFunc // nil while no poller runs
 
-	report      *engine.Report
-	reportedAt  time.Time
+	// since is when the endpoint became known.
+	since      time.Time
+	report     *engine.Report
+	reportedAt time.Time
+	// ownReport is true when the report is of an own poll; triedAt is the time of the last own poll.
+	ownReport   bool
+	triedAt     time.Time
 	ownAtReport int
 	own         int
 	used        bool // true once a call was sent; such endpoints are part of Local
@@ -137,7 +155,9 @@
 		loads:     loads,
 		log:       log,
 		options:   options.withDefaults(),
+		self:      xxhash.Sum64String(options.Instance),
 		entries:   make(map[string]*entry),
+		byHash:    make(map[uint64]*entry),
 		byService: make(map[string][]*entry),
 		serving:   make(map[artifactKey][]*entry),
 		peers:     make(map[string]*peer),
@@ -179,12 +199,18 @@
 	r.mu.Lock()
 	records := snapshot.Records().Endpoints
 	next := make(map[string]*entry, len(records))
+	byHash := make(map[uint64]*entry, len(records))
 	byService := make(map[string][]*entry)
+	local := 0
 	for i := range records {
 		declared := &records[i]
 		service := snapshot.Service(declared.Service)
 		e := r.entryFor(declared, service != nil && service.Type == config.PlainService)
 		next[declared.Name] = e
+		byHash[e.hash] = e
+		if declared.DataCentre == r.options.DataCentre {
+			local++
+		}
 		byService[declared.Service] = append(byService[declared.Service], e)
 	}
 	for name, old := range r.entries {
@@ -196,6 +222,8 @@
 		sort.Slice(list, func(i, j int) bool { return list[i].declared.Name < list[j].declared.Name })
 	}
 	r.entries = next
+	r.byHash = byHash
+	r.local = local
 	r.byService = byService
 	r.indexServing()
 	for _, e := range next {
@@ -211,7 +239,7 @@
 		old.declared = declared
 		return old
 	}
-	return &entry{declared: declared, hash: HashName(declared.Name), plain: plain}
+	return &entry{declared: declared, hash: HashName(declared.Name), plain: plain, since: time.Now()}
 }
 
 // SetLeaving replaces the set of endpoints that the instance list names as leaving.
@@ -252,11 +280,7 @@
 // is alive. A restarted peer must come under a new id.
 func (r *Registry) SetPeer(peerID string, loads []Load) {
 	r.mu.Lock()
-	p := r.peers[peerID]
-	if p == nil {
-		p = &peer{inFlight: make(map[uint64]int)}
-		r.peers[peerID] = p
-	}
+	p := r.peer(peerID)
 	p.heard = time.Now()
 	for _, load := range loads {
 		r.addPeerSum(load.EndpointHash, load.InFlight-p.inFlight[load.EndpointHash])
@@ -270,6 +294,15 @@
 	r.changed()
 }
 
+func (r *Registry) peer(id string) *peer {
+	p := r.peers[id]
+	if p == nil {
+		p = &peer{heard: time.Now(), inFlight: make(map[uint64]int)}
+		r.peers[id] = p
+	}
+	return p
+}
+
 // RemovePeer forgets a peer.
 func (r *Registry) RemovePeer(peerID string) {
 	r.mu.Lock()
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -30,12 +30,12 @@
 	message.KnownEpoch = to.Identity.epoch()
 	message.Acknowledgements = n.inbox.acknowledgements(id)
 	if to.Identity.DataCentre != n.Self.DataCentre {
-		message.Loads = []*peerv1.LoadState{n.centre.message(l.held[n.centre.source])}
+		message.Loads = []*peerv1.LoadState{n.centre.message(l.held[n.centre.source], n.Now())}
 		return message
 	}
-	message.Loads = append(message.Loads, n.own.message(l.held[n.own.source]))
+	message.Loads = append(message.Loads, n.own.message(l.held[n.own.source], n.Now()))
 	for source, e := range n.forwards {
-		message.Loads = append(message.Loads, e.message(l.held[source]))
+		message.Loads = append(message.Loads, e.message(l.held[source], n.Now()))
 	}
 	return message
 }
--- a/pkg/peer/inbox.go
+++ b/pkg/peer/inbox.go
@@ -111,6 +111,7 @@
 	s.held = acknowledgement{epoch: m.GetEpoch(), sequence: m.GetSequence()}
 	s.reported = true
 	s.merge(m, newEpoch)
+	s.mergeReports(m, b.now())
 	return s.load.clone(), true
 }
 
--- a/pkg/peer/load.go
+++ b/pkg/peer/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"time"
 
 	peerv1 "github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1"
 )
@@ -28,6 +29,8 @@
 	Endpoints map[uint64]uint32
 	Members   map[string]MemberUsage
 	Models    map[string]ModelDemand
+	// Reports maps the hash of an endpoint's name to its last load report.
+	Reports map[uint64]EndpointReport
 }
 
 func newLoad() Load {
@@ -35,6 +38,7 @@
 		Endpoints: make(map[uint64]uint32),
 		Members:   make(map[string]MemberUsage),
 		Models:    make(map[string]ModelDemand),
+		Reports:   make(map[uint64]EndpointReport),
 	}
 }
 
@@ -43,6 +47,7 @@
 		Endpoints: maps.Clone(l.Endpoints),
 		Members:   maps.Clone(l.Members),
 		Models:    maps.Clone(l.Models),
+		Reports:   maps.Clone(l.Reports),
 	}
 }
 
@@ -77,25 +82,33 @@
 		sum.Waiting += d.Waiting
 		l.Models[key] = sum
 	}
+	for hash, r := range other.Reports {
+		l.addReport(hash, r)
+	}
 }
 
 // emitter numbers the changes of one source that this instance sends.
 type emitter struct {
-	source    string
-	epoch     uint64
-	sequence  uint64
-	endpoints *journal[uint64, uint32]
-	members   *journal[string, MemberUsage]
-	models    *journal[string, ModelDemand]
+	source      string
+	epoch       uint64
+	sequence    uint64
+	endpoints   *journal[uint64, uint32]
+	members     *journal[string, MemberUsage]
+	models      *journal[string, ModelDemand]
+	reports     *journal[uint64, presentLoad]
+	inventories *journal[uint64, *Inventory]
+	polledAt    map[uint64]time.Time
 }
 
 func newEmitter(source string, epoch uint64) *emitter {
 	return &emitter{
-		source:    source,
-		epoch:     epoch,
-		endpoints: newJournal[uint64, uint32](),
-		members:   newJournal[string, MemberUsage](),
-		models:    newJournal[string, ModelDemand](),
+		source:      source,
+		epoch:       epoch,
+		endpoints:   newJournal[uint64, uint32](),
+		members:     newJournal[string, MemberUsage](),
+		models:      newJournal[string, ModelDemand](),
+		reports:     newJournal[uint64, presentLoad](),
+		inventories: newJournal[uint64, *Inventory](),
 	}
 }
 
@@ -105,10 +118,13 @@
 	e.endpoints.update(e.sequence, load.Endpoints)
 	e.members.update(e.sequence, load.Members)
 	e.models.update(e.sequence, load.Models)
+	e.reports.update(e.sequence, presentLoads(load.Reports))
+	e.inventories.update(e.sequence, e.currentInventories(load.Reports))
+	e.polledAt = polledTimes(load.Reports)
 }
 
 // message returns the entries that changed after the acknowledged sequence.
-func (e *emitter) message(held acknowledgement) *peerv1.LoadState {
+func (e *emitter) message(held acknowledgement, now time.Time) *peerv1.LoadState {
 	since := held.sequence
 	if held.epoch != e.epoch || since > e.sequence || since+pruneAfter < e.sequence {
 		since = 0
@@ -125,6 +141,7 @@
 			Model: name, Requests: d.Requests, Tokens: d.Tokens, Waiting: d.Waiting,
 		})
 	}
+	e.addReports(m, since, now)
 	return m
 }
 
--- a/pkg/peer/load_test.go
+++ b/pkg/peer/load_test.go
@@ -28,7 +28,7 @@
 			if step < steps-1 && rapid.Bool().Draw(t, "message lost") {
 				continue
 			}
-			got, applied := receiver.apply("peer", sender.message(held))
+			got, applied := receiver.apply("peer", sender.message(held, time.Unix(0, 0)))
 			if !applied {
 				t.Fatalf("step %d: message was not applied", step)
 			}
@@ -69,7 +69,7 @@
 			state := newLoad()
 			state.Members["m"] = MemberUsage{Service: value}
 			sender.update(state)
-			got, _ := receiver.apply("peer", sender.message(acknowledgement{}))
+			got, _ := receiver.apply("peer", sender.message(acknowledgement{}, time.Unix(0, 0)))
 			service := got.Members["m"].Service
 			if service < last-1e-6 {
 				t.Fatalf("service went back from %v to %v", last, service)
@@ -93,14 +93,14 @@
 	second := newEmitter("dc:x", 2)
 	state.Endpoints[1] = 9
 	second.update(state)
-	if _, ok := receiver.apply("p1", first.message(acknowledgement{})); !ok {
+	if _, ok := receiver.apply("p1", first.message(acknowledgement{}, time.Unix(0, 0))); !ok {
 		t.Fatal("first sender was refused")
 	}
-	if _, ok := receiver.apply("p2", second.message(acknowledgement{})); ok {
+	if _, ok := receiver.apply("p2", second.message(acknowledgement{}, time.Unix(0, 0))); ok {
 		t.Fatal("second sender was accepted while the first is live")
 	}
 	now = now.Add(silentAfter + time.Second)
-	if got, ok := receiver.apply("p2", second.message(acknowledgement{})); !ok || got.Endpoints[1] != 9 {
+	if got, ok := receiver.apply("p2", second.message(acknowledgement{}, time.Unix(0, 0))); !ok || got.Endpoints[1] != 9 {
 		t.Fatalf("second sender was not accepted after silence of the first: %v %v", got, ok)
 	}
 }
