Bound the exchange of a large fleet: calls from reports, arrivals to placement, contacts spread

In fleets that share reports the in-flight counts of others come from the reports of the pollers. Arrivals per model go to the first three instances in relay order, the others get waiting calls only. The exchange with each other data centre is kept by a different instance, and with many data centres each sum is sent less often and with a tolerance. Arrivals during the silence of a source no longer look like a burst.

--- a/pkg/daemon/local.go
+++ b/pkg/daemon/local.go
@@ -70,6 +70,10 @@
 
 // SetLoad implements peer.Sink.
 func (x *exchange) SetLoad(source string, load peer.Load) {
+	if strings.HasPrefix(source, peer.DemandPrefix) {
+		x.tracker.SetPeer(source, demandCounts(source, load))
+		return
+	}
 	x.registry.SetPeer(source, x.endpointLoads(source, load))
 	x.registry.SetReports(source, sharedReports(load))
 	x.accountant.SetPeer(source, memberUsages(load))
@@ -78,6 +82,10 @@
 
 // RemoveLoad implements peer.Sink.
 func (x *exchange) RemoveLoad(source string) {
+	if strings.HasPrefix(source, peer.DemandPrefix) {
+		x.tracker.RemovePeer(source)
+		return
+	}
 	x.mu.Lock()
 	delete(x.reported, source)
 	x.mu.Unlock()
--- a/pkg/daemon/queries.go
+++ b/pkg/daemon/queries.go
@@ -164,7 +164,7 @@
 		Leaving:          state.Leaving,
 		ReportAgeMs:      unknownAge,
 		OwnInFlight:      state.OwnInFlight,
-		PeerInFlight:     state.PeerInFlight,
+		PeerInFlight:     state.OthersInFlight(),
 		ConcurrencyLimit: state.ConcurrencyLimit,
 	}
 	for _, a := range state.Endpoint.Accelerators {
--- a/pkg/endpoints/call.go
+++ b/pkg/endpoints/call.go
@@ -59,7 +59,16 @@
 	}
 	e.prefillFree = e.prefillFree.Add(prefill)
 	e.pendingPrefill += prefill
-	return &Call{registry: r, entry: e, inFlight: e.own + r.peerSums[e.hash], prefill: prefill}
+	return &Call{registry: r, entry: e, inFlight: e.own + r.othersInFlight(e), prefill: prefill}
+}
+
+// othersInFlight is State.OthersInFlight while peers are not silent. The caller holds the lock.
+func (r *Registry) othersInFlight(e *entry) int {
+	others := r.peerSums[e.hash]
+	if r.shares() && e.report != nil {
+		others = max(others, e.report.Running+e.report.Waiting-e.ownAtReport)
+	}
+	return others
 }
 
 // FirstToken notes that the prompt has been processed.
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -262,10 +262,14 @@
 }
 
 // Local returns this instance's in-flight counts, with zeros for endpoints that it used before, so that a receiver that
-// merges sees calls end.
+// merges sees calls end. In a fleet that shares reports it is empty: there the reports of the pollers carry the sum over all
+// instances, since the counts of each instance at each endpoint would be the largest part of the exchange.
 func (r *Registry) Local() []Load {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	if r.shares() {
+		return nil
+	}
 	var loads []Load
 	for _, e := range r.entries {
 		if e.used {
@@ -432,6 +436,7 @@
 		PeerInFlight:     r.peerSums[e.hash],
 		OwnAtReport:      e.ownAtReport,
 		PeersStale:       stale,
+		CallsFromReports: r.shares(),
 		Instances:        len(r.peers) + 1,
 		ConcurrencyLimit: e.limiter.limit(e.cap()),
 		Health:           e.outlier.health(now),
--- a/pkg/endpoints/shared_test.go
+++ b/pkg/endpoints/shared_test.go
@@ -170,6 +170,26 @@
 	}
 }
 
+// Guards against an endpoint that other instances fill and that looks idle here, since a large fleet does not exchange the
+// calls of each instance.
+func TestCallsOfOthersAreKnownFromReports(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		m := startMesh(3)
+		defer m.stop()
+		call := m.registries["i0"].Begin("e07", 0)
+		g.Expect(m.registries["i0"].Local()).To(BeEmpty())
+		m.engines.set("e07", engine.Report{Incarnation: "1", Running: 6, Waiting: 2}, nil)
+		m.run(10)
+		for id, others := range map[string]int{"i0": 7, "i1": 8, "i2": 8} {
+			state := m.state(id, "e07")
+			g.Expect(state.OthersInFlight()).To(Equal(others))
+			g.Expect(state.HasCapacity()).To(BeFalse())
+		}
+		call.End(endpoints.CallResult{})
+	})
+}
+
 // Guards against an instance that is alone in its data centre and waits for peers' reports.
 func TestPartitionedInstancePollsByItself(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -40,6 +40,8 @@
 	OwnAtReport int
 	// PeersStale is true when a known peer has been silent for longer than the registry's bound.
 	PeersStale bool
+	// CallsFromReports is true in a large fleet, where instances do not tell each other their calls.
+	CallsFromReports bool
 	// BetweenTokens is the recent mean time between output tokens of this instance's calls; zero when unknown.
 	BetweenTokens time.Duration
 	// CallDuration is the recent mean duration of this instance's calls; zero when unknown.
@@ -67,10 +69,10 @@
 	return s.OwnInFlight + s.OthersInFlight()
 }
 
-// OthersInFlight is the estimate of other instances' calls: what peers told, or, when peers are silent, what the report
-// counts beyond this instance's calls, if that is more.
+// OthersInFlight is the estimate of other instances' calls: what peers told, or, when peers are silent or tell no calls,
+// what the report counts beyond this instance's calls, if that is more.
 func (s *State) OthersInFlight() int {
-	if !s.PeersStale || s.Report == nil {
+	if !s.PeersStale && !s.CallsFromReports || s.Report == nil {
 		return s.PeerInFlight
 	}
 	return max(s.PeerInFlight, s.Report.Running+s.Report.Waiting-s.OwnAtReport)
--- a/pkg/peer/exchange.go
+++ b/pkg/peer/exchange.go
@@ -34,6 +34,9 @@
 		return message
 	}
 	message.Loads = append(message.Loads, n.own.message(l.held[n.own.source], n.Now()))
+	if n.wantsDemand(id) {
+		message.Loads = append(message.Loads, n.demand.message(l.held[n.demand.source], n.Now()))
+	}
 	for source, e := range n.forwards {
 		message.Loads = append(message.Loads, e.message(l.held[source], n.Now()))
 	}
@@ -119,7 +122,7 @@
 	}
 	var updates []loadUpdate
 	for _, m := range received.GetLoads() {
-		if m.GetSource() == n.own.source || m.GetSource() == n.centre.source {
+		if s := m.GetSource(); s == n.own.source || s == n.demand.source || s == n.centre.source {
 			continue
 		}
 		if load, ok := n.inbox.apply(from.InstanceID, m); ok {
--- a/pkg/peer/inbox.go
+++ b/pkg/peer/inbox.go
@@ -78,7 +78,7 @@
 	total.add(b.departed)
 	for source, s := range b.sources {
 		switch {
-		case strings.HasPrefix(source, dataCentrePrefix):
+		case strings.HasPrefix(source, dataCentrePrefix), strings.HasPrefix(source, DemandPrefix):
 		case s.reported:
 			total.add(s.load)
 		default:
@@ -109,9 +109,9 @@
 	s.from = from
 	s.lastHeard = b.now()
 	s.held = acknowledgement{epoch: m.GetEpoch(), sequence: m.GetSequence()}
-	s.reported = true
 	s.merge(m, newEpoch)
 	s.mergeReports(m, b.now())
+	s.reported = true
 	return s.load.clone(), true
 }
 
@@ -119,6 +119,11 @@
 	if newEpoch {
 		s.restartCounters()
 	}
+	// Arrivals during a silence must not look like a burst when the source is heard again.
+	rebase := newEpoch || !s.reported
+	if !newEpoch && rebase {
+		s.restartArrivals()
+	}
 	for _, e := range m.GetEndpoints() {
 		if e.GetInFlight() == 0 {
 			delete(s.load.Endpoints, e.GetEndpointHash())
@@ -136,8 +141,8 @@
 	for _, d := range m.GetModels() {
 		c := entry(s.models, d.GetModel())
 		s.load.Models[d.GetModel()] = ModelDemand{
-			Requests: uint64(c.requests.observe(float64(d.GetRequests()), newEpoch)),
-			Tokens:   uint64(c.tokens.observe(float64(d.GetTokens()), newEpoch)),
+			Requests: uint64(c.requests.observe(float64(d.GetRequests()), rebase)),
+			Tokens:   uint64(c.tokens.observe(float64(d.GetTokens()), rebase)),
 			Waiting:  d.GetWaiting(),
 		}
 	}
@@ -147,6 +152,10 @@
 	for _, c := range s.members {
 		c.restart()
 	}
+	s.restartArrivals()
+}
+
+func (s *remoteSource) restartArrivals() {
 	for _, c := range s.models {
 		c.requests.restart()
 		c.tokens.restart()
@@ -197,7 +206,7 @@
 		if b.now().Sub(s.lastHeard) <= forgetAfter {
 			continue
 		}
-		if !strings.HasPrefix(source, dataCentrePrefix) {
+		if !strings.HasPrefix(source, dataCentrePrefix) && !strings.HasPrefix(source, DemandPrefix) {
 			b.departed.add(s.load.withoutGauges())
 		}
 		delete(b.sources, source)
--- a/pkg/peer/load.go
+++ b/pkg/peer/load.go
@@ -87,6 +87,23 @@
 	}
 }
 
+// split returns the load with waiting calls only, and the arrivals, which are a source of their own for the instances that
+// place models.
+func (l Load) split() (rest, arrivals Load) {
+	rest = l
+	rest.Models = make(map[string]ModelDemand)
+	arrivals = newLoad()
+	for name, d := range l.Models {
+		if d.Waiting > 0 {
+			rest.Models[name] = ModelDemand{Waiting: d.Waiting}
+		}
+		if d.Requests > 0 || d.Tokens > 0 {
+			arrivals.Models[name] = ModelDemand{Requests: d.Requests, Tokens: d.Tokens}
+		}
+	}
+	return rest, arrivals
+}
+
 // emitter numbers the changes of one source that this instance sends.
 type emitter struct {
 	source      string
@@ -98,6 +115,8 @@
 	reports     *journal[uint64, presentLoad]
 	inventories *journal[uint64, *Inventory]
 	polledAt    map[uint64]time.Time
+	// tolerance of reports; nil means that each change is sent.
+	tolerance *tolerance
 }
 
 func newEmitter(source string, epoch uint64) *emitter {
@@ -118,7 +137,7 @@
 	e.endpoints.update(e.sequence, load.Endpoints)
 	e.members.update(e.sequence, load.Members)
 	e.models.update(e.sequence, load.Models)
-	e.reports.update(e.sequence, presentLoads(load.Reports))
+	e.reports.update(e.sequence, e.presentLoads(load.Reports))
 	e.inventories.update(e.sequence, e.currentInventories(load.Reports))
 	e.polledAt = polledTimes(load.Reports)
 }
--- a/pkg/peer/load_test.go
+++ b/pkg/peer/load_test.go
@@ -14,27 +14,48 @@
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
 		sender := newEmitter("a", 7)
+		sender.tolerance = &withinDataCentre
 		receiver := newInbox(func() time.Time { return now })
 		held := acknowledgement{}
 		steps := rapid.IntRange(1, 40).Draw(t, "steps")
+		polledAt := map[uint64]time.Time{0: now, 1: now, 2: now}
 		for step := range steps {
+			now = now.Add(time.Second)
 			state := newLoad()
 			for key := range uint64(4) {
 				if n := rapid.Uint32Range(0, 3).Draw(t, "in flight"); n > 0 {
 					state.Endpoints[key] = n
 				}
 			}
+			for key := range uint64(3) {
+				if rapid.Bool().Draw(t, "polled") {
+					polledAt[key] = now
+				}
+				if !rapid.Bool().Draw(t, "reported") {
+					continue
+				}
+				state.Reports[key] = EndpointReport{
+					Load: ReportLoad{
+						Running: rapid.Uint32Range(0, 40).Draw(t, "running"),
+						Leaving: rapid.Bool().Draw(t, "leaving"),
+						Failed:  rapid.Bool().Draw(t, "failed"),
+					},
+					Inventory: &Inventory{Incarnation: rapid.SampledFrom([]string{"1", "2"}).Draw(t, "incarnation")},
+					PolledAt:  polledAt[key],
+				}
+			}
 			sender.update(state)
 			if step < steps-1 && rapid.Bool().Draw(t, "message lost") {
 				continue
 			}
-			got, applied := receiver.apply("peer", sender.message(held, time.Unix(0, 0)))
+			got, applied := receiver.apply("peer", sender.message(held, now))
 			if !applied {
 				t.Fatalf("step %d: message was not applied", step)
 			}
 			if fmt.Sprint(got.Endpoints) != fmt.Sprint(state.Endpoints) {
 				t.Fatalf("step %d: receiver has %v, sender has %v", step, got.Endpoints, state.Endpoints)
 			}
+			compareReports(t, got.Reports, state.Reports)
 			if !rapid.Bool().Draw(t, "acknowledgement lost") {
 				held = receiver.sources["a"].held
 			}
@@ -42,6 +63,52 @@
 	})
 }
 
+// compareReports checks that the receiver's reports are those of the sender within the tolerance and not claimed to be
+// newer. A failed report keeps the age with which it became known.
+func compareReports(t *rapid.T, got, want map[uint64]EndpointReport) {
+	if len(got) != len(want) {
+		t.Fatalf("receiver has %d reports, sender has %d", len(got), len(want))
+	}
+	for hash, w := range want {
+		g := got[hash]
+		if !withinDataCentre.near(g.Load, w.Load) {
+			t.Fatalf("receiver has %+v, sender has %+v", g.Load, w.Load)
+		}
+		if !g.Inventory.equal(w.Inventory) {
+			t.Fatalf("receiver has %+v, sender has %+v", g.Inventory, w.Inventory)
+		}
+		if g.PolledAt.After(w.PolledAt) && !w.Load.Failed {
+			t.Fatalf("receiver takes a report of %v for one of %v", w.PolledAt, g.PolledAt)
+		}
+	}
+}
+
+// Guards against a burst of demand, and moves for it, when a source is heard again after a silence.
+func TestArrivalsDuringSilenceAreNoBurst(t *testing.T) {
+	now := time.Unix(100, 0)
+	receiver := newInbox(func() time.Time { return now })
+	sender := newEmitter(DemandPrefix+"a", 1)
+	requests := func(total uint64) uint64 {
+		state := newLoad()
+		state.Models["m"] = ModelDemand{Requests: total}
+		sender.update(state)
+		got, _ := receiver.apply("a", sender.message(acknowledgement{}, now))
+		return got.Models["m"].Requests
+	}
+	requests(10)
+	if got := requests(30); got != 20 {
+		t.Fatalf("arrivals are %d, want 20", got)
+	}
+	now = now.Add(silentAfter + time.Second)
+	receiver.expire()
+	if got := requests(5000); got != 20 {
+		t.Fatalf("arrivals after the silence are %d, want 20", got)
+	}
+	if got := requests(5010); got != 30 {
+		t.Fatalf("arrivals are %d, want 30", got)
+	}
+}
+
 // Guards against counting a member's service twice, or backwards, when the source restarts or another instance takes
 // over sending it.
 func TestCountersNeverDecrease(t *testing.T) {
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -18,12 +18,19 @@
 const (
 	// dataCentrePrefix marks a source that is the sum over a data centre.
 	dataCentrePrefix = "dc:"
+	// DemandPrefix marks a source with the arrivals of an instance.
+	DemandPrefix = "demand:"
+	// demandReceivers is the number of instances, in relay order, that get arrivals when the mesh is larger than
+	// meshPeers. It includes those that try to hold placement leases, and one that takes over from them.
+	demandReceivers = 3
 	// exchangeTimeout bounds one exchange.
 	exchangeTimeout = 2 * time.Second
 	// meshPeers is the number of peers up to which the configured interval is used; with more the interval grows in
 	// proportion, so that the traffic of one instance stays the same. With the 27 peers of the design size an exchange
 	// of 1.4 kB every 2.25 s is 17 kB/s.
 	meshPeers = 12
+	// freeDataCentres is the number of other data centres up to which each exchange carries the sum of the own one.
+	freeDataCentres = 2
 	// seedInterval is how often a seed address that is not a live peer is tried.
 	seedInterval = 3 * time.Second
 	// failureWait is the least wait after a failed exchange.
@@ -73,9 +80,12 @@
 	Options
 	Table *Table
 
-	mu       sync.Mutex
-	own      *emitter
-	centre   *emitter
+	mu     sync.Mutex
+	own    *emitter
+	demand *emitter
+	centre *emitter
+	// centreAt is when the sum of the data centre was last taken.
+	centreAt time.Time
 	forwards map[string]*emitter
 	inbox    *inbox
 	links    map[string]*link
@@ -96,9 +106,10 @@
 		options.Now = time.Now
 	}
 	epoch := options.Self.epoch()
-	return &Node{
+	n := &Node{
 		Options:  options,
 		Table:    NewTable(options.Self, options.Now),
+		demand:   newEmitter(DemandPrefix+options.Self.InstanceID, epoch),
 		own:      newEmitter(options.Self.InstanceID, epoch),
 		centre:   newEmitter(dataCentrePrefix+options.Self.DataCentre, epoch),
 		forwards: make(map[string]*emitter),
@@ -106,6 +117,9 @@
 		links:    make(map[string]*link),
 		tasks:    make(map[string]context.CancelFunc),
 	}
+	n.own.tolerance = &withinDataCentre
+	n.centre.tolerance = &betweenDataCentres
+	return n
 }
 
 // Run refreshes the local state and keeps one goroutine per called peer until the context ends.
@@ -126,8 +140,10 @@
 func (n *Node) Refresh() {
 	local := n.Local.Load()
 	n.mu.Lock()
-	n.own.update(local)
-	n.centre.update(n.inbox.sum(local))
+	own, arrivals := local.split()
+	n.own.update(own)
+	n.demand.update(arrivals)
+	n.updateCentre(own)
 	n.updateForwards()
 	silent := n.inbox.expire()
 	n.mu.Unlock()
@@ -140,6 +156,19 @@
 	n.Scope.Gauge("peers_live").Update(float64(len(n.Table.Live())))
 }
 
+// updateCentre takes the sum of the data centre. Every instance gets the sums of all other data centres, so with more of
+// them each changes less often.
+func (n *Node) updateCentre(own Load) {
+	others := len(n.Table.DataCentres())
+	wait := n.interval() * time.Duration(max(1, others-1))
+	// A sum that is due within the current interval is taken now.
+	if others > freeDataCentres && n.Now().Sub(n.centreAt)+n.interval()/2 < wait {
+		return
+	}
+	n.centreAt = n.Now()
+	n.centre.update(n.inbox.sum(own))
+}
+
 // updateForwards passes on the sums of other data centres that came from there directly.
 func (n *Node) updateForwards() {
 	for source, s := range n.inbox.sources {
@@ -166,14 +195,15 @@
 	return known && p.Identity.DataCentre == n.Self.DataCentre
 }
 
+// wantsDemand tells whether an instance of the own data centre gets arrivals. All do in a small mesh, so that the
+// operators' queries are complete at each of them.
+func (n *Node) wantsDemand(id string) bool {
+	return n.Table.livePeers() <= meshPeers || n.Table.orderOf(id) < demandReceivers
+}
+
 // interval grows with the number of peers in the data centre.
 func (n *Node) interval() time.Duration {
-	peers := 0
-	for _, p := range n.Table.Live() {
-		if p.Identity.DataCentre == n.Self.DataCentre {
-			peers++
-		}
-	}
+	peers := n.Table.livePeers()
 	if peers <= meshPeers {
 		return n.Interval
 	}
@@ -181,8 +211,8 @@
 }
 
 // superviseTasks starts a goroutine for each peer that this instance calls and stops those that it no longer calls.
-// Within a data centre the instance with the lower id calls; between data centres the relay of the data centre with
-// the lower name calls one instance of the other.
+// Within a data centre the instance with the lower id calls; between data centres the contact of the data centre with the
+// lower name calls that of the other.
 func (n *Node) superviseTasks(ctx context.Context, group *conc.WaitGroup) {
 	wanted := make(map[string]func(context.Context))
 	for _, p := range n.Table.All() {
@@ -191,11 +221,9 @@
 			wanted["instance "+id] = func(ctx context.Context) { n.exchangeWithInstance(ctx, id) }
 		}
 	}
-	if n.Table.IsRelay() {
-		for _, name := range n.Table.DataCentres() {
-			if n.Self.DataCentre < name {
-				wanted["data centre "+name] = func(ctx context.Context) { n.exchangeWithDataCentre(ctx, name) }
-			}
+	for _, name := range n.Table.DataCentres() {
+		if n.Self.DataCentre < name && n.Table.IsContact(name) {
+			wanted["data centre "+name] = func(ctx context.Context) { n.exchangeWithDataCentre(ctx, name) }
 		}
 	}
 	for key, cancel := range n.tasks {
--- a/pkg/peer/node_test.go
+++ b/pkg/peer/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -235,6 +236,24 @@
 	})
 })
 
+// meshTable is the table of one instance of a data centre in which all are live.
+func meshTable(size, self int, clock func() time.Time) *Table {
+	table := NewTable(Identity{InstanceID: fmt.Sprint("i", self), DataCentre: "x"}, clock)
+	for i := range size {
+		table.Heard(Identity{InstanceID: fmt.Sprint("i", i), DataCentre: "x"}, Presence{})
+	}
+	return table
+}
+
+func lastInOrder(size int, clock func() time.Time) int {
+	for self := range size {
+		if meshTable(size, self, clock).RelayPosition() == size-1 {
+			return self
+		}
+	}
+	panic("no instance is the last")
+}
+
 var _ = Describe("relay succession", func() {
 	var now time.Time
 	clock := func() time.Time { return now }
@@ -267,6 +286,43 @@
 		Entry("both silent for longer than its turn", 11*time.Second, 11*time.Second, true),
 	)
 
+	// Guards against one instance that carries the exchange with all data centres, and against a data centre that none
+	// keeps contact with.
+	It("spreads the contacts with other data centres over the instances, one for each", func() {
+		now = time.Unix(1000, 0)
+		contacts := make(map[string]int)
+		for dc := range 13 {
+			found := 0
+			for self := range 28 {
+				table := meshTable(28, self, clock)
+				if table.IsContact(fmt.Sprint("dc", dc)) {
+					found++
+					contacts[table.self.InstanceID]++
+				}
+			}
+			Expect(found).To(Equal(1))
+		}
+		Expect(len(contacts)).To(BeNumerically(">", 6))
+	})
+
+	// Guards against arrivals sent to every instance of a large mesh, and against a placement lease holder without them.
+	It("sends arrivals to the first in relay order of a large mesh, and to all of a small one", func() {
+		now = time.Unix(1000, 0)
+		for size, want := range map[int]int{7: 6, 28: demandReceivers} {
+			receivers := 0
+			for to := range size {
+				// The sender is the last in relay order, so that it is no receiver itself.
+				table := meshTable(size, lastInOrder(size, clock), clock)
+				id := fmt.Sprint("i", to)
+				node := &Node{Table: table}
+				if id != table.self.InstanceID && node.wantsDemand(id) {
+					receivers++
+				}
+			}
+			Expect(receivers).To(Equal(want))
+		}
+	})
+
 	It("makes the first in order a relay whatever its contact", func() {
 		now = time.Unix(1000, 0)
 		ids := order()
--- a/pkg/peer/relay.go
+++ b/pkg/peer/relay.go
@@ -15,7 +15,62 @@
 	return xxhash.Sum64String(dataCentre + "\x00" + instanceID)
 }
 
-// IsRelay tells whether this instance keeps the store watch and the exchange with other data centres. The first in
+// pairOf names the pair of two data centres, so that the exchanges with different data centres are spread over instances.
+func pairOf(a, b string) string {
+	if a > b {
+		a, b = b, a
+	}
+	return a + "\x00" + b
+}
+
+// IsContact tells whether this instance keeps the exchange with another data centre: it is the first in order for the pair
+// among the live instances of its own.
+func (t *Table) IsContact(dataCentre string) bool {
+	pair := pairOf(t.self.DataCentre, dataCentre)
+	own := rankOf(pair, t.self.InstanceID)
+	before := t.filter(func(p *Peer) bool {
+		return t.servesHere(p) && rankOf(pair, p.Identity.InstanceID) < own
+	})
+	return len(before) == 0
+}
+
+// servesHere tells whether a peer is a live instance of the own data centre that does not shut down.
+func (t *Table) servesHere(p *Peer) bool {
+	return p.Identity.DataCentre == t.self.DataCentre && t.live(p) && !p.Presence.Draining
+}
+
+// livePeers counts the live peers of the own data centre.
+func (t *Table) livePeers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, p := range t.peers {
+		if p.Identity.DataCentre == t.self.DataCentre && t.live(p) {
+			count++
+		}
+	}
+	return count
+}
+
+// orderOf is the number of live instances of the own data centre, this one included, that come before the instance in
+// relay order.
+func (t *Table) orderOf(id string) int {
+	rank := rankOf(t.self.DataCentre, id)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	if rankOf(t.self.DataCentre, t.self.InstanceID) < rank {
+		count++
+	}
+	for _, p := range t.peers {
+		if t.servesHere(p) && rankOf(t.self.DataCentre, p.Identity.InstanceID) < rank {
+			count++
+		}
+	}
+	return count
+}
+
+// IsRelay tells whether this instance keeps the store watch. The first in
 // order always does. A later one does while no instance before it had store contact within relaySilence times its
 // position; so an outage of the store does not make all instances call it at once.
 func (t *Table) IsRelay() bool {
@@ -38,12 +93,11 @@
 func (t *Table) before() []Peer {
 	own := rankOf(t.self.DataCentre, t.self.InstanceID)
 	return t.filter(func(p *Peer) bool {
-		same := p.Identity.DataCentre == t.self.DataCentre
-		return same && t.live(p) && !p.Presence.Draining && rankOf(t.self.DataCentre, p.Identity.InstanceID) < own
+		return t.servesHere(p) && rankOf(t.self.DataCentre, p.Identity.InstanceID) < own
 	})
 }
 
-// Contact returns the instance of another data centre to exchange with: the first in relay order among the live ones,
+// Contact returns the instance of another data centre to exchange with: the first in order for the pair among the live ones,
 // else among all known. Attempt rotates through the known ones when the choice does not answer.
 func (t *Table) Contact(dataCentre string, attempt int) (Peer, bool) {
 	inDataCentre := func(p *Peer) bool { return p.Identity.DataCentre == dataCentre }
@@ -54,8 +108,9 @@
 	if len(candidates) == 0 {
 		return Peer{}, false
 	}
+	pair := pairOf(t.self.DataCentre, dataCentre)
 	sort.Slice(candidates, func(i, j int) bool {
-		return rankOf(dataCentre, candidates[i].Identity.InstanceID) < rankOf(dataCentre, candidates[j].Identity.InstanceID)
+		return rankOf(pair, candidates[i].Identity.InstanceID) < rankOf(pair, candidates[j].Identity.InstanceID)
 	})
 	return candidates[attempt%len(candidates)], true
 }
--- a/pkg/peer/report.go
+++ b/pkg/peer/report.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -78,9 +79,53 @@
 	present bool
 }
 
-func presentLoads(reports map[uint64]EndpointReport) map[uint64]presentLoad {
+// tolerance is how far a value may be from the one that receivers hold without being sent again.
+type tolerance struct {
+	// part is relative to the held value; requests is the least absolute difference of a count of requests.
+	part     float64
+	requests float64
+}
+
+var (
+	// withinDataCentre keeps counts of calls within one part in eight, since calls start and end all the time.
+	withinDataCentre = tolerance{part: 0.125, requests: 1}
+	// betweenDataCentres is coarse, since the report of an endpoint there is sent to every instance here.
+	betweenDataCentres = tolerance{part: 0.5, requests: 4}
+)
+
+const (
+	// leastThousandths and leastRate are differences of the KV cache and of token rates that do not matter.
+	leastThousandths = 50
+	leastRate        = 100
+	// ratePart is the relative difference of token rates that does not matter.
+	ratePart = 0.25
+)
+
+// near tells whether receivers may go on with the held value. Whether requests wait is always exact.
+func (t tolerance) near(held, now ReportLoad) bool {
+	if held.Leaving != now.Leaving || held.Failed != now.Failed || (held.Waiting == 0) != (now.Waiting == 0) {
+		return false
+	}
+	return within(held.Running, now.Running, t.part, t.requests) &&
+		within(held.Waiting, now.Waiting, t.part, t.requests) &&
+		within(held.KVCacheThousandths, now.KVCacheThousandths, t.part, leastThousandths) &&
+		within(held.PrefillTokensPerSecond, now.PrefillTokensPerSecond, max(t.part, ratePart), leastRate) &&
+		within(held.DecodeTokensPerSecond, now.DecodeTokensPerSecond, max(t.part, ratePart), leastRate)
+}
+
+func within(held, now uint32, part, least float64) bool {
+	return math.Abs(float64(held)-float64(now)) <= max(least, part*float64(held))
+}
+
+// presentLoads returns the loads for the journal; one that is near the held one is kept.
+func (e *emitter) presentLoads(reports map[uint64]EndpointReport) map[uint64]presentLoad {
 	loads := make(map[uint64]presentLoad, len(reports))
 	for hash, r := range reports {
+		held := e.reports.entries[hash].value
+		if held.present && e.tolerance != nil && e.tolerance.near(held.ReportLoad, r.Load) {
+			loads[hash] = held
+			continue
+		}
 		loads[hash] = presentLoad{ReportLoad: r.Load, present: true}
 	}
 	return loads
