Use the test kit for the seeds of all suites

The suite of pkg/scheduling set none, so its order of specs differed from run to run. testkit.RunSpecs and the import of testkit now fix them in one place. The test kit also turns off rapid's failure files, as some of the copies did: a replayed failure would make the verdict depend on an earlier run.

--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -3,6 +3,7 @@
 
 import (
 	"flag"
+	"strconv"
 	"testing"
 
 	"github.com/onsi/ginkgo/v2"
@@ -15,8 +16,11 @@
 const seed = 1
 
 func init() {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	// A replay of the failure that an earlier run left in a file would make the verdict depend on that run.
+	for name, value := range map[string]string{"rapid.seed": strconv.Itoa(seed), "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 }
 
--- a/pkg/admission/property_test.go
+++ b/pkg/admission/property_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -11,19 +10,14 @@
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
 
+	// Fixes the seed of the property tests.
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
-// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-}
-
 // step is one event of a drawn history; each kind uses some of the fields.
 type step struct {
 	kind          string
--- a/pkg/claims/world_test.go
+++ b/pkg/claims/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/sha256"
-	"flag"
 	"fmt"
 	"sync"
 	"testing"
@@ -13,16 +12,12 @@
 	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
+	// Fixes the seed of the property tests.
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/claims"
 )
 
-func init() {
-	// A fixed seed gives the same verdict every time.
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
 var errLost = errors.New("reply lost")
 
 // peerFault is what happens to one call between instances.
--- a/pkg/configstore/suite_test.go
+++ b/pkg/configstore/suite_test.go
@@ -2,28 +2,21 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/configstore"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
 func TestConfigStore(t *testing.T) {
-	RegisterFailHandler(Fail)
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		t.Fatal(err)
-	}
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "configstore", suite, reporter)
+	testkit.RunSpecs(t, "configstore")
 }
 
 var ctx = context.Background()
--- a/pkg/demand/demand_test.go
+++ b/pkg/demand/demand_test.go
@@ -1,22 +1,16 @@
 package demand_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	// Fixes the seed of the property tests.
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/demand"
 )
 
-// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-}
-
 // Guards against a negative demand rate after a peer leaves, returns, or sends an exchange out of order.
 func TestTotalNeverDecreases(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/dispatch/fixture_test.go
+++ b/pkg/dispatch/fixture_test.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"flag"
 	"slices"
 	"sync"
 	"testing"
 	"time"
 
-	. "github.com/onsi/ginkgo/v2"
-	. "github.com/onsi/gomega"
-
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/claims"
 	"github.com/mulberryglade/mulberryglade/pkg/dispatch"
@@ -21,11 +18,7 @@
 )
 
 func TestDispatch(t *testing.T) {
-	RegisterFailHandler(Fail)
-	Expect(flag.Set("rapid.seed", "20261204")).To(Succeed())
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "dispatch", suite, reporter)
+	testkit.RunSpecs(t, "dispatch")
 }
 
 // gate offers its targets in order and checks that each ticket is released once.
--- a/pkg/engine/openaihttp/contract_test.go
+++ b/pkg/engine/openaihttp/contract_test.go
@@ -12,16 +12,14 @@
 	"github.com/uber-go/tally/v4"
 
 	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/engine/openaihttp"
 	"github.com/mulberryglade/mulberryglade/pkg/prompt"
 )
 
 func TestOpenAIHTTP(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "openaihttp", suite, reporter)
+	testkit.RunSpecs(t, "openaihttp")
 }
 
 const outputTokens = 4
--- a/pkg/engine/plainhttp/reporter_test.go
+++ b/pkg/engine/plainhttp/reporter_test.go
@@ -8,16 +8,14 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/service"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/engine/plainhttp"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 )
 
 func TestPlainHTTP(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "plainhttp", suite, reporter)
+	testkit.RunSpecs(t, "plainhttp")
 }
 
 var _ = Describe("Reporter", func() {
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -1,7 +1,6 @@
 package fairshare_test
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"testing"
@@ -11,19 +10,14 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	// Fixes the seed of the property tests.
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 )
 
 // tokens makes service equal to the number of input plus output tokens.
 var tokens = fairshare.Weights{InputToken: 1, OutputToken: 1}
 
-// A fixed seed gives every run the same verdict; -rapid.seed overrides it.
-func init() {
-	if err := flag.Set("rapid.seed", "20261204"); err != nil {
-		panic(err)
-	}
-}
-
 const tolerance = 1e-6
 
 func newAccountant(shares map[string]float64) *fairshare.Accountant {
--- a/pkg/gateway/fixture_test.go
+++ b/pkg/gateway/fixture_test.go
@@ -18,6 +18,7 @@
 
 	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
 	"github.com/mulberryglade/mulberryglade/internal/standin/service"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/claims"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -32,10 +33,7 @@
 )
 
 func TestGateway(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "gateway", suite, reporter)
+	testkit.RunSpecs(t, "gateway")
 }
 
 const memberKey = "key-of-member-a-for-the-gateway-tests"
--- a/pkg/httpconn/httpconn_test.go
+++ b/pkg/httpconn/httpconn_test.go
@@ -15,15 +15,13 @@
 	. "github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 )
 
 func TestHTTPConn(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "httpconn", suite, reporter)
+	testkit.RunSpecs(t, "httpconn")
 }
 
 const maxBytes = 1 << 20
--- a/pkg/instancelist/instancelist_test.go
+++ b/pkg/instancelist/instancelist_test.go
@@ -12,15 +12,12 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/instances"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 )
 
 func TestInstanceList(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	// A fixed seed runs the containers in the same order every time.
-	suite.RandomSeed = 1
-	RunSpecs(t, "instance list", suite, reporter)
+	testkit.RunSpecs(t, "instance list")
 }
 
 func start() (*instances.Server, string) {
--- a/pkg/kvstore/etcdgateway/contract_test.go
+++ b/pkg/kvstore/etcdgateway/contract_test.go
@@ -12,16 +12,13 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 )
 
 func TestContract(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	// A fixed seed runs the containers in the same order every time.
-	suite.RandomSeed = 1
-	RunSpecs(t, "kvstore contract", suite, reporter)
+	testkit.RunSpecs(t, "kvstore contract")
 }
 
 // fixture is one implementation over a stand-in store with a replaced clock.
--- a/pkg/kvstore/etcdgateway/model_test.go
+++ b/pkg/kvstore/etcdgateway/model_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"net"
 	"testing"
@@ -17,12 +16,6 @@
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 )
 
-func init() {
-	// A fixed seed gives the same verdict every time.
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
 // drawWrite draws a conditional write of one key, so that a call never writes a key twice.
 func drawWrite(rt *rapid.T, key string) kvstore.ConditionalWrite {
 	w := kvstore.ConditionalWrite{ReadOnFailure: []string{key, "k0"}}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -12,17 +11,13 @@
 	"github.com/sourcegraph/conc"
 	"pgregory.net/rapid"
 
+	// Fixes the seed of the property tests.
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
 )
 
-func init() {
-	// A fixed seed gives the same verdict every time.
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
-
 const ttl = 10 * time.Second
 
 // run starts a holder and returns it with a function that shuts it down.
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -28,10 +29,7 @@
 )
 
 func TestOperator(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "operator", suite, reporter)
+	testkit.RunSpecs(t, "operator")
 }
 
 // openStore is replaced by tests that need no store over HTTP.
--- a/pkg/prompt/prompt_test.go
+++ b/pkg/prompt/prompt_test.go
@@ -1,7 +1,6 @@
 package prompt_test
 
 import (
-	"flag"
 	"slices"
 	"strings"
 	"testing"
@@ -10,15 +9,12 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/prompt"
 )
 
 func TestPrompt(t *testing.T) {
-	RegisterFailHandler(Fail)
-	Expect(flag.Set("rapid.seed", "20261204")).To(Succeed())
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "prompt", suite, reporter)
+	testkit.RunSpecs(t, "prompt")
 }
 
 var _ = Describe("Digest", func() {
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -1,7 +1,6 @@
 package retry_test
 
 import (
-	"flag"
 	"testing"
 	"time"
 
@@ -9,15 +8,12 @@
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 )
 
 func TestRetry(t *testing.T) {
-	RegisterFailHandler(Fail)
-	Expect(flag.Set("rapid.seed", "20261204")).To(Succeed())
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "retry", suite, reporter)
+	testkit.RunSpecs(t, "retry")
 }
 
 var _ = Describe("Budget", func() {
--- a/pkg/scheduling/filters_test.go
+++ b/pkg/scheduling/filters_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
@@ -13,8 +14,7 @@
 )
 
 func TestScheduling(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "scheduling")
+	testkit.RunSpecs(t, "scheduling")
 }
 
 // fixedTopology maps data centres to distances; unknown ones are in another region.
