Share the wait with a context and the jitter

Eight packages had their own copy of a sleep that ends with its context, and two had their own jitter, one of which would panic for a duration below 2 ns. internal/timing has both now.

--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/process"
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 )
 
@@ -201,7 +202,7 @@
 
 // sleep waits for a span of model time; it returns false when the context ended first.
 func (e *Engine) sleep(ctx context.Context, span time.Duration) bool {
-	return process.Wait(ctx, e.wall(span))
+	return timing.Sleep(ctx, e.wall(span)) == nil
 }
 
 func (e *Engine) wall(span time.Duration) time.Duration {
--- a/internal/standin/kv/faults.go
+++ b/internal/standin/kv/faults.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
@@ -133,17 +134,10 @@
 	if fault.Hook != nil {
 		fault.Hook()
 	}
-	if delay <= 0 {
-		return fault, nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
+	if delay > 0 && timing.Sleep(ctx, delay) != nil {
 		return fault, kvstore.ErrUnavailable
-	case <-timer.C:
-		return fault, nil
 	}
+	return fault, nil
 }
 
 // take returns the queued fault of the call and the total delay before it takes effect.
--- a/internal/standin/process/process.go
+++ b/internal/standin/process/process.go
@@ -11,6 +11,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 )
 
 const maxRequestBodyBytes = 256 << 20
@@ -197,22 +199,7 @@
 
 // Wait waits; it returns false when the process ended first.
 func (p *Process) Wait(span time.Duration) bool {
-	return Wait(p.Context, span)
-}
-
-// Wait waits; it returns false when the context ended first.
-func Wait(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return timing.Sleep(p.Context, span) == nil
 }
 
 // Drop closes the connection of a request without a response.
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
 )
@@ -120,14 +121,7 @@
 	if s.options.ConcurrentLoads > 0 && running > s.options.ConcurrentLoads {
 		seconds *= float64(running) / float64(s.options.ConcurrentLoads)
 	}
-	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return timing.Sleep(ctx, time.Duration(seconds*float64(time.Second)))
 }
 
 func (s *Server) begin(artifact engine.Artifact) (size int64, running int, ok bool) {
--- a/pkg/claims/issuedclaimer.go
+++ b/pkg/claims/issuedclaimer.go
@@ -7,6 +7,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 )
 
 const (
@@ -89,7 +91,7 @@
 	var err error
 	for attempt := range redeemAttempts {
 		if attempt > 0 {
-			pause(ctx, redeemPause)
+			_ = timing.Sleep(ctx, redeemPause)
 		}
 		if ctx.Err() != nil {
 			return RedeemResult{}, ctx.Err()
@@ -102,15 +104,6 @@
 	return RedeemResult{}, err
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // issuedGrant is the right that a redemption gives.
 type issuedGrant struct {
 	claimer *IssuedClaimer
--- a/pkg/configstore/apply.go
+++ b/pkg/configstore/apply.go
@@ -5,10 +5,10 @@
 	"fmt"
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/findings"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -78,7 +78,7 @@
 	}
 	a := &applier{repository: r, change: change, hash: hash}
 	for attempt := range maxAttempts {
-		if attempt > 0 && !wait(ctx, r.options.Backoff(attempt)) {
+		if attempt > 0 && timing.Sleep(ctx, r.options.Backoff(attempt)) != nil {
 			break
 		}
 		done, err := a.attempt(ctx)
@@ -128,20 +128,6 @@
 	return contents, err
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // applier carries one change through its attempts.
 type applier struct {
 	repository *Repository
--- a/pkg/configsync/peers.go
+++ b/pkg/configsync/peers.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/configstore"
 )
 
@@ -48,7 +49,7 @@
 		if err := s.fetch(ctx, peer); err != nil && ctx.Err() == nil {
 			s.scope.Counter("peer_fetch_failures").Inc(1)
 			s.log.Warn("configuration could not be fetched from a peer", zap.String("peer", peer), zap.Error(err))
-			pause(ctx, retryInterval)
+			_ = timing.Sleep(ctx, retryInterval)
 		}
 	}
 }
--- a/pkg/configsync/relay.go
+++ b/pkg/configsync/relay.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/configstore"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
@@ -54,16 +54,11 @@
 			delay = retryInterval
 			s.watch(ctx, at+1)
 		}
-		pause(ctx, jitter(delay))
+		_ = timing.Sleep(ctx, timing.Jitter(delay))
 		delay = min(2*delay, maxRetryInterval)
 	}
 }
 
-// jitter shortens a wait by up to a half, so that relays do not return to a recovered store at once.
-func jitter(d time.Duration) time.Duration {
-	return d - rand.N(d/2)
-}
-
 // poll reads the configuration in the store and puts it into effect. It returns the store's revision at the read.
 func (s *Syncer) poll(ctx context.Context) (kvstore.Revision, bool) {
 	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
--- a/pkg/configsync/syncer.go
+++ b/pkg/configsync/syncer.go
@@ -277,13 +277,3 @@
 		s.log.Warn("configuration record not in effect as stored", zap.String("finding", f.String()))
 	}
 }
-
-// pause waits; it returns early when the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/dispatch/attempts.go
+++ b/pkg/dispatch/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
@@ -47,7 +48,7 @@
 		options.Now = time.Now
 	}
 	if options.Sleep == nil {
-		options.Sleep = sleep
+		options.Sleep = timing.Sleep
 	}
 	if options.Log == nil {
 		options.Log = zap.NewNop()
@@ -59,17 +60,6 @@
 	return attempts{options: options, retries: scope.Counter("retries"), failed: scope.Counter("failed_attempts")}
 }
 
-func sleep(ctx context.Context, span time.Duration) error {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
-
 // attempt sends a call to the ticket's endpoint once. A nil error means that it keeps the ticket and releases it; after
 // an error the ticket is released here with the result.
 type attempt func(ticket admission.Ticket) (admission.Result, error)
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
@@ -120,33 +120,18 @@
 	defer h.release()
 	for ctx.Err() == nil {
 		if h.current.Load() == nil {
-			sleep(ctx, h.acquire(ctx))
+			_ = timing.Sleep(ctx, h.acquire(ctx))
 			continue
 		}
-		sleep(ctx, h.renew(ctx))
+		_ = timing.Sleep(ctx, h.renew(ctx))
 	}
 	return nil
 }
 
-// sleep waits for the time or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
-// jitter spreads the calls of several instances over half of the time.
-func jitter(d time.Duration) time.Duration {
-	return d - rand.N(d/2+1)
-}
-
 // acquire makes one attempt and returns the time until the next step.
 func (h *Holder) acquire(ctx context.Context) time.Duration {
-	retry := jitter(h.options.TTL / retryDivisor)
-	poll := jitter(h.options.TTL / pollDivisor)
+	retry := timing.Jitter(h.options.TTL / retryDivisor)
+	poll := timing.Jitter(h.options.TTL / pollDivisor)
 	if !h.options.Eligible() {
 		return poll
 	}
@@ -236,7 +221,7 @@
 		return 0
 	default:
 		h.options.Scope.Counter("renewal_failures").Inc(1)
-		return jitter(h.options.TTL / retryDivisor)
+		return timing.Jitter(h.options.TTL / retryDivisor)
 	}
 }
 
--- a/pkg/operator/queries/instance.go
+++ b/pkg/operator/queries/instance.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
 	"github.com/mulberryglade/mulberryglade/pkg/decisions"
 	"github.com/mulberryglade/mulberryglade/pkg/operator"
@@ -73,7 +74,7 @@
 		return err
 	}
 	err := q.show()
-	for q.Watch && q.wait() {
+	for q.Watch && timing.Sleep(q.env.Context, q.Interval) == nil {
 		if err != nil {
 			_, _ = fmt.Fprintf(q.env.Stderr, "mulberryglade: %v\n", err)
 		}
@@ -85,18 +86,6 @@
 	return err
 }
 
-// wait returns false when the user interrupted.
-func (q *statusQuery) wait() bool {
-	timer := time.NewTimer(q.Interval)
-	defer timer.Stop()
-	select {
-	case <-q.env.Context.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (q *statusQuery) show() error {
 	var s adminapi.Status
 	if err := get(q.env, q.Admin, adminapi.PathStatus, &s); err != nil {
