--- a/pkg/configstore/bench_test.go
+++ b/pkg/configstore/bench_test.go
@@ -62,6 +62,69 @@
 	b.ReportMetric(retained(repository)/float64(count), "retainedB/record")
 }
 
+// BenchmarkChangeCalls counts the calls of the store for one change, at the writer and at
+// one relay that reads it, against the changed records of 4,000.
+func BenchmarkChangeCalls(b *testing.B) {
+	for _, changed := range []int{1, 8, 64, 512} {
+		b.Run(fmt.Sprintf("changed=%d", changed), func(b *testing.B) {
+			store := kv.NewMemory()
+			repository := newRepository(store)
+			texts := []string{deployment, member("m", 1), service, dataCentre("a", "r")}
+			for i := range 4000 {
+				texts = append(texts, model(fmt.Sprint("model-", i), "m"))
+			}
+			apply := func(id string, texts []string) {
+				c := configstore.Change{ID: id}
+				for _, text := range texts {
+					parsed, _ := config.ParseFile("f.json", []byte(text))
+					c.Records = append(c.Records, parsed...)
+				}
+				if _, err := repository.Apply(ctx, c); err != nil {
+					b.Fatal(err)
+				}
+			}
+			apply("all", texts)
+			known, err := repository.Read(ctx, nil)
+			if err != nil {
+				b.Fatal(err)
+			}
+			start := callsOf(store)
+			var written, read calls
+			for n := 0; b.Loop(); n++ {
+				var change []string
+				for i := range changed {
+					text := model(fmt.Sprint("model-", i), "m")
+					change = append(change, fmt.Sprintf(`%s,"priority":%d}`, text[:len(text)-1], n%9+1))
+				}
+				apply(fmt.Sprint("change-", n), change)
+				applied := callsOf(store)
+				written = written.plus(applied.minus(start))
+				if known, err = repository.Read(ctx, known); err != nil {
+					b.Fatal(err)
+				}
+				start = callsOf(store)
+				read = read.plus(start.minus(applied))
+			}
+			b.ReportMetric(written.reads/float64(b.N), "writer-reads/op")
+			b.ReportMetric(written.writes/float64(b.N), "writer-writes/op")
+			b.ReportMetric(read.reads/float64(b.N), "relay-reads/op")
+		})
+	}
+}
+
+// calls are numbers of calls of the store.
+type calls struct{ reads, writes float64 }
+
+func callsOf(store *kv.Memory) calls {
+	return calls{
+		reads:  float64(store.Faults.Count(kv.CallGet) + store.Faults.Count(kv.CallRange)),
+		writes: float64(store.Faults.Count(kv.CallCommit)),
+	}
+}
+
+func (c calls) plus(o calls) calls  { return calls{c.reads + o.reads, c.writes + o.writes} }
+func (c calls) minus(o calls) calls { return calls{c.reads - o.reads, c.writes - o.writes} }
+
 // retained returns the bytes of heap that contents and snapshot keep.
 func retained(repository *configstore.Repository) float64 {
 	var before, after runtime.MemStats
--- /dev/null
+++ b/pkg/endpoints/bench_test.go
@@ -0,0 +1,114 @@
+package endpoints_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+)
+
+const (
+	// benchDataCentres and benchInstances are those of the design size.
+	benchDataCentres = 14
+	benchInstances   = 28
+)
+
+func benchSnapshot(size int) *config.Snapshot {
+	records := config.Records{Services: []config.Service{{Header: config.Header{Name: "s"}, Type: config.EngineService}}}
+	for i := range size {
+		records.Endpoints = append(records.Endpoints, config.Endpoint{
+			Header: config.Header{Name: fmt.Sprintf("endpoint-%04d", i)}, Service: "s", DataCentre: fmt.Sprint("dc", i%benchDataCentres),
+			URL: "http://127.0.0.1:1", MaxConcurrentRequests: 32,
+		})
+	}
+	return config.NewSnapshot(1, time.Time{}, records)
+}
+
+func benchReport(i int) engine.Report {
+	report := engine.Report{Incarnation: "1", Running: 10, MaxRunning: 32, DecodeTokensPerSecond: 400}
+	for k := range 5 {
+		report.Artifacts = append(report.Artifacts, engine.LoadedArtifact{
+			Artifact: engine.Artifact{Kind: engine.KindModel, Name: fmt.Sprint("model-", (i*5+k)%1700), Version: "3"},
+			State:    engine.StateLoaded,
+		})
+	}
+	return report
+}
+
+func sharedReports(size int, polledAt time.Time) []endpoints.SharedReport {
+	reports := make([]endpoints.SharedReport, size)
+	for i := range reports {
+		reports[i] = endpoints.SharedReport{
+			EndpointHash: endpoints.HashName(fmt.Sprintf("endpoint-%04d", i)), Report: benchReport(i), PolledAt: polledAt,
+		}
+	}
+	return reports
+}
+
+func benchRegistry() *endpoints.Registry {
+	fake := newFake()
+	r := endpoints.NewRegistry(fake, fake, zap.NewNop(), endpoints.Options{Instance: "self", DataCentre: "dc0"})
+	others := make([]string, 0, benchInstances-1)
+	for i := range benchInstances - 1 {
+		others = append(others, fmt.Sprint("instance-", i))
+	}
+	r.SetInstances(others)
+	return r
+}
+
+// BenchmarkRegistryMemory measures heap and stacks that a running registry keeps for each endpoint, with reports of five
+// artifacts.
+func BenchmarkRegistryMemory(b *testing.B) {
+	for _, size := range []int{700, 1400, 2800, 5600} {
+		b.Run(fmt.Sprintf("endpoints=%d", size), func(b *testing.B) {
+			snapshot := benchSnapshot(size)
+			for b.Loop() {
+				before := memory()
+				r := benchRegistry()
+				r.Apply(snapshot)
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					r.Run(ctx)
+				}()
+				r.SetReports("p", sharedReports(size, time.Now()))
+				for runtime.NumGoroutine() < size {
+					runtime.Gosched()
+				}
+				b.ReportMetric((memory()-before)/float64(size), "retainedB/endpoint")
+				cancel()
+				<-ended
+			}
+		})
+	}
+}
+
+func memory() float64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc + stats.StackInuse)
+}
+
+// BenchmarkSetReports measures how long a registry of the design size takes over reports of a peer whose load changed.
+func BenchmarkSetReports(b *testing.B) {
+	for _, size := range []int{14, 56, 224} {
+		b.Run(fmt.Sprintf("reports=%d", size), func(b *testing.B) {
+			r := benchRegistry()
+			r.Apply(benchSnapshot(5600))
+			polledAt := time.Now()
+			for b.Loop() {
+				polledAt = polledAt.Add(time.Millisecond)
+				r.SetReports("p", sharedReports(size, polledAt))
+			}
+		})
+	}
+}
--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -91,7 +91,7 @@
 		r.nextPoll = now
 	}
 	wait := r.nextPoll.Sub(now)
-	r.nextPoll = r.nextPoll.Add(time.Duration(float64(time.Second) / r.options.PollsPerSecond))
+	r.nextPoll = r.nextPoll.Add(time.Duration(float64(time.Second) / r.pollBudget()))
 	return wait
 }
 
@@ -124,7 +124,7 @@
 	case r.shares():
 		polled = r.local
 	}
-	stretched := time.Duration(float64(polled) / r.options.PollsPerSecond * float64(time.Second))
+	stretched := time.Duration(float64(polled) / r.pollBudget() * float64(time.Second))
 	return max(r.options.ReportInterval, stretched)
 }
 
--- a/pkg/endpoints/shared.go
+++ b/pkg/endpoints/shared.go
@@ -11,8 +11,9 @@
 
 const (
 	// reportFallback is the age of an endpoint's report, per position in the order of pollers, from which an instance
-	// polls the endpoint itself. A report is up to a poll interval and two exchange intervals old in regular operation.
-	reportFallback = 6 * time.Second
+	// polls the endpoint itself. In regular operation at the design size a report is up to 6.4 s old: a poll interval of
+	// 3.1 s, an update of the exchange each 1 s, and an exchange interval of 2.25 s.
+	reportFallback = 8 * time.Second
 	// sharedFor is how long after an own poll a report is passed on.
 	sharedFor = 2 * reportFallback
 	// remoteFallback is the age of the report of another data centre's endpoint from which an instance with calls there
@@ -20,6 +21,10 @@
 	remoteFallback = 30 * time.Second
 	// shareRecheck bounds the time until an instance notices that it has become the poller of an endpoint.
 	shareRecheck = 2 * time.Second
+	// meshPeers is the number of instances from which the traffic of the exchange no longer grows; meshPollsPerSecond is
+	// the poll budget that it leaves of 22 KB/s. A poll takes 1.4 kB with five artifacts, the exchange 15 kB/s.
+	meshPeers          = 12
+	meshPollsPerSecond = 4.5
 	// directInterval is the longest interval at which each instance polls all endpoints itself. Fleets of up to this
 	// times PollsPerSecond need no shared reports, and instances there do not depend on each other.
 	directInterval = time.Second
@@ -67,6 +72,15 @@
 	return r.options.DataCentre != "" && len(r.entries) > direct
 }
 
+// pollBudget is the number of polls per second that leaves room for the exchange. The caller holds the lock.
+func (r *Registry) pollBudget() float64 {
+	if !r.shares() {
+		return r.options.PollsPerSecond
+	}
+	exchange := float64(min(len(r.candidates), meshPeers)) / meshPeers
+	return r.options.PollsPerSecond - exchange*max(0, r.options.PollsPerSecond-meshPollsPerSecond)
+}
+
 // position counts the instances that poll the endpoint before this one. Those that get no reports of it do not count, so
 // that a poller that is cut off from the endpoint is replaced by the next.
 func (r *Registry) position(e *entry) int {
--- /dev/null
+++ b/pkg/lease/bench_test.go
@@ -0,0 +1,42 @@
+package lease_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/pkg/lease"
+)
+
+// BenchmarkLeaseCalls counts the calls of the store per time to live of one key, against the instances that try to hold
+// it.
+func BenchmarkLeaseCalls(b *testing.B) {
+	const (
+		benchTTL  = 200 * time.Millisecond
+		lifetimes = 20
+	)
+	for _, candidates := range []int{1, 2, 4, 8} {
+		b.Run(fmt.Sprintf("candidates=%d", candidates), func(b *testing.B) {
+			for b.Loop() {
+				store := kv.NewMemory()
+				ctx, cancel := context.WithTimeout(context.Background(), lifetimes*benchTTL)
+				var group conc.WaitGroup
+				for i := range candidates {
+					h := lease.New(lease.Options{Store: store, Key: "holder", Identity: fmt.Sprint(i), TTL: benchTTL})
+					group.Go(func() { _ = h.Run(ctx) })
+				}
+				group.Wait()
+				cancel()
+				reads := store.Faults.Count(kv.CallGet) + store.Faults.Count(kv.CallRange)
+				writes := store.Faults.Count(kv.CallCommit) + store.Faults.Count(kv.CallGrant) + store.Faults.Count(kv.CallKeepAlive)
+				b.ReportMetric(float64(reads)/lifetimes, "reads/ttl")
+				b.ReportMetric(float64(writes)/lifetimes, "writes/ttl")
+				b.ReportMetric(float64(store.Faults.Count(kv.CallWatch))/lifetimes, "watches/ttl")
+			}
+		})
+	}
+}
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -27,7 +27,7 @@
 	exchangeTimeout = 2 * time.Second
 	// meshPeers is the number of peers up to which the configured interval is used; with more the interval grows in
 	// proportion, so that the traffic of one instance stays the same. With the 27 peers of the design size an exchange
-	// of 1.4 kB every 2.25 s is 17 kB/s.
+	// of 1.2 kB every 2.25 s is 15 kB/s.
 	meshPeers = 12
 	// freeDataCentres is the number of other data centres up to which each exchange carries the sum of the own one.
 	freeDataCentres = 2
@@ -132,7 +132,7 @@
 	for ctx.Err() == nil {
 		n.Refresh()
 		n.superviseTasks(ctx, &group)
-		sleep(ctx, n.interval())
+		sleep(ctx, n.Interval)
 	}
 }
 
--- a/pkg/placement/bench_test.go
+++ b/pkg/placement/bench_test.go
@@ -1,12 +1,14 @@
 package placement
 
 import (
+	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 )
 
@@ -138,3 +140,46 @@
 	}
 	return sum
 }
+
+// BenchmarkOrderCalls counts the calls of the store per order of a holder that loads copies on empty endpoints.
+func BenchmarkOrderCalls(b *testing.B) {
+	for _, models := range []int{8, 32, 128} {
+		b.Run(fmt.Sprintf("orders=%d", models), func(b *testing.B) {
+			for b.Loop() {
+				var records config.Records
+				for i := range models {
+					records.Models = append(records.Models, declareModel(fmt.Sprintf("m%04d", i), "1", 20, 1))
+				}
+				for i := range (models + 3) / 4 {
+					records.Endpoints = append(records.Endpoints, declareEndpoint(fmt.Sprintf("e%04d", i), 100))
+				}
+				rig := newBench(Static{}, records)
+				before := storeCalls(rig.store)
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan struct{})
+				go func() {
+					defer close(ended)
+					_ = rig.Run(ctx)
+				}()
+				for len(rig.engines.sent()) < models {
+					time.Sleep(time.Millisecond)
+				}
+				cancel()
+				<-ended
+				after := storeCalls(rig.store)
+				b.ReportMetric((after.writes-before.writes)/float64(models), "writes/order")
+				b.ReportMetric((after.reads-before.reads)/float64(models), "reads/order")
+			}
+		})
+	}
+}
+
+// callCounts are numbers of calls of the store.
+type callCounts struct{ reads, writes float64 }
+
+func storeCalls(store *kv.Memory) callCounts {
+	return callCounts{
+		reads:  float64(store.Faults.Count(kv.CallGet) + store.Faults.Count(kv.CallRange)),
+		writes: float64(store.Faults.Count(kv.CallCommit)),
+	}
+}
