Divide the declared minimum of copies among the data centres

Cause: the minimum was checked over the deployment but planned per data centre, so each data centre tried to load all of it, first copies of small models came late and status listed artifacts as unplaced for ever. Before (sample sindhuli, 12 s after the first load): 5 of 17 models with a single copy, one with four, 5 or more unplaced. Ruled out: counting copies elsewhere, with which two data centres could unload theirs at the same time.

--- a/pkg/config/records.go
+++ b/pkg/config/records.go
@@ -166,8 +166,11 @@
 	KVReserveBytes int64 `json:"kvReserveBytes"`
 	// AcceleratorsPerCopy is the number of accelerators of one endpoint that a copy spans.
 	AcceleratorsPerCopy int `json:"acceleratorsPerCopy"`
-	MinCopies           int `json:"minCopies"`
-	MaxCopies           int `json:"maxCopies"`
+	// MinCopies counts over the whole deployment. Each data centre with endpoints of the service keeps an equal part,
+	// rounded up, and at least one copy where it fits.
+	MinCopies int `json:"minCopies"`
+	// MaxCopies counts within one data centre.
+	MaxCopies int `json:"maxCopies"`
 	// Priority is passed to the engine; higher runs first.
 	Priority         int   `json:"priority,omitempty"`
 	DefaultTimeoutMs int64 `json:"defaultTimeoutMs"`
--- a/pkg/placement/grid.go
+++ b/pkg/placement/grid.go
@@ -24,7 +24,9 @@
 	bySlot    map[string]*slot
 	byService map[string][]*slot
 	holders   map[name][]*slot
-	steps     []Step
+	// dataCentres caches the number of data centres of a service.
+	dataCentres map[string]int
+	steps       []Step
 	// unloads counts planned unloads, the only steps that change which copies can be spared.
 	unloads  int
 	unplaced []Unplaced
@@ -62,10 +64,11 @@
 
 func newGrid(state State) *grid {
 	g := &grid{
-		state:     state,
-		bySlot:    make(map[string]*slot, len(state.Endpoints)),
-		byService: make(map[string][]*slot),
-		holders:   make(map[name][]*slot),
+		state:       state,
+		bySlot:      make(map[string]*slot, len(state.Endpoints)),
+		byService:   make(map[string][]*slot),
+		holders:     make(map[name][]*slot),
+		dataCentres: make(map[string]int),
 	}
 	for _, endpoint := range state.Endpoints {
 		g.addSlot(endpoint)
--- a/pkg/placement/planner.go
+++ b/pkg/placement/planner.go
@@ -20,7 +20,7 @@
 func (Static) Plan(state State) Plan {
 	g := newGrid(state)
 	for _, m := range modelsBySize(state.Snapshot) {
-		g.ensureModel(m, max(m.MinCopies, 1), "below the declared minimum")
+		g.ensureModel(m, g.minimum(m), "below the declared minimum")
 	}
 	for _, a := range adaptersByName(state.Snapshot) {
 		g.ensureAdapter(a, 1, "no copy in the data centre")
--- a/pkg/placement/reactive.go
+++ b/pkg/placement/reactive.go
@@ -17,7 +17,7 @@
 		n := name{kind: engine.KindModel, id: m.Name}
 		average := p.state.Demand[m.Name]
 		demanded := loadOf(average.FastRequests, average.FastTokens, m).copies(perCopy(m, p.byService[m.Service]))
-		wanted := max(1, m.MinCopies, min(demanded, m.MaxCopies))
+		wanted := max(p.minimum(m), min(demanded, m.MaxCopies))
 		p.unloadAbove(n, wanted)
 		p.ensureModel(m, wanted, "demand of the last seconds")
 	}
--- a/pkg/placement/room.go
+++ b/pkg/placement/room.go
@@ -76,7 +76,7 @@
 		return victim{}, false
 	}
 	if keep == respectMinimum {
-		keep = max(m.MinCopies, keepOne)
+		keep = p.minimum(m)
 	}
 	serving := p.count(nameOf(c.artifact), p.sameRank(m, c))
 	witness, ok := p.witness(s, c)
--- a/pkg/placement/versions.go
+++ b/pkg/placement/versions.go
@@ -37,7 +37,7 @@
 // wanted is the number of copies that the demand and the declared limits ask for.
 func (p *planning) wanted(m *config.Model) int {
 	demanded := retained(p.state.Demand[m.Name], m).copies(perCopy(m, p.byService[m.Service]))
-	return max(1, m.MinCopies, min(demanded, m.MaxCopies))
+	return max(p.minimum(m), min(demanded, m.MaxCopies))
 }
 
 // retireOld unloads old versions that are more than the wanted copies, while a copy of the declared version serves.
--- a/pkg/placement/weighted.go
+++ b/pkg/placement/weighted.go
@@ -184,7 +184,7 @@
 		n := name{kind: engine.KindModel, id: m.Name}
 		current := func(c *copyOf) bool { return c.artifact == ModelArtifact(m) && c.serves() }
 		for _, s := range p.holders[n] {
-			if m.MaxCopies <= 0 || p.count(n, current) <= max(m.MaxCopies, m.MinCopies) {
+			if m.MaxCopies <= 0 || p.count(n, current) <= max(m.MaxCopies, p.minimum(m)) {
 				break
 			}
 			c := s.any(n, current)
@@ -225,7 +225,7 @@
 	if p.replace(m, reason, keepOne, unbounded) || p.relocateFor(m) {
 		return
 	}
-	p.unplace(ModelArtifact(m), max(m.MinCopies, 1), 0, "no endpoint has enough memory, and no copy can be spared or moved")
+	p.unplace(ModelArtifact(m), p.minimum(m), 0, "no endpoint has enough memory, and no copy can be spared or moved")
 }
 
 func (p *planning) isUnplaced(artifact engine.Artifact) bool {
@@ -241,17 +241,17 @@
 	return true
 }
 
-// ensureMinimum loads up to the declared minimum into free memory or in place of copies above other models' minimum.
+// ensureMinimum loads up to the data centre's part of the declared minimum into free memory or in place of copies above other models' minimum.
 func (p *planning) ensureMinimum(m *config.Model) {
 	n := name{kind: engine.KindModel, id: m.Name}
 	copies := p.count(n, (*copyOf).counts)
 	if copies == 0 {
 		return
 	}
-	for ; copies < m.MinCopies && p.loads > 0; copies++ {
+	for ; copies < p.minimum(m) && p.loads > 0; copies++ {
 		const reason = "below the declared minimum"
 		if !p.tryLoad(m, reason) && !p.replace(m, reason, respectMinimum, unbounded) {
-			p.unplace(ModelArtifact(m), m.MinCopies, copies, "no endpoint of the service has enough memory to spare")
+			p.unplace(ModelArtifact(m), p.minimum(m), copies, "no endpoint of the service has enough memory to spare")
 			return
 		}
 	}
