--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -23,11 +23,13 @@
 	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
 	"github.com/mulberryglade/mulberryglade/pkg/gateway"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
 )
 
 const (
@@ -37,8 +39,6 @@
 	// retryBase and retryMax bound the wait before a retry.
 	retryBase = 20 * time.Millisecond
 	retryMax  = 500 * time.Millisecond
-	// prefixBlocks bounds the index of cached prompt prefixes; an entry takes about 100 bytes.
-	prefixBlocks = 100_000
 	// pickerCandidates is the number of candidates up to which all are scored.
 	pickerCandidates = 64
 	// engineDialTimeout bounds connecting to an endpoint; a dead one must not use up the time to the first token.
@@ -58,6 +58,9 @@
 		return err
 	}
 	d.buildPlacement()
+	if err := d.buildInstanceList(); err != nil {
+		return err
+	}
 	d.buildGateway()
 	return d.buildAdmin()
 }
@@ -107,7 +110,7 @@
 	d.accountant = fairshare.NewAccountant(fairshare.DefaultWeights())
 	d.topology = scheduling.NewSnapshotTopology(d.settings.DataCentre)
 	d.linkBudget = scheduling.NewLinkBudget(0)
-	d.prefixes = scheduling.NewPrefixIndex(prefixBlocks)
+	d.prefixes = scheduling.NewPrefixIndex(scheduling.DefaultPrefixBlocks)
 	d.registry.ReadEvents(d.prefixes)
 	seed := d.identity.Seed()
 	d.admission = admission.NewController(admission.Parts{
@@ -140,6 +143,7 @@
 		Local:     shared,
 		Sink:      shared,
 		Announcer: d.syncer,
+		Control:   d.linkBudget,
 		Dial:      peer.NewDialerFrom(d.outboundAddress(), token, tlsConfig),
 		Log:       d.log,
 		Scope:     d.metrics.Scope,
@@ -150,7 +154,7 @@
 		Scope:       d.metrics.Scope,
 	})
 	server := peer.NewServer(d.node, configServer{syncer: d.syncer}, d.issuer)
-	d.peerServer = peer.NewHTTPServer(server, token, tlsConfig)
+	d.peerServer = peer.NewHTTPServer(server, token, tlsConfig != nil)
 	return nil
 }
 
@@ -170,8 +174,20 @@
 func (d *Daemon) buildPlacement() {
 	d.ledger = ledger.New(d.store, d.settings.Store.Prefix)
 	d.planner = planner(d.settings.Policies.Placement)
-	d.modelPacer = newSharedPacer()
-	d.adapterPacer = newSharedPacer()
+	d.modelPacer = weightstore.NewPacer(0, 0)
+	d.adapterPacer = weightstore.NewPacer(0, 0)
+}
+
+func (d *Daemon) buildInstanceList() error {
+	if d.settings.InstanceList.URL == "" {
+		return nil
+	}
+	var err error
+	d.instances, err = instancelist.New(instancelist.Options{
+		URLs:  []string{d.settings.InstanceList.URL},
+		Scope: d.metrics.Scope,
+	})
+	return errors.Wrap(err, "instanceList.url")
 }
 
 // dispatchers returns what runs calls after admission.
@@ -187,9 +203,10 @@
 		Issued: claims.NewIssuedClaimer(d.issuer, peer.Keys{Node: d.node}),
 		Store:  d.storeClaims,
 	}
+	d.retryBudget = retry.NewBudget(d.retryLimits)
 	options := dispatch.Options{
 		Gate:    d.admission,
-		Budget:  retry.NewBudget(d.retryLimits),
+		Budget:  d.retryBudget,
 		Backoff: retry.Backoff{Base: retryBase, Max: retryMax},
 		Log:     d.log,
 		Scope:   d.metrics.Scope,
--- a/pkg/daemon/policies.go
+++ b/pkg/daemon/policies.go
@@ -24,9 +24,9 @@
 	case settings.RoutingLeastOutstanding:
 		return scheduling.NewPipeline(filters, scheduling.LeastOutstandingScorers(), picker)
 	}
-	p := scheduling.NewPipeline(filters, scheduling.DefaultScorers(d.topology), picker)
-	p.Index = d.prefixes
-	return p
+	byCost := scheduling.NewPipeline(filters, scheduling.DefaultScorers(d.topology), picker)
+	byCost.Index = d.prefixes
+	return byCost
 }
 
 func queueOrder(policy string) admission.Order {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -57,6 +57,7 @@
 	group.Go(func() { d.admission.Run(background) })
 	group.Go(func() { d.applyChanges(background) })
 	group.Go(func() { d.followPeers(background) })
+	group.Go(func() { d.followInstances(background) })
 	group.Go(func() { d.runPlacement(control) })
 
 	var err error
@@ -105,12 +106,14 @@
 	d.draining.Store(true)
 	stopControl()
 	sleep(context.Background(), config.Milliseconds(d.settings.Shutdown.GraceMs))
-	d.admission.Drain()
 	ctx, cancel := context.WithTimeout(context.Background(), config.Milliseconds(d.settings.Shutdown.DrainMs))
 	defer cancel()
+	// The gateway refuses new calls. Admission must not refuse yet: calls in flight still ask it, after their claim and
+	// before each further attempt.
 	if err := d.gateway.Drain(ctx); err != nil {
 		d.log.Error("requests were still in flight at the end of the drain time", zap.Error(err))
 	}
+	d.admission.Drain()
 }
 
 func (d *Daemon) closeServers() {
@@ -133,6 +136,9 @@
 	d.services.Close()
 	d.serviceLoads.Close()
 	d.storeClient.Close()
+	if d.instances != nil {
+		d.instances.Close()
+	}
 	if err := d.metrics.Close(); err != nil {
 		d.log.Warn("metrics", zap.Error(err))
 	}
@@ -140,10 +146,13 @@
 
 // applyChanges puts each configuration into effect in all components.
 func (d *Daemon) applyChanges(ctx context.Context) {
+	var previous *config.Snapshot
 	for ctx.Err() == nil {
 		changed := d.syncer.Changed()
 		if snapshot := d.syncer.Current(); snapshot != nil {
 			d.apply(snapshot)
+			d.forgetEndpoints(previous, snapshot)
+			previous = snapshot
 		}
 		select {
 		case <-ctx.Done():
@@ -154,8 +163,8 @@
 
 func (d *Daemon) apply(snapshot *config.Snapshot) {
 	limits := limitsOf(snapshot)
-	d.modelPacer.setLimits(limits.modelsPerSecond, limits.concurrentModels)
-	d.adapterPacer.setLimits(0, limits.concurrentAdapters)
+	d.modelPacer.Set(limits.modelsPerSecond, limits.concurrentModels)
+	d.adapterPacer.Set(0, limits.concurrentAdapters)
 	d.topology.Apply(snapshot)
 	d.registry.Apply(snapshot)
 	d.admission.Apply(snapshot)
@@ -173,3 +182,15 @@
 		sleep(ctx, peerCheckInterval)
 	}
 }
+
+// forgetEndpoints drops the retry state of endpoints that are not declared any more.
+func (d *Daemon) forgetEndpoints(previous, current *config.Snapshot) {
+	if previous == nil {
+		return
+	}
+	for _, e := range previous.Records().Endpoints {
+		if current.Endpoint(e.Name) == nil {
+			d.retryBudget.Forget(e.Name)
+		}
+	}
+}
--- a/pkg/peer/bench_test.go
+++ b/pkg/peer/bench_test.go
@@ -59,7 +59,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	httpServer := NewHTTPServer(NewServer(server, nil, nil), "", nil)
+	httpServer := NewHTTPServer(NewServer(server, nil, nil), "", false)
 	go func() { _ = httpServer.Serve(countingListener{Listener: listener, bytes: &bytes}) }()
 	defer func(s *http.Server) { _ = s.Close() }(httpServer)
 	address := listener.Addr().String()
@@ -119,6 +119,7 @@
 		Local:     &fakeLocal{load: newLoad()},
 		Sink:      &fakeSink{loads: make(map[string]Load)},
 		Announcer: &fakeAnnouncer{seen: make(map[string]int64)},
+		Control:   &fakeMeter{},
 		Dial:      NewDialer(token, nil),
 		Log:       zap.NewNop(),
 		Scope:     tally.NoopScope,
