--- a/pkg/daemon/world_test.go
+++ b/pkg/daemon/world_test.go
@@ -20,6 +20,7 @@
 	"go.uber.org/zap"
 
 	standin "github.com/mulberryglade/mulberryglade/internal/standin/engine"
+	"github.com/mulberryglade/mulberryglade/internal/standin/link"
 	"github.com/mulberryglade/mulberryglade/internal/testbed"
 	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -44,6 +45,18 @@
 	dcA, dcB, dcC = "kathmandu-a", "lalitpur-b", "pokhara-a"
 )
 
+// outboundAddress is the address that connections of a data centre's instances come from.
+var outboundAddress = map[string]string{dcA: "127.0.1.1", dcB: "127.0.1.2", dcC: "127.0.1.3"}
+
+func dataCentreOf(from net.Addr) string {
+	for dc, address := range outboundAddress {
+		if from.(*net.TCPAddr).IP.String() == address {
+			return dc
+		}
+	}
+	return ""
+}
+
 type fields = map[string]any
 
 // worldOptions describe a deployment. Zero values give one engine and one replica of the order desk in data centre A.
@@ -55,6 +68,8 @@
 	ignoresFencing bool
 	models         []fields
 	engine         standin.Options
+	// partitions puts a network that can be cut in front of the endpoints, until these restart.
+	partitions bool
 	// placed skips the first loads: each engine starts with all models in memory.
 	placed bool
 }
@@ -124,7 +139,9 @@
 
 // world is a deployment on loopback.
 type world struct {
-	bed       *testbed.Testbed
+	bed *testbed.Testbed
+	// network lies between instances and endpoints; it knows a data centre by its loopback address.
+	network   *link.Network
 	instances map[string]*instance
 	// storeAhead is the time by which the store's clock is ahead, in nanoseconds.
 	storeAhead atomic.Int64
@@ -151,6 +168,8 @@
 	}
 	text, err := json.Marshal(fields{"schemaVersion": 2, "records": declarations(o)})
 	Expect(err).NotTo(HaveOccurred())
+	w := &world{instances: make(map[string]*instance)}
+	w.network = link.NewNetwork(func(_, _ string) link.Path { return link.Path{} }, dataCentreOf)
 	bed, err := testbed.Start(testbed.Options{
 		Declarations: fstest.MapFS{"d/all.json": {Data: text}},
 		Folder:       "d",
@@ -159,9 +178,16 @@
 			options.Faults = standin.NewFaults()
 			return options
 		},
+		Listen: func(dataCentre string) (net.Listener, error) {
+			inner, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil || !o.partitions || dataCentre == "" {
+				return inner, err
+			}
+			return w.network.Listen(inner, dataCentre), nil
+		},
 	})
 	Expect(err).NotTo(HaveOccurred())
-	w := &world{bed: bed, instances: make(map[string]*instance)}
+	w.bed = bed
 	DeferCleanup(w.close)
 	bed.Store.Now = func() time.Time { return time.Now().Add(time.Duration(w.storeAhead.Load())) }
 	Expect(bed.Apply(context.Background(), "initial")).To(Succeed())
@@ -197,6 +223,7 @@
 	s.SeedPeers = append([]string(nil), w.seeds...)
 	s.Shutdown.GraceMs = 0
 	s.ExchangeIntervalMs = 100
+	s.OutboundAddress = outboundAddress[dc]
 	d, err := daemon.New(s, zap.NewNop())
 	Expect(err).NotTo(HaveOccurred())
 	i := &instance{Daemon: d, wire: daemon.NewWire(d), store: store, ended: make(chan struct{})}
@@ -258,6 +285,25 @@
 	w.bed.Store.ExpireLeases()
 }
 
+// setPartition cuts a data centre off from the others and from the store, or reconnects it.
+func (w *world) setPartition(dc string, cut bool) {
+	for other := range outboundAddress {
+		if other != dc {
+			w.network.SetCut(dc, other, cut)
+		}
+	}
+	for _, i := range w.instances {
+		if i.Status().DataCentre == dc {
+			i.store.set(!cut)
+		}
+		for _, other := range w.instances {
+			if (i.Status().DataCentre == dc) != (other.Status().DataCentre == dc) {
+				i.wire.SetReachable(other.Addresses().Peer, !cut)
+			}
+		}
+	}
+}
+
 // crash ends the process of an instance abruptly.
 func (i *instance) crash() {
 	i.store.set(false)
