--- a/pkg/config/records.go
+++ b/pkg/config/records.go
@@ -92,7 +92,7 @@
 	Share float64   `json:"share"`
 	Keys  []KeyHash `json:"keys"`
 	// MaxConcurrentRequests bounds the member's requests at one entry instance; zero means no bound. Schema version 2.
-	MaxConcurrentRequests int `json:"maxConcurrentRequests,omitempty"`
+	MaxConcurrentRequests int `json:"maxConcurrentRequests,omitempty" since:"2"`
 }
 
 // ServiceType tells engine services from plain HTTP services.
@@ -166,8 +166,11 @@
 	KVReserveBytes int64 `json:"kvReserveBytes"`
 	// AcceleratorsPerCopy is the number of accelerators of one endpoint that a copy spans.
 	AcceleratorsPerCopy int `json:"acceleratorsPerCopy"`
-	MinCopies           int `json:"minCopies"`
-	MaxCopies           int `json:"maxCopies"`
+	// MinCopies counts over the whole deployment. Each data centre with endpoints of the service keeps an equal part,
+	// rounded up, and at least one copy where it fits.
+	MinCopies int `json:"minCopies"`
+	// MaxCopies counts within one data centre.
+	MaxCopies int `json:"maxCopies"`
 	// Priority is passed to the engine; higher runs first.
 	Priority         int   `json:"priority,omitempty"`
 	DefaultTimeoutMs int64 `json:"defaultTimeoutMs"`
@@ -175,8 +178,8 @@
 	MaxInputTokens   int   `json:"maxInputTokens"`
 	MaxOutputTokens  int   `json:"maxOutputTokens"`
 	// FirstTokenTargetMs and BetweenTokensTargetMs define "answered in time". Schema version 2; zero means 340 and 27.
-	FirstTokenTargetMs    int64 `json:"firstTokenTargetMs,omitempty"`
-	BetweenTokensTargetMs int64 `json:"betweenTokensTargetMs,omitempty"`
+	FirstTokenTargetMs    int64 `json:"firstTokenTargetMs,omitempty" since:"2"`
+	BetweenTokensTargetMs int64 `json:"betweenTokensTargetMs,omitempty" since:"2"`
 }
 
 // Adapter is an adapter of a model; callers name it as a model id of its own.
--- /dev/null
+++ b/pkg/scheduling/topology_test.go
@@ -0,0 +1,67 @@
+package scheduling_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/pkg/config"
+	"github.com/mulberryglade/mulberryglade/pkg/endpoints"
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
+)
+
+// Guards against calls that use more of the region link than its rate, and against calls that delay control traffic.
+func TestLinkBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		budget := scheduling.NewLinkBudget(8000) // 1000 bytes per second, of which 200 are kept for control traffic
+		g.Expect(budget.Has(800)).To(BeTrue())
+		g.Expect(budget.Has(1_000_000)).To(BeTrue(), "a call larger than the burst is sent when the bucket is full")
+		budget.Take(800)
+		g.Expect(budget.Has(1)).To(BeFalse())
+		budget.TakeControl(200)
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(budget.Has(1)).To(BeFalse(), "control traffic is paid back first")
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(budget.Has(500)).To(BeTrue())
+		g.Expect(budget.Has(501)).To(BeFalse())
+
+		sent := 0
+		for range 1000 {
+			if budget.Has(100) {
+				budget.Take(100)
+				sent += 100
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		g.Expect(sent).To(BeNumerically("<=", 10*1000+800))
+		g.Expect(sent).To(BeNumerically(">=", 9*1000))
+	})
+}
+
+// Guards against a link budget that calls within the region use up, or that keeps what a short response did not need.
+func TestLinkIsChargedForOtherRegions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		records := config.Records{DataCentres: []config.DataCentre{
+			{Header: config.Header{Name: "a"}, Region: "near"},
+			{Header: config.Header{Name: "b"}, Region: "near"},
+			{Header: config.Header{Name: "c"}, Region: "far"},
+		}}
+		topology := scheduling.NewSnapshotTopology("a")
+		g.Expect(topology.Distance("b")).To(Equal(scheduling.OtherRegion), "nothing is known yet")
+		topology.Apply(config.NewSnapshot(1, time.Time{}, records))
+		budget := scheduling.NewLinkBudget(8000)
+		link := &scheduling.Link{Topology: topology, Budget: budget}
+		request := scheduling.Request{Bytes: 100, OutputTokens: 3}
+		for dataCentre, charged := range map[string]int{"a": 0, "b": 0, "c": 600, "unknown": 600} {
+			state := serving(func(s *endpoints.State) { s.Endpoint.DataCentre = dataCentre })
+			g.Expect(link.Charge(&request, &state)).To(Equal(charged), dataCentre)
+			link.Settle(charged, &request, 0)
+		}
+		g.Expect(budget.Has(600)).To(BeTrue())
+		g.Expect(budget.Has(601)).To(BeFalse(), "two calls took 100 bytes each")
+	})
+}
