Favour calls of members within their share at full endpoints

With seven instances and a member at 100 times its share, the other members' calls all completed but met their target of 0.3 s to the first token in 25% of cases: an instance waited for one of its own one or two calls at a full endpoint to end. A member within its share may now use an instance's whole limit there, and its calls come first in the engine's queue. The load tool can write a line per call.

--- a/cmd/mulberryglade-load/run.go
+++ b/cmd/mulberryglade-load/run.go
@@ -26,6 +26,7 @@
 	Warmup     time.Duration `long:"warmup" description:"load before the measured time" default:"6s"`
 	Duration   time.Duration `long:"duration" description:"measured time" default:"24s"`
 	Slots      int           `long:"slots" description:"requests that an engine runs at once" default:"8"`
+	Calls      bool          `long:"calls" description:"write a JSON line for each call"`
 	LogLevel   string        `long:"daemon-log-level" description:"log level of the daemons" default:"info"`
 
 	ctx context.Context
@@ -61,6 +62,10 @@
 
 func (c *runCommand) runOne(scenario loadtest.Scenario, policies settings.Policies, seed uint64) error {
 	name := fmt.Sprintf("%s-%s-%s-%d", c.Deployment, scenario.Name, loadtest.PolicyName(policies), seed)
+	calls := ""
+	if c.Calls {
+		calls = filepath.Join(c.Out, name+".calls.jsonl")
+	}
 	report, err := loadtest.Experiment{
 		Binary:     c.Daemon,
 		Folder:     filepath.Join(c.Out, name+".logs"),
@@ -72,6 +77,7 @@
 		Warmup:     c.Warmup,
 		Duration:   c.Duration,
 		Slots:      c.Slots,
+		Calls:      calls,
 		LogLevel:   c.LogLevel,
 	}.Run(c.ctx)
 	if err != nil {
--- a/internal/loadtest/client.go
+++ b/internal/loadtest/client.go
@@ -23,6 +23,8 @@
 // Observation is what a caller saw of one call.
 type Observation struct {
 	Arrival Arrival
+	// Address is the instance that the call was sent to.
+	Address string
 	// Lateness is how much later than scheduled the call was sent; it is part of the caller's waiting time.
 	Lateness time.Duration
 	Status   int
@@ -76,7 +78,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	c.prepare(request, address, a)
 	started := time.Now()
-	o := Observation{Arrival: a, Lateness: started.Sub(scheduled)}
+	o := Observation{Arrival: a, Address: address, Lateness: started.Sub(scheduled)}
 	if err := c.http.DoTimeout(request, response, callTimeout); err != nil {
 		o.Err = err.Error()
 		o.Total = time.Since(scheduled)
--- a/internal/loadtest/compare.go
+++ b/internal/loadtest/compare.go
@@ -21,6 +21,25 @@
 	return errors.WithStack(os.WriteFile(path, append(text, '\n'), filePrivate))
 }
 
+// writeCalls writes one line per call.
+func writeCalls(path string, observations []Observation) error {
+	if path == "" {
+		return nil
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer file.Close()
+	encoder := json.NewEncoder(file)
+	for _, o := range observations {
+		if err := encoder.Encode(o); err != nil {
+			return errors.WithStack(err)
+		}
+	}
+	return errors.WithStack(file.Sync())
+}
+
 // ReadReport reads what WriteReport wrote.
 func ReadReport(path string) (Report, error) {
 	text, err := os.ReadFile(path)
--- a/internal/loadtest/experiment.go
+++ b/internal/loadtest/experiment.go
@@ -53,7 +53,9 @@
 	Warmup     time.Duration
 	Duration   time.Duration
 	// Slots is the number of requests that an engine runs at once.
-	Slots    int
+	Slots int
+	// Calls names a file that takes one JSON line per measured call; empty means none.
+	Calls    string
 	LogLevel string
 }
 
@@ -108,7 +110,7 @@
 		r.note("shutdown: %v", err)
 	}
 	r.finish(&report, observations)
-	return report, nil
+	return report, writeCalls(r.Calls, observations)
 }
 
 func (r *run) note(format string, args ...any) {
--- a/internal/loadtest/report.go
+++ b/internal/loadtest/report.go
@@ -75,6 +75,9 @@
 	// Tokens are the output tokens received and Demanded those that its calls asked for.
 	Tokens   int `json:"tokens"`
 	Demanded int `json:"demandedTokens"`
+	// FirstToken and Outcomes are as in Report.
+	FirstToken Quantiles      `json:"firstToken"`
+	Outcomes   map[string]int `json:"outcomes"`
 }
 
 // Report is the result of one run.
@@ -167,6 +170,7 @@
 	for i := range report.Series {
 		report.Series[i].Second = i
 	}
+	firstOf := make(map[string]latencies)
 	complete := 0
 	for _, o := range observations {
 		inTime := InTime(o, targets, order)
@@ -181,12 +185,22 @@
 		}
 		if o.Tokens > 0 {
 			first.add(o.FirstToken)
+			if _, known := firstOf[o.Arrival.Member]; !known {
+				firstOf[o.Arrival.Member] = newLatencies()
+			}
+			firstOf[o.Arrival.Member].add(o.FirstToken)
 		}
 		if o.Tokens > 1 {
 			between.add(o.BetweenTokens)
 		}
 		report.count(o, inTime)
 	}
+	for name, m := range report.Members {
+		if l, known := firstOf[name]; known {
+			m.FirstToken = l.quantiles()
+			report.Members[name] = m
+		}
+	}
 	report.Attainment = ratio(report.InTime, report.Calls)
 	report.AttainmentPerAccelerator = float64(report.InTime) / float64(max(1, report.Accelerators)) / report.Seconds
 	report.Goodput = float64(complete) / report.Seconds
@@ -197,6 +211,10 @@
 
 func (r *Report) count(o Observation, inTime bool) {
 	m := r.Members[o.Arrival.Member]
+	if m.Outcomes == nil {
+		m.Outcomes = make(map[string]int)
+	}
+	m.Outcomes[outcomeOf(o)]++
 	m.Calls++
 	m.Tokens += o.Tokens
 	if o.Arrival.Kind == ModelCall {
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -20,7 +20,7 @@
 	if c.calls == 0 || c.snapshot == nil {
 		return
 	}
-	pass := &dispatchPass{eligible: eligible, part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool)}
+	pass := &dispatchPass{eligible: eligible, part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool), favoured: make(map[string]bool)}
 	for c.grantNext(pass) {
 	}
 }
@@ -32,6 +32,8 @@
 	part    float64
 	states  map[modelKey][]endpoints.State
 	blocked map[modelKey]bool
+	// favoured remembers which members the order favours.
+	favoured map[string]bool
 }
 
 // statesFor reads the endpoints that have what the calls of a queue need.
@@ -48,9 +50,6 @@
 	default:
 		states = registry.States(w.key.service)
 	}
-	for i := range states {
-		states[i].Part = p.part
-	}
 	p.states[w.key] = states
 	return states
 }
@@ -70,8 +69,12 @@
 func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
 	for _, w := range q.waiters {
 		states := pass.statesFor(c.parts.Registry, w)
+		for i := range states {
+			states[i].Part = pass.partFor(c, w.request.Member)
+		}
 		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
 		if blocked == scheduling.Chosen {
+			decision.Priority = pass.priorityOf(c, &w.request)
 			c.setNotLoaded(q, false)
 			c.grantOrRefuse(w, decision, &states[index])
 			// The counts of the endpoint changed for every model that it serves.
--- a/pkg/admission/order.go
+++ b/pkg/admission/order.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
 
 // Order decides which waiting call starts next, and which one is refused when the queue is full.
@@ -11,6 +13,8 @@
 	queues(c *Controller, pass *dispatchPass) []*modelQueue
 	// victim returns the call to refuse; byBytes is true when the bound in bytes is exceeded.
 	victim(c *Controller, byBytes bool) *waiter
+	// favours tells whether the member's calls may start at full endpoints and precede others in the engines' queues.
+	favours(c *Controller, member string) bool
 }
 
 // FairOrder takes members by fair share, and the models of a member by fair share within it.
@@ -55,6 +59,41 @@
 	return c.heaviest(byBytes).newest()
 }
 
+// favours is true for a member within its share. An instance has only one or two calls at each of the endpoints that a noisy
+// member fills through all instances. A call of a quiet member that waited for one of these to end would miss its target;
+// at the head of the engine's queue it waits for the next of all calls there to end.
+func (FairOrder) favours(c *Controller, member string) bool {
+	return c.parts.Shares.WithinShare(member)
+}
+
+// favouredPriority exceeds the difference of any two declared priorities.
+const favouredPriority = 1 << 22
+
+// priorityOf returns the priority of a call in the engine's queue.
+func (p *dispatchPass) priorityOf(c *Controller, request *scheduling.Request) int {
+	if p.favours(c, request.Member) {
+		return request.Priority + favouredPriority
+	}
+	return request.Priority
+}
+
+func (p *dispatchPass) favours(c *Controller, member string) bool {
+	favoured, known := p.favoured[member]
+	if !known {
+		favoured = c.parts.Order.favours(c, member)
+		p.favoured[member] = favoured
+	}
+	return favoured
+}
+
+// partFor is the part of a full endpoint that this instance may fill with the member's calls.
+func (p *dispatchPass) partFor(c *Controller, member string) float64 {
+	if p.favours(c, member) {
+		return 1
+	}
+	return p.part
+}
+
 // mayStart tells whether the queue has calls that were not yet found blocked in this pass.
 func (p *dispatchPass) mayStart(q *modelQueue) bool {
 	return len(q.waiters) > 0 && !p.blocked[q.key] && p.eligible(q.key)
@@ -78,6 +117,8 @@
 	return queues
 }
 
+func (ArrivalOrder) favours(*Controller, string) bool { return false }
+
 func (ArrivalOrder) victim(c *Controller, _ bool) *waiter {
 	var newest *waiter
 	for _, m := range c.members {
--- a/pkg/dispatch/model.go
+++ b/pkg/dispatch/model.go
@@ -46,12 +46,13 @@
 	return d
 }
 
-func (c ModelCall) engineCall() engine.Call {
+// engineCall returns the call with the priority that admission gave it.
+func (c ModelCall) engineCall(ticket admission.Ticket) engine.Call {
 	return engine.Call{
 		RequestID: c.Request.ID,
 		Path:      c.Path,
 		Body:      c.Body,
-		Priority:  c.Request.Priority,
+		Priority:  ticket.Decision().Priority,
 		Deadline:  c.Request.Deadline,
 	}
 }
@@ -66,7 +67,7 @@
 	var response engine.Response
 	failed := d.run(ctx, call.Request, modelMayRetry, func(ticket admission.Ticket) (admission.Result, error) {
 		began := d.options.Now()
-		got, err := d.inference.Complete(ctx, ticket.Target(), call.engineCall())
+		got, err := d.inference.Complete(ctx, ticket.Target(), call.engineCall(ticket))
 		result := admission.Result{
 			InputTokens:  got.InputTokens,
 			OutputTokens: got.OutputTokens,
@@ -102,7 +103,7 @@
 	var opened *ModelStream
 	failed := d.run(ctx, call.Request, modelMayRetry, func(ticket admission.Ticket) (admission.Result, error) {
 		began := d.options.Now()
-		stream, err := d.inference.Open(ctx, ticket.Target(), call.engineCall(), 0)
+		stream, err := d.inference.Open(ctx, ticket.Target(), call.engineCall(ticket), 0)
 		if err != nil {
 			d.abandon(ticket.Target(), call, err)
 			return admission.Result{Duration: d.options.Now().Sub(began)}, err
@@ -200,7 +201,7 @@
 	for err := cause; s.mayResume(err); {
 		s.resumes++
 		var stream engine.Stream
-		stream, err = d.inference.Open(s.ctx, s.ticket.Target(), s.call.engineCall(), s.next)
+		stream, err = d.inference.Open(s.ctx, s.ticket.Target(), s.call.engineCall(s.ticket), s.next)
 		if err == nil {
 			s.stream = stream
 			d.resumed.Inc(1)
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -188,6 +188,23 @@
 	return local / all
 }
 
+// WithinShare tells whether the member's recent service, here and at other instances, is at most its share of that of all
+// active members.
+func (a *Accountant) WithinShare(member string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	var shares, service float64
+	for _, account := range a.members.accounts {
+		if account.active(now) {
+			shares += account.share
+			service += account.recent(now)
+		}
+	}
+	account := a.member(member)
+	return account.recent(now)*shares <= service*account.share
+}
+
 // Local returns this instance's usage, ordered by member.
 func (a *Accountant) Local() []Usage {
 	a.mu.Lock()
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -221,3 +221,18 @@
 		g.Expect(a.LocalPart()).To(Equal(0.25), "b is idle again")
 	})
 }
+
+// Guards against favouring a member that takes more than its share, and against not favouring one whose share is unused.
+func TestWithinShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		a := fairshare.NewAccountant(fairshare.DefaultWeights())
+		a.SetShares(map[string]float64{"quiet": 3, "noisy": 1})
+		g.Expect(a.WithinShare("quiet")).To(BeTrue(), "without any service")
+		for member, tokens := range map[string]int{"quiet": 100, "noisy": 900} {
+			a.Start(member, "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: tokens})
+		}
+		g.Expect(a.WithinShare("quiet")).To(BeTrue())
+		g.Expect(a.WithinShare("noisy")).To(BeFalse())
+	})
+}
--- a/pkg/fairshare/level.go
+++ b/pkg/fairshare/level.go
@@ -120,6 +120,11 @@
 	return a.waiting+a.remoteWaiting > 0 || a.localRecent.at(now)+a.remoteRecent.at(now) >= leastRecent
 }
 
+// recent is the member's recent service over all instances.
+func (a *account) recent(now time.Time) float64 {
+	return a.localRecent.at(now) + a.remoteRecent.at(now)
+}
+
 // localFraction is the part of the member's activity that is here. A member that begins to wait here has no recent service
 // yet, so that the fraction of waiting calls counts when it is higher.
 func (a *account) localFraction(now time.Time) float64 {
--- a/pkg/scheduling/scheduling.go
+++ b/pkg/scheduling/scheduling.go
@@ -63,6 +63,8 @@
 	Reason     string      `json:"reason"`
 	Candidates []Candidate `json:"candidates"`
 	RuledOut   []Exclusion `json:"ruledOut"`
+	// Priority is the priority of the call in the engine's queue; admission sets it.
+	Priority int `json:"priority"`
 	// Passed and Considered count the endpoints that passed the filters and all that were looked at. The lists above are
 	// bounded and may name fewer.
 	Passed     int `json:"passed"`
