--- a/pkg/daemon/orders_test.go
+++ b/pkg/daemon/orders_test.go
@@ -33,10 +33,13 @@
 var _ = Describe("an order that must run at most once", Ordered, func() {
 	var w *world
 	var a, b *instance
-	desk := func() *service.Service { return w.bed.Services[deskName(dcA, 0)] }
+	// desks sets the fault of the calls of both replicas, so that a call that is wrongly repeated meets it again.
+	desks := func(fault service.Fault) {
+		w.eachDesk(func(s *service.Service) { s.Always(fault) })
+	}
 
 	BeforeAll(func() {
-		w = newWorld(worldOptions{dataCentres: []string{dcA}, placed: true})
+		w = newWorld(worldOptions{desks: 2, placed: true})
 		a = w.startReady("entry-1", dcA)
 		b = w.startReady("entry-2", dcA)
 		Eventually(func() int { return len(a.Status().Peers) + len(b.Status().Peers) }).Should(Equal(2))
@@ -44,7 +47,7 @@
 
 	AfterEach(func() {
 		w.bed.Store.Faults.SetDown(false)
-		desk().Always(service.Fault{})
+		desks(service.Fault{})
 	})
 
 	// Guards against two instances that each send a call with the same key.
@@ -114,7 +117,7 @@
 
 	// Guards against a second run of an order whose response could not be recorded.
 	It("does not run again when the store went down during the call", func() {
-		desk().Next(service.Fault{Hook: func() { w.bed.Store.Faults.SetDown(true) }})
+		desks(service.Fault{Hook: func() { w.bed.Store.Faults.SetDown(true) }})
 		first := a.order("unrecorded", "unrecorded")
 		Expect(first.outcome()).To(BeEmpty(), first.body)
 		w.bed.Store.Faults.SetDown(false)
@@ -125,7 +128,7 @@
 
 	DescribeTable("does not run again after a failure at the service",
 		func(id string, fault service.Fault, executions int) {
-			desk().Next(fault)
+			desks(fault)
 			first := a.order(id, id)
 			Expect(first.outcome()).To(Equal(problem.Unknown), first.body)
 			second := b.order(id, id)
@@ -145,8 +148,9 @@
 
 	// Guards against a key that stays used although the service said that it did not run the order.
 	It("can be sent again with its key after the service refused it", func() {
-		desk().Next(service.Fault{Refuse: true})
+		desks(service.Fault{Refuse: true})
 		first := a.order("refused", "refused")
+		desks(service.Fault{})
 		w.checkHonest("refused", first)
 		Expect(first.outcome()).To(Equal(problem.NotRun), first.body)
 		second := b.order("refused", "refused")
@@ -157,14 +161,15 @@
 	// Guards against a wrong outcome, or a retry, when the process that runs the order ends.
 	It("is reported as unknown when the service is killed during the call", func() {
 		reached := make(chan struct{})
-		desk().Next(service.Fault{Hook: func() { close(reached) }, Delay: time.Hour})
+		desks(service.Fault{Hook: sync.OnceFunc(func() { close(reached) }), Delay: time.Hour})
 		first := inBackground(func() reply { return a.order("killed", "killed") })
 		Eventually(reached).Should(BeClosed())
-		desk().Down()
+		w.eachDesk((*service.Service).Down)
 		var told reply
 		Eventually(first).Should(Receive(&told))
 		Expect(told.outcome()).To(Equal(problem.Unknown), told.body)
-		Expect(desk().Up()).To(Succeed())
+		w.eachDesk(func(s *service.Service) { Expect(s.Up()).To(Succeed()) })
+		desks(service.Fault{})
 		second := b.order("killed", "killed")
 		Expect(second.outcome()).To(Equal(problem.Unknown), second.body)
 		w.checkHonest("killed", told, second)
@@ -198,7 +203,7 @@
 	var a, b *instance
 
 	BeforeEach(func() {
-		w = newWorld(worldOptions{dataCentres: []string{dcA}, placed: true})
+		w = newWorld(worldOptions{placed: true})
 		a = w.startReady("entry-1", dcA)
 		b = w.startReady("entry-2", dcA)
 		Eventually(func() int { return len(a.Status().Peers) + len(b.Status().Peers) }).Should(Equal(2))
