--- a/pkg/configstore/bench_test.go
+++ b/pkg/configstore/bench_test.go
@@ -1,6 +1,8 @@
 package configstore_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"runtime"
 	"testing"
@@ -60,6 +62,11 @@
 		}
 	}
 	b.ReportMetric(retained(repository)/float64(count), "retainedB/record")
+	after, err := repository.Read(ctx, before)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(fetched(b, store, before.Missing(after.Head))), "gzipB")
 }
 
 // BenchmarkChangeCalls counts the calls of the store for one change, at the writer and at
@@ -125,6 +132,25 @@
 func (c calls) plus(o calls) calls  { return calls{c.reads + o.reads, c.writes + o.writes} }
 func (c calls) minus(o calls) calls { return calls{c.reads - o.reads, c.writes - o.writes} }
 
+// fetched returns the size of the head and of the bundles as a peer receives them, compressed.
+func fetched(b *testing.B, store *kv.Memory, digests []string) int {
+	var compressed bytes.Buffer
+	writer := gzip.NewWriter(&compressed)
+	keys := []string{"p/config/head"}
+	for _, digest := range digests {
+		keys = append(keys, "p/config/bundles/"+digest)
+	}
+	for _, key := range keys {
+		value, found, _, err := store.Get(ctx, key)
+		if err != nil || !found {
+			b.Fatal(key, err)
+		}
+		_, _ = writer.Write(value.Value)
+	}
+	_ = writer.Close()
+	return compressed.Len()
+}
+
 // retained returns the bytes of heap that contents and snapshot keep.
 func retained(repository *configstore.Repository) float64 {
 	var before, after runtime.MemStats
