--- a/pkg/daemon/placement_test.go
+++ b/pkg/daemon/placement_test.go
@@ -37,15 +37,22 @@
 // holder returns the instance that holds the placement lease of its data centre, or nil.
 func (w *world) holder() *instance {
 	for _, i := range w.instances {
-		for _, shard := range i.Status().Placement {
-			if shard.Held {
-				return i
-			}
+		if i.holds() {
+			return i
 		}
 	}
 	return nil
 }
 
+func (i *instance) holds() bool {
+	for _, shard := range i.Status().Placement {
+		if shard.Held {
+			return true
+		}
+	}
+	return false
+}
+
 // lossRecorder notes models that had a loaded copy and have none when an order reaches an engine.
 type lossRecorder struct {
 	mu   sync.Mutex
@@ -149,6 +156,28 @@
 		Eventually(w.unloaded).WithArguments("", "menu", "supply").Should(BeEmpty())
 		Consistently(w.bed.Violations, "1s").Should(BeZero())
 	})
+
+	// Guards against two instances that place at the same time, one of which does not know that its lease ended.
+	It("passes to another instance when the lease holder loses the store", func() {
+		w := newWorld(worldOptions{ignoresFencing: ignoresFencing, models: []fields{model("menu"), model("supply")}})
+		a := w.startReady("entry-1", dcA)
+		b := w.startReady("entry-2", dcA)
+		Eventually(w.unloaded).WithArguments("1", "menu", "supply").Should(BeEmpty())
+		Eventually(w.holder).ShouldNot(BeNil())
+		former, other := w.holder(), a
+		if former == a {
+			other = b
+		}
+		former.store.set(false)
+		w.expireLeases()
+		Eventually(other.holds).Should(BeTrue())
+		Eventually(former.holds).Should(BeFalse())
+		revision := w.apply("version", setVersion("2", "menu")).Revision
+		former.store.set(true)
+		w.inEffect(revision)
+		Eventually(w.unloaded).WithArguments("", "menu", "supply").Should(BeEmpty())
+		Expect(w.bed.Violations()).To(BeZero())
+	})
 },
 	Entry("check fencing numbers", false),
 	Entry("ignore fencing numbers", true),
