--- a/pkg/placement/weighted.go
+++ b/pkg/placement/weighted.go
@@ -69,6 +69,7 @@
 		adapters: adaptersByName(state.Snapshot),
 		spare:    make(map[spareKey]spareCopies),
 	}
+	p.dropOtherServices()
 	p.sortByNeedHere()
 	deployment := state.Snapshot.Deployment()
 	p.loads = limitOf(deployment.ConcurrentModelLoads)
@@ -87,6 +88,20 @@
 	return declared
 }
 
+// dropOtherServices leaves out models and adapters of services that declare no endpoint in the data centre: they are not
+// missing here.
+func (p *planning) dropOtherServices() {
+	here := make(map[string]bool)
+	for _, endpoint := range p.state.Endpoints {
+		here[endpoint.Declaration.Service] = true
+	}
+	p.models = slices.DeleteFunc(p.models, func(m *config.Model) bool { return !here[m.Service] })
+	p.adapters = slices.DeleteFunc(p.adapters, func(a *config.Adapter) bool {
+		m := p.state.Snapshot.Model(a.Model)
+		return m == nil || !here[m.Service]
+	})
+}
+
 // sortByNeedHere puts models without a copy in another data centre first. Among models of one size the order differs
 // between data centres, so that a shortage does not leave out the same models everywhere.
 func (p *planning) sortByNeedHere() {
@@ -184,7 +199,7 @@
 		n := name{kind: engine.KindModel, id: m.Name}
 		current := func(c *copyOf) bool { return c.artifact == ModelArtifact(m) && c.serves() }
 		for _, s := range p.holders[n] {
-			if m.MaxCopies <= 0 || p.count(n, current) <= max(m.MaxCopies, m.MinCopies) {
+			if m.MaxCopies <= 0 || p.count(n, current) <= max(m.MaxCopies, p.minimum(m)) {
 				break
 			}
 			c := s.any(n, current)
@@ -225,7 +240,7 @@
 	if p.replace(m, reason, keepOne, unbounded) || p.relocateFor(m) {
 		return
 	}
-	p.unplace(ModelArtifact(m), max(m.MinCopies, 1), 0, "no endpoint has enough memory, and no copy can be spared or moved")
+	p.unplace(ModelArtifact(m), p.minimum(m), 0, "no endpoint has enough memory, and no copy can be spared or moved")
 }
 
 func (p *planning) isUnplaced(artifact engine.Artifact) bool {
@@ -241,17 +256,17 @@
 	return true
 }
 
-// ensureMinimum loads up to the declared minimum into free memory or in place of copies above other models' minimum.
+// ensureMinimum loads up to the data centre's part of the declared minimum into free memory or in place of copies above other models' minimum.
 func (p *planning) ensureMinimum(m *config.Model) {
 	n := name{kind: engine.KindModel, id: m.Name}
 	copies := p.count(n, (*copyOf).counts)
 	if copies == 0 {
 		return
 	}
-	for ; copies < m.MinCopies && p.loads > 0; copies++ {
+	for ; copies < p.minimum(m) && p.loads > 0; copies++ {
 		const reason = "below the declared minimum"
 		if !p.tryLoad(m, reason) && !p.replace(m, reason, respectMinimum, unbounded) {
-			p.unplace(ModelArtifact(m), m.MinCopies, copies, "no endpoint of the service has enough memory to spare")
+			p.unplace(ModelArtifact(m), p.minimum(m), copies, "no endpoint of the service has enough memory to spare")
 			return
 		}
 	}
