--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -28,9 +28,10 @@
 	Load(ctx context.Context, target engine.Target) (ServiceLoad, error)
 }
 
-// startPoller starts the goroutine of one endpoint when Run is active. The caller holds the lock.
+// startPoller starts the goroutine of one endpoint when Run is active. In a fleet that shares reports the sweeper polls
+// instead. The caller holds the lock.
 func (r *Registry) startPoller(e *entry) {
-	if r.ctx == nil || e.stop != nil {
+	if r.ctx == nil || e.stop != nil || r.shares() {
 		return
 	}
 	ctx, stop := context.WithCancel(r.ctx)
@@ -43,25 +44,25 @@
 }
 
 func (r *Registry) poll(ctx context.Context, e *entry, target engine.Target) {
-	if !sleep(ctx, r.firstPoll(e)) {
-		return
-	}
-	var last time.Time
-	for {
-		wait, due := r.untilPoll(e, time.Since(last))
-		switch {
-		case wait > 0:
-			if !sleep(ctx, wait) {
-				return
-			}
-		case due:
-			if !sleep(ctx, r.reserveSlot()) {
-				return
-			}
-			r.pollOnce(ctx, e, target)
-			last = time.Now()
+	wait := r.firstPoll(e)
+	for sleep(ctx, wait) {
+		if r.endPoller(e) {
+			return
 		}
+		r.pollOnce(ctx, e, target)
+		wait = r.pollInterval(e)
+	}
+}
+
+// endPoller tells whether the endpoint's goroutine must end because the fleet now shares reports.
+func (r *Registry) endPoller(e *entry) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.shares() {
+		return false
 	}
+	e.stop = nil
+	return true
 }
 
 // sleep waits and tells whether the context is still active.
@@ -79,22 +80,6 @@
 	}
 }
 
-// reserveSlot keeps the polls under the budget when many endpoints need the fallback at once.
-func (r *Registry) reserveSlot() time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.shares() {
-		return 0
-	}
-	now := time.Now()
-	if r.nextPoll.Before(now) {
-		r.nextPoll = now
-	}
-	wait := r.nextPoll.Sub(now)
-	r.nextPoll = r.nextPoll.Add(time.Duration(float64(time.Second) / r.pollBudget()))
-	return wait
-}
-
 // firstPoll spreads the first polls of a large fleet over one interval.
 func (r *Registry) firstPoll(e *entry) time.Duration {
 	interval := r.pollInterval(e)
@@ -147,7 +132,7 @@
 	case r.readsEvents(e):
 		r.readEvents(callCtx, e, target, report.Incarnation)
 	case replaced:
-		r.noteIncarnation(e, report.Incarnation)
+		r.noteIncarnation(target.Name, report.Incarnation)
 	}
 }
 
--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -91,8 +91,6 @@
 	// self is the hash of this instance; candidates are the other live instances of its data centre.
 	self       uint64
 	candidates []candidate
-	// nextPoll is the earliest time of the next poll under the budget.
-	nextPoll time.Time
 
 	changed func()
 	events  EventSink // nil when cache events are not read
@@ -131,8 +129,11 @@
 	report     *engine.Report
 	reportedAt time.Time
 	// ownReport is true when the report is of an own poll; triedAt is the time of the last own poll.
-	ownReport   bool
-	triedAt     time.Time
+	ownReport bool
+	triedAt   time.Time
+	// polling is true while the sweeper polls the endpoint; polledAt is when its last poll ended.
+	polling     bool
+	polledAt    time.Time
 	ownAtReport int
 	own         int
 	used        bool // true once a call was sent; such endpoints are part of Local
@@ -186,7 +187,7 @@
 		r.startPoller(e)
 	}
 	r.mu.Unlock()
-	<-ctx.Done()
+	r.sweep(ctx)
 	r.mu.Lock()
 	r.ctx = nil
 	r.mu.Unlock()
--- a/pkg/endpoints/shared.go
+++ b/pkg/endpoints/shared.go
@@ -19,8 +19,6 @@
 	// remoteFallback is the age of the report of another data centre's endpoint from which an instance with calls there
 	// polls it.
 	remoteFallback = 30 * time.Second
-	// shareRecheck bounds the time until an instance notices that it has become the poller of an endpoint.
-	shareRecheck = 2 * time.Second
 	// meshPeers is the number of instances from which the traffic of the exchange no longer grows; meshPollsPerSecond is
 	// the poll budget that it leaves of 22 KB/s. A poll takes 1.4 kB with five artifacts, the exchange 15 kB/s.
 	meshPeers          = 12
@@ -113,30 +111,6 @@
 // never is an age that no report reaches.
 const never = time.Duration(1<<63 - 1)
 
-// untilPoll returns the time until this instance polls the endpoint, or looks again whether it has to; due tells which.
-func (r *Registry) untilPoll(e *entry, sincePoll time.Duration) (wait time.Duration, due bool) {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	interval := r.pollIntervalLocked(e)
-	if !r.shares() {
-		return max(0, interval-sincePoll), true
-	}
-	age := r.fallbackAge(e)
-	if age == 0 {
-		return max(0, interval-sincePoll), true
-	}
-	known := e.reportedAt
-	if known.Before(e.since) {
-		known = e.since
-	}
-	// A poll that fails leaves the report old; it is not repeated at once.
-	wait = max(age-time.Since(known), interval-sincePoll, 0)
-	if wait > shareRecheck {
-		return shareRecheck, false
-	}
-	return wait, true
-}
-
 // LocalReports returns the reports of this instance's own polls that others use.
 func (r *Registry) LocalReports() []SharedReport {
 	r.mu.RLock()
@@ -166,7 +140,7 @@
 // passes on; those that it no longer names are dropped from its failures.
 func (r *Registry) SetReports(peerID string, reports []SharedReport) {
 	failed := make(map[uint64]bool)
-	replaced := make(map[*entry]string)
+	replaced := make(map[string]string)
 	r.mu.Lock()
 	for i := range reports {
 		e := r.byHash[reports[i].EndpointHash]
@@ -175,8 +149,8 @@
 		case reports[i].Failed:
 			failed[e.hash] = true
 		case reports[i].PolledAt.After(e.reportedAt):
-			if r.acceptShared(e, &reports[i]) {
-				replaced[e] = reports[i].Report.Incarnation
+			if r.acceptShared(e, &reports[i]) && !e.plain {
+				replaced[e.declared.Name] = reports[i].Report.Incarnation
 			}
 		}
 	}
@@ -185,8 +159,8 @@
 		r.judgeFailed(r.byHash[hash])
 	}
 	r.mu.Unlock()
-	for e, incarnation := range replaced {
-		r.noteIncarnation(e, incarnation)
+	for name, incarnation := range replaced {
+		r.noteIncarnation(name, incarnation)
 	}
 	r.changed()
 }
@@ -206,9 +180,9 @@
 }
 
 // noteIncarnation voids what is known of the cache of a replaced process, whose events are not read here.
-func (r *Registry) noteIncarnation(e *entry, incarnation string) {
-	if r.events != nil && !e.plain {
-		r.events.Apply(e.declared.Name, incarnation, nil)
+func (r *Registry) noteIncarnation(name, incarnation string) {
+	if r.events != nil {
+		r.events.Apply(name, incarnation, nil)
 	}
 }
 
