--- a/pkg/endpoints/shared.go
+++ b/pkg/endpoints/shared.go
@@ -11,8 +11,8 @@
 
 const (
 	// reportFallback is the age of an endpoint's report, per position in the order of pollers, from which an instance
-	// polls the endpoint itself. In regular operation at the design size a report is up to 6.4 s old: a poll interval of
-	// 3.1 s, an update of the exchange each 1 s, and an exchange interval of 2.25 s.
+	// polls the endpoint itself. In regular operation at the design size a report is up to 6.8 s old: a poll interval of
+	// 3.5 s, an update of the exchange each 1 s, and an exchange interval of 2.25 s.
 	reportFallback = 8 * time.Second
 	// sharedFor is how long after an own poll a report is passed on.
 	sharedFor = 2 * reportFallback
@@ -22,7 +22,7 @@
 	// meshPeers is the number of instances from which the traffic of the exchange no longer grows; meshPollsPerSecond is
 	// the poll budget that it leaves of 22 KB/s. A poll takes 1.4 kB with five artifacts, the exchange 15 kB/s.
 	meshPeers          = 12
-	meshPollsPerSecond = 4.5
+	meshPollsPerSecond = 4
 	// directInterval is the longest interval at which each instance polls all endpoints itself. Fleets of up to this
 	// times PollsPerSecond need no shared reports, and instances there do not depend on each other.
 	directInterval = time.Second
