--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -64,9 +64,14 @@
 	Timeout   time.Duration  `long:"timeout" default:"10s" description:"Time after which to give up"`
 }
 
-// ErrUsage means that the command line makes no sense.
+// ErrUsage marks errors of the command line that the user gave.
 var ErrUsage = errors.New("usage")
 
+// UsageError returns an error that is marked with ErrUsage, whose text it does not repeat.
+func UsageError(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), ErrUsage)
+}
+
 // Repository connects to the configuration in the store.
 func (e *Environment) Repository(o StoreOptions) (*configstore.Repository, error) {
 	if len(o.URLs) == 0 {
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -249,3 +249,16 @@
 	Entry("declarations", "declarations", `"kvReserveBytes"`),
 	Entry("settings", "settings", `"exchangeIntervalMs"`),
 )
+
+// Guards against a query that is repeated without a pause.
+var _ = DescribeTable("usage", func(code int, text, without string, args ...string) {
+	got := run(nil, "", args...)
+	Expect(got.code).To(Equal(code))
+	Expect(got.stdout + got.stderr).To(ContainSubstring(text))
+	Expect(got.stdout + got.stderr).NotTo(ContainSubstring(without))
+},
+	Entry("no interval", operator.ExitUsage, "--interval must be above zero (got 0s)", "reached",
+		"status", "--admin", "http://127.0.0.1:1", "--interval", "0s"),
+	Entry("negative interval", operator.ExitUsage, "--interval must be above zero (got -1s)", "reached",
+		"status", "--admin", "http://127.0.0.1:1", "--interval", "-1s"),
+)
--- a/pkg/operator/queries/instance.go
+++ b/pkg/operator/queries/instance.go
@@ -73,6 +73,9 @@
 	if err := operator.NoArguments(args); err != nil {
 		return err
 	}
+	if q.Interval <= 0 {
+		return operator.UsageError("--interval must be above zero (got %s)", q.Interval)
+	}
 	err := q.show()
 	for q.Watch && timing.Sleep(q.env.Context, q.Interval) == nil {
 		if err != nil {
