Make help, usage errors and findings easier to read

The long help texts had the line ends of the source and those of the terminal's width. Usage errors ended in ": usage", and a finding about a whole file had an empty location ("file: : ..."). The tests of these texts failed before.

--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -25,15 +25,15 @@
 // MaxValueLength bounds the length, in bytes, of the value quoted in a finding.
 const MaxValueLength = 80
 
-// String formats the finding as "file: pointer: message (got value)".
+// String formats the finding as "file: pointer: message (got value)"; an empty file or pointer is left out.
 func (f Finding) String() string {
 	var b strings.Builder
-	if f.File != "" {
-		b.WriteString(f.File)
-		b.WriteString(": ")
+	for _, part := range []string{f.File, f.Pointer} {
+		if part != "" {
+			b.WriteString(part)
+			b.WriteString(": ")
+		}
 	}
-	b.WriteString(f.Pointer)
-	b.WriteString(": ")
 	b.WriteString(f.Message)
 	if f.Value != "" {
 		fmt.Fprintf(&b, " (got %s)", f.Value)
--- a/pkg/operator/operator.go
+++ b/pkg/operator/operator.go
@@ -44,7 +44,7 @@
 type StoreOptions struct {
 	URLs []string `long:"store" env:"MULBERRYGLADE_STORE" env-delim:"," value-name:"URL" description:"Key-value store; may be given more than once"`
 
-	Prefix  string         `long:"prefix" env:"MULBERRYGLADE_PREFIX" default:"mulberryglade/" description:"Begin of all keys of the deployment"`
+	Prefix  string         `long:"prefix" env:"MULBERRYGLADE_PREFIX" default:"mulberryglade/" description:"Prefix of all keys of the deployment in the store"`
 	CAFile  flags.Filename `long:"store-ca" env:"MULBERRYGLADE_STORE_CA" value-name:"FILE" description:"PEM file with the authorities of the store"`
 	Timeout time.Duration  `long:"timeout" default:"30s" description:"Time after which to give up"`
 }
@@ -75,7 +75,7 @@
 // Repository connects to the configuration in the store.
 func (e *Environment) Repository(o StoreOptions) (*configstore.Repository, error) {
 	if len(o.URLs) == 0 {
-		return nil, errors.Wrap(ErrUsage, "name the key-value store by --store or MULBERRYGLADE_STORE")
+		return nil, UsageError("name the key-value store by --store or MULBERRYGLADE_STORE")
 	}
 	store, err := e.OpenStore(o)
 	if err != nil {
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -250,7 +250,7 @@
 	Entry("settings", "settings", `"exchangeIntervalMs"`),
 )
 
-// Guards against a query that is repeated without a pause.
+// Guards against a query that is repeated without a pause, and against help and errors that are hard to read.
 var _ = DescribeTable("usage", func(code int, text, without string, args ...string) {
 	got := run(nil, "", args...)
 	Expect(got.code).To(Equal(code))
@@ -261,4 +261,17 @@
 		"status", "--admin", "http://127.0.0.1:1", "--interval", "0s"),
 	Entry("negative interval", operator.ExitUsage, "--interval must be above zero (got -1s)", "reached",
 		"status", "--admin", "http://127.0.0.1:1", "--interval", "-1s"),
+	Entry("unknown kind", operator.ExitUsage, "kinds are Adapter, DataCentre, Deployment", ": usage", "get", "Modl"),
+	Entry("no store", operator.ExitUsage, "--store or MULBERRYGLADE_STORE\n", ": usage", "get", "Model"),
+	Entry("missing file", operator.ExitFindings, "no-such-file: cannot be read", ": :", "check", "-f", "no-such-file"),
 )
+
+// Guards against help whose lines are broken by the source and again by the width of the terminal.
+var _ = It("describes a command in paragraphs, and its examples line by line", func() {
+	env := &operator.Environment{}
+	parser := operator.NewParser(env)
+	commands.Register(parser, env)
+	long := parser.Find("apply").LongDescription
+	Expect(long).To(ContainSubstring("as a whole or not at all. Records"))
+	Expect(long).To(ContainSubstring("\n\nExamples:\n  mulberryglade apply --store"))
+})
--- a/pkg/operator/queries/instance.go
+++ b/pkg/operator/queries/instance.go
@@ -61,8 +61,8 @@
   mulberryglade -o json status --watch --admin http://127.0.0.1:9480`
 
 type statusQuery struct {
-	Watch    bool                  `long:"watch" description:"Show it again and again until interrupted"`
-	Interval time.Duration         `long:"interval" default:"2s" description:"Time between two looks with --watch"`
+	Watch    bool                  `long:"watch" description:"Repeat until interrupted"`
+	Interval time.Duration         `long:"interval" default:"2s" description:"Time between two repetitions with --watch"`
 	Admin    operator.AdminOptions `group:"Instance"`
 
 	env *operator.Environment
--- a/pkg/operator/queries/kinds.go
+++ b/pkg/operator/queries/kinds.go
@@ -5,7 +5,6 @@
 	"sort"
 	"strings"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -28,7 +27,11 @@
 			return nil
 		}
 	}
-	return errors.Wrapf(operator.ErrUsage, "unknown kind %q; kinds are %v", value, kinds)
+	names := make([]string, len(kinds))
+	for i, kind := range kinds {
+		names[i] = string(kind)
+	}
+	return operator.UsageError("unknown kind %q; kinds are %s", value, strings.Join(names, ", "))
 }
 
 // Complete implements flags.Completer.
--- a/pkg/operator/run.go
+++ b/pkg/operator/run.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -64,7 +65,7 @@
 func AddCommand(parent interface {
 	AddCommand(name, short, long string, data any) (*flags.Command, error)
 }, name, short, long string, data any) *flags.Command {
-	command, err := parent.AddCommand(name, short, long, data)
+	command, err := parent.AddCommand(name, short, joinLines(long), data)
 	if err != nil {
 		// Only a mistake in the struct tags can cause this.
 		panic(err)
@@ -72,6 +73,22 @@
 	return command
 }
 
+// joinLines joins the lines of each paragraph, because go-flags wraps the text to the terminal but keeps the line ends in
+// it. Indented lines, such as examples, stay.
+func joinLines(text string) string {
+	lines := strings.Split(text, "\n")
+	joined := lines[:1]
+	for _, line := range lines[1:] {
+		last := &joined[len(joined)-1]
+		if line == "" || *last == "" || line[0] == ' ' || (*last)[0] == ' ' {
+			joined = append(joined, line)
+			continue
+		}
+		*last += " " + line
+	}
+	return strings.Join(joined, "\n")
+}
+
 // Run executes the command line and returns the exit code.
 func Run(parser *flags.Parser, e *Environment, args []string) int {
 	_, err := parser.ParseArgs(args)
@@ -83,7 +100,7 @@
 	if len(args) == 0 {
 		return nil
 	}
-	return errors.Wrapf(ErrUsage, "unexpected argument %q", args[0])
+	return UsageError("unexpected argument %q", args[0])
 }
 
 // finish reports an error and returns its exit code.
