Find a decision by the request id that the caller chose

Towards engines the gateway appends a random suffix to a caller's X-Request-Id, and decisions are recorded under the longer id. A caller and its operator know only the short one, for which explain answered that there is no such decision. Seen with the development system; the new test failed before.

--- a/pkg/decisions/decisions.go
+++ b/pkg/decisions/decisions.go
@@ -3,6 +3,7 @@
 package decisions
 
 import (
+	"strings"
 	"sync"
 	"time"
 
@@ -67,15 +68,25 @@
 	r.next = (slot + 1) % len(r.ring)
 }
 
-// Find returns the latest record with the id.
+// Find returns the latest record with the id, or else the latest one whose id is this id, a dot and a suffix: the gateway
+// appends such a suffix to a request id that the caller chose, and the caller knows only its own id.
 func (r *Recorder) Find(id string) (Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	slot, ok := r.index[id]
-	if !ok {
-		return Record{}, false
+	if slot, ok := r.index[id]; ok {
+		return r.ring[slot], true
 	}
-	return r.ring[slot], true
+	for i := 1; i <= len(r.ring); i++ {
+		if record := r.newest(i); strings.HasPrefix(record.ID, id+".") {
+			return record, true
+		}
+	}
+	return Record{}, false
+}
+
+// newest returns the record that was added as the nth last; its ID is empty when there are fewer.
+func (r *Recorder) newest(n int) Record {
+	return r.ring[(r.next-n+len(r.ring))%len(r.ring)]
 }
 
 // Latest returns up to limit records of a kind, newest first.
@@ -84,7 +95,7 @@
 	defer r.mu.Unlock()
 	var found []Record
 	for i := 1; i <= len(r.ring) && len(found) < limit; i++ {
-		record := r.ring[(r.next-i+len(r.ring))%len(r.ring)]
+		record := r.newest(i)
 		if record.ID != "" && record.Kind == kind {
 			found = append(found, record)
 		}
