--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -46,10 +47,14 @@
 	items []Finding
 }
 
-// Add records one finding. A value longer than MaxValueLength is cut.
+// Add records one finding. A value longer than MaxValueLength is cut before the character that exceeds it.
 func (l *List) Add(f Finding) {
 	if len(f.Value) > MaxValueLength {
-		f.Value = f.Value[:MaxValueLength] + "..."
+		end := MaxValueLength
+		for end > 0 && !utf8.RuneStart(f.Value[end]) {
+			end--
+		}
+		f.Value = f.Value[:end] + "..."
 	}
 	l.items = append(l.items, f)
 }
