--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"net/netip"
 	"net/url"
+	"strconv"
 	"strings"
 )
 
@@ -213,12 +214,17 @@
 
 func (e *entry) checkFloat(field string, value, low, high float64) {
 	if value < low || value > high {
-		e.add(field, "must be between %g and %g", low, high)
+		e.add(field, "must be between %s and %s", decimal(low), decimal(high))
 	}
 }
 
 func (e *entry) checkPositive(field string, value, high float64) {
 	if value <= 0 || value > high {
-		e.add(field, "must be above 0 and at most %g", high)
+		e.add(field, "must be above 0 and at most %s", decimal(high))
 	}
 }
+
+// decimal formats a limit without an exponent.
+func decimal(limit float64) string {
+	return strconv.FormatFloat(limit, 'f', -1, 64)
+}
