Keep the development system quiet while it starts

Until the first copies are loaded, the instances warn about each model and adapter in each planning round: 265 lines in the first 13 s with the sample of sindhuli. The default log level is now error. Ctrl-C before the system is ready ends it without an error.

--- a/cmd/mulberryglade-dev/main.go
+++ b/cmd/mulberryglade-dev/main.go
@@ -17,7 +17,8 @@
 type options struct {
 	Deployment string `short:"d" long:"deployment" description:"sample deployment" choice:"sindhuli" choice:"lusorenda" default:"sindhuli"`
 	Demo       bool   `long:"demo" description:"send a streamed model call and an order, print what was decided, and exit"`
-	LogLevel   string `long:"log-level" description:"debug, info, warn or error" default:"warn"`
+	// The default hides the warnings about missing copies, of which there are hundreds until the first loads are done.
+	LogLevel string `long:"log-level" description:"debug, info, warn or error" default:"error"`
 }
 
 func main() {
@@ -43,6 +44,10 @@
 	}
 	defer system.stop()
 	if err := system.waitUntilReady(ctx); err != nil {
+		if ctx.Err() != nil {
+			// The user pressed Ctrl-C.
+			return nil
+		}
 		return err
 	}
 	system.printAddresses()
