Write all problem details as sentences

Details of the gateway and the dispatcher were sentences, those of admission and of the admin port were fragments in lower case, and a caller may see either. The subject of a routing decision of a plain service no longer ends in a slash.

--- a/pkg/admin/commands.go
+++ b/pkg/admin/commands.go
@@ -25,7 +25,7 @@
 func (s *Server) drain(c fiber.Ctx) error {
 	var request adminapi.DrainRequest
 	if err := json.Unmarshal(c.Body(), &request); err != nil {
-		return invalid("the body must be a JSON object with the field instanceId")
+		return invalid("The body must be a JSON object with the field instanceId.")
 	}
 	if request.InstanceID != s.options.Commands.InstanceID() {
 		return problem.New(problem.TypeInvalidRequest, http.StatusConflict, problem.NotRun,
--- a/pkg/admin/queries.go
+++ b/pkg/admin/queries.go
@@ -47,11 +47,11 @@
 func (s *Server) listDecisions(c fiber.Ctx) error {
 	kind := decisions.Kind(c.Query(adminapi.QueryKind, string(decisions.Placement)))
 	if kind != decisions.Placement && kind != decisions.Routing {
-		return invalid("kind must be routing or placement")
+		return invalid("The parameter kind must be routing or placement.")
 	}
 	limit, err := strconv.Atoi(c.Query(adminapi.QueryLimit, strconv.Itoa(defaultLimit)))
 	if err != nil || limit < 1 || limit > maxLimit {
-		return invalid("limit must be between 1 and " + strconv.Itoa(maxLimit))
+		return invalid("The parameter limit must be between 1 and " + strconv.Itoa(maxLimit) + ".")
 	}
 	return sendList(c, s.options.Queries.Decisions(kind, limit))
 }
--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -85,7 +85,7 @@
 	if subtle.ConstantTimeCompare([]byte(c.Get(fiber.HeaderAuthorization)), want) == 1 {
 		return c.Next()
 	}
-	return problem.New(problem.TypeUnauthenticated, http.StatusUnauthorized, problem.NotRun, "operator token is missing or wrong")
+	return problem.New(problem.TypeUnauthenticated, http.StatusUnauthorized, problem.NotRun, "The operator token is missing or wrong.")
 }
 
 func (s *Server) addProfiles() {
@@ -112,5 +112,5 @@
 		return problem.New(problem.TypeNotFound, f.Code, problem.NotRun, f.Message)
 	}
 	s.options.Log.Error("admin call failed", zap.Error(err))
-	return problem.New(problem.TypeInternal, http.StatusInternalServerError, problem.Unknown, "internal error; see the log")
+	return problem.New(problem.TypeInternal, http.StatusInternalServerError, problem.Unknown, "The call failed inside of the instance; its log has the error.")
 }
--- a/pkg/adminapi/client.go
+++ b/pkg/adminapi/client.go
@@ -119,7 +119,7 @@
 func problemOf(status int, data []byte) error {
 	var p problem.Problem
 	if err := json.Unmarshal(data, &p); err != nil || p.Type == "" {
-		return problem.New(problem.TypeInternal, status, problem.Unknown, fmt.Sprintf("the instance answered status %d", status))
+		return problem.New(problem.TypeInternal, status, problem.Unknown, fmt.Sprintf("The instance answered with status %d.", status))
 	}
 	return &p
 }
--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -231,31 +231,31 @@
 	}
 	remaining := time.Until(w.request.Deadline)
 	if wait+c.statisticsOf(w.key).reserve(&w.request, remaining) > remaining {
-		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(q)))
+		c.refuse(w, c.deadlineProblem("The request cannot finish before its deadline.", c.retryAfter(q)))
 	}
 }
 
 func (c *Controller) refuseAtOnce(request *scheduling.Request) *problem.Problem {
 	if c.snapshot == nil {
 		return problem.New(problem.TypeNotReady, http.StatusServiceUnavailable, problem.NotRun,
-			"no configuration is in effect yet").WithRetryAfter(minRetryAfter)
+			"This instance has not received its configuration.").WithRetryAfter(minRetryAfter)
 	}
 	if c.draining {
 		return problem.New(problem.TypeShuttingDown, http.StatusServiceUnavailable, problem.NotRun,
-			"the instance is shutting down").WithRetryAfter(minRetryAfter)
+			"This instance is shutting down.").WithRetryAfter(minRetryAfter)
 	}
 	if len(c.snapshot.EndpointsOf(request.Service)) == 0 {
 		return problem.New(problem.TypeNoEndpoint, http.StatusServiceUnavailable, problem.NotRun,
-			"no endpoint is declared for service "+request.Service)
+			"No endpoint is declared for the service "+request.Service+".")
 	}
 	declared := c.snapshot.Member(request.Member)
 	if declared != nil && declared.MaxConcurrentRequests > 0 &&
 		c.member(request.Member).inProgress >= declared.MaxConcurrentRequests {
 		return problem.New(problem.TypeMemberLimit, http.StatusTooManyRequests, problem.NotRun,
-			"the member's limit of concurrent requests is reached").WithRetryAfter(minRetryAfter)
+			"The member's limit of concurrent requests is reached.").WithRetryAfter(minRetryAfter)
 	}
 	if !request.Deadline.After(time.Now()) {
-		return c.deadlineProblem("the deadline has passed", minRetryAfter)
+		return c.deadlineProblem("The deadline has passed.", minRetryAfter)
 	}
 	return nil
 }
@@ -328,7 +328,7 @@
 	for c.calls > maxCalls || c.bytes > maxBytes {
 		victim := c.parts.Order.victim(c, c.bytes > maxBytes)
 		c.refuse(victim, problem.New(problem.TypeOverloaded, http.StatusServiceUnavailable, problem.NotRun,
-			"the admission queue is full").WithRetryAfter(c.retryAfter(victim.queue)))
+			"The queue of this instance is full.").WithRetryAfter(c.retryAfter(victim.queue)))
 	}
 }
 
@@ -381,7 +381,7 @@
 		}, ctx.Err())
 	case <-timer.C:
 		return c.abandon(w, c.result,
-			c.deadlineProblem("no endpoint had capacity in time for the deadline", minRetryAfter))
+			c.deadlineProblem("No endpoint had capacity in time for the deadline.", minRetryAfter))
 	}
 }
 
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -80,7 +80,7 @@
 		}
 		if allExcluded(w, states) {
 			c.refuse(w, problem.New(problem.TypeNoEndpoint, http.StatusServiceUnavailable, problem.NotRun,
-				"every endpoint that could run the call has failed it").WithRetryAfter(minRetryAfter))
+				"The request failed at every endpoint that could run it.").WithRetryAfter(minRetryAfter))
 			return true
 		}
 		if len(w.request.Exclude) > 0 {
@@ -108,7 +108,7 @@
 func (c *Controller) grantOrRefuse(w *waiter, decision scheduling.Decision, state *endpoints.State) {
 	expected, remaining := c.likelyAt(w, state), time.Until(w.request.Deadline)
 	if expected > remaining && !c.statisticsOf(w.key).mayTry(expected, remaining) {
-		c.refuse(w, c.deadlineProblem("the call cannot finish before its deadline", c.retryAfter(w.queue)))
+		c.refuse(w, c.deadlineProblem("The request cannot finish before its deadline.", c.retryAfter(w.queue)))
 		return
 	}
 	c.grant(w, decision, state)
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -15,8 +15,13 @@
 	id string
 }
 
-// String is the name of the model's account in the fair share.
-func (k modelKey) String() string { return k.service + "/" + k.id }
+// String is the name of the model's account in the fair share, and the subject of routing decisions.
+func (k modelKey) String() string {
+	if k.id == "" {
+		return k.service
+	}
+	return k.service + "/" + k.id
+}
 
 func keyOf(request *scheduling.Request) modelKey {
 	if request.Adapter != "" {
