Share the server of the stand-ins that serve one document

The stand-ins of the instance list and of the weight store had the same server, fault queue and answer. A fault of the weight store is now applied before its rate limit, as for the other stand-ins.

--- /dev/null
+++ b/internal/standin/document/document.go
@@ -0,0 +1,118 @@
+// Package document serves one JSON document over HTTP, with faults that a test sets per call. The stand-ins of the
+// instance list and of the weight store are such servers.
+package document
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/internal/timing"
+)
+
+// Fault is what happens to one call.
+type Fault struct {
+	// Delay is waited before the call is answered.
+	Delay time.Duration
+	// Status is answered instead of the document when it is not zero.
+	Status int
+	// Body is answered instead of the document when it is not empty.
+	Body string
+	// Drop closes the connection without an answer.
+	Drop bool
+}
+
+// Server serves a document. It is safe for concurrent use.
+type Server struct {
+	http http.Server
+	mux  *http.ServeMux
+	read func() (document any, status int)
+
+	mu     sync.Mutex
+	queued []Fault
+	calls  int
+}
+
+// NewServer returns a server that answers GET requests of the path with what read returns. The document is sent only with
+// status 200.
+func NewServer(path string, read func() (document any, status int)) *Server {
+	s := &Server{mux: http.NewServeMux(), read: read}
+	s.mux.HandleFunc("GET "+path, s.serve)
+	s.http.Handler = s.mux
+	return s
+}
+
+// Handle adds a handler for another method or path. It must be called before Serve.
+func (s *Server) Handle(pattern string, handler http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, handler)
+}
+
+// Serve accepts connections until Close; it returns nil after Close.
+func (s *Server) Serve(listener net.Listener) error {
+	err := s.http.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serve document stand-in")
+}
+
+// Close closes the listener and all connections.
+func (s *Server) Close() error {
+	return s.http.Close()
+}
+
+// Next queues a fault for the next call; calls without a queued fault succeed.
+func (s *Server) Next(fault Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queued = append(s.queued, fault)
+}
+
+// Calls returns the number of calls for the document so far.
+func (s *Server) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Server) take() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if len(s.queued) == 0 {
+		return Fault{}
+	}
+	fault := s.queued[0]
+	s.queued = s.queued[1:]
+	return fault
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	fault := s.take()
+	if fault.Delay > 0 && timing.Sleep(r.Context(), fault.Delay) != nil {
+		return
+	}
+	switch {
+	case fault.Drop:
+		panic(http.ErrAbortHandler)
+	case fault.Status != 0:
+		w.WriteHeader(fault.Status)
+	case fault.Body != "":
+		_, _ = w.Write([]byte(fault.Body))
+	default:
+		s.answer(w)
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter) {
+	document, status := s.read()
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(document)
+}
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -4,8 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -13,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/time/rate"
 
+	"github.com/mulberryglade/mulberryglade/internal/standin/document"
 	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/weightstore"
@@ -22,14 +21,7 @@
 var ErrNotFound = errors.New("artifact not found")
 
 // Fault is what happens to one catalog call.
-type Fault struct {
-	// Delay is waited before the call is answered.
-	Delay time.Duration
-	// Status is answered instead of the catalog when it is not zero.
-	Status int
-	// Body is answered instead of the catalog when it is not empty.
-	Body string
-}
+type Fault = document.Fault
 
 // Options are the parameters of NewServer; zero limits mean none.
 type Options struct {
@@ -44,14 +36,13 @@
 
 // Server serves the catalog at GET /v1/artifacts. It is safe for concurrent use.
 type Server struct {
-	http    http.Server
+	*document.Server
 	options Options
 	calls   *rate.Limiter
 	loads   *rate.Limiter
 
 	mu      sync.Mutex
 	sizes   map[engine.Artifact]int64
-	queued  []Fault
 	running int
 }
 
@@ -63,9 +54,7 @@
 		loads:   limiter(o.LoadsPerSecond),
 		sizes:   make(map[engine.Artifact]int64),
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/artifacts", s.serveCatalog)
-	s.http.Handler = mux
+	s.Server = document.NewServer("/v1/artifacts", s.catalog)
 	return s
 }
 
@@ -76,20 +65,6 @@
 	return rate.NewLimiter(rate.Limit(perSecond), 1)
 }
 
-// Serve accepts connections until Close; it returns nil after Close.
-func (s *Server) Serve(listener net.Listener) error {
-	err := s.http.Serve(listener)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "serve weight store stand-in")
-}
-
-// Close closes the listener and all connections.
-func (s *Server) Close() error {
-	return s.http.Close()
-}
-
 // Put adds an artifact.
 func (s *Server) Put(artifact engine.Artifact, sizeBytes int64) {
 	s.mu.Lock()
@@ -97,13 +72,6 @@
 	s.sizes[artifact] = sizeBytes
 }
 
-// Next queues a fault for the next catalog call; calls without a queued fault succeed.
-func (s *Server) Next(fault Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.queued = append(s.queued, fault)
-}
-
 // Load takes as long as a load of the artifact; beyond ConcurrentLoads all loads that start are proportionally slower.
 func (s *Server) Load(ctx context.Context, artifact engine.Artifact) error {
 	size, running, ok := s.begin(artifact)
@@ -140,38 +108,15 @@
 	s.running--
 }
 
-func (s *Server) take() (Fault, []weightstore.Entry) {
+func (s *Server) catalog() (any, int) {
+	if !s.calls.Allow() {
+		return nil, http.StatusTooManyRequests
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	entries := make([]weightstore.Entry, 0, len(s.sizes))
 	for artifact, size := range s.sizes {
 		entries = append(entries, weightstore.Entry{Artifact: artifact, SizeBytes: size})
 	}
-	if len(s.queued) == 0 {
-		return Fault{}, entries
-	}
-	fault := s.queued[0]
-	s.queued = s.queued[1:]
-	return fault, entries
-}
-
-func (s *Server) serveCatalog(w http.ResponseWriter, r *http.Request) {
-	fault, entries := s.take()
-	if fault.Delay > 0 {
-		select {
-		case <-time.After(fault.Delay):
-		case <-r.Context().Done():
-			return
-		}
-	}
-	switch {
-	case !s.calls.Allow():
-		w.WriteHeader(http.StatusTooManyRequests)
-	case fault.Status != 0:
-		w.WriteHeader(fault.Status)
-	case fault.Body != "":
-		_, _ = w.Write([]byte(fault.Body))
-	default:
-		_ = json.NewEncoder(w).Encode(map[string]any{"artifacts": entries})
-	}
+	return map[string]any{"artifacts": entries}, http.StatusOK
 }
