--- a/pkg/gateway/models.go
+++ b/pkg/gateway/models.go
@@ -86,7 +86,7 @@
 	if model.MaxInputTokens > 0 && digest.Tokens > inputTolerance*model.MaxInputTokens {
 		return dispatch.ModelCall{}, invalid("The prompt exceeds the model's input limit.")
 	}
-	deadline, failed := r.deadline(model.DefaultTimeoutMs, model.MaxTimeoutMs)
+	deadline, failed := r.deadline(config.Milliseconds(model.DefaultTimeoutMs), config.Milliseconds(model.MaxTimeoutMs))
 	if failed != nil {
 		return dispatch.ModelCall{}, failed
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -122,9 +122,10 @@
 	return append([]byte(nil), r.c.Request().Body()...), nil
 }
 
-// deadline applies the caller's timeout, at most the declared maximum, or the declared default.
-func (r *request) deadline(defaultMs, maxMs int64) (time.Time, *problem.Problem) {
-	timeout := config.Milliseconds(defaultMs)
+// deadline applies the caller's timeout, at most the longest one declared, or the standard one declared. Zero means that
+// none is declared.
+func (r *request) deadline(standard, longest time.Duration) (time.Time, *problem.Problem) {
+	timeout := standard
 	if timeout <= 0 {
 		timeout = fallbackTimeout
 	}
@@ -135,7 +136,7 @@
 		}
 		timeout = config.Milliseconds(ms)
 	}
-	if longest := config.Milliseconds(maxMs); longest > 0 {
+	if longest > 0 {
 		timeout = min(timeout, longest)
 	}
 	return r.began.Add(timeout), nil
--- a/pkg/gateway/services.go
+++ b/pkg/gateway/services.go
@@ -76,7 +76,7 @@
 	if !wellFormedKey(key) {
 		return dispatch.ServiceCall{}, invalid("The header " + headerIdempotency + " must have 1 to 255 printable characters.")
 	}
-	deadline, failed := r.deadline(service.DefaultTimeoutMs, service.MaxTimeoutMs)
+	deadline, failed := r.deadline(config.Milliseconds(service.DefaultTimeoutMs), config.Milliseconds(service.MaxTimeoutMs))
 	if failed != nil {
 		return dispatch.ServiceCall{}, failed
 	}
