--- a/pkg/gateway/models.go
+++ b/pkg/gateway/models.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
@@ -71,7 +72,8 @@
 	if model := r.snapshot.Model(id); model != nil && model.MayCall(r.member.Name) {
 		return model, "", nil
 	}
-	return nil, "", problem.New(problem.TypeModelNotFound, fiber.StatusNotFound, problem.NotRun, "There is no such model.")
+	return nil, "", problem.New(problem.TypeModelNotFound, fiber.StatusNotFound, problem.NotRun,
+		fmt.Sprintf("There is no model %q that this member may call.", id))
 }
 
 func (r *request) modelCall(parsed inference, path string, body []byte) (dispatch.ModelCall, *problem.Problem) {
@@ -80,11 +82,13 @@
 		return dispatch.ModelCall{}, failed
 	}
 	if model.MaxOutputTokens > 0 && parsed.maxTokens > model.MaxOutputTokens {
-		return dispatch.ModelCall{}, invalid("The token limit exceeds the model's limit.")
+		return dispatch.ModelCall{}, invalid(fmt.Sprintf("The token limit %d exceeds the model's limit of %d.",
+			parsed.maxTokens, model.MaxOutputTokens))
 	}
 	digest := prompt.Of(parsed.model, parsed.messages)
 	if model.MaxInputTokens > 0 && digest.Tokens > inputTolerance*model.MaxInputTokens {
-		return dispatch.ModelCall{}, invalid("The prompt exceeds the model's input limit.")
+		return dispatch.ModelCall{}, invalid(fmt.Sprintf("The prompt has about %d tokens; the model's limit is %d.",
+			digest.Tokens, model.MaxInputTokens))
 	}
 	deadline, failed := r.deadline(config.Milliseconds(model.DefaultTimeoutMs), config.Milliseconds(model.MaxTimeoutMs))
 	if failed != nil {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -91,9 +92,9 @@
 
 // identify finds the member by its bearer key.
 func (s *Server) identify(r *request) *problem.Problem {
-	if r.c.Request().Header.Len() > s.options.Limits.MaxHeaders {
+	if count := r.c.Request().Header.Len(); count > s.options.Limits.MaxHeaders {
 		return problem.New(problem.TypeHeadersTooLarge, fiber.StatusRequestHeaderFieldsTooLarge, problem.NotRun,
-			"The request has too many headers.")
+			fmt.Sprintf("The request has %d headers; the limit is %d.", count, s.options.Limits.MaxHeaders))
 	}
 	r.snapshot = s.options.Snapshot()
 	if r.snapshot == nil {
@@ -132,7 +133,7 @@
 	if text := r.c.Get(headerTimeout); text != "" {
 		ms, err := strconv.ParseInt(text, 10, 32)
 		if err != nil || ms <= 0 {
-			return time.Time{}, invalid("The header " + headerTimeout + " must be a positive number of milliseconds.")
+			return time.Time{}, invalid(fmt.Sprintf("The header %s must be a positive number of milliseconds (got %q).", headerTimeout, text))
 		}
 		timeout = config.Milliseconds(ms)
 	}
--- a/pkg/gateway/services.go
+++ b/pkg/gateway/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"time"
 
@@ -63,14 +64,15 @@
 	service := r.snapshot.Service(name)
 	if service == nil || service.Type != config.PlainService || !service.MayCall(r.member.Name) {
 		return dispatch.ServiceCall{}, problem.New(problem.TypeServiceNotFound, fiber.StatusNotFound, problem.NotRun,
-			"There is no such service.")
+			fmt.Sprintf("There is no service %q that this member may call.", name))
 	}
 	body, failed := r.body()
 	if failed != nil {
 		return dispatch.ServiceCall{}, failed
 	}
 	if service.MaxBodyBytes > 0 && int64(len(body)) > service.MaxBodyBytes {
-		return dispatch.ServiceCall{}, fiberProblem(fiber.StatusRequestEntityTooLarge)
+		return dispatch.ServiceCall{}, problem.New(problem.TypeBodyTooLarge, fiber.StatusRequestEntityTooLarge, problem.NotRun,
+			fmt.Sprintf("The body has %d bytes; the limit of the service is %d.", len(body), service.MaxBodyBytes))
 	}
 	key := r.c.Get(headerIdempotency)
 	if !wellFormedKey(key) {
