--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -73,9 +73,10 @@
 	modelPacer   *weightstore.Pacer
 	adapterPacer *weightstore.Pacer
 	controllers  controllerSet
-	// planInterval and leaseTTL are shortened by tests; zero means the packages' defaults.
-	planInterval time.Duration
-	leaseTTL     time.Duration
+	// planInterval, verifyInterval and leaseTTL are shortened by tests; zero means the packages' defaults.
+	planInterval   time.Duration
+	verifyInterval time.Duration
+	leaseTTL       time.Duration
 
 	// instances is nil when the settings name no instance list.
 	instances *instancelist.Client
--- a/pkg/daemon/export_test.go
+++ b/pkg/daemon/export_test.go
@@ -28,6 +28,8 @@
 const (
 	// testPlanInterval shortens the tests; a plan of their few models takes less than a millisecond.
 	testPlanInterval = 100 * time.Millisecond
+	// testVerifyInterval shortens the time until placement notices a restarted engine.
+	testVerifyInterval = 500 * time.Millisecond
 	// TestLeaseTTL shortens the time until another instance looks at a placement lease, which is half of it.
 	TestLeaseTTL = 3 * time.Second
 )
@@ -38,6 +40,7 @@
 	d.listeners.caller = &wiredListener{Listener: d.listeners.caller, wire: w}
 	d.listeners.peer = &wiredListener{Listener: d.listeners.peer, wire: w}
 	d.planInterval = testPlanInterval
+	d.verifyInterval = testVerifyInterval
 	d.leaseTTL = TestLeaseTTL
 	dial := d.node.Dial
 	d.node.Dial = func(address string) peerv1connect.PeerServiceClient {
--- a/pkg/placement/controller.go
+++ b/pkg/placement/controller.go
@@ -25,8 +25,8 @@
 	DefaultPlanInterval = time.Second
 	// DefaultOrderTimeout is longer than the load of a large model at the weight store's full rate.
 	DefaultOrderTimeout = 2 * time.Minute
-	// verifyInterval keeps the reports of 390 endpoints at 78 per second.
-	verifyInterval = 5 * time.Second
+	// DefaultVerifyInterval keeps the reports of 390 endpoints at 78 per second.
+	DefaultVerifyInterval = 5 * time.Second
 	// maxPlanShare bounds planning to one fiftieth of a core, within the 3.6% that an instance may use for control.
 	maxPlanShare = 50
 	// guardInterval is how often a lost lease is noticed while orders run.
@@ -57,9 +57,11 @@
 	Recorder     *decisions.Recorder
 	Log          *zap.Logger
 	Scope        tally.Scope
-	// PlanInterval defaults to DefaultPlanInterval, OrderTimeout to DefaultOrderTimeout.
-	PlanInterval time.Duration
-	OrderTimeout time.Duration
+	// PlanInterval defaults to DefaultPlanInterval, OrderTimeout to DefaultOrderTimeout, VerifyInterval, after which the
+	// record of an endpoint is compared with a report again, to DefaultVerifyInterval.
+	PlanInterval   time.Duration
+	VerifyInterval time.Duration
+	OrderTimeout   time.Duration
 }
 
 // Status is what routing knows of an endpoint.
@@ -101,6 +103,9 @@
 	if options.PlanInterval == 0 {
 		options.PlanInterval = DefaultPlanInterval
 	}
+	if options.VerifyInterval == 0 {
+		options.VerifyInterval = DefaultVerifyInterval
+	}
 	if options.OrderTimeout == 0 {
 		options.OrderTimeout = DefaultOrderTimeout
 	}
@@ -408,6 +413,6 @@
 		newOrderID:     uuid.NewString,
 		now:            time.Now,
 		orderTimeout:   c.OrderTimeout,
-		verifyInterval: verifyInterval,
+		verifyInterval: c.VerifyInterval,
 	}
 }
