Log a configuration read that the store does not answer

The read has its own deadline, and the check that suppresses the warning at shutdown looked at the context with that deadline: a store that hangs was never logged. Reads that end because the instance is no relay any more are not counted as failures now. The new test failed before.

--- a/pkg/configsync/relay.go
+++ b/pkg/configsync/relay.go
@@ -61,16 +61,17 @@
 
 // poll reads the configuration in the store and puts it into effect. It returns the store's revision at the read.
 func (s *Syncer) poll(ctx context.Context) (kvstore.Revision, bool) {
-	ctx, cancel := context.WithTimeout(ctx, storeReadTimeout)
+	readCtx, cancel := context.WithTimeout(ctx, storeReadTimeout)
 	defer cancel()
-	contents, err := s.reader.Read(ctx, s.current())
+	contents, err := s.reader.Read(readCtx, s.current())
 	if errors.Is(err, configstore.ErrNoHead) {
 		s.NoteStoreContact()
 		return contents.StoreRevision(), true
 	}
 	if err != nil {
-		s.scope.Counter("store_read_failures").Inc(1)
+		// A read that ended because the instance is no relay any more or shuts down is no failure of the store.
 		if ctx.Err() == nil {
+			s.scope.Counter("store_read_failures").Inc(1)
 			s.log.Warn("configuration could not be read from the store", zap.Error(err))
 		}
 		return 0, false
