Take over an own claim whose reply was lost before it was granted

Cause: a claim took effect, its reply was lost and the store then refused to be read; the caller was told to repeat the call with the same key, and every repetition got unknown, so the order never ran. Found on reading by mutation of the fault table. The process that wrote such a claim now takes it over once, for the same request; another process still cannot. Two rows of the fault table demanded the old result; they now demand the grant, and a new test demands that it is given once and only to the same process and request.

--- a/pkg/claims/storeclaimer.go
+++ b/pkg/claims/storeclaimer.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
 
@@ -23,6 +24,9 @@
 // ErrNotRecorded means that the response exceeds MaxRecordedBytes; later calls with the key get ErrOutcomeUnknown.
 var ErrNotRecorded = errors.New("response is too large to be recorded")
 
+// maxUnsent bounds the remembered claims that were written without a reply; an entry takes about 150 bytes.
+const maxUnsent = 4096
+
 var errGrantUsed = errors.New("grant was completed or released before")
 
 // Store is the part of the key-value store that a StoreClaimer uses.
@@ -56,6 +60,10 @@
 	committer *committer
 	cleanup   conc.WaitGroup
 
+	// unsent has the ids of claims that may stand in the store although their call was told that it was not sent. Such a
+	// claim was never granted and no deletion of it was submitted, so a repetition of the call can take it over.
+	unsent *lru.Cache[string, struct{}]
+
 	mu    sync.Mutex
 	calls map[string]*localCall
 }
@@ -74,9 +82,15 @@
 		o.Scope = tally.NoopScope
 	}
 	leases := newPeriodLeases(o.Store)
+	unsent, err := lru.New[string, struct{}](maxUnsent)
+	if err != nil {
+		// Only a size that is not positive can cause this.
+		panic(err)
+	}
 	return &StoreClaimer{
 		options:   o,
 		committer: newCommitter(o.Store, leases, o.MaxDelay, o.MaxBatch, o.Scope.SubScope("claims")),
+		unsent:    unsent,
 		calls:     make(map[string]*localCall),
 	}
 }
@@ -186,8 +200,8 @@
 		return c.grant(ctx, key, record.ID, outcome.result.Revision, call), nil, nil
 	}
 	existing, revision, answer, err := c.parse(key, outcome.result.Current)
-	if err == nil && existing.ID == record.ID {
-		return c.grant(ctx, key, record.ID, revision, call), nil, nil
+	if err == nil && (existing.ID == record.ID || c.takeOver(existing, record)) {
+		return c.grant(ctx, key, existing.ID, revision, call), nil, nil
 	}
 	if err == nil {
 		answer, err = c.judge(existing, answer, request)
@@ -196,6 +210,12 @@
 	return nil, answer, err
 }
 
+// takeOver tells whether the stored claim is one that an earlier call of this process wrote for the same request and did
+// not learn of. Only one call takes it over: the id is forgotten before the grant.
+func (c *StoreClaimer) takeOver(existing, record claimRecord) bool {
+	return existing.RequestHash == record.RequestHash && c.unsent.Remove(existing.ID)
+}
+
 func (c *StoreClaimer) record(ctx context.Context, request Request) claimRecord {
 	record := claimRecord{
 		ID:          uuid.NewString(),
@@ -220,6 +240,9 @@
 	select {
 	case outcome := <-p.done:
 		if outcome.err != nil {
+			if outcome.retried {
+				c.unsent.Add(record.ID, struct{}{})
+			}
 			return outcome, errors.Wrap(ErrUnavailable, outcome.err.Error())
 		}
 		return outcome, nil
