--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -9,13 +9,12 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 )
 
 func TestEngine(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "engine stand-in", suite, reporter)
+	testkit.RunSpecs(t, "engine stand-in")
 }
 
 func start(options Options) (*Engine, string) {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -146,13 +146,3 @@
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
 }
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/daemon/instances.go
+++ b/pkg/daemon/instances.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 )
@@ -32,7 +33,7 @@
 		case ctx.Err() == nil:
 			d.log.Warn("instance list cannot be read; the last one stays in use", zap.Error(err))
 		}
-		sleep(ctx, instanceListInterval)
+		_ = timing.Sleep(ctx, instanceListInterval)
 	}
 }
 
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -61,7 +62,7 @@
 				delete(running, shard)
 			}
 		}
-		sleep(ctx, time.Second)
+		_ = timing.Sleep(ctx, time.Second)
 	}
 }
 
@@ -116,7 +117,7 @@
 			err := controller.Run(ctx)
 			d.log.Info("placement stopped", zap.Int("shard", shard), zap.String("reason", err.Error()))
 		}
-		sleep(ctx, leasePollInterval)
+		_ = timing.Sleep(ctx, leasePollInterval)
 	}
 }
 
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -9,6 +9,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 )
 
@@ -105,7 +106,7 @@
 	d.log.Info("shutting down", zap.Int64("graceMs", d.settings.Shutdown.GraceMs))
 	d.draining.Store(true)
 	stopControl()
-	sleep(context.Background(), config.Milliseconds(d.settings.Shutdown.GraceMs))
+	_ = timing.Sleep(context.Background(), config.Milliseconds(d.settings.Shutdown.GraceMs))
 	ctx, cancel := context.WithTimeout(context.Background(), config.Milliseconds(d.settings.Shutdown.DrainMs))
 	defer cancel()
 	// The gateway refuses new calls. Admission must not refuse yet: calls in flight still ask it, after their claim and
@@ -180,7 +181,7 @@
 		d.syncer.SetRelay(d.node.Table.IsRelay())
 		d.registry.SetInstances(d.pollers())
 		d.rates.observe(d.tracker.Total(), time.Now())
-		sleep(ctx, peerCheckInterval)
+		_ = timing.Sleep(ctx, peerCheckInterval)
 	}
 }
 
--- a/pkg/ledger/ledger_test.go
+++ b/pkg/ledger/ledger_test.go
@@ -9,13 +9,13 @@
 	"github.com/onsi/gomega"
 
 	"github.com/mulberryglade/mulberryglade/internal/standin/kv"
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
 func TestLedger(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "ledger")
+	testkit.RunSpecs(t, "ledger")
 }
 
 // lease is a guard whose local view can differ from the store.
--- a/pkg/peer/node.go
+++ b/pkg/peer/node.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/gen/mulberryglade/peer/v1/peerv1connect"
 )
 
@@ -132,7 +133,7 @@
 	for ctx.Err() == nil {
 		n.Refresh()
 		n.superviseTasks(ctx, &group)
-		sleep(ctx, n.Interval)
+		_ = timing.Sleep(ctx, n.Interval)
 	}
 }
 
@@ -250,7 +251,7 @@
 				wait = max(wait, failureWait)
 			}
 		}
-		sleep(ctx, wait)
+		_ = timing.Sleep(ctx, wait)
 	}
 }
 
@@ -264,7 +265,7 @@
 				wait = max(wait, failureWait)
 			}
 		}
-		sleep(ctx, wait)
+		_ = timing.Sleep(ctx, wait)
 	}
 }
 
@@ -274,7 +275,7 @@
 		if !n.isLiveAddress(address) {
 			n.exchangeLogged(ctx, address)
 		}
-		sleep(ctx, seedInterval)
+		_ = timing.Sleep(ctx, seedInterval)
 	}
 }
 
@@ -316,13 +317,3 @@
 	}
 	return nil
 }
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/placement/planner_test.go
+++ b/pkg/placement/planner_test.go
@@ -14,14 +14,14 @@
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
 )
 
 func TestPlacement(t *testing.T) {
-	gomega.RegisterFailHandler(ginkgo.Fail)
-	ginkgo.RunSpecs(t, "placement")
+	testkit.RunSpecs(t, "placement")
 }
 
 // written is a planner's input in short form.
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -9,14 +9,12 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/settings"
 )
 
 func TestSettings(t *testing.T) {
-	RegisterFailHandler(Fail)
-	suite, reporter := GinkgoConfiguration()
-	suite.RandomSeed = 1
-	RunSpecs(t, "settings", suite, reporter)
+	testkit.RunSpecs(t, "settings")
 }
 
 const minimal = `{"schemaVersion":1,"instanceId":"i-1","dataCentre":"dc-a","region":"r1",
