--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
