--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -146,13 +145,3 @@
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
 }
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
