--- a/internal/loadtest/experiment.go
+++ b/internal/loadtest/experiment.go
@@ -106,6 +106,9 @@
 		return Report{}, err
 	}
 	report.ModelsWithoutCopy = missing
+	for _, i := range r.fleet.All() {
+		report.DaemonMaxRSSBytes = max(report.DaemonMaxRSSBytes, i.MaxRSS())
+	}
 	if err := r.fleet.Stop(); err != nil {
 		r.note("shutdown: %v", err)
 	}
@@ -393,10 +396,6 @@
 	report.ShareError = ShareError(report.Members, shares)
 	CheckOrders(report, observations, r.bed.Executions)
 	report.MemoryViolations = r.bed.Violations()
-	for _, i := range r.fleet.All() {
-		_, rss := i.Usage()
-		report.DaemonMaxRSSBytes = max(report.DaemonMaxRSSBytes, rss)
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report.Faults = r.notes
--- a/internal/loadtest/fleet.go
+++ b/internal/loadtest/fleet.go
@@ -136,18 +136,25 @@
 	}
 }
 
-// Usage returns the processor time and the largest resident memory of an ended process.
-func (i *Instance) Usage() (cpu time.Duration, maxRSSBytes int64) {
-	state := i.process.ProcessState
-	if state == nil {
-		return 0, 0
+// MaxRSS returns the largest resident memory of a running process in bytes, zero for an ended one. The usage of an ended
+// process is no substitute: it counts the memory that the load tool had when it started the process.
+func (i *Instance) MaxRSS() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", i.process.Process.Pid))
+	if err != nil {
+		return 0
 	}
-	usage, ok := state.SysUsage().(*syscall.Rusage)
-	if !ok {
-		return 0, 0
+	return parseMaxRSS(string(text))
+}
+
+func parseMaxRSS(status string) int64 {
+	_, rest, found := strings.Cut(status, "VmHWM:")
+	fields := strings.Fields(rest)
+	if !found || len(fields) == 0 {
+		return 0
 	}
-	const kilobyte = 1024 // Linux reports Maxrss in kilobytes.
-	return state.UserTime() + state.SystemTime(), usage.Maxrss * kilobyte
+	const kilobyte = 1024
+	amount, _ := strconv.ParseInt(fields[0], 10, 64)
+	return amount * kilobyte
 }
 
 // CPUTime returns the processor time that the instances have used so far, ended ones included.
@@ -163,8 +170,10 @@
 func (i *Instance) cpuTime() time.Duration {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", i.process.Process.Pid))
 	if err != nil {
-		cpu, _ := i.Usage()
-		return cpu
+		if state := i.process.ProcessState; state != nil {
+			return state.UserTime() + state.SystemTime()
+		}
+		return 0
 	}
 	return parseCPUTime(string(text))
 }
--- a/internal/loadtest/loadtest_test.go
+++ b/internal/loadtest/loadtest_test.go
@@ -139,12 +139,14 @@
 	}
 }
 
-// Guards against a stat file whose command name contains blanks and parentheses.
-func TestParseCPUTime(t *testing.T) {
+// Guards against figures of the wrong field, and a stat file whose command name contains blanks and parentheses.
+func TestParseUsage(t *testing.T) {
 	g := NewWithT(t)
 	stat := "77 (a ) b) S 1 77 77 0 -1 4194560 100 0 0 0 250 150 0 0 20 0 9 0 1 2 3"
 	g.Expect(parseCPUTime(stat)).To(Equal(4 * time.Second))
 	g.Expect(parseCPUTime("")).To(BeZero())
+	g.Expect(parseMaxRSS("VmPeak:\t 900 kB\nVmHWM:\t    40 kB\nVmRSS:\t 30 kB\n")).To(BeEquivalentTo(40 * 1024))
+	g.Expect(parseMaxRSS("")).To(BeZero())
 }
 
 // Guards against a balancer that spreads evenly, under which a policy that only counts its own calls looks good, and
