--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -2,7 +2,6 @@
 package daemon
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -73,9 +72,10 @@
 	modelPacer   *weightstore.Pacer
 	adapterPacer *weightstore.Pacer
 	controllers  controllerSet
-	// planInterval and leaseTTL are shortened by tests; zero means the packages' defaults.
-	planInterval time.Duration
-	leaseTTL     time.Duration
+	// planInterval, verifyInterval and leaseTTL are shortened by tests; zero means the packages' defaults.
+	planInterval   time.Duration
+	verifyInterval time.Duration
+	leaseTTL       time.Duration
 
 	// instances is nil when the settings name no instance list.
 	instances *instancelist.Client
@@ -145,13 +145,3 @@
 func (d *Daemon) Stop() {
 	d.stopOnce.Do(func() { close(d.stop) })
 }
-
-// sleep waits for the duration or the end of the context.
-func sleep(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -11,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/adminapi"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -61,7 +62,7 @@
 				delete(running, shard)
 			}
 		}
-		sleep(ctx, time.Second)
+		_ = timing.Sleep(ctx, time.Second)
 	}
 }
 
@@ -86,22 +87,23 @@
 	})
 	meter := newRateMeter(d.tracker.Total, time.Now, d.placementShards)
 	controller := placement.NewController(placement.Options{
-		DataCentre:   d.settings.DataCentre,
-		Shard:        shard,
-		Ledger:       d.ledger,
-		Guard:        guard{holder: holder},
-		Dialer:       d.engine,
-		Planner:      d.planner,
-		Snapshot:     d.syncer.Current,
-		Status:       d.endpointStatus,
-		Demand:       meter.Demand,
-		Elsewhere:    d.copiesElsewhere,
-		ModelPacer:   d.modelPacer,
-		AdapterPacer: d.adapterPacer,
-		Recorder:     d.recorder,
-		Log:          d.log,
-		Scope:        d.metrics.Scope,
-		PlanInterval: d.planInterval,
+		DataCentre:     d.settings.DataCentre,
+		Shard:          shard,
+		Ledger:         d.ledger,
+		Guard:          guard{holder: holder},
+		Dialer:         d.engine,
+		Planner:        d.planner,
+		Snapshot:       d.syncer.Current,
+		Status:         d.endpointStatus,
+		Demand:         meter.Demand,
+		Elsewhere:      d.copiesElsewhere,
+		ModelPacer:     d.modelPacer,
+		AdapterPacer:   d.adapterPacer,
+		Recorder:       d.recorder,
+		Log:            d.log,
+		Scope:          d.metrics.Scope,
+		PlanInterval:   d.planInterval,
+		VerifyInterval: d.verifyInterval,
 	})
 	d.controllers.set(shard, shardParts{controller: controller, holder: holder})
 	defer d.controllers.remove(shard)
@@ -115,7 +117,7 @@
 			err := controller.Run(ctx)
 			d.log.Info("placement stopped", zap.Int("shard", shard), zap.String("reason", err.Error()))
 		}
-		sleep(ctx, leasePollInterval)
+		_ = timing.Sleep(ctx, leasePollInterval)
 	}
 }
 
--- a/pkg/findings/findings.go
+++ b/pkg/findings/findings.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"sort"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -25,15 +26,15 @@
 // MaxValueLength bounds the length, in bytes, of the value quoted in a finding.
 const MaxValueLength = 80
 
-// String formats the finding as "file: pointer: message (got value)".
+// String formats the finding as "file: pointer: message (got value)"; an empty file or pointer is left out.
 func (f Finding) String() string {
 	var b strings.Builder
-	if f.File != "" {
-		b.WriteString(f.File)
-		b.WriteString(": ")
+	for _, part := range []string{f.File, f.Pointer} {
+		if part != "" {
+			b.WriteString(part)
+			b.WriteString(": ")
+		}
 	}
-	b.WriteString(f.Pointer)
-	b.WriteString(": ")
 	b.WriteString(f.Message)
 	if f.Value != "" {
 		fmt.Fprintf(&b, " (got %s)", f.Value)
@@ -46,10 +47,14 @@
 	items []Finding
 }
 
-// Add records one finding. A value longer than MaxValueLength is cut.
+// Add records one finding. A value longer than MaxValueLength is cut before the character that exceeds it.
 func (l *List) Add(f Finding) {
 	if len(f.Value) > MaxValueLength {
-		f.Value = f.Value[:MaxValueLength] + "..."
+		end := MaxValueLength
+		for end > 0 && !utf8.RuneStart(f.Value[end]) {
+			end--
+		}
+		f.Value = f.Value[:end] + "..."
 	}
 	l.items = append(l.items, f)
 }
