Let members above their share leave room at each endpoint

Cause: a member at 100 times its share fills every place at every engine. Calls of the others start at once or come first in the engine's queue, but still wait for a running call to end, which takes longer than their target of 0.3 s. Conclusion: the room costs up to 30% of an endpoint while others are active, none otherwise.

--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -20,7 +20,7 @@
 	if c.calls == 0 || c.snapshot == nil {
 		return
 	}
-	pass := &dispatchPass{eligible: eligible, part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool), favoured: make(map[string]bool)}
+	pass := &dispatchPass{eligible: eligible, part: c.parts.Shares.LocalPart(), states: make(map[modelKey][]endpoints.State), blocked: make(map[modelKey]bool), favoured: make(map[string]bool), headroom: make(map[string]float64)}
 	for c.grantNext(pass) {
 	}
 }
@@ -34,6 +34,8 @@
 	blocked map[modelKey]bool
 	// favoured remembers which members the order favours.
 	favoured map[string]bool
+	// headroom remembers what the calls of members must leave free.
+	headroom map[string]float64
 }
 
 // statesFor reads the endpoints that have what the calls of a queue need.
@@ -71,6 +73,7 @@
 		states := pass.statesFor(c.parts.Registry, w)
 		for i := range states {
 			states[i].Part = pass.partFor(c, w.request.Member)
+			states[i].Headroom = pass.headroomFor(c, w.request.Member)
 		}
 		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
 		if blocked == scheduling.Chosen {
--- a/pkg/admission/order.go
+++ b/pkg/admission/order.go
@@ -15,6 +15,8 @@
 	victim(c *Controller, byBytes bool) *waiter
 	// favours tells whether the member's calls may start at full endpoints and precede others in the engines' queues.
 	favours(c *Controller, member string) bool
+	// headroom returns the part of each endpoint that the member's calls must leave free, 0 to 1.
+	headroom(c *Controller, member string) float64
 }
 
 // FairOrder takes members by fair share, and the models of a member by fair share within it.
@@ -66,6 +68,10 @@
 	return c.parts.Shares.WithinShare(member)
 }
 
+func (FairOrder) headroom(c *Controller, member string) float64 {
+	return c.parts.Shares.Headroom(member)
+}
+
 // favouredPriority exceeds the difference of any two declared priorities.
 const favouredPriority = 1 << 22
 
@@ -86,6 +92,15 @@
 	return favoured
 }
 
+func (p *dispatchPass) headroomFor(c *Controller, member string) float64 {
+	part, known := p.headroom[member]
+	if !known {
+		part = c.parts.Order.headroom(c, member)
+		p.headroom[member] = part
+	}
+	return part
+}
+
 // partFor is the part of a full endpoint that this instance may fill with the member's calls.
 func (p *dispatchPass) partFor(c *Controller, member string) float64 {
 	if p.favours(c, member) {
@@ -119,6 +134,8 @@
 
 func (ArrivalOrder) favours(*Controller, string) bool { return false }
 
+func (ArrivalOrder) headroom(*Controller, string) float64 { return 0 }
+
 func (ArrivalOrder) victim(c *Controller, _ bool) *waiter {
 	var newest *waiter
 	for _, m := range c.members {
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -55,6 +55,9 @@
 	// Part is the part of the limit, 0 to 1, that this instance may use when other instances fill the endpoint. It is set by
 	// admission from the members' shares.
 	Part float64
+	// Headroom is the part of the limit, 0 to 1, that the call must leave free. It is set by admission for members above
+	// their share.
+	Headroom float64
 	// Instances is the number of entry instances that share the endpoint, this one included.
 	Instances int
 	// ConcurrencyLimit is the adaptive limit of calls at once over all instances.
@@ -85,17 +88,29 @@
 // HasCapacity tells whether one more call fits under the concurrency limit, or under this instance's part of it. When
 // peers are silent this instance keeps to an equal part, because the others may fill theirs unseen.
 func (s *State) HasCapacity() bool {
+	limit := s.usableLimit()
 	if s.PeersStale {
-		part := (s.ConcurrencyLimit + s.Instances - 1) / max(1, s.Instances)
+		part := (limit + s.Instances - 1) / max(1, s.Instances)
 		return s.OwnInFlight < max(1, part)
 	}
-	if s.InFlight() < s.ConcurrencyLimit {
+	if s.InFlight() < limit {
 		return true
 	}
+	if s.Headroom > 0 {
+		return false
+	}
 	entitled := math.Ceil(s.Part * float64(s.ConcurrencyLimit))
 	return float64(s.OwnInFlight) < entitled && s.InFlight() < maxOvercommit*s.ConcurrencyLimit
 }
 
+// usableLimit is the limit without the headroom, at least one.
+func (s *State) usableLimit() int {
+	if s.Headroom <= 0 {
+		return s.ConcurrencyLimit
+	}
+	return max(1, s.ConcurrencyLimit-int(math.Ceil(s.Headroom*float64(s.ConcurrencyLimit))))
+}
+
 // CurrentRole is the reported role, or the declared one before the first report.
 func (s *State) CurrentRole() string {
 	if s.Report != nil && s.Report.Role != "" {
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -194,15 +194,51 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
-	var shares, service float64
+	shares, service := a.activity(now)
+	return a.member(member).within(shares, service, now)
+}
+
+const (
+	// leastHeadroom and mostHeadroom bound the part of an endpoint that a member above its share leaves free. The least is
+	// for a first call of a member that was idle; the most limits the capacity that is lost when that call does not come.
+	leastHeadroom = 0.1
+	mostHeadroom  = 0.3
+)
+
+// Headroom returns the part of each endpoint that the member's calls must leave free, 0 to 1. It is zero for a member within
+// its share. A member above it, while others are active, leaves as much as those within their share used lately: their
+// calls cannot wait for its running calls to end without missing their targets.
+func (a *Accountant) Headroom(member string) float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	shares, service := a.activity(now)
+	if a.member(member).within(shares, service, now) {
+		return 0
+	}
+	var used float64
+	for _, account := range a.members.accounts {
+		if account.active(now) && account.within(shares, service, now) {
+			used += account.recent(now)
+		}
+	}
+	return min(mostHeadroom, max(leastHeadroom, used/service))
+}
+
+// activity sums the shares and the recent service of the active members. The caller holds the lock.
+func (a *Accountant) activity(now time.Time) (shares, service float64) {
 	for _, account := range a.members.accounts {
 		if account.active(now) {
 			shares += account.share
 			service += account.recent(now)
 		}
 	}
-	account := a.member(member)
-	return account.recent(now)*shares <= service*account.share
+	return shares, service
+}
+
+// within tells whether the account's part of the recent service is at most its part of the shares.
+func (a *account) within(shares, service float64, now time.Time) bool {
+	return a.recent(now)*shares <= service*a.share
 }
 
 // Local returns this instance's usage, ordered by member.
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -236,3 +236,30 @@
 		g.Expect(a.WithinShare("noisy")).To(BeFalse())
 	})
 }
+
+// Guards against a member above its share that fills endpoints to the last place, against one within its share that is
+// held back, and against capacity that is left free for nobody.
+func TestHeadroom(t *testing.T) {
+	cases := map[string]struct {
+		quiet, noisy int
+		want         float64
+	}{
+		"quiet member idle":                 {quiet: 0, noisy: 900, want: 0},
+		"quiet member just began":           {quiet: 10, noisy: 990, want: 0.1},
+		"quiet member uses a fifth":         {quiet: 200, noisy: 800, want: 0.2},
+		"quiet member uses nearly its part": {quiet: 700, noisy: 300, want: 0.3},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				a := fairshare.NewAccountant(fairshare.DefaultWeights())
+				a.SetShares(map[string]float64{"quiet": 3, "noisy": 1})
+				a.Start("quiet", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: c.quiet})
+				a.Start("noisy", "m", fairshare.Cost{}).Finish(fairshare.Cost{OutputTokens: c.noisy})
+				g.Expect(a.Headroom("noisy")).To(BeNumerically("~", c.want, 1e-9))
+				g.Expect(a.Headroom("quiet")).To(BeZero())
+			})
+		})
+	}
+}
