--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -202,7 +202,7 @@
 	// leastHeadroom and mostHeadroom bound the part of an endpoint that a member above its share leaves free. The least is
 	// for a first call of a member that was idle; the most limits the capacity that is lost when that call does not come.
 	leastHeadroom = 0.1
-	mostHeadroom  = 0.3
+	mostHeadroom  = 0.5
 )
 
 // Headroom returns the part of each endpoint that the member's calls must leave free, 0 to 1. It is zero for a member within
