Start calls that can be in time before late ones; scale the room by the excess over the share

Cause 1: under lasting overload a first-in-first-out queue holds only calls that have missed their target, so every call that starts is late.

--- a/pkg/admission/controller.go
+++ b/pkg/admission/controller.go
@@ -205,6 +205,9 @@
 		enqueued: time.Now(),
 		done:     make(chan verdict, 1),
 	}
+	if model := c.snapshot.Model(request.Model); model != nil {
+		w.freshUntil = w.enqueued.Add(targetOf(model.FirstTokenTargetMs, config.DefaultFirstTokenTarget))
+	}
 	w.latestStart = request.Deadline.Add(-c.statisticsOf(w.key).likely(&request))
 	member := c.member(request.Member)
 	member.inProgress++
@@ -224,7 +227,8 @@
 	if q == nil {
 		return
 	}
-	wait := c.expectedWait(q, slices.Index(q.waiters, w))
+	index, first := slices.Index(q.waiters, w), c.parts.Order.first(q, time.Now())
+	wait := c.expectedWait(q, (index-first+len(q.waiters))%len(q.waiters))
 	if q.notLoaded {
 		// How long a load takes is not known here: the call may wait as long as it can still finish.
 		wait = 0
--- a/pkg/admission/dispatch.go
+++ b/pkg/admission/dispatch.go
@@ -69,11 +69,13 @@
 // grantFrom starts the first call of the queue that an endpoint can take. Calls that exclude endpoints are passed over
 // when only the excluded ones have capacity.
 func (c *Controller) grantFrom(q *modelQueue, pass *dispatchPass) bool {
-	for _, w := range q.waiters {
+	first := c.parts.Order.first(q, time.Now())
+	for i := range q.waiters {
+		w := q.waiters[(first+i)%len(q.waiters)]
 		states := pass.statesFor(c.parts.Registry, w)
-		for i := range states {
-			states[i].Part = pass.partFor(c, w.request.Member)
-			states[i].Headroom = pass.headroomFor(c, w.request.Member)
+		for j := range states {
+			states[j].Part = pass.partFor(c, w.request.Member)
+			states[j].Headroom = pass.headroomFor(c, w.request.Member)
 		}
 		decision, index, blocked := c.parts.Pipeline.Schedule(&w.request, states)
 		if blocked == scheduling.Chosen {
--- a/pkg/admission/order.go
+++ b/pkg/admission/order.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
 )
@@ -13,6 +14,8 @@
 	queues(c *Controller, pass *dispatchPass) []*modelQueue
 	// victim returns the call to refuse; byBytes is true when the bound in bytes is exceeded.
 	victim(c *Controller, byBytes bool) *waiter
+	// first returns the index of the call of a queue that starts first; those after it follow, then those before it.
+	first(q *modelQueue, now time.Time) int
 	// favours tells whether the member's calls may start at full endpoints and precede others in the engines' queues.
 	favours(c *Controller, member string) bool
 	// headroom returns the part of each endpoint that the member's calls must leave free, 0 to 1.
@@ -57,8 +60,13 @@
 	return queues
 }
 
+// first lets calls that can still meet their target for the first token start before those that already missed it. Under
+// lasting overload the queue would otherwise hold only calls that are late, and every call that starts is one of them.
+// Late calls start when no other waits, and are refused when they cannot finish before their deadline.
+func (FairOrder) first(q *modelQueue, now time.Time) int { return q.firstFresh(now) }
+
 func (FairOrder) victim(c *Controller, byBytes bool) *waiter {
-	return c.heaviest(byBytes).newest()
+	return c.heaviest(byBytes).leastUseful(time.Now())
 }
 
 // favours is true for a member within its share. An instance has only one or two calls at each of the endpoints that a noisy
@@ -134,6 +142,8 @@
 
 func (ArrivalOrder) favours(*Controller, string) bool { return false }
 
+func (ArrivalOrder) first(*modelQueue, time.Time) int { return 0 }
+
 func (ArrivalOrder) headroom(*Controller, string) float64 { return 0 }
 
 func (ArrivalOrder) victim(c *Controller, _ bool) *waiter {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
@@ -36,6 +37,8 @@
 	key      modelKey
 	sequence uint64
 	enqueued time.Time
+	// freshUntil is when the call has waited so long that it misses the target for its first token; zero means never.
+	freshUntil time.Time
 	// latestStart is when the call is refused because it could probably not finish any more.
 	latestStart time.Time
 	queue       *modelQueue // nil once the call left the queue
@@ -74,6 +77,25 @@
 	q.member.bytes += int64(w.request.Bytes)
 }
 
+// late tells whether the call misses the target for its first token even if it starts now.
+func (w *waiter) late(now time.Time) bool {
+	return !w.freshUntil.IsZero() && now.After(w.freshUntil)
+}
+
+// firstFresh returns the index of the oldest call that is not late, or zero when the calls have different priorities,
+// which come first. Calls with one priority have one target, so the late ones are the oldest.
+func (q *modelQueue) firstFresh(now time.Time) int {
+	n := len(q.waiters)
+	if n == 0 || q.waiters[0].request.Priority != q.waiters[n-1].request.Priority {
+		return 0
+	}
+	first := sort.Search(n, func(i int) bool { return !q.waiters[i].late(now) })
+	if first == n {
+		return 0
+	}
+	return first
+}
+
 // started measures the pace of the queue. A call that did not wait says nothing about it.
 func (q *modelQueue) started(w *waiter) {
 	now := time.Now()
@@ -117,6 +139,23 @@
 	return q
 }
 
+// leastUseful returns the call to give up: the oldest late one, else the one that was queued last.
+func (m *memberQueue) leastUseful(now time.Time) *waiter {
+	var oldest *waiter
+	for _, q := range m.models {
+		if len(q.waiters) == 0 {
+			continue
+		}
+		if w := q.waiters[0]; w.late(now) && (oldest == nil || w.sequence < oldest.sequence) {
+			oldest = w
+		}
+	}
+	if oldest != nil {
+		return oldest
+	}
+	return m.newest()
+}
+
 // newest returns the call that was queued last.
 func (m *memberQueue) newest() *waiter {
 	var newest *waiter
--- a/pkg/endpoints/state.go
+++ b/pkg/endpoints/state.go
@@ -108,7 +108,7 @@
 	if s.Headroom <= 0 {
 		return s.ConcurrencyLimit
 	}
-	return max(1, s.ConcurrencyLimit-int(math.Ceil(s.Headroom*float64(s.ConcurrencyLimit))))
+	return max(1, s.ConcurrencyLimit-int(math.Round(s.Headroom*float64(s.ConcurrencyLimit))))
 }
 
 // CurrentRole is the reported role, or the declared one before the first report.
--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -206,23 +206,26 @@
 )
 
 // Headroom returns the part of each endpoint that the member's calls must leave free, 0 to 1. It is zero for a member within
-// its share. A member above it, while others are active, leaves as much as those within their share used lately: their
-// calls cannot wait for its running calls to end without missing their targets.
+// its share. A member at twice its share or more leaves as much as those within their share used lately: their calls cannot
+// wait for its running calls to end without missing their targets. Between one and two times the share the room grows in
+// proportion, since members that all want more than there is are above and below their shares by chance.
 func (a *Accountant) Headroom(member string) float64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
 	shares, service := a.activity(now)
-	if a.member(member).within(shares, service, now) {
+	own := a.member(member)
+	if own.within(shares, service, now) {
 		return 0
 	}
+	excess := own.recent(now)*shares/(service*own.share) - 1
 	var used float64
 	for _, account := range a.members.accounts {
 		if account.active(now) && account.within(shares, service, now) {
 			used += account.recent(now)
 		}
 	}
-	return min(mostHeadroom, max(leastHeadroom, used/service))
+	return min(1, excess) * min(mostHeadroom, max(leastHeadroom, used/service))
 }
 
 // activity sums the shares and the recent service of the active members. The caller holds the lock.
