--- a/cmd/mulberryglade-load/run.go
+++ b/cmd/mulberryglade-load/run.go
@@ -84,7 +84,7 @@
 		return errors.Wrap(err, name)
 	}
 	report.Commit = commit()
-	report.Command = strings.Join(os.Args, " ")
+	report.Command = strings.Join(withoutFolders(os.Args), " ")
 	if err := loadtest.WriteReport(filepath.Join(c.Out, name+".json"), report); err != nil {
 		return err
 	}
@@ -112,3 +112,15 @@
 	}
 	return recorded + modified
 }
+
+// withoutFolders shortens absolute paths to their last element, so that a report does not name folders of a machine.
+func withoutFolders(arguments []string) []string {
+	short := make([]string, len(arguments))
+	for i, a := range arguments {
+		short[i] = a
+		if filepath.IsAbs(a) {
+			short[i] = filepath.Base(a)
+		}
+	}
+	return short
+}
