--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -28,7 +28,7 @@
 	// Sampling would drop decision lines, of which every one is wanted.
 	cfg.Sampling = nil
 	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	log, err := cfg.Build()
+	log, err := cfg.Build(zap.WrapCore(func(core zapcore.Core) zapcore.Core { return shortErrors{Core: core} }))
 	return log, errors.Wrap(err, "build logger")
 }
 
