--- /dev/null
+++ b/pkg/edge/clientrequest.go
@@ -0,0 +1,181 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// clientRequest is one request of a client from its arrival to its end.
+type clientRequest struct {
+	server   *Server
+	conn     *clientConn
+	ctx      context.Context
+	req      *fasthttp.Request
+	request  Request
+	table    *routing.Table
+	route    *routing.Route
+	service  *routing.Service
+	arrived  time.Time
+	deadline time.Time
+	log      *zap.Logger
+
+	// sends counts the endpoints to which the request was handed; tried lists them and those that were unreachable.
+	sends int
+	tried []string
+	// mayHaveRun is set once an endpoint may have begun to work on the request.
+	mayHaveRun bool
+}
+
+// handle serves one request and tells whether the connection may be used again.
+func (s *Server) handle(ctx context.Context, c *clientConn, req *fasthttp.Request) bool {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	arrived := time.Now()
+	request := s.parts.Wire.DecodeRequest(&req.Header)
+	log := s.log.With(zap.String("request", request.ID))
+	closing := s.draining.Load() || req.Header.ConnectionClose()
+	if s.refusing.Load() {
+		log.Info("refused: stopping")
+		return s.answer(c, log, ownAnswer{status: fasthttp.StatusServiceUnavailable, close: true})
+	}
+	table := s.table.Load()
+	if table == nil {
+		log.Info("refused: no configuration yet")
+		return s.answer(c, log, ownAnswer{status: fasthttp.StatusServiceUnavailable, retryAfter: startRetryAfter, close: closing})
+	}
+	route := table.Lookup(string(req.Header.Host()), pathOf(req.Header.RequestURI()))
+	if route == nil {
+		log.Info("refused: no route", zap.Int64("configuration", table.Config.Version))
+		return s.answer(c, log, ownAnswer{status: fasthttp.StatusNotFound, close: closing})
+	}
+	x := &clientRequest{
+		server:   s,
+		conn:     c,
+		ctx:      ctx,
+		req:      req,
+		request:  request,
+		table:    table,
+		route:    route,
+		service:  s.chooseService(table, route),
+		arrived:  arrived,
+		deadline: arrived.Add(patience(request.Remaining, route.Timeout)),
+		log:      log,
+	}
+	return x.run(closing)
+}
+
+// startRetryAfter is told while an instance has no configuration; reading it takes well under a second.
+const startRetryAfter = time.Second
+
+// defaultPatience bounds a request when neither the client nor the route does.
+const defaultPatience = 60 * time.Second
+
+func patience(remaining, timeout time.Duration) time.Duration {
+	limit := defaultPatience
+	if remaining > 0 {
+		limit = min(limit, remaining)
+	}
+	if timeout > 0 {
+		limit = min(limit, timeout)
+	}
+	return limit
+}
+
+// pathOf returns the path of a request target without its query.
+func pathOf(target []byte) string {
+	for i, b := range target {
+		if b == '?' {
+			return string(target[:i])
+		}
+	}
+	return string(target)
+}
+
+// answer writes an answer of this system.
+func (s *Server) answer(c *clientConn, log *zap.Logger, a ownAnswer) bool {
+	if err := c.writeOwn(a); err != nil {
+		log.Debug("answer not delivered", zap.Error(err))
+		return false
+	}
+	return !a.close
+}
+
+// run serves the request. It returns false when the connection must be closed.
+func (x *clientRequest) run(closing bool) bool {
+	if x.service == nil {
+		x.log.Warn("refused: the route names no service", zap.String("route", x.route.Name))
+		return x.refuse(startRetryAfter, "no service", closing)
+	}
+	x.server.parts.Budget.Requested(x.service.Name, x.arrived)
+	x.server.demand.note(x.service.Name, &x.request, x.arrived)
+	if x.route.Kind == routing.Streaming {
+		return x.stream(closing)
+	}
+	return x.plain(closing)
+}
+
+func (x *clientRequest) fleetDemand() *fleet.Demand {
+	output := x.request.ExpectedOutput
+	if output == 0 {
+		output = x.request.OutputTokens
+	}
+	return &fleet.Demand{
+		Service:      x.service.Name,
+		Model:        x.request.Model,
+		Adapter:      x.request.Adapter,
+		PromptTokens: x.request.PromptTokens,
+		OutputTokens: output,
+		Parts:        x.request.Parts,
+		Exclude:      x.tried,
+	}
+}
+
+// mayRepeat tells whether the request may be sent once more after a send, and spends the budget if so.
+func (x *clientRequest) mayRepeat(now time.Time) bool {
+	switch {
+	case x.ctx.Err() != nil, x.sends >= x.route.MaxAttempts:
+		return false
+	case x.mayHaveRun && !x.route.Repeatable():
+		return false
+	case !x.deadline.After(now.Add(minimumAttempt)):
+		return false
+	case x.sends == 0:
+		return true
+	}
+	return x.server.parts.Budget.Take(x.service.Name, now)
+}
+
+// minimumAttempt is the least time in which a send can be of use.
+const minimumAttempt = 20 * time.Millisecond
+
+// fail ends the request without an endpoint's answer. A request that has certainly not run is refused with a promise;
+// any other failure promises nothing.
+func (x *clientRequest) fail(reason string, retryAfter time.Duration, closing bool) bool {
+	if x.ctx.Err() != nil {
+		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
+		return false
+	}
+	if !x.mayHaveRun {
+		return x.refuse(retryAfter, reason, closing)
+	}
+	status := fasthttp.StatusBadGateway
+	if !x.deadline.After(time.Now()) {
+		status = fasthttp.StatusGatewayTimeout
+	}
+	x.log.Warn("failed: outcome unknown", zap.String("reason", reason), zap.Int("status", status),
+		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
+	return x.server.answer(x.conn, x.log, ownAnswer{status: status, close: closing})
+}
+
+// refuse tells the client that the request has not run and when to come back.
+func (x *clientRequest) refuse(retryAfter time.Duration, reason string, closing bool) bool {
+	x.log.Info("refused: not run", zap.String("reason", reason), zap.Duration("retryAfter", retryAfter),
+		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
+	return x.server.answer(x.conn, x.log, ownAnswer{status: fasthttp.StatusServiceUnavailable, retryAfter: retryAfter, close: closing})
+}
--- /dev/null
+++ b/pkg/edge/demand.go
@@ -0,0 +1,276 @@
+package edge
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/residency"
+)
+
+const (
+	// demandMemory is the time constant of the demand's moving sums; a shift of demand shows within it.
+	demandMemory = 3 * time.Second
+	// decodeShare is the engine time of one generated token when a dozen requests share a batch.
+	decodeShare = 800 * time.Microsecond
+	// defaultPrefillPerMs is the reading speed assumed for the cost of a request.
+	defaultPrefillPerMs = 20.0
+	// negligible demand is no longer told.
+	negligible = 0.01
+	// remoteDemandAge is the age at which another instance's demand no longer counts.
+	remoteDemandAge = 3 * time.Second
+	// adapterMemory is how long the last use of an adapter is told to the instance that places models.
+	adapterMemory = 20 * time.Second
+)
+
+type modelKey struct {
+	service string
+	model   string
+}
+
+type adapterKey struct {
+	modelKey
+	adapter string
+}
+
+// decayingSum is a sum whose terms fade with demandMemory.
+type decayingSum struct {
+	value float64
+	at    time.Time
+}
+
+func (s *decayingSum) add(x float64, now time.Time) {
+	s.value = s.read(now) + x
+	s.at = now
+}
+
+func (s *decayingSum) read(now time.Time) float64 {
+	if s.at.IsZero() {
+		return 0
+	}
+	return s.value * math.Exp(-max(now.Sub(s.at), 0).Seconds()/demandMemory.Seconds())
+}
+
+type modelStats struct {
+	load     decayingSum
+	requests decayingSum
+	waiting  int
+}
+
+type adapterStats struct {
+	lastUse time.Time
+	waiting int
+}
+
+type remoteDemand struct {
+	models   []exchange.ModelDoc
+	adapters []exchange.AdapterDoc
+	at       time.Time
+}
+
+// demandBook counts what clients ask for here and holds what the other instances told. It implements residency.Demands.
+type demandBook struct {
+	mu       sync.Mutex
+	models   map[modelKey]*modelStats
+	adapters map[adapterKey]*adapterStats
+	remote   map[string]remoteDemand
+}
+
+var _ residency.Demands = (*demandBook)(nil)
+
+func newDemandBook() *demandBook {
+	return &demandBook{
+		models:   make(map[modelKey]*modelStats),
+		adapters: make(map[adapterKey]*adapterStats),
+		remote:   make(map[string]remoteDemand),
+	}
+}
+
+// note counts a request.
+func (b *demandBook) note(service string, r *Request, now time.Time) {
+	if r.Model == "" {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	stats := b.model(modelKey{service, r.Model})
+	stats.requests.add(1, now)
+	stats.load.add(engineSeconds(r), now)
+	if r.Adapter != "" {
+		b.adapter(adapterKey{modelKey{service, r.Model}, r.Adapter}).lastUse = now
+	}
+}
+
+// engineSeconds is the engine time that a request needs.
+func engineSeconds(r *Request) float64 {
+	output := cmp.Or(r.ExpectedOutput, r.OutputTokens)
+	return float64(r.PromptTokens)/defaultPrefillPerMs/1000 + float64(output)*decodeShare.Seconds()
+}
+
+func (b *demandBook) model(key modelKey) *modelStats {
+	stats := b.models[key]
+	if stats == nil {
+		stats = &modelStats{}
+		b.models[key] = stats
+	}
+	return stats
+}
+
+func (b *demandBook) adapter(key adapterKey) *adapterStats {
+	stats := b.adapters[key]
+	if stats == nil {
+		stats = &adapterStats{}
+		b.adapters[key] = stats
+	}
+	return stats
+}
+
+// wait counts a request that waits for its model or adapter until the returned function is called.
+func (b *demandBook) wait(service string, r *Request, forAdapter bool) (done func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := modelKey{service, r.Model}
+	counter := &b.model(key).waiting
+	if forAdapter {
+		counter = &b.adapter(adapterKey{key, r.Adapter}).waiting
+	}
+	*counter++
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		*counter--
+	}
+}
+
+// receive takes over another instance's demand.
+func (b *demandBook) receive(instance string, models []exchange.ModelDoc, adapters []exchange.AdapterDoc, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.remote[instance] = remoteDemand{models: models, adapters: adapters, at: now}
+}
+
+// own returns this instance's demand as it is sent, and forgets what has faded.
+func (b *demandBook) own(now time.Time) ([]exchange.ModelDoc, []exchange.AdapterDoc) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var models []exchange.ModelDoc
+	for key, stats := range b.models {
+		requests := stats.requests.read(now) / demandMemory.Seconds()
+		if requests < negligible && stats.waiting == 0 {
+			delete(b.models, key)
+			continue
+		}
+		models = append(models, exchange.ModelDoc{
+			Service:  key.service,
+			Model:    key.model,
+			Load:     round(stats.load.read(now) / demandMemory.Seconds()),
+			Requests: round(requests),
+			Waiting:  stats.waiting,
+		})
+	}
+	var adapters []exchange.AdapterDoc
+	for key, stats := range b.adapters {
+		idle := now.Sub(stats.lastUse)
+		if idle > adapterMemory && stats.waiting == 0 {
+			delete(b.adapters, key)
+			continue
+		}
+		adapters = append(adapters, exchange.AdapterDoc{
+			Service: key.service, Model: key.model, Adapter: key.adapter, Waiting: stats.waiting, IdleMs: idle.Milliseconds(),
+		})
+	}
+	return models, adapters
+}
+
+// round keeps three decimals, so that messages stay short.
+func round(x float64) float64 {
+	return math.Round(x*1000) / 1000
+}
+
+// eachModel calls f with the demand of every instance.
+func (b *demandBook) eachModel(now time.Time, f func(m exchange.ModelDoc)) {
+	models, _ := b.own(now)
+	for _, m := range models {
+		f(m)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for instance, r := range b.remote {
+		if now.Sub(r.at) > remoteDemandAge {
+			delete(b.remote, instance)
+			continue
+		}
+		for _, m := range r.models {
+			f(m)
+		}
+	}
+}
+
+// ModelDemand implements residency.Demands.
+func (b *demandBook) ModelDemand(service string, now time.Time) map[string]residency.ModelDemand {
+	total := make(map[string]residency.ModelDemand)
+	b.eachModel(now, func(m exchange.ModelDoc) {
+		if m.Service != service {
+			return
+		}
+		d := total[m.Model]
+		d.Load += m.Load
+		d.Requests += m.Requests
+		d.Waiting += m.Waiting
+		total[m.Model] = d
+	})
+	return total
+}
+
+// eachAdapter calls f with the adapters of every instance.
+func (b *demandBook) eachAdapter(now time.Time, f func(a exchange.AdapterDoc)) {
+	_, adapters := b.own(now)
+	for _, a := range adapters {
+		f(a)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, r := range b.remote {
+		for _, a := range r.adapters {
+			f(a)
+		}
+	}
+}
+
+// AdapterWants implements residency.Demands.
+func (b *demandBook) AdapterWants(service string, now time.Time) []residency.AdapterWant {
+	waiting := make(map[adapterKey]int)
+	b.eachAdapter(now, func(a exchange.AdapterDoc) {
+		if a.Service == service && a.Waiting > 0 {
+			waiting[adapterKey{modelKey{service, a.Model}, a.Adapter}] += a.Waiting
+		}
+	})
+	wants := make([]residency.AdapterWant, 0, len(waiting))
+	for key, n := range waiting {
+		wants = append(wants, residency.AdapterWant{Model: key.model, Adapter: key.adapter, Waiting: n})
+	}
+	slices.SortFunc(wants, func(a, b residency.AdapterWant) int {
+		return cmp.Or(cmp.Compare(a.Model, b.Model), cmp.Compare(a.Adapter, b.Adapter))
+	})
+	return wants
+}
+
+// AdapterUse implements residency.Demands.
+func (b *demandBook) AdapterUse(service string) map[string]time.Time {
+	now := time.Now()
+	use := make(map[string]time.Time)
+	b.eachAdapter(now, func(a exchange.AdapterDoc) {
+		if a.Service != service {
+			return
+		}
+		name := a.Model + "/" + a.Adapter
+		at := now.Add(-time.Duration(a.IdleMs) * time.Millisecond)
+		if at.After(use[name]) {
+			use[name] = at
+		}
+	})
+	return use
+}
--- /dev/null
+++ b/pkg/edge/drain.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+)
+
+const (
+	// rotationTime is how long the load balancer takes to send no more connections to an instance that is not ready: two
+	// checks a second apart, and some time for connections on their way.
+	rotationTime = 2500 * time.Millisecond
+	// exitMargin is left between the end of the process and the time at which it would be killed.
+	exitMargin = 400 * time.Millisecond
+	// drainStep is how often a stopping instance looks whether it may end.
+	drainStep = 50 * time.Millisecond
+)
+
+// drain finishes the requests in flight. The instance is no longer ready at once but accepts requests until the load
+// balancer has noticed; later ones are refused as not run.
+func (s *Server) drain(clients net.Listener) {
+	started := time.Now()
+	s.draining.Store(true)
+	s.log.Info("stopping", zap.Int64("active", s.active.Load()))
+	end := started.Add(s.settings().Bounds.shutdown() - exitMargin)
+	for time.Since(started) < rotationTime && time.Now().Before(end) {
+		time.Sleep(drainStep)
+	}
+	s.refusing.Store(true)
+	for time.Now().Before(end) {
+		for _, c := range s.connections() {
+			c.closeIfIdle()
+		}
+		if s.active.Load() == 0 {
+			break
+		}
+		time.Sleep(drainStep)
+	}
+	s.log.Info("drained", zap.Int64("cutOff", s.active.Load()), zap.Duration("after", time.Since(started)))
+	if err := clients.Close(); err != nil {
+		s.log.Debug("close client listener", zap.Error(err))
+	}
+}
+
+// listenReady serves the load balancer's readiness checks.
+func (s *Server) listenReady(address string) (*fasthttp.Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for readiness checks")
+	}
+	server := &fasthttp.Server{
+		Handler: func(ctx *fasthttp.RequestCtx) {
+			if !s.ready() {
+				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			}
+		},
+		ReadBufferSize:        minReadBuffer,
+		Concurrency:           readyConcurrency,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		DisableKeepalive:      false,
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil {
+			s.log.Warn("readiness listener ended", zap.Error(err))
+		}
+	}()
+	return server, nil
+}
+
+// readyConcurrency bounds the connections of the readiness listener.
+const readyConcurrency = 64
--- /dev/null
+++ b/pkg/edge/follow.go
@@ -0,0 +1,251 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// Entries decodes what others write to the store.
+type Entries struct {
+	ConfigKey      string
+	EndpointPrefix string
+	Config         func(value []byte) (*routing.Config, error)
+	Endpoint       func(id string, value []byte) (fleet.Announcement, error)
+}
+
+const (
+	// ownPrefix begins the keys of this system.
+	ownPrefix = "mulberryglade/"
+	// instancePrefix begins the entries of the instances, each under its lease.
+	instancePrefix = ownPrefix + "instances/"
+	// placementKey is held by the instance that places models.
+	placementKey = ownPrefix + "placement"
+
+	// watchPause is the time between two watches. Entries change many times a second, each call is paid for, and the
+	// tightest bound of a change is some seconds.
+	watchPause = 700 * time.Millisecond
+	// watchWait bounds one watch, so that a connection that has gone silent is noticed.
+	watchWait = 2 * time.Second
+	// retryPause is the time between attempts while the store does not answer.
+	retryPause = 300 * time.Millisecond
+	// outageGrace is how long after an outage removed entries are kept.
+	outageGrace = 2 * time.Second
+)
+
+// instanceDoc is the entry of an instance.
+type instanceDoc struct {
+	Exchange   string `json:"exchange"`
+	DataCentre string `json:"dataCentre"`
+}
+
+// follower keeps this instance's view of the store.
+type follower struct {
+	server *Server
+	store  kvstore.Store
+	// watch is nil until the store's whole content was read.
+	watch kvstore.Watch
+	// at is the newest revision seen.
+	at kvstore.Revision
+	// lostAt is the time of the first failed call; zero while the store answers.
+	lostAt     time.Time
+	graceUntil time.Time
+}
+
+// run follows the store until the context ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.watch == nil && !f.readAll(ctx) {
+			pause(ctx, retryPause)
+			continue
+		}
+		started := time.Now()
+		if !f.watchOnce(ctx) {
+			pause(ctx, retryPause)
+			continue
+		}
+		f.expire()
+		pause(ctx, watchPause-time.Since(started))
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// readAll replaces the view by the store's present content.
+func (f *follower) readAll(ctx context.Context) bool {
+	items, at, err := f.store.Range(ctx, "")
+	if err != nil {
+		f.lost(err)
+		return false
+	}
+	f.regained()
+	present := make(map[string]bool, len(items))
+	for i := range items {
+		present[items[i].Key] = true
+		f.put(&items[i])
+	}
+	for _, id := range f.server.parts.Fleet.IDs() {
+		if !present[f.server.parts.Entries.EndpointPrefix+id] {
+			f.withdraw(id)
+		}
+	}
+	for _, name := range f.server.members.names() {
+		if !present[instancePrefix+name] {
+			f.server.members.remove(name)
+		}
+	}
+	if !present[placementKey] {
+		f.server.members.setHolder("")
+	}
+	f.at = at
+	f.watch, err = f.store.Watch(ctx, "", at+1)
+	if err != nil {
+		f.lost(err)
+		return false
+	}
+	f.server.log.Info("store read", zap.Int("entries", len(items)), zap.Int64("revision", int64(at)))
+	return true
+}
+
+// watchOnce applies the changes since the last call.
+func (f *follower) watchOnce(ctx context.Context) bool {
+	call, cancel := context.WithTimeout(ctx, watchWait)
+	defer cancel()
+	events, err := f.watch.Next(call)
+	switch {
+	case errors.Is(err, kvstore.ErrCompacted):
+		f.server.log.Info("store history is gone; reading all entries", zap.Int64("revision", int64(f.at)))
+		f.watch.Close()
+		f.watch = nil
+		return true
+	case ctx.Err() != nil:
+		return false
+	case err != nil:
+		f.lost(err)
+		return false
+	}
+	f.regained()
+	for i := range events {
+		f.apply(&events[i])
+		f.at = max(f.at, events[i].ModRevision)
+	}
+	return true
+}
+
+func (f *follower) apply(event *kvstore.Event) {
+	if !event.Deleted {
+		f.put(&event.KeyValue)
+		return
+	}
+	if id, found := strings.CutPrefix(event.Key, f.server.parts.Entries.EndpointPrefix); found {
+		f.withdraw(id)
+		return
+	}
+	if name, found := strings.CutPrefix(event.Key, instancePrefix); found {
+		f.server.members.remove(name)
+		return
+	}
+	if event.Key == placementKey {
+		f.server.members.setHolder("")
+	}
+}
+
+func (f *follower) put(item *kvstore.KeyValue) {
+	if item.Key == f.server.parts.Entries.ConfigKey {
+		f.putConfig(item)
+		return
+	}
+	if id, found := strings.CutPrefix(item.Key, f.server.parts.Entries.EndpointPrefix); found {
+		f.putEndpoint(id, item)
+		return
+	}
+	if name, found := strings.CutPrefix(item.Key, instancePrefix); found {
+		f.putInstance(name, item)
+		return
+	}
+	if item.Key == placementKey {
+		holder, _, _ := strings.Cut(string(item.Value), " ")
+		f.server.members.setHolder(holder)
+	}
+}
+
+func (f *follower) putConfig(item *kvstore.KeyValue) {
+	config, err := f.server.parts.Entries.Config(item.Value)
+	if err != nil {
+		f.server.log.Error("configuration not readable; the one in force stays", zap.Error(err))
+		return
+	}
+	f.server.applyConfig(config, int64(item.ModRevision))
+}
+
+func (f *follower) putEndpoint(id string, item *kvstore.KeyValue) {
+	announcement, err := f.server.parts.Entries.Endpoint(id, item.Value)
+	if err != nil {
+		f.server.log.Info("entry names no endpoint", zap.Error(err), zap.Int64("revision", int64(item.ModRevision)))
+		f.withdraw(id)
+		return
+	}
+	change := f.server.parts.Fleet.Announce(announcement, time.Now())
+	if change != fleet.Unchanged {
+		f.server.log.Info("endpoint announced", zap.String("endpoint", id), zap.String("service", announcement.Service),
+			zap.String("address", announcement.Address), zap.Bool("leaving", announcement.Leaving),
+			zap.Duration("removalIn", announcement.RemovalIn), zap.Int64("revision", int64(item.ModRevision)))
+	}
+}
+
+func (f *follower) withdraw(id string) {
+	now := time.Now()
+	grace := now.Before(f.graceUntil)
+	f.server.parts.Fleet.Withdraw(id, grace, now)
+	f.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
+}
+
+func (f *follower) expire() {
+	for _, id := range f.server.parts.Fleet.Expire(time.Now()) {
+		f.server.log.Info("endpoint gone: not announced again after the store's outage", zap.String("endpoint", id))
+	}
+}
+
+func (f *follower) putInstance(name string, item *kvstore.KeyValue) {
+	var doc instanceDoc
+	if err := json.Unmarshal(item.Value, &doc); err != nil {
+		f.server.log.Warn("instance entry not readable", zap.String("instance", name), zap.Error(err))
+		return
+	}
+	f.server.members.put(name, doc)
+}
+
+// lost notes a failed call; only the first of an outage is logged.
+func (f *follower) lost(err error) {
+	if f.lostAt.IsZero() {
+		f.lostAt = time.Now()
+		f.server.log.Warn("store lost; the last view stays in force", zap.Error(err), zap.Int64("revision", int64(f.at)))
+	}
+}
+
+func (f *follower) regained() {
+	if f.lostAt.IsZero() {
+		return
+	}
+	f.server.log.Info("store regained", zap.Duration("after", time.Since(f.lostAt)))
+	f.lostAt = time.Time{}
+	f.graceUntil = time.Now().Add(outageGrace)
+}
--- /dev/null
+++ b/pkg/edge/members.go
@@ -0,0 +1,183 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/lease"
+)
+
+// members are the instances that are registered in the store, and the one that places models.
+type members struct {
+	mu        sync.Mutex
+	instances map[string]instanceDoc
+	holder    string
+}
+
+func newMembers() *members {
+	return &members{instances: make(map[string]instanceDoc)}
+}
+
+func (m *members) put(name string, doc instanceDoc) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.instances[name] = doc
+}
+
+func (m *members) remove(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.instances, name)
+}
+
+func (m *members) has(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, found := m.instances[name]
+	return found
+}
+
+func (m *members) names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	names := make([]string, 0, len(m.instances))
+	for name := range m.instances {
+		names = append(names, name)
+	}
+	return names
+}
+
+// count returns the number of instances, at least one.
+func (m *members) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(len(m.instances), 1)
+}
+
+func (m *members) setHolder(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.holder = name
+}
+
+func (m *members) currentHolder() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.holder
+}
+
+// peers returns the other instances.
+func (m *members) peers(own string, regions map[string]string, region string) []exchange.Peer {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var peers []exchange.Peer
+	for name, doc := range m.instances {
+		if name == own {
+			continue
+		}
+		peers = append(peers, exchange.Peer{
+			Instance:   name,
+			DataCentre: doc.DataCentre,
+			Address:    doc.Exchange,
+			Near:       regions[doc.DataCentre] == region,
+		})
+	}
+	return peers
+}
+
+const (
+	// presenceTTL is how long an instance that died stays registered.
+	presenceTTL = 6 * time.Second
+	// presenceRenewal is the time between renewals of the registration.
+	presenceRenewal = 2 * time.Second
+)
+
+// presence keeps this instance registered.
+type presence struct {
+	server *Server
+	store  kvstore.Store
+	lease  kvstore.LeaseID
+}
+
+// run registers and renews until the context ends, then leaves.
+func (p *presence) run(ctx context.Context) {
+	defer p.leave()
+	for ctx.Err() == nil {
+		if err := p.step(ctx); err != nil {
+			p.server.log.Debug("registration not renewed", zap.Error(err))
+			pause(ctx, retryPause)
+			continue
+		}
+		pause(ctx, presenceRenewal)
+	}
+}
+
+func (p *presence) step(ctx context.Context) error {
+	if p.lease != 0 {
+		_, err := p.store.KeepAlive(ctx, p.lease)
+		if errors.Is(err, kvstore.ErrLeaseNotFound) {
+			p.lease = 0
+		}
+		// The store may have removed the entry though the lease is there.
+		if err != nil || p.server.members.has(p.server.settings().InstanceID) {
+			return err
+		}
+	}
+	return p.register(ctx)
+}
+
+func (p *presence) register(ctx context.Context) error {
+	s := p.server.settings()
+	if p.lease == 0 {
+		id, _, err := p.store.Grant(ctx, presenceTTL)
+		if err != nil {
+			return err
+		}
+		p.lease = id
+	}
+	value, err := json.Marshal(instanceDoc{Exchange: s.ExchangeAddress, DataCentre: s.DataCentre})
+	if err != nil {
+		return errors.Wrap(err, "encode instance entry")
+	}
+	put := kvstore.Put{Key: instancePrefix + s.InstanceID, Value: value, Lease: p.lease}
+	_, err = p.store.Commit(ctx, []kvstore.ConditionalWrite{{Puts: []kvstore.Put{put}}})
+	if errors.Is(err, kvstore.ErrLeaseNotFound) {
+		p.lease = 0
+	}
+	if err == nil {
+		p.server.log.Info("registered", zap.String("exchange", s.ExchangeAddress))
+	}
+	return err
+}
+
+// leaveTimeout bounds the last call of an instance that stops.
+const leaveTimeout = 500 * time.Millisecond
+
+func (p *presence) leave() {
+	if p.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := p.store.Revoke(ctx, p.lease); err != nil {
+		p.server.log.Info("registration not withdrawn; it expires", zap.Error(err))
+	}
+}
+
+// placementLease adapts the lease holder to residency.Lease: the fencing token is the revision that created the key.
+type placementLease struct {
+	holder *lease.Holder
+}
+
+// Held implements residency.Lease.
+func (p placementLease) Held() (int64, bool) {
+	token, held := p.holder.Held()
+	return int64(token.Revision), held
+}
--- /dev/null
+++ b/pkg/edge/server.go
@@ -0,0 +1,373 @@
+// Package edge is the entry instance on the users' platform: it accepts clients, chooses endpoints, forwards requests and
+// takes part in placing models. The platform's names are translated by the adapter behind Wire and Entries.
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
+	"github.com/mulberryglade/mulberryglade/pkg/lease"
+	"github.com/mulberryglade/mulberryglade/pkg/residency"
+	"github.com/mulberryglade/mulberryglade/pkg/retry"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// Parts are what a Server is built from. Fleet and Budget are made by New when they are nil.
+type Parts struct {
+	Wire    Wire
+	Entries Entries
+	Store   kvstore.Store
+	Engines residency.Engines
+	// Pool sends requests to endpoints.
+	Pool   *httpconn.Pool
+	Fleet  *fleet.Registry
+	Budget *retry.WindowBudget
+}
+
+// Server is one entry instance.
+type Server struct {
+	parts    Parts
+	log      *zap.Logger
+	config   atomic.Pointer[Settings]
+	table    atomic.Pointer[routing.Table]
+	members  *members
+	demand   *demandBook
+	exchange *exchange.Exchange
+	lease    *lease.Holder
+	draining atomic.Bool
+	// refusing is set once a stopping instance no longer begins requests.
+	refusing atomic.Bool
+
+	mu     sync.Mutex
+	conns  map[*clientConn]struct{}
+	random *rand.Rand
+	// active counts requests that are being handled.
+	active atomic.Int64
+}
+
+// New returns a server that does nothing until Run.
+func New(s Settings, parts Parts, log *zap.Logger) (*Server, error) {
+	if parts.Fleet == nil {
+		parts.Fleet = fleet.NewRegistry()
+	}
+	server := &Server{
+		parts:   parts,
+		log:     log,
+		members: newMembers(),
+		demand:  newDemandBook(),
+		conns:   make(map[*clientConn]struct{}),
+		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	server.config.Store(&s)
+	if parts.Budget == nil {
+		server.parts.Budget = retry.NewWindowBudget(server.retryLimits)
+	}
+	server.lease = lease.New(lease.Options{
+		Store:    parts.Store,
+		Key:      placementKey,
+		Identity: s.InstanceID,
+		TTL:      time.Duration(s.Bounds.PlacementLeaseMs) * time.Millisecond,
+		// The watch tells when the key is free, so that waiting instances make no calls.
+		Eligible: func() bool {
+			holder := server.members.currentHolder()
+			return server.table.Load() != nil && (holder == "" || holder == s.InstanceID)
+		},
+		Log: log,
+	})
+	var err error
+	server.exchange, err = exchange.Listen(exchange.Options{
+		Instance: s.InstanceID,
+		Address:  s.ExchangeAddress,
+		Peers: func() []exchange.Peer {
+			now := server.settings()
+			return server.members.peers(now.InstanceID, now.Regions, now.Region)
+		},
+		Holder:  server.members.currentHolder,
+		Compose: server.compose,
+		Receive: server.receive,
+		Log:     log,
+	})
+	return server, err
+}
+
+func (s *Server) settings() *Settings {
+	return s.config.Load()
+}
+
+// Reload takes over settings that may change while the process runs. Addresses take effect at the next start.
+func (s *Server) Reload(settings Settings) {
+	s.config.Store(&settings)
+	s.log.Info("settings reloaded")
+}
+
+func (s *Server) limits() routing.ClientLimits {
+	table := s.table.Load()
+	if table == nil {
+		return defaultClientLimits
+	}
+	limits := table.Config.Limits
+	if limits.MaxHeaderBytes <= 0 {
+		limits.MaxHeaderBytes = defaultClientLimits.MaxHeaderBytes
+	}
+	if limits.MaxBodyBytes <= 0 {
+		limits.MaxBodyBytes = defaultClientLimits.MaxBodyBytes
+	}
+	if limits.HeaderTimeout <= 0 {
+		limits.HeaderTimeout = defaultClientLimits.HeaderTimeout
+	}
+	if limits.IdleTimeout <= 0 {
+		limits.IdleTimeout = defaultClientLimits.IdleTimeout
+	}
+	return limits
+}
+
+func (s *Server) retryLimits() retry.WindowLimits {
+	bounds := s.settings().Bounds
+	return retry.WindowLimits{
+		Window:    time.Duration(bounds.RetryWindowSeconds * float64(time.Second)),
+		Ratio:     bounds.RetryRatio,
+		Slack:     bounds.RetrySlack,
+		Instances: s.members.count(),
+	}
+}
+
+// applyConfig puts a configuration in force unless a newer one is.
+func (s *Server) applyConfig(config *routing.Config, revision int64) {
+	current := s.table.Load()
+	if current != nil && config.Version <= current.Config.Version {
+		return
+	}
+	s.table.Store(routing.NewTable(config))
+	s.log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", revision),
+		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+}
+
+func (s *Server) chooseService(table *routing.Table, route *routing.Route) *routing.Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return table.ChooseService(route, s.random)
+}
+
+const (
+	// sameRegionCost and otherRegionCost are added to the expected time at endpoints elsewhere. The latter is the round trip
+	// with something for the price of the link.
+	sameRegionCost  = time.Millisecond
+	otherRegionCost = 60 * time.Millisecond
+)
+
+func (s *Server) distance(dataCentre string) time.Duration {
+	settings := s.settings()
+	switch {
+	case dataCentre == settings.DataCentre:
+		return 0
+	case settings.Regions[dataCentre] == settings.Region:
+		return sameRegionCost
+	default:
+		return otherRegionCost
+	}
+}
+
+func (s *Server) pace(string) fleet.Pace {
+	return fleet.DefaultPace()
+}
+
+// adapterWait is how long a request waits at most for an adapter that is being loaded.
+const adapterWait = 300 * time.Millisecond
+
+// await returns how long it takes until an obstacle is likely gone; zero means that waiting does not help.
+func (s *Server) await(service *routing.Service, demand *fleet.Demand, obstacle fleet.Obstacle) time.Duration {
+	switch obstacle {
+	case fleet.AdapterNotHeld:
+		return adapterWait
+	case fleet.NotHeld:
+		if service.Engine != nil && service.Engine.Models[demand.Model] != nil {
+			return service.Engine.Models[demand.Model].FromDisk
+		}
+	}
+	return 0
+}
+
+// ready tells whether this instance should get new connections.
+func (s *Server) ready() bool {
+	return !s.draining.Load() && s.table.Load() != nil && s.parts.Fleet.Usable() > 0
+}
+
+// compose fills in this instance's message.
+func (s *Server) compose(m *exchange.Message, toHolder bool) {
+	work := s.parts.Fleet.OwnWork()
+	m.Work = make(map[string]exchange.WorkDoc, len(work))
+	for id, w := range work {
+		m.Work[id] = exchange.EncodeWork(w)
+	}
+	if toHolder {
+		m.Models, m.Adapters = s.demand.own(time.Now())
+	}
+	if _, held := s.lease.Held(); held {
+		m.Held = s.heldDocs()
+	}
+}
+
+// heldDocs tells what endpoints hold after this instance's own orders.
+func (s *Server) heldDocs() []exchange.HeldDoc {
+	var docs []exchange.HeldDoc
+	for _, a := range s.parts.Fleet.RecentlyHeld(time.Now()) {
+		doc := exchange.HeldDoc{Endpoint: a.ID, Lifetime: a.Lifetime}
+		for _, m := range a.Models {
+			doc.Models = append(doc.Models, exchange.HeldModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
+		}
+		docs = append(docs, doc)
+	}
+	return docs
+}
+
+// receive takes over another instance's message.
+func (s *Server) receive(m *exchange.Message, now time.Time) {
+	work := make(map[string]fleet.Work, len(m.Work))
+	for id, w := range m.Work {
+		work[id] = w.Decode()
+	}
+	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
+	if m.Models != nil || m.Adapters != nil {
+		s.demand.receive(m.Instance, m.Models, m.Adapters, now)
+	}
+	if m.Instance != s.members.currentHolder() {
+		return
+	}
+	for _, h := range m.Held {
+		models := make([]fleet.HeldModel, 0, len(h.Models))
+		for _, held := range h.Models {
+			models = append(models, fleet.HeldModel{Name: held.Name, Version: held.Version, Adapters: held.Adapters})
+		}
+		s.parts.Fleet.SetHeld(h.Endpoint, h.Lifetime, models, now)
+	}
+}
+
+// controller returns the part that places models while this instance holds the lease.
+func (s *Server) controller() *residency.Controller {
+	return residency.NewController(residency.Options{
+		Instance: s.settings().InstanceID,
+		Fleet:    s.parts.Fleet,
+		Lease:    placementLease{s.lease},
+		Engines:  s.parts.Engines,
+		Demands:  s.demand,
+		Config: func() *routing.Config {
+			if table := s.table.Load(); table != nil {
+				return table.Config
+			}
+			return nil
+		},
+		Log: s.log,
+		Published: func(id string, r residency.Report) {
+			s.parts.Fleet.SetHeld(id, r.Lifetime, r.Models, time.Now())
+		},
+		AdapterChanged: func(id string, lifetime int64, order residency.Order) {
+			s.parts.Fleet.SetAdapter(id, lifetime, order.Model, order.Adapter, order.Verb == residency.Load, time.Now())
+			s.exchange.Urge()
+		},
+	})
+}
+
+// Run serves until the context ends and then drains.
+func (s *Server) Run(ctx context.Context) error {
+	settings := s.settings()
+	clients, err := net.Listen("tcp", settings.CallerAddress)
+	if err != nil {
+		return errors.Wrap(err, "listen for clients")
+	}
+	ready, err := s.listenReady(settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
+		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
+	background, stopBackground := context.WithCancel(context.Background())
+	serving, stopServing := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	follow := &follower{server: s, store: s.parts.Store}
+	tasks.Go(func() { follow.run(background) })
+	registered := &presence{server: s, store: s.parts.Store}
+	// Placement is given up as soon as the stop is asked for, so that another instance takes over early.
+	tasks.Go(func() { registered.run(ctx) })
+	tasks.Go(func() { _ = s.lease.Run(ctx) })
+	controller := s.controller()
+	tasks.Go(func() { controller.Run(ctx) })
+	tasks.Go(func() { s.exchange.Run(background) })
+	tasks.Go(func() { s.accept(serving, clients) })
+	<-ctx.Done()
+	s.drain(clients)
+	stopServing()
+	stopBackground()
+	if err := ready.Shutdown(); err != nil {
+		s.log.Debug("close readiness listener", zap.Error(err))
+	}
+	tasks.Wait()
+	s.log.Info("stopped")
+	return nil
+}
+
+// accept serves each connection in a goroutine of its own.
+func (s *Server) accept(ctx context.Context, listener net.Listener) {
+	var connections conc.WaitGroup
+	defer connections.Wait()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			s.closeAll()
+			return
+		}
+		if err != nil {
+			s.log.Warn("connection not accepted", zap.Error(err))
+			pause(ctx, acceptPause)
+			continue
+		}
+		client := s.newClientConn(conn)
+		s.track(client)
+		connections.Go(func() {
+			defer s.untrack(client)
+			client.serve(ctx)
+		})
+	}
+}
+
+// acceptPause spaces attempts when descriptors have run out.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) track(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) untrack(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) connections() []*clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*clientConn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (s *Server) closeAll() {
+	for _, c := range s.connections() {
+		c.close()
+	}
+}
--- /dev/null
+++ b/pkg/edge/settings.go
@@ -0,0 +1,117 @@
+package edge
+
+import (
+	"encoding/json"
+	"net"
+	"os"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
+)
+
+// SettingsVersion is the version of the settings that this build reads.
+const SettingsVersion = 1
+
+// Settings are the static settings of an entry instance on the users' platform. Units are in the names.
+type Settings struct {
+	SchemaVersion int    `json:"schemaVersion"`
+	InstanceID    string `json:"instanceId"`
+	DataCentre    string `json:"dataCentre"`
+	Region        string `json:"region"`
+	// CallerAddress serves clients, ReadyAddress the load balancer's readiness checks, ExchangeAddress the other
+	// instances by datagrams, MetricsAddress the metrics. All are IP:PORT.
+	CallerAddress   string `json:"callerAddress"`
+	ReadyAddress    string `json:"readyAddress"`
+	ExchangeAddress string `json:"exchangeAddress"`
+	MetricsAddress  string `json:"metricsAddress,omitempty"`
+	StoreAddress    string `json:"storeAddress"`
+	// Regions maps each data centre to its region.
+	Regions map[string]string `json:"regions"`
+	// MemoryMB is what the process may use.
+	MemoryMB int    `json:"memoryMb"`
+	LogLevel string `json:"logLevel,omitempty"`
+	Bounds   Bounds `json:"bounds"`
+}
+
+// Bounds are the promises that the deployment asks for.
+type Bounds struct {
+	// ShutdownSeconds is the time between the request to stop and the end of the process.
+	ShutdownSeconds float64 `json:"shutdownSeconds"`
+	// RetryRatio, RetrySlack and RetryWindowSeconds bound repeated sends of all instances together.
+	RetryRatio         float64 `json:"retryRatio"`
+	RetrySlack         float64 `json:"retrySlack"`
+	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
+	// PlacementLeaseMs is the time to live of the lease of the instance that places models.
+	PlacementLeaseMs int64 `json:"placementLeaseMs"`
+}
+
+// shutdown returns the time to stop in.
+func (b *Bounds) shutdown() time.Duration {
+	return time.Duration(b.ShutdownSeconds * float64(time.Second))
+}
+
+// LoadSettings reads and checks a settings file. All findings are reported together.
+func LoadSettings(path string) (Settings, findings.List) {
+	var s Settings
+	var found findings.List
+	data, err := os.ReadFile(path)
+	if err != nil {
+		found.Addf(path, "", "", "cannot be read: %v", err)
+		return s, found
+	}
+	if err := json.Unmarshal(data, &s); err != nil {
+		found.Addf(path, "", "", "is not valid JSON: %v", err)
+		return s, found
+	}
+	s.check(path, &found)
+	return s, found
+}
+
+func (s *Settings) check(path string, found *findings.List) {
+	if s.SchemaVersion != SettingsVersion {
+		found.Addf(path, "/schemaVersion", "", "must be %d", SettingsVersion)
+	}
+	for _, field := range []struct{ pointer, value string }{
+		{"/instanceId", s.InstanceID}, {"/dataCentre", s.DataCentre}, {"/region", s.Region},
+	} {
+		if field.value == "" {
+			found.Addf(path, field.pointer, "", "must not be empty")
+		}
+	}
+	for _, field := range []struct {
+		pointer, value string
+		optional       bool
+	}{
+		{"/callerAddress", s.CallerAddress, false},
+		{"/readyAddress", s.ReadyAddress, false},
+		{"/exchangeAddress", s.ExchangeAddress, false},
+		{"/metricsAddress", s.MetricsAddress, true},
+		{"/storeAddress", s.StoreAddress, false},
+	} {
+		if field.optional && field.value == "" {
+			continue
+		}
+		if host, _, err := net.SplitHostPort(field.value); err != nil || net.ParseIP(host) == nil {
+			found.Addf(path, field.pointer, field.value, "must be IP:PORT")
+		}
+	}
+	s.Bounds.check(path, found)
+}
+
+func (b *Bounds) check(path string, found *findings.List) {
+	for _, field := range []struct {
+		pointer string
+		value   float64
+	}{
+		{"/bounds/shutdownSeconds", b.ShutdownSeconds},
+		{"/bounds/retryWindowSeconds", b.RetryWindowSeconds},
+		{"/bounds/placementLeaseMs", float64(b.PlacementLeaseMs)},
+	} {
+		if field.value <= 0 {
+			found.Addf(path, field.pointer, "", "must be positive")
+		}
+	}
+	if b.RetryRatio < 0 || b.RetrySlack < 0 {
+		found.Addf(path, "/bounds/retryRatio", "", "ratio and slack must not be negative")
+	}
+}
--- /dev/null
+++ b/pkg/edge/stream.go
@@ -0,0 +1,199 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+
+	"io"
+)
+
+// streamState is what a client has received of a stream.
+type streamState struct {
+	begun  bool
+	events eventBuffer
+	buffer [streamReadBytes]byte
+}
+
+// streamReadBytes is read from an endpoint at a time; an event takes some 60 bytes.
+const streamReadBytes = 4 << 10
+
+// relayResult tells how the relay of a stream from one endpoint ended.
+type relayResult int
+
+const (
+	relayComplete relayResult = iota
+	// relayBroken means that the endpoint broke off; the stream may be continued elsewhere.
+	relayBroken
+	// relayClientGone means that the client does not take any more bytes.
+	relayClientGone
+)
+
+// stream serves a request that is answered by events.
+func (x *clientRequest) stream(closing bool) bool {
+	state := &streamState{}
+	reason, retryAfter := "no endpoint", minimumRetryAfter
+	for x.mayRepeat(time.Now()) {
+		a, wait := x.place()
+		if a == nil {
+			retryAfter = wait
+			break
+		}
+		resp := fasthttp.AcquireResponse()
+		body, sent := x.openStream(a, resp, state)
+		switch sent {
+		case sendAnswered:
+			if body == nil {
+				defer fasthttp.ReleaseResponse(resp)
+				if state.begun {
+					return x.abort("the endpoint refused to continue the stream")
+				}
+				return x.deliver(resp, a, closing)
+			}
+			result := x.relay(a, body, resp, state, closing)
+			fasthttp.ReleaseResponse(resp)
+			switch result {
+			case relayComplete:
+				return !closing
+			case relayClientGone:
+				return false
+			case relayBroken:
+				reason = "stream broke off"
+			}
+			continue
+		case sendNotRun:
+			reason = "endpoint refused"
+		case sendNotSent, sendUnknown:
+			reason = "endpoint failed"
+		}
+		fasthttp.ReleaseResponse(resp)
+	}
+	if state.begun {
+		return x.abort(reason)
+	}
+	return x.fail(reason, retryAfter, closing)
+}
+
+// abort ends a stream that has begun without the mark of its end; the connection is closed.
+func (x *clientRequest) abort(reason string) bool {
+	x.log.Warn("stream broken off", zap.String("reason", reason), zap.Strings("tried", x.tried),
+		zap.Duration("after", time.Since(x.arrived)))
+	return false
+}
+
+// openStream sends the request. A nil body with sendAnswered means that resp is a whole response without a stream.
+func (x *clientRequest) openStream(a *attempt, resp *fasthttp.Response, state *streamState) (*httpconn.Body, sendResult) {
+	out := x.forwardRequest(a, state.events.LastID)
+	defer fasthttp.ReleaseRequest(out)
+	resp.Header.SetNoDefaultContentType(true)
+	body, err := x.server.parts.Pool.Open(x.ctx, "http://"+a.choice.Address, x.deadline, out, resp)
+	if err != nil {
+		return nil, x.classify(a, err)
+	}
+	reply := x.server.parts.Wire.DecodeReply(&resp.Header)
+	if resp.StatusCode() == fasthttp.StatusOK {
+		x.sends++
+		x.tried = append(x.tried, a.choice.ID)
+		x.mayHaveRun = true
+		if !x.acceptable(a, &reply, resp) {
+			body.Close()
+			return nil, sendUnknown
+		}
+		return body, sendAnswered
+	}
+	return nil, x.closeFailed(a, body, resp, &reply)
+}
+
+// closeFailed reads the body of a response that is no stream.
+func (x *clientRequest) closeFailed(a *attempt, body *httpconn.Body, resp *fasthttp.Response, reply *Reply) sendResult {
+	content, err := io.ReadAll(io.LimitReader(body, maxReplyBytes))
+	body.Close()
+	if reply.NotRun {
+		return x.refusedBy(a, resp.StatusCode())
+	}
+	if err != nil {
+		return x.classify(a, err)
+	}
+	x.sends++
+	x.tried = append(x.tried, a.choice.ID)
+	x.mayHaveRun = true
+	if !x.acceptable(a, reply, resp) {
+		return sendUnknown
+	}
+	resp.SetBodyRaw(content)
+	a.call.End(resultOf(resp), time.Now())
+	return sendAnswered
+}
+
+// relay forwards whole events as they arrive.
+func (x *clientRequest) relay(a *attempt, body *httpconn.Body, resp *fasthttp.Response, state *streamState, closing bool) relayResult {
+	defer body.Close()
+	state.events.Reset()
+	for {
+		n, err := body.Read(state.buffer[:])
+		if n > 0 {
+			x.noteFirst(a)
+		}
+		if events := state.events.Add(state.buffer[:n]); len(events) > 0 {
+			if failure := x.forwardEvents(resp, events, state, closing); failure != nil {
+				a.call.End(fleet.Neutral, time.Now())
+				x.log.Info("client left", zap.Error(failure), zap.Duration("after", time.Since(x.arrived)))
+				return relayClientGone
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, io.EOF) && !state.events.Partial() {
+			return x.completeStream(a, resp, state, closing)
+		}
+		return x.brokenStream(a, err)
+	}
+}
+
+func (x *clientRequest) noteFirst(a *attempt) {
+	a.call.Started()
+}
+
+// forwardEvents writes events, preceded by the header of the stream's first endpoint.
+func (x *clientRequest) forwardEvents(resp *fasthttp.Response, events []byte, state *streamState, closing bool) error {
+	if !state.begun {
+		if err := x.conn.writeStreamHeader(&resp.Header, closing); err != nil {
+			return err
+		}
+		state.begun = true
+	}
+	return x.conn.writeChunk(events)
+}
+
+func (x *clientRequest) completeStream(a *attempt, resp *fasthttp.Response, state *streamState, closing bool) relayResult {
+	a.call.End(fleet.Succeeded, time.Now())
+	if !state.begun {
+		if err := x.conn.writeStreamHeader(&resp.Header, closing); err != nil {
+			return relayClientGone
+		}
+	}
+	if err := x.conn.writeLastChunk(); err != nil {
+		return relayClientGone
+	}
+	x.log.Info("stream complete", zap.String("endpoint", a.choice.ID), zap.String("lastEvent", state.events.LastID),
+		zap.Duration("after", time.Since(x.arrived)))
+	return relayComplete
+}
+
+func (x *clientRequest) brokenStream(a *attempt, err error) relayResult {
+	if x.ctx.Err() != nil {
+		a.call.End(fleet.Neutral, time.Now())
+		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
+		return relayClientGone
+	}
+	a.call.End(fleet.Failed, time.Now())
+	x.log.Info("stream broke off at the endpoint", zap.String("endpoint", a.choice.ID), zap.Error(err),
+		zap.Duration("took", time.Since(a.sent)))
+	return relayBroken
+}
--- /dev/null
+++ b/pkg/exchange/exchange.go
@@ -0,0 +1,196 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// Peer is another instance.
+type Peer struct {
+	Instance   string
+	DataCentre string
+	// Address is IP:PORT of its exchange socket.
+	Address string
+	// Near peers are in this instance's region; others are told less often, because that link is paid by volume.
+	Near bool
+}
+
+// Options are the parts of an Exchange.
+type Options struct {
+	Instance string
+	// Address is IP:PORT to listen on.
+	Address string
+	// Peers returns the other instances.
+	Peers func() []Peer
+	// Holder names the instance that places models, or is empty.
+	Holder func() string
+	// Compose fills in this instance's state; toHolder asks for demand as well.
+	Compose func(m *Message, toHolder bool)
+	// Receive takes over another instance's message.
+	Receive func(m *Message, now time.Time)
+	Log     *zap.Logger
+}
+
+const (
+	// nearInterval and farInterval are the times between messages to peers of the same and of other regions.
+	nearInterval = 200 * time.Millisecond
+	farInterval  = 600 * time.Millisecond
+	// urgentGap is the least time between messages that are sent early.
+	urgentGap = 20 * time.Millisecond
+)
+
+// Exchange sends and receives messages.
+type Exchange struct {
+	options  Options
+	conn     *net.UDPConn
+	started  int64
+	sequence int64
+	urgent   chan struct{}
+
+	mu   sync.Mutex
+	seen map[string]seenMessage
+}
+
+type seenMessage struct {
+	started  int64
+	sequence int64
+	at       time.Time
+}
+
+// Listen opens the socket.
+func Listen(o Options) (*Exchange, error) {
+	address, err := net.ResolveUDPAddr("udp4", o.Address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "exchange address %q", o.Address)
+	}
+	conn, err := net.ListenUDP("udp4", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for exchange")
+	}
+	return &Exchange{
+		options: o,
+		conn:    conn,
+		started: time.Now().UnixMilli(),
+		urgent:  make(chan struct{}, 1),
+		seen:    make(map[string]seenMessage),
+	}, nil
+}
+
+// Urge sends the next messages early.
+func (e *Exchange) Urge() {
+	select {
+	case e.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until the context ends.
+func (e *Exchange) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	tasks.Go(e.receive)
+	e.send(ctx)
+	if err := e.conn.Close(); err != nil {
+		e.options.Log.Debug("close exchange socket", zap.Error(err))
+	}
+	tasks.Wait()
+}
+
+func (e *Exchange) send(ctx context.Context) {
+	timer := time.NewTimer(nearInterval)
+	defer timer.Stop()
+	var lastFar time.Time
+	for {
+		urgent := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-e.urgent:
+			urgent = true
+		}
+		far := time.Since(lastFar) >= farInterval
+		if far {
+			lastFar = time.Now()
+		}
+		e.sendAll(urgent, far)
+		timer.Reset(nearInterval)
+		if urgent {
+			time.Sleep(urgentGap)
+		}
+	}
+}
+
+func (e *Exchange) sendAll(urgent, far bool) {
+	holder := e.options.Holder()
+	for _, peer := range e.options.Peers() {
+		toHolder := peer.Instance == holder
+		fromHolder := holder == e.options.Instance
+		if !peer.Near && !far && !(urgent && (toHolder || fromHolder)) {
+			continue
+		}
+		if err := e.sendTo(peer, toHolder); err != nil {
+			e.options.Log.Debug("exchange message not sent", zap.String("peer", peer.Instance), zap.Error(err))
+		}
+	}
+}
+
+func (e *Exchange) sendTo(peer Peer, toHolder bool) error {
+	e.sequence++
+	m := Message{Instance: e.options.Instance, Started: e.started, Sequence: e.sequence}
+	e.options.Compose(&m, toHolder)
+	data, err := Encode(&m)
+	if err != nil {
+		return err
+	}
+	address, err := net.ResolveUDPAddr("udp4", peer.Address)
+	if err != nil {
+		return err
+	}
+	_, err = e.conn.WriteToUDP(data, address)
+	return err
+}
+
+func (e *Exchange) receive() {
+	buffer := make([]byte, maxMessageBytes+1)
+	for {
+		n, _, err := e.conn.ReadFromUDP(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.options.Log.Debug("exchange message not received", zap.Error(err))
+			continue
+		}
+		m, err := Decode(buffer[:n])
+		if err != nil {
+			e.options.Log.Info("exchange message dropped", zap.Error(err))
+			continue
+		}
+		if now := time.Now(); e.fresh(m, now) {
+			e.options.Receive(m, now)
+		}
+	}
+}
+
+// fresh drops messages that were overtaken by newer ones of the same instance.
+func (e *Exchange) fresh(m *Message, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last, known := e.seen[m.Instance]
+	if known && !newer(m, last.started, last.sequence) {
+		return false
+	}
+	e.seen[m.Instance] = seenMessage{started: m.Started, sequence: m.Sequence, at: now}
+	for instance, s := range e.seen {
+		if now.Sub(s.at) > 20*staleAfter {
+			delete(e.seen, instance)
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/fleet/choose.go
@@ -0,0 +1,151 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// Demand is what choosing an endpoint needs to know of a request.
+type Demand struct {
+	Service string
+	// Model and Adapter are empty for plain services.
+	Model        string
+	Adapter      string
+	PromptTokens int
+	OutputTokens int
+	Parts        []PromptPart
+	// Exclude lists endpoints that have already had the request.
+	Exclude []string
+}
+
+// Pace holds the speed of a service's engines, learned from their responses.
+type Pace struct {
+	// PrefillPerMs is the number of prompt tokens read in a millisecond.
+	PrefillPerMs float64
+	// Step is the time for one token of a running batch without prefill.
+	Step time.Duration
+	// Fixed is the time that a first token takes besides reading the prompt.
+	Fixed time.Duration
+}
+
+// DefaultPace is used until responses were seen: that of a current accelerator with a 70B model.
+func DefaultPace() Pace {
+	return Pace{PrefillPerMs: 20, Step: 12 * time.Millisecond, Fixed: 30 * time.Millisecond}
+}
+
+// Distance is the added latency and price of using an endpoint, by data centre.
+type Distance func(dataCentre string) time.Duration
+
+// Obstacle tells why no endpoint was chosen.
+type Obstacle int
+
+// Obstacles, in increasing order of nearness to a choice.
+const (
+	// NoEndpoint means that the service has no usable endpoint.
+	NoEndpoint Obstacle = iota
+	// NotHeld means that no usable endpoint holds the model.
+	NotHeld
+	// AdapterNotHeld means that endpoints hold the model but none the adapter.
+	AdapterNotHeld
+	// None means that an endpoint was chosen.
+	None
+)
+
+// Choice is the endpoint for a request with the reasons.
+type Choice struct {
+	ID         string
+	Address    string
+	DataCentre string
+	Lifetime   int64
+	Obstacle   Obstacle
+	// FirstToken is the expected time to the first token, or to the response of a plain service.
+	FirstToken time.Duration
+	// Work is what the instances had at the endpoint.
+	Work Work
+	// KeptTokens are the prompt tokens that the endpoint probably has already.
+	KeptTokens int
+	// RunnerUp is the second best endpoint with its expected time; empty when there was none.
+	RunnerUp           string
+	RunnerUpFirstToken time.Duration
+	// Candidates counts the endpoints that could run the request.
+	Candidates int
+}
+
+// busyPenalty is added per call in the batch beyond the engine's slots, so that full endpoints come last.
+const busyPenalty = 50 * time.Millisecond
+
+// Choose returns the endpoint with the least expected time. It is a pure function of its arguments.
+func Choose(endpoints []*Endpoint, demand *Demand, pace Pace, distance Distance, now time.Time) Choice {
+	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64}
+	avoidedToo := false
+	for {
+		for _, e := range endpoints {
+			consider(&choice, e, demand, pace, distance, now, avoidedToo)
+		}
+		if choice.Candidates > 0 || avoidedToo {
+			return choice
+		}
+		// An endpoint that failed lately is better than none.
+		avoidedToo = true
+	}
+}
+
+func consider(choice *Choice, e *Endpoint, demand *Demand, pace Pace, distance Distance, now time.Time, avoidedToo bool) {
+	if e.Leaving || excluded(e.ID, demand.Exclude) {
+		return
+	}
+	if !avoidedToo && e.Health.Avoided(now) {
+		return
+	}
+	if demand.Model != "" {
+		if !e.HoldsModel(demand.Model) {
+			choice.Obstacle = max(choice.Obstacle, NotHeld)
+			return
+		}
+		if !e.Holds(demand.Model, demand.Adapter) {
+			choice.Obstacle = max(choice.Obstacle, AdapterNotHeld)
+			return
+		}
+	}
+	choice.Candidates++
+	choice.Obstacle = None
+	kept := e.prompts.kept(demand.Model, demand.Adapter, demand.Parts)
+	work := e.Work(now)
+	expected := Expected(work, demand, kept, e.Slots, pace)
+	cost := expected + distance(e.DataCentre) + time.Duration(e.Health.FailureShare*float64(time.Second))
+	if e.SlowFor > 0 {
+		cost += expected
+	}
+	if cost >= choice.FirstToken {
+		if cost < choice.RunnerUpFirstToken {
+			choice.RunnerUp, choice.RunnerUpFirstToken = e.ID, cost
+		}
+		return
+	}
+	choice.RunnerUp, choice.RunnerUpFirstToken = choice.ID, choice.FirstToken
+	choice.ID, choice.Address, choice.DataCentre, choice.Lifetime = e.ID, e.Address, e.DataCentre, e.Lifetime
+	choice.FirstToken, choice.Work, choice.KeptTokens = cost, work, kept
+}
+
+func excluded(id string, exclude []string) bool {
+	for _, x := range exclude {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// Expected estimates the time to the first token at an endpoint with this work. An engine reads waiting prompts one
+// after the other in pieces between the steps of its batch; a plain service has no prompts.
+func Expected(work Work, demand *Demand, kept, slots int, pace Pace) time.Duration {
+	excess := max(work.Calls()+1-slots, 0)
+	if demand.Model == "" {
+		return time.Duration(work.Calls())*time.Millisecond + time.Duration(excess)*busyPenalty
+	}
+	tokens := work.PrefillTokens + max(demand.PromptTokens-kept, 0)
+	read := time.Duration(float64(tokens) / pace.PrefillPerMs * float64(time.Millisecond))
+	// While prompts are read, each piece shares its step with the batch.
+	steps := time.Duration(work.Running) * pace.Step / 64
+	return read + steps + pace.Fixed + time.Duration(excess)*busyPenalty
+}
--- /dev/null
+++ b/pkg/fleet/registry.go
@@ -0,0 +1,285 @@
+package fleet
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// remoteWorkAge is the age at which another instance's report of its calls no longer counts: that instance is gone or
+	// cut off, and its calls end within seconds.
+	remoteWorkAge = 2 * time.Second
+	// reappearGrace is how long an entry that the store removed during an outage of its own is kept, because endpoints
+	// that live announce themselves again within two seconds of the store's return.
+	reappearGrace = 2 * time.Second
+	// heldTrust is how long an announcement may still show what an endpoint held before an order: the time between two
+	// announcements and the time to read one.
+	heldTrust = 2500 * time.Millisecond
+)
+
+// Endpoint is one endpoint with all that is believed of it. Its fields are guarded by the registry.
+type Endpoint struct {
+	Announcement
+	own     Work
+	remote  map[string]remoteWork
+	Health  Health
+	prompts *promptCache
+	// RemovalAt is the time at which a leaving endpoint ends; zero means unknown.
+	RemovalAt time.Time
+	goneAt    time.Time
+	// trustHeldUntil is the time until which Models, known from this system's orders, goes before announcements.
+	trustHeldUntil time.Time
+}
+
+type remoteWork struct {
+	work Work
+	at   time.Time
+}
+
+// Work returns the calls of all instances at the endpoint.
+func (e *Endpoint) Work(now time.Time) Work {
+	total := e.own
+	for _, r := range e.remote {
+		if now.Sub(r.at) < remoteWorkAge {
+			total = total.Add(r.work)
+		}
+	}
+	return total
+}
+
+// Registry holds the endpoints. It is safe for concurrent use.
+type Registry struct {
+	mu        sync.Mutex
+	endpoints map[string]*Endpoint
+	changed   chan struct{}
+}
+
+// NewRegistry returns a registry without endpoints.
+func NewRegistry() *Registry {
+	return &Registry{endpoints: make(map[string]*Endpoint), changed: make(chan struct{})}
+}
+
+// Changed returns a channel that is closed at the next change of an announcement.
+func (r *Registry) Changed() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+func (r *Registry) signal() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Change tells what an announcement changed.
+type Change int
+
+// The changes that callers log.
+const (
+	Unchanged Change = iota
+	Appeared
+	Restarted
+	StartedLeaving
+)
+
+// Announce takes over an announcement.
+func (r *Registry) Announce(a Announcement, now time.Time) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.endpoints[a.ID]
+	change := compare(known, &a)
+	if known == nil || change == Restarted {
+		known = &Endpoint{remote: make(map[string]remoteWork), prompts: newPromptCache()}
+		r.endpoints[a.ID] = known
+	}
+	known.goneAt = time.Time{}
+	if now.Before(known.trustHeldUntil) {
+		// The entry may be older than what this system's own orders have changed since.
+		a.Models = known.Models
+	}
+	known.Announcement = a
+	known.RemovalAt = time.Time{}
+	if a.RemovalIn > 0 {
+		known.RemovalAt = now.Add(a.RemovalIn)
+	}
+	r.signal()
+	return change
+}
+
+func compare(known *Endpoint, a *Announcement) Change {
+	switch {
+	case known == nil:
+		return Appeared
+	case known.Lifetime != a.Lifetime || known.Address != a.Address:
+		return Restarted
+	case a.Leaving && !known.Leaving:
+		return StartedLeaving
+	default:
+		return Unchanged
+	}
+}
+
+// Withdraw drops an endpoint whose entry was removed. With grace it stays usable for a while: the store has just
+// returned from an outage in which entries expired, and endpoints that live are about to announce themselves again.
+func (r *Registry) Withdraw(id string, grace bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.endpoints[id]
+	if known == nil {
+		return
+	}
+	if grace {
+		if known.goneAt.IsZero() {
+			known.goneAt = now.Add(reappearGrace)
+		}
+		return
+	}
+	delete(r.endpoints, id)
+	r.signal()
+}
+
+// Expire drops endpoints whose grace has ended and returns their ids.
+func (r *Registry) Expire(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var expired []string
+	for id, e := range r.endpoints {
+		if !e.goneAt.IsZero() && !now.Before(e.goneAt) {
+			expired = append(expired, id)
+			delete(r.endpoints, id)
+		}
+	}
+	return expired
+}
+
+// IDs returns the ids of all endpoints.
+func (r *Registry) IDs() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := make([]string, 0, len(r.endpoints))
+	for id := range r.endpoints {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// Announcements returns the announcements of a service's endpoints; an empty service means all.
+func (r *Registry) Announcements(service string) []Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all []Announcement
+	for _, e := range r.endpoints {
+		if service == "" || e.Service == service {
+			all = append(all, e.Announcement)
+		}
+	}
+	return all
+}
+
+// Usable counts the endpoints that are not leaving.
+func (r *Registry) Usable() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	count := 0
+	for _, e := range r.endpoints {
+		if !e.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// View calls f with the endpoints of a service under the registry's lock. f must not block or keep the slice.
+func (r *Registry) View(service string, f func(endpoints []*Endpoint)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var selected []*Endpoint
+	for _, e := range r.endpoints {
+		if e.Service == service {
+			selected = append(selected, e)
+		}
+	}
+	f(selected)
+}
+
+// OwnWork returns this instance's calls by endpoint id.
+func (r *Registry) OwnWork() map[string]Work {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	work := make(map[string]Work)
+	for id, e := range r.endpoints {
+		if e.own != (Work{}) {
+			work[id] = e.own
+		}
+	}
+	return work
+}
+
+// SetRemoteWork replaces another instance's calls at all endpoints.
+func (r *Registry) SetRemoteWork(instance string, work map[string]Work, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, e := range r.endpoints {
+		w, ok := work[id]
+		if !ok {
+			delete(e.remote, instance)
+			continue
+		}
+		e.remote[instance] = remoteWork{work: w, at: now}
+	}
+}
+
+// SetAdapter records that an adapter was loaded or unloaded by an order.
+func (r *Registry) SetAdapter(id string, lifetime int64, model, adapter string, held bool, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	if e == nil || e.Lifetime != lifetime {
+		return
+	}
+	models := slices.Clone(e.Models)
+	for i := range models {
+		if models[i].Name != model {
+			continue
+		}
+		adapters := slices.DeleteFunc(slices.Clone(models[i].Adapters), func(a string) bool { return a == adapter })
+		if held {
+			adapters = append(adapters, adapter)
+		}
+		models[i].Adapters = adapters
+	}
+	e.Models = models
+	e.trustHeldUntil = now.Add(heldTrust)
+	r.signal()
+}
+
+// SetHeld replaces what an endpoint holds by newer knowledge, from its own report or of the instance that places models.
+func (r *Registry) SetHeld(id string, lifetime int64, models []HeldModel, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.endpoints[id]
+	if e == nil || e.Lifetime != lifetime || slices.EqualFunc(e.Models, models, sameHeld) {
+		return
+	}
+	e.Models = models
+	e.trustHeldUntil = now.Add(heldTrust)
+	r.signal()
+}
+
+func sameHeld(a, b HeldModel) bool {
+	return a.Name == b.Name && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// RecentlyHeld returns the endpoints whose content was changed by orders lately.
+func (r *Registry) RecentlyHeld(now time.Time) []Announcement {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var recent []Announcement
+	for _, e := range r.endpoints {
+		if now.Before(e.trustHeldUntil) {
+			recent = append(recent, e.Announcement)
+		}
+	}
+	return recent
+}
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -11,11 +11,15 @@
 	"net"
 	"net/url"
 	"os"
+	"strconv"
+	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 )
@@ -37,9 +41,20 @@
 	reader    *bufio.Reader
 	writer    *bufio.Writer
 	idleSince time.Time
+	// idleLimit is how long the endpoint said that it keeps the connection when it is idle; zero means that it did not.
+	idleLimit time.Duration
 	broken    bool
+	accept    AcceptFunc
+	unframed  bool
 }
 
+// AcceptFunc tells whether a response belongs to the request that was sent. A response that does not is dropped and the
+// next one on the connection is read: a faulty endpoint may answer a request twice.
+type AcceptFunc func(req *fasthttp.Request, resp *fasthttp.Response) bool
+
+// maxForeignResponses bounds the responses that are dropped before a connection counts as broken.
+const maxForeignResponses = 4
+
 // countingConn counts the bytes that the kernel accepted and notes timeouts: fasthttp wraps some errors so that their
 // cause cannot be found.
 type countingConn struct {
@@ -80,7 +95,7 @@
 	if err != nil {
 		return nil, notSent(err)
 	}
-	dialer := net.Dialer{Timeout: timeout}
+	dialer := net.Dialer{Timeout: timeout, KeepAliveConfig: silencePeriod, Control: setUserTimeout}
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
@@ -105,6 +120,20 @@
 	return conn, nil
 }
 
+// silencePeriod ends connections whose peer is gone without a reset after some four seconds.
+var silencePeriod = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+
+// userTimeout is how long sent bytes may stay without an acknowledgement.
+const userTimeout = 4 * time.Second
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	return errors.CombineErrors(err, failure)
+}
+
 func configFor(base *tls.Config, host string) *tls.Config {
 	if base == nil {
 		return &tls.Config{ServerName: host, MinVersion: tls.VersionTLS12}
@@ -159,13 +188,57 @@
 	if err != nil {
 		return nil, err
 	}
-	resp.StreamBody = true
-	if err := resp.ReadBody(c.reader, 0); err != nil {
+	reader, err := c.bodyReader(resp)
+	if err != nil {
 		stop()
 		c.broken = true
 		return nil, errors.Wrapf(engine.ErrTruncated, "%v", err)
 	}
-	return &Body{conn: c, ctx: ctx, stop: stop, resp: resp, reader: resp.BodyStream()}, nil
+	return &Body{conn: c, ctx: ctx, stop: stop, resp: resp, reader: reader}, nil
+}
+
+// bodyReader returns a reader of the body that yields bytes as they arrive and io.EOF only at the body's end.
+func (c *Conn) bodyReader(resp *fasthttp.Response) (io.Reader, error) {
+	length := resp.Header.ContentLength()
+	switch {
+	case bodyless(resp):
+		return &exactReader{}, nil
+	case length >= 0:
+		return &exactReader{source: c.reader, left: length}, nil
+	case length == contentLengthIdentity:
+		c.broken = true
+		if !c.unframed {
+			return nil, errUnframed
+		}
+		return c.reader, nil
+	}
+	resp.StreamBody = true
+	if err := resp.ReadBody(c.reader, 0); err != nil {
+		return nil, err
+	}
+	return resp.BodyStream(), nil
+}
+
+// exactReader reads a body of known length; a connection that ends before is an unexpected end.
+type exactReader struct {
+	source io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *exactReader) Read(p []byte) (int, error) {
+	if r.left == 0 {
+		return 0, io.EOF
+	}
+	n, err := r.source.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	if errors.Is(err, io.EOF) && r.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	if errors.Is(err, io.EOF) {
+		err = nil
+	}
+	return n, err
 }
 
 // send writes the request and reads the response header. After an error the connection is broken.
@@ -196,21 +269,66 @@
 }
 
 func (c *Conn) exchangeHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+	if err := c.write(req); err != nil {
+		// The endpoint may have answered and closed before it read the whole body; that answer is still there.
+		if c.raw.written.Load() == 0 || c.readHeader(req, resp) != nil {
+			return err
+		}
+		c.broken = true
+		return nil
+	}
+	return c.readHeader(req, resp)
+}
+
+func (c *Conn) write(req *fasthttp.Request) error {
 	if err := req.Write(c.writer); err != nil {
 		return err
 	}
-	if err := c.writer.Flush(); err != nil {
-		return err
+	return c.writer.Flush()
+}
+
+// readHeader reads response headers until one belongs to the request.
+func (c *Conn) readHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
+	for range maxForeignResponses {
+		resp.SkipBody = req.Header.IsHead()
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
+		}
+		// An interim response would need a second header; no endpoint of this system sends one.
+		if status := resp.StatusCode(); status < fasthttp.StatusOK {
+			return errors.Newf("unexpected interim status %d", status)
+		}
+		c.noteKeepAlive(resp)
+		if c.accept == nil || c.accept(req, resp) {
+			return nil
+		}
+		if resp.Header.ContentLength() == contentLengthIdentity {
+			return errors.New("response without a length belongs to another request")
+		}
+		if err := resp.ReadBody(c.reader, maxForeignBytes); err != nil {
+			return err
+		}
+		resp.Reset()
 	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := resp.Header.Read(c.reader); err != nil {
-		return err
+	return errors.New("responses belong to other requests")
+}
+
+// maxForeignBytes bounds the body of a response that is dropped.
+const maxForeignBytes = 1 << 20
+
+// noteKeepAlive remembers how long the endpoint keeps the connection when it is idle.
+func (c *Conn) noteKeepAlive(resp *fasthttp.Response) {
+	const parameter = "timeout="
+	value := string(resp.Header.Peek("Keep-Alive"))
+	at := strings.Index(value, parameter)
+	if at < 0 {
+		return
 	}
-	// An interim response would need a second header; no endpoint of this system sends one.
-	if status := resp.StatusCode(); status < fasthttp.StatusOK {
-		return errors.Newf("unexpected interim status %d", status)
+	value, _, _ = strings.Cut(value[at+len(parameter):], ",")
+	seconds, err := strconv.Atoi(strings.TrimSpace(value))
+	if err == nil && seconds > 0 {
+		c.idleLimit = time.Duration(seconds) * time.Second
 	}
-	return nil
 }
 
 // timeError returns the context's error or context.DeadlineExceeded when time ran out, else nil.
@@ -239,7 +357,7 @@
 	length := resp.Header.ContentLength()
 	if length == contentLengthIdentity {
 		c.broken = true
-		return errors.Wrapf(engine.ErrTruncated, "%v", errUnframed)
+		return c.readUnframed(ctx, resp, maxBytes)
 	}
 	err := resp.ReadBody(c.reader, maxBytes)
 	if err == nil && length == -1 {
@@ -255,6 +373,25 @@
 	return errors.Wrapf(engine.ErrTruncated, "%v", err)
 }
 
+// readUnframed reads a body that ends with the connection. An orderly close ends it; a reset does not.
+func (c *Conn) readUnframed(ctx context.Context, resp *fasthttp.Response, maxBytes int) error {
+	if !c.unframed {
+		return errors.Wrapf(engine.ErrTruncated, "%v", errUnframed)
+	}
+	body, err := io.ReadAll(io.LimitReader(c.reader, int64(maxBytes)+1))
+	switch {
+	case err == nil && len(body) <= maxBytes:
+		resp.SetBodyRaw(body)
+		return nil
+	case err == nil:
+		return errors.Wrapf(engine.ErrTruncated, "body exceeds %d bytes", maxBytes)
+	}
+	if timeErr := c.timeError(ctx); timeErr != nil {
+		return timeErr
+	}
+	return errors.Wrapf(engine.ErrTruncated, "%v", err)
+}
+
 // Read implements io.Reader. io.EOF follows the framed end of the body. Errors: as Conn.Do after the header.
 func (b *Body) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -24,6 +24,10 @@
 	TLSConfig         *tls.Config
 	// Source is the source address of connections; nil lets the system choose.
 	Source net.IP
+	// Accept drops responses that belong to other requests; nil accepts all.
+	Accept AcceptFunc
+	// Unframed accepts bodies that have no length and end with an orderly close of the connection.
+	Unframed bool
 }
 
 const (
@@ -128,7 +132,12 @@
 	if timeout <= 0 {
 		return nil, notSent(context.DeadlineExceeded)
 	}
-	return DialFrom(ctx, p.options.Source, baseURL, timeout, p.options.TLSConfig)
+	conn, err := DialFrom(ctx, p.options.Source, baseURL, timeout, p.options.TLSConfig)
+	if err != nil {
+		return nil, err
+	}
+	conn.accept, conn.unframed = p.options.Accept, p.options.Unframed
+	return conn, nil
 }
 
 func (p *Pool) take(ctx context.Context, baseURL string, deadline time.Time) (*Conn, error) {
@@ -156,7 +165,7 @@
 		return nil
 	}
 	conn := conns[len(conns)-1]
-	if time.Since(conn.idleSince) >= p.options.IdleTimeout {
+	if time.Since(conn.idleSince) >= p.idleTimeout(conn) {
 		closeAll(conns)
 		delete(p.idle, baseURL)
 		return nil
@@ -165,6 +174,15 @@
 	return conn
 }
 
+// idleTimeout leaves a quarter of the endpoint's own keep-alive time unused: a request that crosses the endpoint's close
+// has an unknown outcome.
+func (p *Pool) idleTimeout(conn *Conn) time.Duration {
+	if conn.idleLimit > 0 {
+		return min(p.options.IdleTimeout, conn.idleLimit*3/4)
+	}
+	return p.options.IdleTimeout
+}
+
 func (p *Pool) put(conn *Conn) {
 	if conn.broken {
 		conn.Close()
@@ -205,7 +223,7 @@
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
 		fresh := 0
-		for fresh < len(conns) && time.Since(conns[fresh].idleSince) >= p.options.IdleTimeout {
+		for fresh < len(conns) && time.Since(conns[fresh].idleSince) >= p.idleTimeout(conns[fresh]) {
 			fresh++
 		}
 		closeAll(conns[:fresh])
--- /dev/null
+++ b/pkg/residency/controller.go
@@ -0,0 +1,219 @@
+package residency
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+const (
+	// planInterval is how often the holder plans.
+	planInterval = 100 * time.Millisecond
+	// idleInterval is how often an instance that is not the holder looks whether it has become it.
+	idleInterval = 500 * time.Millisecond
+	// handoverPause keeps a new holder from orders while those of the former one may still arrive.
+	handoverPause = 3 * time.Second
+	// storeLoadShare is the part of the weight store's rate that is used.
+	storeLoadShare = 0.9
+	// storeLoadBurst is the number of loads that may start at once.
+	storeLoadBurst = 5
+)
+
+// unknownOrders stands for a count of accepted orders that was not read yet.
+const unknownOrders = -1
+
+// Lease tells whether this instance is the only one that may give orders now, and since when.
+type Lease interface {
+	// Held returns the fencing token and true while the lease is held.
+	Held() (fence int64, held bool)
+}
+
+// Demands returns what clients ask for at all instances.
+type Demands interface {
+	// ModelDemand returns the demand by model of a service.
+	ModelDemand(service string, now time.Time) map[string]ModelDemand
+	// AdapterWants returns the adapters that requests of a service wait for.
+	AdapterWants(service string, now time.Time) []AdapterWant
+	// AdapterUse returns the last use of adapters by MODEL/ADAPTER.
+	AdapterUse(service string) map[string]time.Time
+}
+
+// Options are the parts of a Controller.
+type Options struct {
+	Instance string
+	Fleet    *fleet.Registry
+	Lease    Lease
+	Engines  Engines
+	Demands  Demands
+	// Config returns the configuration in force, or nil.
+	Config func() *routing.Config
+	Log    *zap.Logger
+	// Published is called when this instance read an endpoint's report.
+	Published func(id string, report Report)
+	// AdapterChanged is called when an adapter order took effect.
+	AdapterChanged func(id string, lifetime int64, order Order)
+}
+
+// Controller gives placement orders while this instance holds the lease.
+type Controller struct {
+	options Options
+
+	mu      sync.Mutex
+	workers map[string]*worker
+	// storeLoads are the start times of recent loads from the weight store.
+	storeLoads []time.Time
+}
+
+// NewController returns a controller that gives no orders until Run.
+func NewController(o Options) *Controller {
+	return &Controller{options: o, workers: make(map[string]*worker)}
+}
+
+// Run plans until the context ends.
+func (c *Controller) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	var since time.Time
+	var fence int64
+	for ctx.Err() == nil {
+		token, held := c.options.Lease.Held()
+		switch {
+		case !held:
+			if fence != 0 {
+				c.options.Log.Info("placement stopped: lease not held", zap.Int64("fence", fence))
+				c.forget()
+			}
+			fence = 0
+			pause(ctx, idleInterval)
+			continue
+		case token != fence:
+			fence, since = token, time.Now()
+			c.options.Log.Info("placement begins after the handover pause", zap.Int64("fence", fence))
+		}
+		if time.Since(since) >= handoverPause {
+			c.planAll(ctx, &tasks, fence)
+		}
+		pause(ctx, planInterval)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// forget drops what was under way: a later holding starts from what the endpoints say.
+func (c *Controller) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.workers = make(map[string]*worker)
+}
+
+func (c *Controller) planAll(ctx context.Context, tasks *conc.WaitGroup, fence int64) {
+	config := c.options.Config()
+	if config == nil {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(config.Services)) {
+		if service := config.Services[name]; service.Engine != nil {
+			c.planService(ctx, tasks, service, fence)
+		}
+	}
+}
+
+func (c *Controller) planService(ctx context.Context, tasks *conc.WaitGroup, service *routing.Service, fence int64) {
+	now := time.Now()
+	in := Input{
+		Engine:     service.Engine,
+		Endpoints:  c.endpointStates(service, now),
+		Demand:     c.options.Demands.ModelDemand(service.Name, now),
+		Adapters:   c.options.Demands.AdapterWants(service.Name, now),
+		StoreLoads: c.storeLoadsAllowed(service.Engine, now),
+		Now:        now,
+	}
+	for _, order := range Plan(&in) {
+		c.start(ctx, tasks, order, fence)
+	}
+}
+
+// endpointStates joins announcements with the orders under way.
+func (c *Controller) endpointStates(service *routing.Service, now time.Time) []EndpointState {
+	uses := c.options.Demands.AdapterUse(service.Name)
+	var states []EndpointState
+	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
+		for _, e := range endpoints {
+			states = append(states, EndpointState{Announcement: e.Announcement, Work: e.Work(now), AdapterUse: uses})
+		}
+	})
+	slices.SortFunc(states, func(a, b EndpointState) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range states {
+		c.worker(&states[i].Announcement).apply(&states[i], service.Engine, now)
+	}
+	return states
+}
+
+// worker returns the worker of an endpoint's current lifetime.
+func (c *Controller) worker(a *fleet.Announcement) *worker {
+	w := c.workers[a.ID]
+	if w == nil || w.lifetime != a.Lifetime || w.target.Address != a.Address {
+		reserved := w.unresolvedModels()
+		w = &worker{
+			controller: c,
+			target:     Target{ID: a.ID, Address: a.Address},
+			lifetime:   a.Lifetime,
+			created:    time.Now(),
+			orders:     unknownOrders,
+			formerly:   reserved,
+		}
+		c.workers[a.ID] = w
+	}
+	return w
+}
+
+// storeLoadsAllowed is the number of loads that may start now without exceeding the weight store's rate.
+func (c *Controller) storeLoadsAllowed(engine *routing.Engine, now time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	window := time.Duration(float64(storeLoadBurst) / (engine.LoadsPerSecond * storeLoadShare) * float64(time.Second))
+	c.storeLoads = slices.DeleteFunc(c.storeLoads, func(t time.Time) bool { return now.Sub(t) >= window })
+	return max(storeLoadBurst-len(c.storeLoads), 0)
+}
+
+// start hands an order to its endpoint's worker.
+func (c *Controller) start(ctx context.Context, tasks *conc.WaitGroup, order Order, fence int64) {
+	c.mu.Lock()
+	w := c.workers[order.Endpoint]
+	if w == nil {
+		c.mu.Unlock()
+		return
+	}
+	if order.FromStore {
+		c.storeLoads = append(c.storeLoads, time.Now())
+	}
+	idle := len(w.queue) == 0 && !w.running
+	w.queue = append(w.queue, order)
+	w.running = true
+	c.mu.Unlock()
+	if idle {
+		tasks.Go(func() { w.run(ctx, fence) })
+	}
+}
--- /dev/null
+++ b/pkg/routing/routing.go
@@ -0,0 +1,167 @@
+// Package routing holds the configuration in force: which service a request goes to, and what may be repeated. It has no
+// input or output; the platform adapter decodes a configuration, and Table answers lookups on it.
+package routing
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// Kind says what the system may do with a request of a route.
+type Kind int
+
+const (
+	// NonIdempotent requests run at most once per attempt of the client.
+	NonIdempotent Kind = iota
+	// Idempotent requests may run more than once.
+	Idempotent
+	// Streaming requests are answered by server-sent events; they run at most once unless the route is resumable.
+	Streaming
+)
+
+// Config is one accepted configuration. It is immutable.
+type Config struct {
+	// Version increases with each configuration.
+	Version  int64
+	Routes   []Route
+	Services map[string]*Service
+	Limits   ClientLimits
+}
+
+// Route maps a host and a path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a client is kept waiting.
+	Timeout time.Duration
+	// TargetLatency is the time within which a response has its full value; for streams up to the first event.
+	TargetLatency time.Duration
+	// GapTarget is the longest pause between two events of a stream that is still on time.
+	GapTarget time.Duration
+	// Priority is the rank of the route; 0 is the most urgent.
+	Priority int
+	// MaxAttempts bounds the endpoints to which one request may be sent.
+	MaxAttempts int
+	// Resumable streams may be continued at another endpoint.
+	Resumable bool
+	Targets   []Target
+}
+
+// Repeatable tells whether a request of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Target is one service of a route with its share of the requests.
+type Target struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a group of interchangeable endpoints.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConnections is what one endpoint accepts from all callers together; zero means unknown.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	// Slots is the number of requests in one batch.
+	Slots int
+	// KVCapacityTokens is the memory that running requests and cached prompt parts share.
+	KVCapacityTokens int
+	// MemoryMB bounds the weights and adapters that one endpoint holds.
+	MemoryMB     float64
+	AdapterSlots int
+	// LoadsPerSecond is the rate of the weight store over all endpoints.
+	LoadsPerSecond float64
+	// HostMemoryMB and DiskMB hold copies of weights that load faster than from the weight store.
+	HostMemoryMB float64
+	DiskMB       float64
+	Models       map[string]*Model
+}
+
+// Model is one model that an engine may hold.
+type Model struct {
+	Name      string
+	WeightsMB float64
+	// Adapters is the number of adapters of the model.
+	Adapters  int
+	AdapterMB float64
+	// FromStore, FromMemory and FromDisk are the load times by the source of the weights.
+	FromStore  time.Duration
+	FromMemory time.Duration
+	FromDisk   time.Duration
+}
+
+// ClientLimits bound what a client connection may send and how long it may take.
+type ClientLimits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table answers lookups on one configuration.
+type Table struct {
+	Config *Config
+	byHost map[string][]*Route
+}
+
+// NewTable indexes a configuration.
+func NewTable(config *Config) *Table {
+	t := &Table{Config: config, byHost: make(map[string][]*Route)}
+	for i := range config.Routes {
+		route := &config.Routes[i]
+		host := strings.ToLower(route.Host)
+		t.byHost[host] = append(t.byHost[host], route)
+	}
+	return t
+}
+
+// Lookup returns the route of the host whose prefix is the longest one that begins the path, or nil.
+func (t *Table) Lookup(host, path string) *Route {
+	var best *Route
+	for _, route := range t.byHost[normalizeHost(host)] {
+		if !strings.HasPrefix(path, route.Prefix) {
+			continue
+		}
+		if best == nil || len(route.Prefix) > len(best.Prefix) {
+			best = route
+		}
+	}
+	return best
+}
+
+func normalizeHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// ChooseService picks one of the route's services by weight.
+func (t *Table) ChooseService(route *Route, random *rand.Rand) *Service {
+	if len(route.Targets) == 0 {
+		return nil
+	}
+	total := 0.0
+	for _, target := range route.Targets {
+		total += target.Weight
+	}
+	point := random.Float64() * total
+	for _, target := range route.Targets {
+		point -= target.Weight
+		if point < 0 {
+			return t.Config.Services[target.Service]
+		}
+	}
+	return t.Config.Services[route.Targets[len(route.Targets)-1].Service]
+}
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -4,6 +4,7 @@
 import (
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -56,3 +57,19 @@
 func (m *Metrics) Close() error {
 	return m.closer.Close()
 }
+
+// NewStandardOutputLogger returns a JSON logger that writes to standard output. Level is debug, info, warn or error; empty
+// means info.
+func NewStandardOutputLogger(level string) (*zap.Logger, error) {
+	if level == "" {
+		level = "info"
+	}
+	parsed, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrapf(err, "log level %q", level)
+	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(os.Stdout), parsed)
+	return zap.New(shortErrors{Core: core}), nil
+}
