--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go tool staticcheck ./...
 
 fmt:
-	gofmt -l -w cmd internal pkg
+	gofmt -l -w cmd internal pkg platform
 
 # Starts a single-process system on loopback, sends a streamed model call and an order, prints each decision.
 try:
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -27,9 +27,6 @@
 	storeLoadBurst = 5
 )
 
-// unknownOrders stands for a count of accepted orders that was not read yet.
-const unknownOrders = -1
-
 // Lease tells whether this instance is the only one that may give orders now, and since when.
 type Lease interface {
 	// Held returns the fencing token and true while the lease is held.
@@ -143,9 +140,7 @@
 		StoreLoads: c.storeLoadsAllowed(service.Engine, now),
 		Now:        now,
 	}
-	for _, order := range Plan(&in) {
-		c.start(ctx, tasks, order, fence)
-	}
+	c.start(ctx, tasks, Plan(&in), fence)
 }
 
 // endpointStates joins announcements with the orders under way.
@@ -166,7 +161,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range states {
-		c.worker(&states[i].Announcement).apply(&states[i], service.Engine, now)
+		c.worker(&states[i].Announcement).apply(&states[i], now)
 	}
 	return states
 }
@@ -175,14 +170,10 @@
 func (c *Controller) worker(a *fleet.Announcement) *worker {
 	w := c.workers[a.ID]
 	if w == nil || w.lifetime != a.Lifetime || w.target.Address != a.Address {
-		reserved := w.unresolvedModels()
 		w = &worker{
 			controller: c,
 			target:     Target{ID: a.ID, Address: a.Address},
 			lifetime:   a.Lifetime,
-			created:    time.Now(),
-			orders:     unknownOrders,
-			formerly:   reserved,
 		}
 		c.workers[a.ID] = w
 	}
@@ -198,22 +189,26 @@
 	return max(storeLoadBurst-len(c.storeLoads), 0)
 }
 
-// start hands an order to its endpoint's worker.
-func (c *Controller) start(ctx context.Context, tasks *conc.WaitGroup, order Order, fence int64) {
+// start hands orders to the workers of their endpoints, and starts those whose endpoint's state must be read.
+func (c *Controller) start(ctx context.Context, tasks *conc.WaitGroup, orders []Order, fence int64) {
 	c.mu.Lock()
-	w := c.workers[order.Endpoint]
-	if w == nil {
-		c.mu.Unlock()
-		return
-	}
-	if order.FromStore {
-		c.storeLoads = append(c.storeLoads, time.Now())
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, order := range orders {
+		w := c.workers[order.Endpoint]
+		if w == nil {
+			continue
+		}
+		if order.FromStore {
+			c.storeLoads = append(c.storeLoads, now)
+		}
+		w.queue = append(w.queue, order)
 	}
-	idle := len(w.queue) == 0 && !w.running
-	w.queue = append(w.queue, order)
-	w.running = true
-	c.mu.Unlock()
-	if idle {
+	for _, w := range c.workers {
+		if w.running || len(w.queue) == 0 && !w.needsReport(now) {
+			continue
+		}
+		w.running = true
 		tasks.Go(func() { w.run(ctx, fence) })
 	}
 }
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -31,20 +31,23 @@
 	Expected time.Duration
 	// FromStore is set when the weights come from the weight store.
 	FromStore bool
-	// Reason explains the order in the log.
+	// Reason explains the order in the log; Held are the models that it was decided on.
 	Reason string
+	Held   []string
 }
 
 // EndpointState is what the planner knows of one endpoint.
 type EndpointState struct {
 	fleet.Announcement
 	Work fleet.Work
-	// Busy is set while a model order is under way or has an unknown outcome; no further model order is sent.
+	// Busy is set while a model order is under way or the state is not known; no model order can be sent.
 	Busy bool
-	// Reserved lists models that may come to be held through orders under way; they take memory.
-	Reserved []string
-	// ReservedAdapters counts adapters under way.
-	ReservedAdapters int
+	// AdaptersBusy is set while no adapter order can be sent.
+	AdaptersBusy bool
+	// Changing lists models that are being loaded or unloaded. They take memory and serve nothing.
+	Changing []string
+	// ordered counts the adapters that this plan orders.
+	ordered int
 	// AdapterUse is the time of the last use of each held adapter, by MODEL/ADAPTER.
 	AdapterUse map[string]time.Time
 }
@@ -108,11 +111,6 @@
 		for _, m := range e.Models {
 			p.copies[m.Name]++
 		}
-		for _, name := range e.Reserved {
-			if !e.HoldsModel(name) {
-				p.copies[name]++
-			}
-		}
 	}
 	p.planAdapters()
 	for _, name := range p.modelsByNeed() {
@@ -179,7 +177,8 @@
 		if best.victim != "" {
 			p.copies[best.victim]--
 			p.orders = append(p.orders, Order{
-				Endpoint: best.endpoint.ID, Verb: Unload, Model: best.victim, Expected: unloadTime, Reason: "room for " + name,
+				Endpoint: best.endpoint.ID, Verb: Unload, Model: best.victim, Expected: unloadTime,
+				Reason: "room for " + name, Held: heldNames(best.endpoint),
 			})
 			continue
 		}
@@ -188,11 +187,19 @@
 		}
 		p.orders = append(p.orders, Order{
 			Endpoint: best.endpoint.ID, Verb: Load, Model: name, Expected: best.loadTime, FromStore: best.fromStore,
-			Reason: "demand exceeds copies",
+			Reason: "demand exceeds copies", Held: heldNames(best.endpoint),
 		})
 	}
 }
 
+func heldNames(e *EndpointState) []string {
+	names := make([]string, 0, len(e.Models))
+	for _, m := range e.Models {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // bestSite returns the cheapest site, or nil.
 func (p *planner) bestSite(model *routing.Model) *site {
 	var best *site
@@ -251,11 +258,6 @@
 			free -= model.WeightsMB
 		}
 	}
-	for _, name := range e.Reserved {
-		if model := p.in.Engine.Models[name]; model != nil && !e.HoldsModel(name) {
-			free -= model.WeightsMB
-		}
-	}
 	// All adapter slots may fill at any time.
 	return free - largestAdapter*float64(p.in.Engine.AdapterSlots)
 }
@@ -266,7 +268,7 @@
 	best, bestScore := "", math.Inf(1)
 	for _, held := range e.Models {
 		name := held.Name
-		if slices.Contains(e.Reserved, name) {
+		if slices.Contains(e.Changing, name) {
 			continue
 		}
 		demand := p.in.Demand[name]
@@ -300,7 +302,7 @@
 		if e == nil {
 			continue
 		}
-		if e.AdapterCount()+e.ReservedAdapters >= p.in.Engine.AdapterSlots {
+		if e.AdapterCount() >= p.in.Engine.AdapterSlots {
 			victim, ok := oldestAdapter(e)
 			if !ok {
 				continue
@@ -311,7 +313,8 @@
 				Endpoint: e.ID, Verb: Unload, Model: model, Adapter: adapter, Reason: "room for an adapter",
 			})
 		}
-		e.ReservedAdapters++
+		e.ordered++
+		e.Models = withAdapter(e.Models, want.Model, want.Adapter)
 		p.orders = append(p.orders, Order{
 			Endpoint: e.ID, Verb: Load, Model: want.Model, Adapter: want.Adapter, Expected: adapterLoadTime,
 			Reason: "requests wait for the adapter",
@@ -325,14 +328,17 @@
 	bestScore := math.Inf(1)
 	for i := range p.in.Endpoints {
 		e := &p.in.Endpoints[i]
-		if e.Leaving || !e.HoldsModel(want.Model) || e.ReservedAdapters >= maxAdaptersInTransit {
+		if e.Leaving || e.AdaptersBusy || e.ordered >= maxAdaptersInTransit {
+			continue
+		}
+		if !e.HoldsModel(want.Model) || slices.Contains(e.Changing, want.Model) {
 			continue
 		}
 		if e.Holds(want.Model, want.Adapter) {
 			return nil
 		}
 		score := float64(e.Work.PrefillTokens)/20000 + float64(e.Work.Running)/100
-		if e.AdapterCount()+e.ReservedAdapters >= p.in.Engine.AdapterSlots {
+		if e.AdapterCount() >= p.in.Engine.AdapterSlots {
 			score++
 		}
 		if score < bestScore {
@@ -358,6 +364,17 @@
 	return oldest, found
 }
 
+// withAdapter returns the models with one adapter added; the argument stays as it is.
+func withAdapter(models []fleet.HeldModel, model, adapter string) []fleet.HeldModel {
+	changed := slices.Clone(models)
+	for i := range changed {
+		if changed[i].Name == model {
+			changed[i].Adapters = append(slices.Clone(changed[i].Adapters), adapter)
+		}
+	}
+	return changed
+}
+
 // withoutAdapter returns the models with one adapter removed; the argument stays as it is.
 func withoutAdapter(models []fleet.HeldModel, model, adapter string) []fleet.HeldModel {
 	changed := slices.Clone(models)
