Place models by the strain of engines, and refuse waiting requests when an instance stops

Cause: after a shift of demand the new model was loaded after rare ones and on one engine only; a model whose only copy crashed under load was never loaded again, since a full engine counted as worse than no engine.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -77,6 +77,8 @@
 		return false
 	case <-x.ctx.Done():
 		return false
+	case <-x.server.refusing:
+		return false
 	}
 }
 
@@ -93,6 +95,11 @@
 		zap.Int("running", choice.Work.Running),
 		zap.Int("prefill", choice.Work.PrefillTokens),
 		zap.Int("kept", choice.KeptTokens),
+		zap.Int("prompt", x.request.PromptTokens),
+		zap.Int("output", x.request.OutputTokens),
+		zap.Int("hint", x.request.ExpectedOutput),
+		zap.String("model", x.request.Model),
+		zap.String("adapter", x.request.Adapter),
 		zap.String("runnerUp", choice.RunnerUp),
 		zap.Int("candidates", choice.Candidates))
 }
@@ -154,11 +161,16 @@
 }
 
 // refusedBy records that the endpoint did not run the request.
-func (x *clientRequest) refusedBy(a *attempt, status int) sendResult {
-	a.call.End(fleet.Neutral, time.Now())
+func (x *clientRequest) refusedBy(a *attempt, status int, reply *Reply) sendResult {
+	now := time.Now()
+	a.call.End(fleet.Neutral, now)
+	if status == fasthttp.StatusMisdirectedRequest {
+		x.server.parts.Fleet.Misdirected(a.choice.ID, reply.Endpoint, x.request.Model, x.request.Adapter, now)
+	}
 	x.tried = append(x.tried, a.choice.ID)
 	x.sends++
-	x.log.Info("endpoint refused: not run", zap.String("endpoint", a.choice.ID), zap.Int("status", status))
+	x.log.Info("endpoint refused: not run", zap.String("endpoint", a.choice.ID), zap.Int("status", status),
+		zap.String("answeredBy", reply.Endpoint))
 	return sendNotRun
 }
 
@@ -194,7 +206,7 @@
 		}
 		fasthttp.ReleaseResponse(resp)
 	}
-	if lastReply != nil && x.ctx.Err() == nil {
+	if lastReply != nil && !x.clientLeft() {
 		return x.deliver(lastReply, nil, closing)
 	}
 	return x.fail(reason, retryAfter, closing)
@@ -221,7 +233,7 @@
 	}
 	reply := x.server.parts.Wire.DecodeReply(&resp.Header)
 	if reply.NotRun {
-		return x.refusedBy(a, resp.StatusCode())
+		return x.refusedBy(a, resp.StatusCode(), &reply)
 	}
 	x.sends++
 	x.tried = append(x.tried, a.choice.ID)
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -40,7 +41,7 @@
 	request := s.parts.Wire.DecodeRequest(&req.Header)
 	log := s.log.With(zap.String("request", request.ID))
 	closing := s.draining.Load() || req.Header.ConnectionClose()
-	if s.refusing.Load() {
+	if s.isRefusing() {
 		log.Info("refused: stopping")
 		return s.answer(c, log, ownAnswer{status: fasthttp.StatusServiceUnavailable, close: true})
 	}
@@ -157,7 +158,7 @@
 // fail ends the request without an endpoint's answer. A request that has certainly not run is refused with a promise;
 // any other failure promises nothing.
 func (x *clientRequest) fail(reason string, retryAfter time.Duration, closing bool) bool {
-	if x.ctx.Err() != nil {
+	if x.clientLeft() {
 		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
 		return false
 	}
@@ -173,9 +174,14 @@
 	return x.server.answer(x.conn, x.log, ownAnswer{status: status, close: closing})
 }
 
+// clientLeft tells whether the request ended because the client closed its connection.
+func (x *clientRequest) clientLeft() bool {
+	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errStopping)
+}
+
 // refuse tells the client that the request has not run and when to come back.
 func (x *clientRequest) refuse(retryAfter time.Duration, reason string, closing bool) bool {
-	x.log.Info("refused: not run", zap.String("reason", reason), zap.Duration("retryAfter", retryAfter),
+	x.log.Info("refused: not run", zap.String("model", x.request.Model), zap.String("adapter", x.request.Adapter), zap.String("reason", reason), zap.Duration("retryAfter", retryAfter),
 		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
 	return x.server.answer(x.conn, x.log, ownAnswer{status: fasthttp.StatusServiceUnavailable, retryAfter: retryAfter, close: closing})
 }
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// demandMemory is the time constant of the demand's moving sums; a shift of demand shows within it.
-	demandMemory = 3 * time.Second
+	// fastMemory and slowMemory are the time constants of the demand's moving sums. Their difference shows a trend.
+	fastMemory = 1500 * time.Millisecond
+	slowMemory = 5 * time.Second
+	// trendReach extrapolates the difference of the two sums over the time that a load of weights takes.
+	trendReach = 2.0
+	// trendNoise is the number of standard deviations by which the rates must differ to count as a trend.
+	trendNoise = 1.5
 	// decodeShare is the engine time of one generated token when a dozen requests share a batch.
 	decodeShare = 800 * time.Microsecond
 	// defaultPrefillPerMs is the reading speed assumed for the cost of a request.
@@ -36,27 +41,36 @@
 	adapter string
 }
 
-// decayingSum is a sum whose terms fade with demandMemory.
-type decayingSum struct {
-	value float64
+// decayingRate is a rate per second over the recent past: a sum whose terms fade with a time constant.
+type decayingRate struct {
+	memory time.Duration
+	// since is when counting began; until then nothing is known, which is not the same as nothing having happened.
+	since time.Time
+	sum   float64
 	at    time.Time
 }
 
-func (s *decayingSum) add(x float64, now time.Time) {
-	s.value = s.read(now) + x
-	s.at = now
+func (r *decayingRate) add(x float64, now time.Time) {
+	r.sum = r.faded(now) + x
+	r.at = now
 }
 
-func (s *decayingSum) read(now time.Time) float64 {
-	if s.at.IsZero() {
+func (r *decayingRate) faded(now time.Time) float64 {
+	if r.at.IsZero() {
 		return 0
 	}
-	return s.value * math.Exp(-max(now.Sub(s.at), 0).Seconds()/demandMemory.Seconds())
+	return r.sum * math.Exp(-max(now.Sub(r.at), 0).Seconds()/r.memory.Seconds())
+}
+
+func (r *decayingRate) read(now time.Time) float64 {
+	counted := 1 - math.Exp(-max(now.Sub(r.since), time.Second).Seconds()/r.memory.Seconds())
+	return r.faded(now) / r.memory.Seconds() / counted
 }
 
 type modelStats struct {
-	load     decayingSum
-	requests decayingSum
+	load     decayingRate
+	slowLoad decayingRate
+	requests decayingRate
 	waiting  int
 }
 
@@ -73,7 +87,9 @@
 
 // demandBook counts what clients ask for here and holds what the other instances told. It implements residency.Demands.
 type demandBook struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// since is the time of the first request.
+	since    time.Time
 	models   map[modelKey]*modelStats
 	adapters map[adapterKey]*adapterStats
 	remote   map[string]remoteDemand
@@ -96,9 +112,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.since.IsZero() {
+		b.since = now
+	}
 	stats := b.model(modelKey{service, r.Model})
 	stats.requests.add(1, now)
 	stats.load.add(engineSeconds(r), now)
+	stats.slowLoad.add(engineSeconds(r), now)
 	if r.Adapter != "" {
 		b.adapter(adapterKey{modelKey{service, r.Model}, r.Adapter}).lastUse = now
 	}
@@ -113,7 +133,11 @@
 func (b *demandBook) model(key modelKey) *modelStats {
 	stats := b.models[key]
 	if stats == nil {
-		stats = &modelStats{}
+		stats = &modelStats{
+			load:     decayingRate{memory: fastMemory, since: b.since},
+			slowLoad: decayingRate{memory: slowMemory, since: b.since},
+			requests: decayingRate{memory: slowMemory, since: b.since},
+		}
 		b.models[key] = stats
 	}
 	return stats
@@ -158,7 +182,7 @@
 	defer b.mu.Unlock()
 	var models []exchange.ModelDoc
 	for key, stats := range b.models {
-		requests := stats.requests.read(now) / demandMemory.Seconds()
+		requests := stats.requests.read(now)
 		if requests < negligible && stats.waiting == 0 {
 			delete(b.models, key)
 			continue
@@ -166,7 +190,8 @@
 		models = append(models, exchange.ModelDoc{
 			Service:  key.service,
 			Model:    key.model,
-			Load:     round(stats.load.read(now) / demandMemory.Seconds()),
+			Load:     round(stats.load.read(now)),
+			SlowLoad: round(stats.slowLoad.read(now)),
 			Requests: round(requests),
 			Waiting:  stats.waiting,
 		})
@@ -217,14 +242,35 @@
 			return
 		}
 		d := total[m.Model]
-		d.Load += m.Load
+		d.Load += m.SlowLoad
+		d.Forecast += m.Load
 		d.Requests += m.Requests
 		d.Waiting += m.Waiting
 		total[m.Model] = d
 	})
+	for model, d := range total {
+		d.Load, d.Forecast = estimateLoad(d.Forecast, d.Load, d.Requests)
+		total[model] = d
+	}
 	return total
 }
 
+// estimateLoad returns the present load and the one expected a load time from now, from moving rates over a short and a
+// long time. Differences that chance explains, given how few requests are counted, are no trend.
+func estimateLoad(fast, slow, requests float64) (load, forecast float64) {
+	perRequest := slow / max(requests, negligible)
+	noise := perRequest * math.Sqrt(max(requests, negligible)/(2*fastMemory.Seconds()))
+	trend := fast - slow
+	switch {
+	case trend > trendNoise*noise:
+		return fast, fast + trendReach*(trend-noise)
+	case trend < -trendNoise*noise:
+		return fast, fast
+	default:
+		return slow, slow
+	}
+}
+
 // eachAdapter calls f with the adapters of every instance.
 func (b *demandBook) eachAdapter(now time.Time, f func(a exchange.AdapterDoc)) {
 	_, adapters := b.own(now)
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -19,9 +19,12 @@
 	drainStep = 50 * time.Millisecond
 )
 
+// errStopping ends requests that a stopping instance cannot finish.
+var errStopping = errors.New("instance stops")
+
 // drain finishes the requests in flight. The instance is no longer ready at once but accepts requests until the load
-// balancer has noticed; later ones are refused as not run.
-func (s *Server) drain(clients net.Listener) {
+// balancer has noticed; later ones, and those that still wait for an endpoint, are refused as not run.
+func (s *Server) drain(stopServing func(cause error)) {
 	started := time.Now()
 	s.draining.Store(true)
 	s.log.Info("stopping", zap.Int64("active", s.active.Load()))
@@ -29,19 +32,35 @@
 	for time.Since(started) < rotationTime && time.Now().Before(end) {
 		time.Sleep(drainStep)
 	}
-	s.refusing.Store(true)
+	close(s.refusing)
+	s.waitInactive(end)
+	s.log.Info("drained", zap.Int64("cutOff", s.active.Load()), zap.Duration("after", time.Since(started)))
+	stopServing(errStopping)
+	s.waitInactive(time.Now().Add(lastAnswersTime))
+}
+
+// lastAnswersTime is left for the failures of requests that are cut off.
+const lastAnswersTime = 200 * time.Millisecond
+
+// waitInactive closes idle connections until no request is handled.
+func (s *Server) waitInactive(end time.Time) {
 	for time.Now().Before(end) {
 		for _, c := range s.connections() {
 			c.closeIfIdle()
 		}
 		if s.active.Load() == 0 {
-			break
+			return
 		}
 		time.Sleep(drainStep)
 	}
-	s.log.Info("drained", zap.Int64("cutOff", s.active.Load()), zap.Duration("after", time.Since(started)))
-	if err := clients.Close(); err != nil {
-		s.log.Debug("close client listener", zap.Error(err))
+}
+
+func (s *Server) isRefusing() bool {
+	select {
+	case <-s.refusing:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -46,9 +46,11 @@
 	demand   *demandBook
 	exchange *exchange.Exchange
 	lease    *lease.Holder
-	draining atomic.Bool
-	// refusing is set once a stopping instance no longer begins requests.
-	refusing atomic.Bool
+	// placement gives orders while this instance holds the lease.
+	placement *residency.Controller
+	draining  atomic.Bool
+	// refusing is closed once a stopping instance no longer begins requests.
+	refusing chan struct{}
 
 	mu     sync.Mutex
 	conns  map[*clientConn]struct{}
@@ -63,12 +65,13 @@
 		parts.Fleet = fleet.NewRegistry()
 	}
 	server := &Server{
-		parts:   parts,
-		log:     log,
-		members: newMembers(),
-		demand:  newDemandBook(),
-		conns:   make(map[*clientConn]struct{}),
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		parts:    parts,
+		log:      log,
+		members:  newMembers(),
+		demand:   newDemandBook(),
+		conns:    make(map[*clientConn]struct{}),
+		refusing: make(chan struct{}),
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	server.config.Store(&s)
 	if parts.Budget == nil {
@@ -86,6 +89,7 @@
 		},
 		Log: log,
 	})
+	server.placement = server.controller()
 	var err error
 	server.exchange, err = exchange.Listen(exchange.Options{
 		Instance: s.InstanceID,
@@ -183,8 +187,12 @@
 	return fleet.DefaultPace()
 }
 
-// adapterWait is how long a request waits at most for an adapter that is being loaded.
-const adapterWait = 300 * time.Millisecond
+const (
+	// adapterWait is how long a request waits at most for an adapter that is being loaded.
+	adapterWait = 300 * time.Millisecond
+	// placementDelay is the time from the first request for a model to the order that loads it.
+	placementDelay = 500 * time.Millisecond
+)
 
 // await returns how long it takes until an obstacle is likely gone; zero means that waiting does not help.
 func (s *Server) await(service *routing.Service, demand *fleet.Demand, obstacle fleet.Obstacle) time.Duration {
@@ -192,8 +200,11 @@
 	case fleet.AdapterNotHeld:
 		return adapterWait
 	case fleet.NotHeld:
+		if ready, loading := s.parts.Fleet.ReadyIn(demand.Model, time.Now()); loading {
+			return ready
+		}
 		if service.Engine != nil && service.Engine.Models[demand.Model] != nil {
-			return service.Engine.Models[demand.Model].FromDisk
+			return service.Engine.Models[demand.Model].FromStore + placementDelay
 		}
 	}
 	return 0
@@ -216,6 +227,7 @@
 	}
 	if _, held := s.lease.Held(); held {
 		m.Held = s.heldDocs()
+		m.Loading = s.loadingDocs()
 	}
 }
 
@@ -232,6 +244,17 @@
 	return docs
 }
 
+// loadingDocs tells which loads are under way, and notes them here.
+func (s *Server) loadingDocs() []exchange.LoadingDoc {
+	now := time.Now()
+	var docs []exchange.LoadingDoc
+	for _, l := range s.placement.Loading() {
+		s.parts.Fleet.SetLoading(l.Model, l.Ready, now)
+		docs = append(docs, exchange.LoadingDoc{Model: l.Model, ReadyMs: max(l.Ready.Sub(now).Milliseconds(), 0)})
+	}
+	return docs
+}
+
 // receive takes over another instance's message.
 func (s *Server) receive(m *exchange.Message, now time.Time) {
 	work := make(map[string]fleet.Work, len(m.Work))
@@ -245,6 +268,9 @@
 	if m.Instance != s.members.currentHolder() {
 		return
 	}
+	for _, l := range m.Loading {
+		s.parts.Fleet.SetLoading(l.Model, now.Add(time.Duration(l.ReadyMs)*time.Millisecond), now)
+	}
 	for _, h := range m.Held {
 		models := make([]fleet.HeldModel, 0, len(h.Models))
 		for _, held := range h.Models {
@@ -269,9 +295,17 @@
 			return nil
 		},
 		Log: s.log,
+		StoreWindow: func() (time.Duration, float64) {
+			bounds := s.settings().Bounds
+			return time.Duration(bounds.WeightStoreWindowSeconds * float64(time.Second)), bounds.WeightStoreOverage
+		},
 		Published: func(id string, r residency.Report) {
 			s.parts.Fleet.SetHeld(id, r.Lifetime, r.Models, time.Now())
 		},
+		ModelLeaving: func(id string, lifetime int64, model string) {
+			s.parts.Fleet.SetModelLeaving(id, lifetime, model, time.Now())
+			s.exchange.Urge()
+		},
 		AdapterChanged: func(id string, lifetime int64, order residency.Order) {
 			s.parts.Fleet.SetAdapter(id, lifetime, order.Model, order.Adapter, order.Verb == residency.Load, time.Now())
 			s.exchange.Urge()
@@ -293,7 +327,7 @@
 	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
 		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
 	background, stopBackground := context.WithCancel(context.Background())
-	serving, stopServing := context.WithCancel(context.Background())
+	serving, stopServing := context.WithCancelCause(context.Background())
 	var tasks conc.WaitGroup
 	follow := &follower{server: s, store: s.parts.Store}
 	tasks.Go(func() { follow.run(background) })
@@ -301,13 +335,14 @@
 	// Placement is given up as soon as the stop is asked for, so that another instance takes over early.
 	tasks.Go(func() { registered.run(ctx) })
 	tasks.Go(func() { _ = s.lease.Run(ctx) })
-	controller := s.controller()
-	tasks.Go(func() { controller.Run(ctx) })
+	tasks.Go(func() { s.placement.Run(ctx) })
 	tasks.Go(func() { s.exchange.Run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
 	<-ctx.Done()
-	s.drain(clients)
-	stopServing()
+	s.drain(stopServing)
+	if err := clients.Close(); err != nil {
+		s.log.Debug("close client listener", zap.Error(err))
+	}
 	stopBackground()
 	if err := ready.Shutdown(); err != nil {
 		s.log.Debug("close readiness listener", zap.Error(err))
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -43,6 +43,10 @@
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
 	// PlacementLeaseMs is the time to live of the lease of the instance that places models.
 	PlacementLeaseMs int64 `json:"placementLeaseMs"`
+	// WeightStoreWindowSeconds and WeightStoreOverage bound the loads from the weight store: in any such window, at most
+	// its rate times this factor.
+	WeightStoreWindowSeconds float64 `json:"weightStoreWindowSeconds"`
+	WeightStoreOverage       float64 `json:"weightStoreOverage"`
 }
 
 // shutdown returns the time to stop in.
@@ -106,6 +110,8 @@
 		{"/bounds/shutdownSeconds", b.ShutdownSeconds},
 		{"/bounds/retryWindowSeconds", b.RetryWindowSeconds},
 		{"/bounds/placementLeaseMs", float64(b.PlacementLeaseMs)},
+		{"/bounds/weightStoreWindowSeconds", b.WeightStoreWindowSeconds},
+		{"/bounds/weightStoreOverage", b.WeightStoreOverage},
 	} {
 		if field.value <= 0 {
 			found.Addf(path, field.pointer, "", "must be positive")
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -114,7 +114,7 @@
 	content, err := io.ReadAll(io.LimitReader(body, maxReplyBytes))
 	body.Close()
 	if reply.NotRun {
-		return x.refusedBy(a, resp.StatusCode())
+		return x.refusedBy(a, resp.StatusCode(), reply)
 	}
 	if err != nil {
 		return x.classify(a, err)
@@ -157,7 +157,10 @@
 }
 
 func (x *clientRequest) noteFirst(a *attempt) {
-	a.call.Started()
+	if a.call.Started() {
+		x.log.Info("first event", zap.String("endpoint", a.choice.ID), zap.String("model", x.request.Model),
+			zap.Duration("took", time.Since(a.sent)), zap.Duration("expected", a.choice.FirstToken))
+	}
 }
 
 // forwardEvents writes events, preceded by the header of the stream's first endpoint.
--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -45,6 +45,8 @@
 	Signed bool
 	// NotRun states that the endpoint did not run the request.
 	NotRun bool
+	// Endpoint is the id of the endpoint that answered, when the response carries it.
+	Endpoint string
 	// Load is the endpoint's load, nil when the response does not carry it.
 	Load *ReportedLoad
 }
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -25,7 +25,8 @@
 	Models   []ModelDoc   `json:"m,omitempty"`
 	Adapters []AdapterDoc `json:"a,omitempty"`
 	// Held comes from the instance that places models.
-	Held []HeldDoc `json:"h,omitempty"`
+	Held    []HeldDoc    `json:"h,omitempty"`
+	Loading []LoadingDoc `json:"l,omitempty"`
 }
 
 // WorkDoc is fleet.Work as waiting, prefill tokens, running and memory tokens.
@@ -46,7 +47,9 @@
 	Service string `json:"s"`
 	Model   string `json:"m"`
 	// Load is engine seconds per second, Requests are per second.
-	Load     float64 `json:"l"`
+	Load float64 `json:"l"`
+	// SlowLoad is the load over a longer time, from which a trend is seen.
+	SlowLoad float64 `json:"o"`
 	Requests float64 `json:"r"`
 	Waiting  int     `json:"w,omitempty"`
 }
@@ -68,6 +71,13 @@
 	Models   []HeldModel `json:"m"`
 }
 
+// LoadingDoc is a model that an endpoint is loading.
+type LoadingDoc struct {
+	Model string `json:"m"`
+	// ReadyMs is the time until the model can serve.
+	ReadyMs int64 `json:"r"`
+}
+
 // HeldModel is a model with its adapters.
 type HeldModel struct {
 	Name     string   `json:"n"`
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -41,17 +41,18 @@
 	return choice, call
 }
 
-// Started records the first event or byte of the response.
-func (c *Call) Started() {
+// Started records the first event or byte of the response and tells whether it was not recorded before.
+func (c *Call) Started() bool {
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	if c.started || c.ended {
-		return
+		return false
 	}
 	c.started = true
 	c.endpoint.own.Waiting--
 	c.endpoint.own.PrefillTokens -= c.prefill
 	c.endpoint.own.Running++
+	return true
 }
 
 // Result says how a call went, as far as the endpoint is to blame.
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -21,10 +21,12 @@
 	idleInterval = 500 * time.Millisecond
 	// handoverPause keeps a new holder from orders while those of the former one may still arrive.
 	handoverPause = 3 * time.Second
-	// storeLoadShare is the part of the weight store's rate that is used.
-	storeLoadShare = 0.9
-	// storeLoadBurst is the number of loads that may start at once.
-	storeLoadBurst = 5
+	// storeLoadBurst is the number of loads that the weight store allows above its rate in a window.
+	storeLoadBurst = 3
+	// storeLoadReserve is left unused, since loads begin a little later than they are ordered.
+	storeLoadReserve = 1
+	// storeLoadSpread is added to the window because orders take different times to arrive.
+	storeLoadSpread = 300 * time.Millisecond
 )
 
 // Lease tells whether this instance is the only one that may give orders now, and since when.
@@ -53,8 +55,12 @@
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Config
 	Log    *zap.Logger
+	// StoreWindow returns the window over which the weight store's rate is bounded and the factor allowed in it.
+	StoreWindow func() (time.Duration, float64)
 	// Published is called when this instance read an endpoint's report.
 	Published func(id string, report Report)
+	// ModelLeaving is called before a model is unloaded.
+	ModelLeaving func(id string, lifetime int64, model string)
 	// AdapterChanged is called when an adapter order took effect.
 	AdapterChanged func(id string, lifetime int64, order Order)
 }
@@ -184,9 +190,33 @@
 func (c *Controller) storeLoadsAllowed(engine *routing.Engine, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	window := time.Duration(float64(storeLoadBurst) / (engine.LoadsPerSecond * storeLoadShare) * float64(time.Second))
-	c.storeLoads = slices.DeleteFunc(c.storeLoads, func(t time.Time) bool { return now.Sub(t) >= window })
-	return max(storeLoadBurst-len(c.storeLoads), 0)
+	window, overage := c.options.StoreWindow()
+	allowed := int(engine.LoadsPerSecond*window.Seconds()*overage) + storeLoadBurst - storeLoadReserve
+	c.storeLoads = slices.DeleteFunc(c.storeLoads, func(t time.Time) bool { return now.Sub(t) >= window+storeLoadSpread })
+	return max(allowed-len(c.storeLoads), 0)
+}
+
+// Loading is a model that an endpoint is loading.
+type Loading struct {
+	Endpoint string
+	Model    string
+	// Ready is when the model can serve.
+	Ready time.Time
+}
+
+// Loading returns the loads under way.
+func (c *Controller) Loading() []Loading {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var loading []Loading
+	for id, w := range c.workers {
+		for i := range w.ledger.models {
+			if r := &w.ledger.models[i]; r.state == stateLoading {
+				loading = append(loading, Loading{Endpoint: id, Model: r.name, Ready: r.ready})
+			}
+		}
+	}
+	return loading
 }
 
 // start hands orders to the workers of their endpoints, and starts those whose endpoint's state must be read.
--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -22,6 +22,8 @@
 	version  int
 	state    residentState
 	adapters []string
+	// ready is when a load is expected to end.
+	ready time.Time
 	// until is when a load or unload counts as ended without word from the endpoint.
 	until time.Time
 }
@@ -34,8 +36,6 @@
 	known  bool
 	orders int64
 	models []resident
-	// pendingAdapters counts adapters in transit that the report names but the ledger does not.
-	pendingAdapters int
 	// busyUntil is set when the report showed an order under way that this ledger did not record.
 	busyUntil time.Time
 }
@@ -51,7 +51,6 @@
 	}
 	l.known = true
 	l.orders = report.OrdersAccepted
-	l.pendingAdapters = report.PendingAdapters
 	l.models = nil
 	for _, m := range report.Models {
 		l.models = append(l.models, resident{name: m.Name, version: m.Version, adapters: slices.Clone(m.Adapters)})
@@ -73,7 +72,7 @@
 	}
 	until := now.Add(2*order.Expected + doneSlack)
 	if order.Verb == Load {
-		l.models = append(l.models, resident{name: order.Model, state: stateLoading, until: until})
+		l.models = append(l.models, resident{name: order.Model, state: stateLoading, ready: now.Add(order.Expected), until: until})
 		return
 	}
 	if r := l.find(order.Model); r != nil {
@@ -125,15 +124,6 @@
 	return !l.known || changing || now.Before(l.busyUntil)
 }
 
-// adapterCount counts adapters that take a slot.
-func (l *ledger) adapterCount() int {
-	count := l.pendingAdapters
-	for i := range l.models {
-		count += len(l.models[i].adapters)
-	}
-	return count
-}
-
 // held returns the models that take memory.
 func (l *ledger) held() []fleet.HeldModel {
 	held := make([]fleet.HeldModel, 0, len(l.models))
@@ -143,9 +133,3 @@
 	}
 	return held
 }
-
-// serving tells whether the model is held and neither being loaded nor unloaded.
-func (l *ledger) serving(model string) bool {
-	r := l.find(model)
-	return r != nil && r.state == stateHeld
-}
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	// Reason explains the order in the log; Held are the models that it was decided on.
 	Reason string
 	Held   []string
+	// Gain is what the order was valued at, in engine seconds per second.
+	Gain float64
 }
 
 // EndpointState is what the planner knows of one endpoint.
@@ -56,6 +59,8 @@
 type ModelDemand struct {
 	// Load is the engine time that the requests need, in seconds per second.
 	Load float64
+	// Forecast is the load expected by the time that a load of weights ends.
+	Forecast float64
 	// Requests counts requests per second.
 	Requests float64
 	// Waiting counts requests that wait because no endpoint holds the model.
@@ -81,9 +86,27 @@
 }
 
 const (
-	// targetLoad is the engine load per copy above which a further copy is worth a load: an engine that is half busy still
-	// answers without a queue.
-	targetLoad = 0.45
+	// highLoad is the share of an engine's time above which its queue grows in bursts.
+	highLoad = 0.6
+	// overloadWeight values the load beyond that.
+	overloadWeight = 4
+	// excessWeight values load beyond what an engine can do; it continues the slope at a full engine.
+	excessWeight = 5
+	// unservedWeight values load that no endpoint can serve. It exceeds excessWeight, so that a first copy is always of use.
+	unservedWeight = 6
+	// lastCopyWeight values that a model without demand stays reachable without a load.
+	lastCopyWeight = 0.3
+	// waitingWeight values each request that waits for a model.
+	waitingWeight = 0.05
+	// loadCost and loadTimeCost value a load and each second that an endpoint can carry out no other order.
+	loadCost     = 0.02
+	loadTimeCost = 0.002
+	// planHorizon is how long a demand is expected to last.
+	planHorizon = 18 * time.Second
+	// unloadLoadCost values the requests that an unload waits for or that are refused because of it.
+	unloadLoadCost = 0.3
+	// unloadCost values the prompt parts that an unload drops, and the pause until the copy can be loaded.
+	unloadCost = 0.02
 	// maxAdaptersInTransit is how many adapters an endpoint fetches at a time.
 	maxAdaptersInTransit = 4
 	// adapterLoadTime is the usual time to load an adapter.
@@ -95,145 +118,191 @@
 // planner holds the working state of one plan.
 type planner struct {
 	in     *Input
-	copies map[string]int
+	names  []string
 	orders []Order
-	used   map[string]bool
+	// share is the load by endpoint, holders the endpoints of each model, both by index.
+	share   []float64
+	holders map[string][]int
+	used    map[string]bool
 }
 
 // Plan returns the orders to give now, at most one model order per endpoint.
 func Plan(in *Input) []Order {
-	p := &planner{in: in, copies: make(map[string]int), used: make(map[string]bool)}
-	for i := range in.Endpoints {
-		e := &in.Endpoints[i]
+	p := &planner{in: in, used: make(map[string]bool)}
+	p.names = slices.Sorted(maps.Keys(in.Engine.Models))
+	p.planAdapters()
+	p.shares()
+	p.planModels()
+	return p.orders
+}
+
+// strain values how long requests wait at an engine that is busy for the given share of the time. Above highLoad queues
+// grow until requests cannot be answered in time.
+func strain(share float64) float64 {
+	excess := max(share-1, 0)
+	share = min(share, 1)
+	over := max(share-highLoad, 0)
+	return share*share + overloadWeight*over*over + excessWeight*excess
+}
+
+// load is the load of a model to plan for.
+func (p *planner) load(name string) float64 {
+	demand := p.in.Demand[name]
+	return max(demand.Load, demand.Forecast)
+}
+
+// shares computes the load of each endpoint if every model's load is shared evenly among its copies.
+func (p *planner) shares() {
+	p.share = make([]float64, len(p.in.Endpoints))
+	p.holders = make(map[string][]int)
+	for i := range p.in.Endpoints {
+		e := &p.in.Endpoints[i]
 		if e.Leaving {
 			continue
 		}
 		for _, m := range e.Models {
-			p.copies[m.Name]++
+			p.holders[m.Name] = append(p.holders[m.Name], i)
 		}
 	}
-	p.planAdapters()
-	for _, name := range p.modelsByNeed() {
-		p.planModel(name)
+	for name, holders := range p.holders {
+		for _, i := range holders {
+			p.share[i] += p.load(name) / float64(len(holders))
+		}
 	}
-	return p.orders
 }
 
-// wantedCopies is the number of copies that the demand for a model justifies.
-func (p *planner) wantedCopies(name string) int {
-	demand := p.in.Demand[name]
-	wanted := int(math.Ceil(demand.Load / targetLoad))
-	if demand.Waiting > 0 || demand.Requests > 0 {
-		wanted = max(wanted, 1)
+// relief is how much strain the present copies of a model lose when the endpoint takes a share of its load, less the
+// strain that this adds there; freed is the load that leaves the endpoint with a victim.
+func (p *planner) relief(name string, at int, freed float64) float64 {
+	holders := p.holders[name]
+	load := p.load(name)
+	if len(holders) == 0 {
+		demand := p.in.Demand[name]
+		reach := unservedWeight*load + waitingWeight*float64(demand.Waiting) + lastCopyWeight
+		return reach + strain(p.share[at]) - strain(p.share[at]-freed+load)
 	}
-	return min(wanted, len(p.in.Endpoints))
-}
-
-// need orders models by the load that one copy of them carries.
-func (p *planner) need(name string) float64 {
-	copies := p.copies[name]
-	if copies == 0 {
-		return math.Inf(1)
+	before, after := load/float64(len(holders)), load/float64(len(holders)+1)
+	change := strain(p.share[at]) - strain(p.share[at]-freed+after)
+	for _, i := range holders {
+		change += strain(p.share[i]) - strain(p.share[i]-before+after)
 	}
-	return p.in.Demand[name].Load / float64(copies)
+	return change
 }
 
-// modelsByNeed returns the models that want more copies, the neediest first.
-func (p *planner) modelsByNeed() []string {
-	var names []string
-	for name := range p.in.Engine.Models {
-		if p.copies[name] < p.wantedCopies(name) {
-			names = append(names, name)
+// loss is the strain that the other copies of a model gain when the endpoint unloads it.
+func (p *planner) loss(name string, at int) float64 {
+	holders := p.holders[name]
+	load := p.load(name)
+	if len(holders) <= 1 {
+		return unservedWeight*load + lastCopyWeight + waitingWeight*float64(p.in.Demand[name].Waiting)
+	}
+	before, after := load/float64(len(holders)), load/float64(len(holders)-1)
+	change := 0.0
+	for _, i := range holders {
+		if i != at {
+			change += strain(p.share[i]-before+after) - strain(p.share[i])
 		}
 	}
-	slices.SortFunc(names, func(a, b string) int {
-		return cmp.Or(cmp.Compare(p.need(b), p.need(a)),
-			cmp.Compare(p.in.Demand[b].Waiting, p.in.Demand[a].Waiting),
-			cmp.Compare(a, b))
-	})
-	return names
+	return change
 }
 
 // site is one way to make room for a copy.
 type site struct {
+	model    *routing.Model
 	endpoint *EndpointState
 	// victim is the model to unload first; empty when there is room.
 	victim    string
 	loadTime  time.Duration
 	fromStore bool
-	cost      float64
+	// net is the gain of the copy less what it costs.
+	net float64
 }
 
-// planModel orders copies of a model as far as endpoints and the weight store allow.
-func (p *planner) planModel(name string) {
-	model := p.in.Engine.Models[name]
-	for p.copies[name] < p.wantedCopies(name) {
-		best := p.bestSite(model)
+// planModels orders copies, the most useful first, as long as one is worth its cost.
+func (p *planner) planModels() {
+	for range p.in.Endpoints {
+		best := p.bestSite()
 		if best == nil {
 			return
 		}
-		p.used[best.endpoint.ID] = true
-		p.copies[name]++
-		if best.victim != "" {
-			p.copies[best.victim]--
-			p.orders = append(p.orders, Order{
-				Endpoint: best.endpoint.ID, Verb: Unload, Model: best.victim, Expected: unloadTime,
-				Reason: "room for " + name, Held: heldNames(best.endpoint),
-			})
-			continue
-		}
-		if best.fromStore {
-			p.in.StoreLoads--
-		}
-		p.orders = append(p.orders, Order{
-			Endpoint: best.endpoint.ID, Verb: Load, Model: name, Expected: best.loadTime, FromStore: best.fromStore,
-			Reason: "demand exceeds copies", Held: heldNames(best.endpoint),
-		})
+		p.order(best)
 	}
 }
 
-func heldNames(e *EndpointState) []string {
-	names := make([]string, 0, len(e.Models))
-	for _, m := range e.Models {
-		names = append(names, m.Name)
+// order adds the order of a site and takes it into account.
+func (p *planner) order(s *site) {
+	e := s.endpoint
+	p.used[e.ID] = true
+	order := Order{Endpoint: e.ID, Held: heldNames(e), Gain: s.net}
+	if s.victim != "" {
+		order.Verb, order.Model, order.Expected, order.Reason = Unload, s.victim, unloadTime, "room for "+s.model.Name
+		e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m fleet.HeldModel) bool { return m.Name == s.victim })
+	} else {
+		order.Verb, order.Model, order.Expected, order.Reason = Load, s.model.Name, s.loadTime, "demand"
+		order.FromStore = s.fromStore
 	}
-	return names
+	if s.fromStore {
+		p.in.StoreLoads--
+	}
+	e.Models = append(slices.Clone(e.Models), fleet.HeldModel{Name: s.model.Name})
+	p.shares()
+	p.orders = append(p.orders, order)
 }
 
-// bestSite returns the cheapest site, or nil.
-func (p *planner) bestSite(model *routing.Model) *site {
+// bestSite returns the site with the highest net gain, or nil when none is worth its cost.
+func (p *planner) bestSite() *site {
 	var best *site
-	for i := range p.in.Endpoints {
-		e := &p.in.Endpoints[i]
-		if e.Busy || e.Leaving || p.used[e.ID] || e.HoldsModel(model.Name) {
+	for _, name := range p.names {
+		if p.load(name) == 0 && p.in.Demand[name].Waiting == 0 {
 			continue
 		}
-		s := p.siteAt(e, model)
-		if s != nil && (best == nil || s.cost < best.cost) {
-			best = s
+		for i := range p.in.Endpoints {
+			e := &p.in.Endpoints[i]
+			if e.Busy || e.Leaving || p.used[e.ID] || e.HoldsModel(name) {
+				continue
+			}
+			s := p.siteAt(i, p.in.Engine.Models[name])
+			if s != nil && s.net > 0 && (best == nil || s.net > best.net) {
+				best = s
+			}
 		}
 	}
 	return best
 }
 
-func (p *planner) siteAt(e *EndpointState, model *routing.Model) *site {
-	s := &site{endpoint: e}
+// siteAt values a copy of the model at an endpoint.
+func (p *planner) siteAt(at int, model *routing.Model) *site {
+	e := &p.in.Endpoints[at]
+	s := &site{model: model, endpoint: e}
 	s.loadTime, s.fromStore = loadTime(e, model)
 	if s.fromStore && p.in.StoreLoads <= 0 {
 		return nil
 	}
-	s.cost = s.loadTime.Seconds() + float64(e.Work.PrefillTokens)/20000 + float64(e.Work.Running)/100
+	s.net = -loadCost - s.loadTime.Seconds()*loadTimeCost
+	// A copy is of use only from the end of its load on, while a victim is missed at once.
+	lasting := max(1-s.loadTime.Seconds()/planHorizon.Seconds(), 0)
 	if p.freeMB(e) >= model.WeightsMB {
+		s.net += p.relief(model.Name, at, 0) * lasting
 		return s
 	}
-	s.victim = p.victim(e, model)
-	if s.victim == "" {
+	victim, loss := p.victim(at, model)
+	if victim == "" {
 		return nil
 	}
-	s.cost += 1 + p.in.Demand[s.victim].Load
+	s.victim = victim
+	freed := p.load(victim) / float64(max(len(p.holders[victim]), 1))
+	s.net += p.relief(model.Name, at, freed)*lasting - loss - unloadCost - freed*unloadLoadCost
 	return s
 }
 
+func heldNames(e *EndpointState) []string {
+	names := make([]string, 0, len(e.Models))
+	for _, m := range e.Models {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // loadTime is the time to load the model at the endpoint, and whether its weights come from the weight store.
 func loadTime(e *EndpointState, model *routing.Model) (time.Duration, bool) {
 	switch {
@@ -262,35 +331,27 @@
 	return free - largestAdapter*float64(p.in.Engine.AdapterSlots)
 }
 
-// victim returns the model at the endpoint that is best unloaded for another one, or an empty string. A model gives way
-// if it keeps as many copies as its demand wants, and its last copy only to a model that has none.
-func (p *planner) victim(e *EndpointState, target *routing.Model) string {
-	best, bestScore := "", math.Inf(1)
+// victim returns the model at the endpoint whose copy is missed least, with that loss, or an empty string.
+func (p *planner) victim(at int, target *routing.Model) (string, float64) {
+	e := &p.in.Endpoints[at]
+	best, bestLoss := "", math.Inf(1)
 	for _, held := range e.Models {
-		name := held.Name
-		if slices.Contains(e.Changing, name) {
+		model := p.in.Engine.Models[held.Name]
+		if model == nil || slices.Contains(e.Changing, held.Name) {
 			continue
 		}
-		demand := p.in.Demand[name]
-		keep := max(p.wantedCopies(name), 1)
-		if p.copies[target.Name] == 0 && demand.Requests == 0 && demand.Waiting == 0 {
-			keep = 0
-		}
-		if p.copies[name] <= keep {
+		if p.freeMB(e)+model.WeightsMB < target.WeightsMB {
 			continue
 		}
-		if p.in.Engine.Models[name] != nil && p.freeMB(e)+p.in.Engine.Models[name].WeightsMB < target.WeightsMB {
+		// The last copy of a model gives way only to a model that has none.
+		if len(p.holders[held.Name]) <= 1 && len(p.holders[target.Name]) > 0 {
 			continue
 		}
-		score := demand.Load + demand.Requests
-		if p.copies[name] <= 1 {
-			score++
-		}
-		if score < bestScore {
-			best, bestScore = name, score
+		if loss := p.loss(held.Name, at); loss < bestLoss {
+			best, bestLoss = held.Name, loss
 		}
 	}
-	return best
+	return best, bestLoss
 }
 
 // planAdapters orders adapters that requests wait for.
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -23,6 +23,8 @@
 	refusedPause = time.Second
 	// conflictPause keeps an endpoint from orders while another one is under way there.
 	conflictPause = 300 * time.Millisecond
+	// leavingPause is the time in which the other instances learn that a model is about to be unloaded.
+	leavingPause = 80 * time.Millisecond
 )
 
 // worker carries out the orders of one endpoint in one lifetime, one call at a time. Its fields are guarded by the
@@ -111,6 +113,11 @@
 			w.dropQueue()
 			return
 		}
+		if order.Verb == Unload && order.Adapter == "" && !uncertain {
+			// Instances stop sending requests for the model first: the engine refuses those that the unload finds waiting.
+			w.controller.options.ModelLeaving(w.target.ID, w.lifetime, order.Model)
+			pause(ctx, leavingPause)
+		}
 		reply, err := w.send(ctx, order, after, fence)
 		if err == nil {
 			if reply == Conflicting && uncertain && w.acceptedSince(ctx, after) {
@@ -191,7 +198,7 @@
 	orders := w.ledger.orders
 	w.controller.mu.Unlock()
 	log.Info("order accepted", zap.Int64("orders", orders), zap.Duration("expected", order.Expected),
-		zap.Strings("held", order.Held))
+		zap.Strings("held", order.Held), zap.Float64("gain", order.Gain))
 	if order.Adapter == "" {
 		return
 	}
