Admit requests while their first token can come in time and prompts leave time for streams

Cause: at the worst load engines had 60,000 prompt tokens waiting; every first token was late and long streams got some ten tokens a second and missed their deadline. Ruled out: wrong estimates (expected and measured times agree). Counting the own prompt against the share refused large requests first; taken out.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -33,7 +33,8 @@
 	sendUnknown
 )
 
-// place chooses an endpoint and counts the request there. Without one, retryAfter says when there may be one.
+// place chooses an endpoint and counts the request there. While none can take it, it waits as long as that can be of use.
+// Without an endpoint, retryAfter says when there may be one.
 func (x *clientRequest) place() (a *attempt, retryAfter time.Duration) {
 	for {
 		changed := x.server.parts.Fleet.Changed()
@@ -41,34 +42,45 @@
 		demand := x.fleetDemand()
 		choice, call := x.server.parts.Fleet.Reserve(demand, x.server.pace(x.service.Name), x.server.distance, now)
 		if call != nil {
-			if !x.inTime(&choice, now) {
-				call.End(fleet.Neutral, now)
-				return nil, choice.FirstToken
-			}
 			x.logChoice(&choice)
 			return &attempt{choice: choice, call: call}, 0
 		}
-		wait := x.server.await(x.service, demand, choice.Obstacle)
 		if choice.Obstacle == fleet.NotHeld || choice.Obstacle == fleet.AdapterNotHeld {
 			done := x.server.demand.wait(x.service.Name, &x.request, choice.Obstacle == fleet.AdapterNotHeld)
 			defer done()
 			x.server.exchange.Urge()
 		}
-		if wait <= 0 || now.Add(wait).After(x.deadline) {
-			return nil, max(wait, minimumRetryAfter)
+		expected, patience := x.obstacleTimes(&choice, demand, now)
+		if expected <= 0 || expected > patience {
+			return nil, max(expected, minimumRetryAfter)
 		}
-		if !x.waitForChange(changed) {
-			return nil, max(wait, minimumRetryAfter)
+		if !x.waitForChange(changed, patience) {
+			return nil, max(expected, minimumRetryAfter)
 		}
 	}
 }
 
-// minimumRetryAfter spaces the returns of clients whose service has no endpoint at the moment.
-const minimumRetryAfter = 200 * time.Millisecond
+// obstacleTimes returns the time until an obstacle is likely gone, and how long the request may wait for that.
+func (x *clientRequest) obstacleTimes(choice *fleet.Choice, demand *fleet.Demand, now time.Time) (expected, patience time.Duration) {
+	if choice.Obstacle != fleet.Saturated {
+		return x.server.await(x.service, demand, choice.Obstacle), x.deadline.Sub(now)
+	}
+	late := choice.SoonestFirstToken - demand.Within
+	return max(late, saturatedStep), time.Duration(float64(demand.Within)*waitingShare) - now.Sub(x.arrived)
+}
+
+const (
+	// minimumRetryAfter spaces the returns of clients whose service has no endpoint at the moment.
+	minimumRetryAfter = 200 * time.Millisecond
+	// saturatedStep is the least time in which a saturated engine frees some of its time.
+	saturatedStep = 50 * time.Millisecond
+	// waitingShare is the part of the useful time that a request may wait for a saturated engine before it is refused.
+	waitingShare = 0.4
+)
 
 // waitForChange waits until the fleet changes. It returns false when the request has no time left.
-func (x *clientRequest) waitForChange(changed <-chan struct{}) bool {
-	timer := time.NewTimer(time.Until(x.deadline))
+func (x *clientRequest) waitForChange(changed <-chan struct{}, patience time.Duration) bool {
+	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
 	case <-changed:
@@ -82,11 +94,6 @@
 	}
 }
 
-// inTime tells whether the request can still be answered before its deadline at the chosen endpoint.
-func (x *clientRequest) inTime(choice *fleet.Choice, now time.Time) bool {
-	return now.Add(choice.FirstToken).Before(x.deadline)
-}
-
 func (x *clientRequest) logChoice(choice *fleet.Choice) {
 	x.log.Info("routed",
 		zap.String("endpoint", choice.ID),
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -126,17 +126,52 @@
 	if output == 0 {
 		output = x.request.OutputTokens
 	}
+	now := time.Now()
+	remaining := x.deadline.Sub(now)
+	within, share := x.usefulness(now)
 	return &fleet.Demand{
-		Service:      x.service.Name,
-		Model:        x.request.Model,
-		Adapter:      x.request.Adapter,
-		PromptTokens: x.request.PromptTokens,
-		OutputTokens: output,
-		Parts:        x.request.Parts,
-		Exclude:      x.tried,
+		Within:          min(within, remaining),
+		Remaining:       remaining,
+		MaxPrefillShare: share,
+		Service:         x.service.Name,
+		Model:           x.request.Model,
+		Adapter:         x.request.Adapter,
+		PromptTokens:    x.request.PromptTokens,
+		OutputTokens:    output,
+		Parts:           x.request.Parts,
+		Exclude:         x.tried,
 	}
 }
 
+const (
+	// prefillShare is the part of an engine's time that requests may take for prompts while they can be in time.
+	prefillShare = 0.85
+	// latePrefillShare is the part that requests which are late anyway may take, so that they do not make others late.
+	latePrefillShare = 0.85
+	// inTimeShare of the time left until the target is planned with; estimates are a little off.
+	inTimeShare = 0.85
+	// lateShare of the time left until the deadline is planned with for a first token that is late.
+	lateShare = 0.7
+)
+
+// usefulness returns the time in which the first token is of use, and the share of an engine's time that the request may
+// take. The target counts from the client's first attempt; one that comes back has less time left than the route allows.
+func (x *clientRequest) usefulness(now time.Time) (within time.Duration, share float64) {
+	if x.service.Engine == nil {
+		return 0, 0
+	}
+	before := max(x.route.Timeout-x.request.Remaining, 0)
+	if x.request.Remaining == 0 {
+		before = 0
+	}
+	target := x.arrived.Add(x.route.TargetLatency - before)
+	left := time.Duration(float64(target.Sub(now)) * inTimeShare)
+	if left > minimumAttempt {
+		return left, prefillShare
+	}
+	return time.Duration(float64(x.deadline.Sub(now)) * lateShare), latePrefillShare
+}
+
 // mayRepeat tells whether the request may be sent once more after a send, and spends the budget if so.
 func (x *clientRequest) mayRepeat(now time.Time) bool {
 	switch {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -217,7 +217,7 @@
 
 // compose fills in this instance's message.
 func (s *Server) compose(m *exchange.Message, toHolder bool) {
-	work := s.parts.Fleet.OwnWork()
+	work := s.parts.Fleet.OwnWork(time.Now())
 	m.Work = make(map[string]exchange.WorkDoc, len(work))
 	for id, w := range work {
 		m.Work[id] = exchange.EncodeWork(w)
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -29,17 +29,17 @@
 	Loading []LoadingDoc `json:"l,omitempty"`
 }
 
-// WorkDoc is fleet.Work as waiting, prefill tokens, running and memory tokens.
-type WorkDoc [4]int
+// WorkDoc is fleet.Work as waiting, prefill tokens, running, memory tokens and prefill rate.
+type WorkDoc [5]int
 
 // EncodeWork returns the work as it is sent.
 func EncodeWork(w fleet.Work) WorkDoc {
-	return WorkDoc{w.Waiting, w.PrefillTokens, w.Running, w.MemoryTokens}
+	return WorkDoc{w.Waiting, w.PrefillTokens, w.Running, w.MemoryTokens, w.PrefillRate}
 }
 
 // Decode returns the work.
 func (d WorkDoc) Decode() fleet.Work {
-	return fleet.Work{Waiting: d[0], PrefillTokens: d[1], Running: d[2], MemoryTokens: d[3]}
+	return fleet.Work{Waiting: d[0], PrefillTokens: d[1], Running: d[2], MemoryTokens: d[3], PrefillRate: d[4]}
 }
 
 // ModelDoc is the demand for a model at one instance.
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -36,6 +36,7 @@
 	}
 	e.own.Waiting++
 	e.own.PrefillTokens += call.prefill
+	e.sent.add(call.prefill, now)
 	e.own.MemoryTokens += call.memory
 	e.prompts.note(demand.Model, demand.Adapter, demand.Parts)
 	return choice, call
@@ -52,6 +53,7 @@
 	c.endpoint.own.Waiting--
 	c.endpoint.own.PrefillTokens -= c.prefill
 	c.endpoint.own.Running++
+	c.registry.signal()
 	return true
 }
 
@@ -85,6 +87,7 @@
 		c.endpoint.own.PrefillTokens -= c.prefill
 	}
 	c.endpoint.own.MemoryTokens -= c.memory
+	c.registry.signal()
 	switch result {
 	case Succeeded:
 		c.endpoint.Health.Succeeded()
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -14,6 +14,12 @@
 	PromptTokens int
 	OutputTokens int
 	Parts        []PromptPart
+	// Within is the time in which the first token must come to be of full use; zero means that there is no such time.
+	Within time.Duration
+	// Remaining is the time until the client leaves.
+	Remaining time.Duration
+	// MaxPrefillShare bounds the part of an engine's time that may go to reading prompts.
+	MaxPrefillShare float64
 	// Exclude lists endpoints that have already had the request.
 	Exclude []string
 }
@@ -47,6 +53,8 @@
 	NotHeld
 	// AdapterNotHeld means that endpoints hold the model but none the adapter.
 	AdapterNotHeld
+	// Saturated means that endpoints could run the request if they had less to do.
+	Saturated
 	// None means that an endpoint was chosen.
 	None
 )
@@ -67,6 +75,8 @@
 	// RunnerUp is the second best endpoint with its expected time; empty when there was none.
 	RunnerUp           string
 	RunnerUpFirstToken time.Duration
+	// SoonestFirstToken is the least expected time among saturated endpoints.
+	SoonestFirstToken time.Duration
 	// Candidates counts the endpoints that could run the request.
 	Candidates int
 }
@@ -76,13 +86,13 @@
 
 // Choose returns the endpoint with the least expected time. It is a pure function of its arguments.
 func Choose(endpoints []*Endpoint, demand *Demand, pace Pace, distance Distance, now time.Time) Choice {
-	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64}
+	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64, SoonestFirstToken: math.MaxInt64}
 	avoidedToo := false
 	for {
 		for _, e := range endpoints {
 			consider(&choice, e, demand, pace, distance, now, avoidedToo)
 		}
-		if choice.Candidates > 0 || avoidedToo {
+		if choice.Candidates > 0 || avoidedToo || choice.Obstacle == Saturated {
 			return choice
 		}
 		// An endpoint that failed lately is better than none.
@@ -107,11 +117,16 @@
 			return
 		}
 	}
-	choice.Candidates++
-	choice.Obstacle = None
 	kept := e.prompts.kept(demand.Model, demand.Adapter, demand.Parts)
 	work := e.Work(now)
 	expected := Expected(work, demand, kept, e.Slots, pace)
+	if saturated(work, demand, pace) || demand.Within > 0 && expected > demand.Within {
+		choice.Obstacle = max(choice.Obstacle, Saturated)
+		choice.SoonestFirstToken = min(choice.SoonestFirstToken, expected)
+		return
+	}
+	choice.Candidates++
+	choice.Obstacle = None
 	cost := expected + distance(e.DataCentre) + time.Duration(e.Health.FailureShare*float64(time.Second))
 	if e.SlowFor > 0 {
 		cost += expected
@@ -127,6 +142,17 @@
 	choice.FirstToken, choice.Work, choice.KeptTokens = cost, work, kept
 }
 
+// saturated tells whether the request would take more of the engine's time for prompts than allowed: while an engine reads
+// prompts, the streams that run there get few tokens, and long ones miss their deadline.
+func saturated(work Work, demand *Demand, pace Pace) bool {
+	if demand.Model == "" || demand.MaxPrefillShare <= 0 || work.Calls() == 0 {
+		return false
+	}
+	limit := demand.MaxPrefillShare * pace.PrefillPerMs * 1000
+	// The request's own prompt does not count, so that large requests are treated like small ones.
+	return float64(work.PrefillRate) > limit
+}
+
 func excluded(id string, exclude []string) bool {
 	for _, x := range exclude {
 		if x == id {
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -67,6 +67,8 @@
 	Running int
 	// MemoryTokens are the prompt and expected output tokens of all calls.
 	MemoryTokens int
+	// PrefillRate is the number of prompt tokens per second that were sent lately.
+	PrefillRate int
 }
 
 // Add returns the sum.
@@ -76,6 +78,7 @@
 		PrefillTokens: w.PrefillTokens + o.PrefillTokens,
 		Running:       w.Running + o.Running,
 		MemoryTokens:  w.MemoryTokens + o.MemoryTokens,
+		PrefillRate:   w.PrefillRate + o.PrefillRate,
 	}
 }
 
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 type Endpoint struct {
 	Announcement
 	own     Work
+	sent    sendRate
 	remote  map[string]remoteWork
 	Health  Health
 	prompts *promptCache
@@ -32,6 +34,34 @@
 	trustHeldUntil time.Time
 }
 
+// ownWork returns this instance's calls at the endpoint.
+func (e *Endpoint) ownWork(now time.Time) Work {
+	work := e.own
+	work.PrefillRate = int(e.sent.read(now))
+	return work
+}
+
+// sendRate is a moving rate of prompt tokens per second.
+type sendRate struct {
+	sum float64
+	at  time.Time
+}
+
+// sendRateMemory is the time constant of a sendRate. It allows a burst of about a second of an engine's work.
+const sendRateMemory = time.Second
+
+func (r *sendRate) read(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
+	}
+	return r.sum * math.Exp(-max(now.Sub(r.at), 0).Seconds()/sendRateMemory.Seconds()) / sendRateMemory.Seconds()
+}
+
+func (r *sendRate) add(tokens int, now time.Time) {
+	r.sum = r.read(now)*sendRateMemory.Seconds() + float64(tokens)
+	r.at = now
+}
+
 type remoteWork struct {
 	work Work
 	at   time.Time
@@ -39,7 +69,7 @@
 
 // Work returns the calls of all instances at the endpoint.
 func (e *Endpoint) Work(now time.Time) Work {
-	total := e.own
+	total := e.ownWork(now)
 	for _, r := range e.remote {
 		if now.Sub(r.at) < remoteWorkAge {
 			total = total.Add(r.work)
@@ -212,13 +242,13 @@
 }
 
 // OwnWork returns this instance's calls by endpoint id.
-func (r *Registry) OwnWork() map[string]Work {
+func (r *Registry) OwnWork(now time.Time) map[string]Work {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	work := make(map[string]Work)
 	for id, e := range r.endpoints {
-		if e.own != (Work{}) {
-			work[id] = e.own
+		if own := e.ownWork(now); own != (Work{}) {
+			work[id] = own
 		}
 	}
 	return work
@@ -236,6 +266,7 @@
 		}
 		e.remote[instance] = remoteWork{work: w, at: now}
 	}
+	r.signal()
 }
 
 // SetAdapter records that an adapter was loaded or unloaded by an order.
