--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 	"go.uber.org/zap"
@@ -32,6 +33,8 @@
 	collectorPercent = 50
 	// memoryShare is the part of the process's limit at which the collector works harder.
 	memoryShare = 0.7
+	// connectionIdleTimeout keeps connections to endpoints between requests; what an endpoint says of its own goes first.
+	connectionIdleTimeout = 10 * time.Second
 )
 
 type options struct {
@@ -77,7 +80,7 @@
 func serve(ctx context.Context, path string, settings edge.Settings, log *zap.Logger) int {
 	control := httpconn.NewPool(httpconn.Options{})
 	defer control.Close()
-	requests := httpconn.NewPool(httpconn.Options{Accept: platform.Accepts, Unframed: true})
+	requests := httpconn.NewPool(httpconn.Options{Accept: platform.Accepts, Unframed: true, IdleTimeout: connectionIdleTimeout})
 	defer requests.Close()
 	server, err := edge.New(settings, edge.Parts{
 		Wire:    platform.Wire{},
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -52,9 +52,11 @@
 		}
 		expected, patience := x.obstacleTimes(&choice, demand, now)
 		if expected <= 0 || expected > patience {
+			x.obstacle = choice.Obstacle
 			return nil, max(expected, minimumRetryAfter)
 		}
 		if !x.waitForChange(changed, patience) {
+			x.obstacle = choice.Obstacle
 			return nil, max(expected, minimumRetryAfter)
 		}
 	}
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -29,6 +29,8 @@
 	// sends counts the endpoints to which the request was handed; tried lists them and those that were unreachable.
 	sends int
 	tried []string
+	// obstacle is why no endpoint was chosen at last.
+	obstacle fleet.Obstacle
 	// mayHaveRun is set once an endpoint may have begun to work on the request.
 	mayHaveRun bool
 }
@@ -216,7 +218,7 @@
 
 // refuse tells the client that the request has not run and when to come back.
 func (x *clientRequest) refuse(retryAfter time.Duration, reason string, closing bool) bool {
-	x.log.Info("refused: not run", zap.String("model", x.request.Model), zap.String("adapter", x.request.Adapter), zap.String("reason", reason), zap.Duration("retryAfter", retryAfter),
+	x.log.Info("refused: not run", zap.String("model", x.request.Model), zap.String("adapter", x.request.Adapter), zap.String("reason", reason), zap.Stringer("obstacle", x.obstacle), zap.Duration("retryAfter", retryAfter),
 		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
 	return x.server.answer(x.conn, x.log, ownAnswer{status: fasthttp.StatusServiceUnavailable, retryAfter: retryAfter, close: closing})
 }
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -32,7 +32,7 @@
 
 	// watchPause is the time between two watches. Entries change many times a second, each call is paid for, and the
 	// tightest bound of a change is some seconds.
-	watchPause = 700 * time.Millisecond
+	watchPause = time.Second
 	// watchWait bounds one watch, so that a connection that has gone silent is noticed.
 	watchWait = 2 * time.Second
 	// retryPause is the time between attempts while the store does not answer.
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -164,22 +164,22 @@
 	return table.ChooseService(route, s.random)
 }
 
-const (
-	// sameRegionCost and otherRegionCost are added to the expected time at endpoints elsewhere. The latter is the round trip
-	// with something for the price of the link.
-	sameRegionCost  = time.Millisecond
-	otherRegionCost = 60 * time.Millisecond
+// The distances to other data centres. Latencies are round trips; the reluctance to leave the data centre is small, that
+// to use the link between regions larger, because of its price and its narrow width.
+var (
+	sameRegion  = fleet.Distance{Latency: time.Millisecond, Reluctance: 0.04}
+	otherRegion = fleet.Distance{Latency: 40 * time.Millisecond, Reluctance: 0.25}
 )
 
-func (s *Server) distance(dataCentre string) time.Duration {
+func (s *Server) distance(dataCentre string) fleet.Distance {
 	settings := s.settings()
 	switch {
 	case dataCentre == settings.DataCentre:
-		return 0
+		return fleet.Distance{}
 	case settings.Regions[dataCentre] == settings.Region:
-		return sameRegionCost
+		return sameRegion
 	default:
-		return otherRegionCost
+		return otherRegion
 	}
 }
 
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -14,7 +14,7 @@
 
 // Reserve chooses an endpoint and counts the request there in one step, so that requests which are chosen at the same
 // moment see each other. The call is nil when nothing was chosen.
-func (r *Registry) Reserve(demand *Demand, pace Pace, distance Distance, now time.Time) (Choice, *Call) {
+func (r *Registry) Reserve(demand *Demand, pace Pace, distance Distances, now time.Time) (Choice, *Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates []*Endpoint
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -39,8 +39,17 @@
 	return Pace{PrefillPerMs: 20, Step: 12 * time.Millisecond, Fixed: 30 * time.Millisecond}
 }
 
-// Distance is the added latency and price of using an endpoint, by data centre.
-type Distance func(dataCentre string) time.Duration
+// Distance is what using an endpoint elsewhere adds.
+type Distance struct {
+	// Latency is the added time to the first token.
+	Latency time.Duration
+	// Reluctance is the part of the useful time that a nearer endpoint may take longer before one at this distance is
+	// preferred: links between data centres are paid by volume.
+	Reluctance float64
+}
+
+// Distances returns the distance of a data centre.
+type Distances func(dataCentre string) Distance
 
 // Obstacle tells why no endpoint was chosen.
 type Obstacle int
@@ -59,6 +68,22 @@
 	None
 )
 
+// String names the obstacle in logs.
+func (o Obstacle) String() string {
+	switch o {
+	case NoEndpoint:
+		return "no usable endpoint"
+	case NotHeld:
+		return "model not loaded"
+	case AdapterNotHeld:
+		return "adapter not loaded"
+	case Saturated:
+		return "endpoints saturated"
+	default:
+		return "none"
+	}
+}
+
 // Choice is the endpoint for a request with the reasons.
 type Choice struct {
 	ID         string
@@ -85,7 +110,7 @@
 const busyPenalty = 50 * time.Millisecond
 
 // Choose returns the endpoint with the least expected time. It is a pure function of its arguments.
-func Choose(endpoints []*Endpoint, demand *Demand, pace Pace, distance Distance, now time.Time) Choice {
+func Choose(endpoints []*Endpoint, demand *Demand, pace Pace, distance Distances, now time.Time) Choice {
 	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64, SoonestFirstToken: math.MaxInt64}
 	avoidedToo := false
 	for {
@@ -100,7 +125,7 @@
 	}
 }
 
-func consider(choice *Choice, e *Endpoint, demand *Demand, pace Pace, distance Distance, now time.Time, avoidedToo bool) {
+func consider(choice *Choice, e *Endpoint, demand *Demand, pace Pace, distance Distances, now time.Time, avoidedToo bool) {
 	if e.Leaving || excluded(e.ID, demand.Exclude) {
 		return
 	}
@@ -120,14 +145,16 @@
 	kept := e.prompts.kept(demand.Model, demand.Adapter, demand.Parts)
 	work := e.Work(now)
 	expected := Expected(work, demand, kept, e.Slots, pace)
-	if saturated(work, demand, pace) || demand.Within > 0 && expected > demand.Within {
+	if saturated(work, demand, pace) || demand.Within > 0 && expected+distance(e.DataCentre).Latency > demand.Within {
 		choice.Obstacle = max(choice.Obstacle, Saturated)
 		choice.SoonestFirstToken = min(choice.SoonestFirstToken, expected)
 		return
 	}
 	choice.Candidates++
 	choice.Obstacle = None
-	cost := expected + distance(e.DataCentre) + time.Duration(e.Health.FailureShare*float64(time.Second))
+	away := distance(e.DataCentre)
+	reluctance := time.Duration(away.Reluctance * float64(demand.Within))
+	cost := expected + away.Latency + reluctance + time.Duration(e.Health.FailureShare*float64(time.Second))
 	if e.SlowFor > 0 {
 		cost += expected
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -22,11 +22,13 @@
 // Endpoint is one endpoint with all that is believed of it. Its fields are guarded by the registry.
 type Endpoint struct {
 	Announcement
-	own     Work
-	sent    sendRate
-	remote  map[string]remoteWork
-	Health  Health
-	prompts *promptCache
+	// announced are the models of the last announcement, without what is known from orders.
+	announced []HeldModel
+	own       Work
+	sent      sendRate
+	remote    map[string]remoteWork
+	Health    Health
+	prompts   *promptCache
 	// RemovalAt is the time at which a leaving endpoint ends; zero means unknown.
 	RemovalAt time.Time
 	goneAt    time.Time
@@ -34,6 +36,15 @@
 	trustHeldUntil time.Time
 }
 
+// AnnouncedModels returns the models that the endpoint's own last announcement lists.
+func (e *Endpoint) AnnouncedModels() []string {
+	names := make([]string, 0, len(e.announced))
+	for _, m := range e.announced {
+		names = append(names, m.Name)
+	}
+	return names
+}
+
 // ownWork returns this instance's calls at the endpoint.
 func (e *Endpoint) ownWork(now time.Time) Work {
 	work := e.own
@@ -132,6 +143,7 @@
 		r.endpoints[a.ID] = known
 	}
 	known.goneAt = time.Time{}
+	known.announced = a.Models
 	if now.Before(known.trustHeldUntil) {
 		// The entry may be older than what this system's own orders have changed since.
 		a.Models = known.Models
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -155,7 +155,13 @@
 	var states []EndpointState
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
 		for _, e := range endpoints {
-			states = append(states, EndpointState{Announcement: e.Announcement, Work: e.Work(now), AdapterUse: uses})
+			announced := e.AnnouncedModels()
+			states = append(states, EndpointState{
+				Announcement: e.Announcement,
+				Work:         e.Work(now),
+				AdapterUse:   uses,
+				announces:    func(model string) bool { return slices.Contains(announced, model) },
+			})
 		}
 	})
 	slices.SortFunc(states, func(a, b EndpointState) int {
--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -102,10 +102,10 @@
 
 // settle ends loads and unloads whose effect the endpoint announces. One whose time is over without that makes the
 // ledger unknown, so that the report is read.
-func (l *ledger) settle(announced *fleet.Announcement, now time.Time) {
+func (l *ledger) settle(announces func(model string) bool, now time.Time) {
 	for i := 0; i < len(l.models); i++ {
 		r := &l.models[i]
-		holds := announced.HoldsModel(r.name)
+		holds := announces(r.name)
 		switch {
 		case r.state == stateLoading && holds:
 			r.state = stateHeld
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -49,6 +49,8 @@
 	AdaptersBusy bool
 	// Changing lists models that are being loaded or unloaded. They take memory and serve nothing.
 	Changing []string
+	// announces tells whether the endpoint's own last announcement lists a model.
+	announces func(model string) bool
 	// ordered counts the adapters that this plan orders.
 	ordered int
 	// AdapterUse is the time of the last use of each held adapter, by MODEL/ADAPTER.
@@ -100,7 +102,7 @@
 	waitingWeight = 0.05
 	// loadCost and loadTimeCost value a load and each second that an endpoint can carry out no other order.
 	loadCost     = 0.02
-	loadTimeCost = 0.002
+	loadTimeCost = 0.006
 	// planHorizon is how long a demand is expected to last.
 	planHorizon = 18 * time.Second
 	// unloadLoadCost values the requests that an unload waits for or that are refused because of it.
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -42,7 +42,7 @@
 
 // apply replaces what the endpoint announces by what it holds for planning, with what is under way.
 func (w *worker) apply(state *EndpointState, now time.Time) {
-	w.ledger.settle(&state.Announcement, now)
+	w.ledger.settle(state.announces, now)
 	state.Busy = w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
 	state.AdaptersBusy = !w.ledger.known || w.running || now.Before(w.blockedUntil)
 	if !w.ledger.known {
