Keep serving copies while others load; unloads remember what they make room for; shorter placement lease

Cause: consecutive plans unloaded several engines for one need, and the only serving copy gave way while others loaded.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -68,7 +68,11 @@
 		return x.server.await(x.service, demand, choice.Obstacle), x.deadline.Sub(now)
 	}
 	late := choice.SoonestFirstToken - demand.Within
-	return max(late, saturatedStep), time.Duration(float64(demand.Within)*waitingShare) - now.Sub(x.arrived)
+	share := waitingShare
+	if demand.Late {
+		share = lateWaitingShare
+	}
+	return max(late, saturatedStep), time.Duration(float64(demand.Within)*share) - now.Sub(x.arrived)
 }
 
 const (
@@ -78,6 +82,9 @@
 	saturatedStep = 50 * time.Millisecond
 	// waitingShare is the part of the useful time that a request may wait for a saturated engine before it is refused.
 	waitingShare = 0.4
+	// lateWaitingShare is the same for requests that are late anyway: their clients have been refused once and do not come
+	// back again.
+	lateWaitingShare = 0.8
 )
 
 // waitForChange waits until the fleet changes. It returns false when the request has no time left.
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -129,11 +129,14 @@
 		output = x.request.OutputTokens
 	}
 	now := time.Now()
-	remaining := x.deadline.Sub(now)
-	within, share := x.usefulness(now)
+	within, late := x.usefulness(now)
+	share := prefillShare
+	if late {
+		share = latePrefillShare
+	}
 	return &fleet.Demand{
-		Within:          min(within, remaining),
-		Remaining:       remaining,
+		Within:          within,
+		Late:            late,
 		MaxPrefillShare: share,
 		Service:         x.service.Name,
 		Model:           x.request.Model,
@@ -147,7 +150,7 @@
 
 const (
 	// prefillShare is the part of an engine's time that requests may take for prompts while they can be in time.
-	prefillShare = 0.85
+	prefillShare = 0.95
 	// latePrefillShare is the part that requests which are late anyway may take, so that they do not make others late.
 	latePrefillShare = 0.85
 	// inTimeShare of the time left until the target is planned with; estimates are a little off.
@@ -156,11 +159,10 @@
 	lateShare = 0.7
 )
 
-// usefulness returns the time in which the first token is of use, and the share of an engine's time that the request may
-// take. The target counts from the client's first attempt; one that comes back has less time left than the route allows.
-func (x *clientRequest) usefulness(now time.Time) (within time.Duration, share float64) {
+// usefulness returns the time in which the first token is of use, and whether that is late. The target counts from the client's first attempt; one that comes back has less time left than the route allows.
+func (x *clientRequest) usefulness(now time.Time) (within time.Duration, late bool) {
 	if x.service.Engine == nil {
-		return 0, 0
+		return 0, false
 	}
 	before := max(x.route.Timeout-x.request.Remaining, 0)
 	if x.request.Remaining == 0 {
@@ -169,9 +171,9 @@
 	target := x.arrived.Add(x.route.TargetLatency - before)
 	left := time.Duration(float64(target.Sub(now)) * inTimeShare)
 	if left > minimumAttempt {
-		return left, prefillShare
+		return min(left, x.deadline.Sub(now)), false
 	}
-	return time.Duration(float64(x.deadline.Sub(now)) * lateShare), latePrefillShare
+	return time.Duration(float64(x.deadline.Sub(now)) * lateShare), true
 }
 
 // mayRepeat tells whether the request may be sent once more after a send, and spends the budget if so.
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -81,7 +81,7 @@
 		Store:    parts.Store,
 		Key:      placementKey,
 		Identity: s.InstanceID,
-		TTL:      time.Duration(s.Bounds.PlacementLeaseMs) * time.Millisecond,
+		TTL:      s.Bounds.placementLease() / placementRenewalShare,
 		// The watch tells when the key is free, so that waiting instances make no calls.
 		Eligible: func() bool {
 			holder := server.members.currentHolder()
@@ -106,6 +106,10 @@
 	return server, err
 }
 
+// placementRenewalShare divides the time in which only one instance may give orders into the lease, after which a holder
+// that was cut off counts as gone, and the pause of its successor.
+const placementRenewalShare = 2
+
 func (s *Server) settings() *Settings {
 	return s.config.Load()
 }
@@ -294,7 +298,8 @@
 			}
 			return nil
 		},
-		Log: s.log,
+		Log:           s.log,
+		HandoverPause: s.settings().Bounds.placementLease(),
 		StoreWindow: func() (time.Duration, float64) {
 			bounds := s.settings().Bounds
 			return time.Duration(bounds.WeightStoreWindowSeconds * float64(time.Second)), bounds.WeightStoreOverage
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -41,7 +41,7 @@
 	RetryRatio         float64 `json:"retryRatio"`
 	RetrySlack         float64 `json:"retrySlack"`
 	RetryWindowSeconds float64 `json:"retryWindowSeconds"`
-	// PlacementLeaseMs is the time to live of the lease of the instance that places models.
+	// PlacementLeaseMs is the time in which only one instance may give placement orders.
 	PlacementLeaseMs int64 `json:"placementLeaseMs"`
 	// WeightStoreWindowSeconds and WeightStoreOverage bound the loads from the weight store: in any such window, at most
 	// its rate times this factor.
@@ -54,6 +54,11 @@
 	return time.Duration(b.ShutdownSeconds * float64(time.Second))
 }
 
+// placementLease returns the time in which only one instance may give placement orders.
+func (b *Bounds) placementLease() time.Duration {
+	return time.Duration(b.PlacementLeaseMs) * time.Millisecond
+}
+
 // LoadSettings reads and checks a settings file. All findings are reported together.
 func LoadSettings(path string) (Settings, findings.List) {
 	var s Settings
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -16,8 +16,8 @@
 	Parts        []PromptPart
 	// Within is the time in which the first token must come to be of full use; zero means that there is no such time.
 	Within time.Duration
-	// Remaining is the time until the client leaves.
-	Remaining time.Duration
+	// Late requests cannot be in time any more.
+	Late bool
 	// MaxPrefillShare bounds the part of an engine's time that may go to reading prompts.
 	MaxPrefillShare float64
 	// Exclude lists endpoints that have already had the request.
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -19,8 +19,6 @@
 	planInterval = 100 * time.Millisecond
 	// idleInterval is how often an instance that is not the holder looks whether it has become it.
 	idleInterval = 500 * time.Millisecond
-	// handoverPause keeps a new holder from orders while those of the former one may still arrive.
-	handoverPause = 3 * time.Second
 	// storeLoadBurst is the number of loads that the weight store allows above its rate in a window.
 	storeLoadBurst = 3
 	// storeLoadReserve is left unused, since loads begin a little later than they are ordered.
@@ -55,6 +53,8 @@
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Config
 	Log    *zap.Logger
+	// HandoverPause keeps a new holder from orders while those of the former one may still arrive.
+	HandoverPause time.Duration
 	// StoreWindow returns the window over which the weight store's rate is bounded and the factor allowed in it.
 	StoreWindow func() (time.Duration, float64)
 	// Published is called when this instance read an endpoint's report.
@@ -101,7 +101,7 @@
 			fence, since = token, time.Now()
 			c.options.Log.Info("placement begins after the handover pause", zap.Int64("fence", fence))
 		}
-		if time.Since(since) >= handoverPause {
+		if time.Since(since) >= c.options.HandoverPause {
 			c.planAll(ctx, &tasks, fence)
 		}
 		pause(ctx, planInterval)
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -32,6 +32,8 @@
 	Expected time.Duration
 	// FromStore is set when the weights come from the weight store.
 	FromStore bool
+	// For is the model that an unload makes room for.
+	For string
 	// Reason explains the order in the log; Held are the models that it was decided on.
 	Reason string
 	Held   []string
@@ -49,6 +51,8 @@
 	AdaptersBusy bool
 	// Changing lists models that are being loaded or unloaded. They take memory and serve nothing.
 	Changing []string
+	// Intended is the model that an unload made room for; it counts as held until it is loaded.
+	Intended string
 	// announces tells whether the endpoint's own last announcement lists a model.
 	announces func(model string) bool
 	// ordered counts the adapters that this plan orders.
@@ -108,7 +112,7 @@
 	// unloadLoadCost values the requests that an unload waits for or that are refused because of it.
 	unloadLoadCost = 0.3
 	// unloadCost values the prompt parts that an unload drops, and the pause until the copy can be loaded.
-	unloadCost = 0.02
+	unloadCost = 0.05
 	// maxAdaptersInTransit is how many adapters an endpoint fetches at a time.
 	maxAdaptersInTransit = 4
 	// adapterLoadTime is the usual time to load an adapter.
@@ -125,6 +129,8 @@
 	// share is the load by endpoint, holders the endpoints of each model, both by index.
 	share   []float64
 	holders map[string][]int
+	// serving counts the copies of each model that are neither being loaded nor unloaded.
+	serving map[string]int
 	used    map[string]bool
 }
 
@@ -134,6 +140,7 @@
 	p.names = slices.Sorted(maps.Keys(in.Engine.Models))
 	p.planAdapters()
 	p.shares()
+	p.planIntended()
 	p.planModels()
 	return p.orders
 }
@@ -157,6 +164,7 @@
 func (p *planner) shares() {
 	p.share = make([]float64, len(p.in.Endpoints))
 	p.holders = make(map[string][]int)
+	p.serving = make(map[string]int)
 	for i := range p.in.Endpoints {
 		e := &p.in.Endpoints[i]
 		if e.Leaving {
@@ -164,6 +172,9 @@
 		}
 		for _, m := range e.Models {
 			p.holders[m.Name] = append(p.holders[m.Name], i)
+			if !slices.Contains(e.Changing, m.Name) {
+				p.serving[m.Name]++
+			}
 		}
 	}
 	for name, holders := range p.holders {
@@ -220,6 +231,29 @@
 	net float64
 }
 
+// planIntended orders the loads that unloads have made room for.
+func (p *planner) planIntended() {
+	for i := range p.in.Endpoints {
+		e := &p.in.Endpoints[i]
+		model := p.in.Engine.Models[e.Intended]
+		if model == nil || e.Busy || e.Leaving {
+			continue
+		}
+		took, fromStore := loadTime(e, model)
+		if fromStore && p.in.StoreLoads <= 0 {
+			continue
+		}
+		if fromStore {
+			p.in.StoreLoads--
+		}
+		p.used[e.ID] = true
+		p.orders = append(p.orders, Order{
+			Endpoint: e.ID, Verb: Load, Model: model.Name, Expected: took, FromStore: fromStore,
+			Reason: "room was made", Held: heldNames(e),
+		})
+	}
+}
+
 // planModels orders copies, the most useful first, as long as one is worth its cost.
 func (p *planner) planModels() {
 	for range p.in.Endpoints {
@@ -237,7 +271,8 @@
 	p.used[e.ID] = true
 	order := Order{Endpoint: e.ID, Held: heldNames(e), Gain: s.net}
 	if s.victim != "" {
-		order.Verb, order.Model, order.Expected, order.Reason = Unload, s.victim, unloadTime, "room for "+s.model.Name
+		order.Verb, order.Model, order.Expected = Unload, s.victim, unloadTime
+		order.For, order.Reason = s.model.Name, "room for "+s.model.Name
 		e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m fleet.HeldModel) bool { return m.Name == s.victim })
 	} else {
 		order.Verb, order.Model, order.Expected, order.Reason = Load, s.model.Name, s.loadTime, "demand"
@@ -345,8 +380,9 @@
 		if p.freeMB(e)+model.WeightsMB < target.WeightsMB {
 			continue
 		}
-		// The last copy of a model gives way only to a model that has none.
-		if len(p.holders[held.Name]) <= 1 && len(p.holders[target.Name]) > 0 {
+		// The last copy that serves gives way only to a model that has none, and a model that is being loaded elsewhere
+		// keeps the copies that it has.
+		if p.serving[held.Name] <= 1 && len(p.holders[target.Name]) > 0 || p.serving[held.Name] < len(p.holders[held.Name]) {
 			continue
 		}
 		if loss := p.loss(held.Name, at); loss < bestLoss {
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 )
 
 const (
@@ -23,6 +24,8 @@
 	refusedPause = time.Second
 	// conflictPause keeps an endpoint from orders while another one is under way there.
 	conflictPause = 300 * time.Millisecond
+	// intentTime bounds the time from an unload to the load that it makes room for. An unload waits for what runs.
+	intentTime = 8 * time.Second
 	// leavingPause is the time in which the other instances learn that a model is about to be unloaded.
 	leavingPause = 80 * time.Millisecond
 )
@@ -36,6 +39,9 @@
 	ledger     ledger
 	queue      []Order
 	running    bool
+	// intended is the model that an unload makes room for, until it is loaded or intendedUntil has passed.
+	intended      string
+	intendedUntil time.Time
 	// blockedUntil keeps the endpoint from orders after a failure.
 	blockedUntil time.Time
 }
@@ -50,6 +56,14 @@
 	}
 	state.Models = w.ledger.held()
 	state.Changing = nil
+	if w.intended != "" && (now.After(w.intendedUntil) || w.ledger.find(w.intended) != nil) {
+		w.intended = ""
+	}
+	if w.intended != "" {
+		state.Intended = w.intended
+		state.Models = append(state.Models, fleet.HeldModel{Name: w.intended})
+		state.Changing = append(state.Changing, w.intended)
+	}
 	for i := range w.ledger.models {
 		if w.ledger.models[i].state != stateHeld {
 			state.Changing = append(state.Changing, w.ledger.models[i].name)
@@ -194,7 +208,11 @@
 // accepted records an accepted order and waits for an adapter.
 func (w *worker) accepted(ctx context.Context, order Order, log *zap.Logger) {
 	w.controller.mu.Lock()
-	w.ledger.accepted(&order, time.Now())
+	now := time.Now()
+	w.ledger.accepted(&order, now)
+	if order.For != "" {
+		w.intended, w.intendedUntil = order.For, now.Add(intentTime)
+	}
 	orders := w.ledger.orders
 	w.controller.mu.Unlock()
 	log.Info("order accepted", zap.Int64("orders", orders), zap.Duration("expected", order.Expected),
