--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -27,8 +27,11 @@
 	negligible = 0.01
 	// remoteDemandAge is the age at which another instance's demand no longer counts.
 	remoteDemandAge = 3 * time.Second
-	// adapterMemory is how long the last use of an adapter is told to the instance that places models.
+	// adapterMemory is how long an adapter that is not used is remembered.
 	adapterMemory = 20 * time.Second
+	// adapterNews is the age up to which the last use of an adapter is told to the instance that places models; it exceeds
+	// the longest time between two messages.
+	adapterNews = 1500 * time.Millisecond
 )
 
 type modelKey struct {
@@ -79,10 +82,11 @@
 	waiting int
 }
 
+// remoteDemand is what another instance told last.
 type remoteDemand struct {
-	models   []exchange.ModelDoc
-	adapters []exchange.AdapterDoc
-	at       time.Time
+	models  []exchange.ModelDoc
+	waiting []exchange.AdapterDoc
+	at      time.Time
 }
 
 // demandBook counts what clients ask for here and holds what the other instances told. It implements residency.Demands.
@@ -93,15 +97,18 @@
 	models   map[modelKey]*modelStats
 	adapters map[adapterKey]*adapterStats
 	remote   map[string]remoteDemand
+	// adapterUse is the last use of each adapter at any instance.
+	adapterUse map[adapterKey]time.Time
 }
 
 var _ residency.Demands = (*demandBook)(nil)
 
 func newDemandBook() *demandBook {
 	return &demandBook{
-		models:   make(map[modelKey]*modelStats),
-		adapters: make(map[adapterKey]*adapterStats),
-		remote:   make(map[string]remoteDemand),
+		models:     make(map[modelKey]*modelStats),
+		adapters:   make(map[adapterKey]*adapterStats),
+		remote:     make(map[string]remoteDemand),
+		adapterUse: make(map[adapterKey]time.Time),
 	}
 }
 
@@ -120,7 +127,9 @@
 	stats.load.add(engineSeconds(r), now)
 	stats.slowLoad.add(engineSeconds(r), now)
 	if r.Adapter != "" {
-		b.adapter(adapterKey{modelKey{service, r.Model}, r.Adapter}).lastUse = now
+		key := adapterKey{modelKey{service, r.Model}, r.Adapter}
+		b.adapter(key).lastUse = now
+		b.adapterUse[key] = now
 	}
 }
 
@@ -173,7 +182,13 @@
 func (b *demandBook) receive(instance string, models []exchange.ModelDoc, adapters []exchange.AdapterDoc, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.remote[instance] = remoteDemand{models: models, adapters: adapters, at: now}
+	b.remote[instance] = remoteDemand{models: models, waiting: adapters, at: now}
+	for _, a := range adapters {
+		key := adapterKey{modelKey{a.Service, a.Model}, a.Adapter}
+		if used := now.Add(-time.Duration(a.IdleMs) * time.Millisecond); used.After(b.adapterUse[key]) {
+			b.adapterUse[key] = used
+		}
+	}
 }
 
 // own returns this instance's demand as it is sent, and forgets what has faded.
@@ -203,6 +218,9 @@
 			delete(b.adapters, key)
 			continue
 		}
+		if idle > adapterNews && stats.waiting == 0 {
+			continue
+		}
 		adapters = append(adapters, exchange.AdapterDoc{
 			Service: key.service, Model: key.model, Adapter: key.adapter, Waiting: stats.waiting, IdleMs: idle.Milliseconds(),
 		})
@@ -271,29 +289,20 @@
 	}
 }
 
-// eachAdapter calls f with the adapters of every instance.
-func (b *demandBook) eachAdapter(now time.Time, f func(a exchange.AdapterDoc)) {
-	_, adapters := b.own(now)
-	for _, a := range adapters {
-		f(a)
+// AdapterWants implements residency.Demands.
+func (b *demandBook) AdapterWants(service string, now time.Time) []residency.AdapterWant {
+	waiting := make(map[adapterKey]int)
+	_, own := b.own(now)
+	for _, a := range own {
+		addWaiting(waiting, service, &a)
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	for _, r := range b.remote {
-		for _, a := range r.adapters {
-			f(a)
+		for i := range r.waiting {
+			addWaiting(waiting, service, &r.waiting[i])
 		}
 	}
-}
-
-// AdapterWants implements residency.Demands.
-func (b *demandBook) AdapterWants(service string, now time.Time) []residency.AdapterWant {
-	waiting := make(map[adapterKey]int)
-	b.eachAdapter(now, func(a exchange.AdapterDoc) {
-		if a.Service == service && a.Waiting > 0 {
-			waiting[adapterKey{modelKey{service, a.Model}, a.Adapter}] += a.Waiting
-		}
-	})
+	b.mu.Unlock()
 	wants := make([]residency.AdapterWant, 0, len(waiting))
 	for key, n := range waiting {
 		wants = append(wants, residency.AdapterWant{Model: key.model, Adapter: key.adapter, Waiting: n})
@@ -304,19 +313,21 @@
 	return wants
 }
 
+func addWaiting(waiting map[adapterKey]int, service string, a *exchange.AdapterDoc) {
+	if a.Service == service && a.Waiting > 0 {
+		waiting[adapterKey{modelKey{service, a.Model}, a.Adapter}] += a.Waiting
+	}
+}
+
 // AdapterUse implements residency.Demands.
 func (b *demandBook) AdapterUse(service string) map[string]time.Time {
-	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	use := make(map[string]time.Time)
-	b.eachAdapter(now, func(a exchange.AdapterDoc) {
-		if a.Service != service {
-			return
+	for key, at := range b.adapterUse {
+		if key.service == service {
+			use[key.model+"/"+key.adapter] = at
 		}
-		name := a.Model + "/" + a.Adapter
-		at := now.Add(-time.Duration(a.IdleMs) * time.Millisecond)
-		if at.After(use[name]) {
-			use[name] = at
-		}
-	})
+	}
 	return use
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -40,7 +40,7 @@
 const (
 	// nearInterval and farInterval are the times between messages to peers of the same and of other regions.
 	nearInterval = 200 * time.Millisecond
-	farInterval  = 600 * time.Millisecond
+	farInterval  = time.Second
 	// urgentGap is the least time between messages that are sent early.
 	urgentGap = 20 * time.Millisecond
 )
