Count a waiting request once

Cause: each wake of a waiting request counted it again until it was served, so that rare models outweighed all others.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -45,18 +45,9 @@
 			x.logChoice(&choice)
 			return &attempt{choice: choice, call: call}, 0
 		}
-		if choice.Obstacle == fleet.NotHeld || choice.Obstacle == fleet.AdapterNotHeld {
-			done := x.server.demand.wait(x.service.Name, &x.request, choice.Obstacle == fleet.AdapterNotHeld)
-			defer done()
-			x.server.exchange.Urge()
-		}
+		x.obstacle = choice.Obstacle
 		expected, patience := x.obstacleTimes(&choice, demand, now)
-		if expected <= 0 || expected > patience {
-			x.obstacle = choice.Obstacle
-			return nil, max(expected, minimumRetryAfter)
-		}
-		if !x.waitForChange(changed, patience) {
-			x.obstacle = choice.Obstacle
+		if expected <= 0 || expected > patience || !x.waitForChange(changed, patience) {
 			return nil, max(expected, minimumRetryAfter)
 		}
 	}
@@ -89,6 +80,14 @@
 
 // waitForChange waits until the fleet changes. It returns false when the request has no time left.
 func (x *clientRequest) waitForChange(changed <-chan struct{}, patience time.Duration) bool {
+	if x.obstacle == fleet.NotHeld || x.obstacle == fleet.AdapterNotHeld {
+		waited := x.server.demand.wait(x.service.Name, &x.request, x.obstacle == fleet.AdapterNotHeld)
+		defer waited()
+		if !x.urged {
+			x.urged = true
+			x.server.exchange.Urge()
+		}
+	}
 	timer := time.NewTimer(patience)
 	defer timer.Stop()
 	select {
