Take queued placement orders as done in the next plan

Cause: plans a tenth of a second apart unloaded both copies of a model, because a queued order was not visible yet.

--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -238,7 +238,7 @@
 		if order.FromStore {
 			c.storeLoads = append(c.storeLoads, now)
 		}
-		w.queue = append(w.queue, order)
+		w.enqueue(order, now)
 	}
 	for _, w := range c.workers {
 		if w.running || len(w.queue) == 0 && !w.needsReport(now) {
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,9 +40,11 @@
 	ledger     ledger
 	queue      []Order
 	running    bool
-	// intended is the model that an unload makes room for, until it is loaded or intendedUntil has passed.
+	// intended is the model that an order loads or makes room for, until it is loaded or intendedUntil has passed; victim is
+	// the model that a queued order unloads. Plans take both as done.
 	intended      string
 	intendedUntil time.Time
+	victim        string
 	// blockedUntil keeps the endpoint from orders after a failure.
 	blockedUntil time.Time
 }
@@ -59,6 +62,9 @@
 	if w.intended != "" && (now.After(w.intendedUntil) || w.ledger.find(w.intended) != nil) {
 		w.intended = ""
 	}
+	if w.victim != "" {
+		state.Models = slices.DeleteFunc(state.Models, func(m fleet.HeldModel) bool { return m.Name == w.victim })
+	}
 	if w.intended != "" {
 		state.Intended = w.intended
 		state.Models = append(state.Models, fleet.HeldModel{Name: w.intended})
@@ -112,7 +118,25 @@
 func (w *worker) dropQueue() {
 	w.controller.mu.Lock()
 	defer w.controller.mu.Unlock()
+	w.drop()
+}
+
+// drop gives up queued orders and what they were meant for. The controller's lock is held.
+func (w *worker) drop() {
 	w.queue = nil
+	w.intended, w.victim = "", ""
+}
+
+// enqueue adds a planned order. The controller's lock is held.
+func (w *worker) enqueue(order Order, now time.Time) {
+	w.queue = append(w.queue, order)
+	if order.Adapter != "" {
+		return
+	}
+	w.intended, w.intendedUntil = order.Model, now.Add(intentTime)
+	if order.Verb == Unload {
+		w.intended, w.victim = order.For, order.Model
+	}
 }
 
 // execute sends one order until its outcome is known.
@@ -210,8 +234,8 @@
 	w.controller.mu.Lock()
 	now := time.Now()
 	w.ledger.accepted(&order, now)
-	if order.For != "" {
-		w.intended, w.intendedUntil = order.For, now.Add(intentTime)
+	if order.Adapter == "" {
+		w.victim = ""
 	}
 	orders := w.ledger.orders
 	w.controller.mu.Unlock()
@@ -281,6 +305,6 @@
 func (w *worker) stopFor(d time.Duration) {
 	w.controller.mu.Lock()
 	defer w.controller.mu.Unlock()
-	w.queue = nil
+	w.drop()
 	w.blockedUntil = time.Now().Add(d)
 }
