--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -58,6 +58,13 @@
 	if choice.Obstacle != fleet.Saturated {
 		return x.server.await(x.service, demand, choice.Obstacle), x.deadline.Sub(now)
 	}
+	if ready, loading := x.server.parts.Fleet.ReadyIn(x.request.Model, now); loading {
+		// A further copy takes part of the load soon; until then a late answer is better than none.
+		limit := time.Duration(float64(x.deadline.Sub(now)) * copyWaitingShare)
+		if ready+copySettleTime < limit {
+			return ready, limit
+		}
+	}
 	late := choice.SoonestFirstToken - demand.Within
 	share := waitingShare
 	if demand.Late {
@@ -73,6 +80,10 @@
 	saturatedStep = 50 * time.Millisecond
 	// waitingShare is the part of the useful time that a request may wait for a saturated engine before it is refused.
 	waitingShare = 0.4
+	// copyWaitingShare is the part of the time left until the deadline that a request may wait for a copy being loaded.
+	copyWaitingShare = 0.5
+	// copySettleTime is the time in which a new copy takes over its part of the load.
+	copySettleTime = 500 * time.Millisecond
 	// lateWaitingShare is the same for requests that are late anyway: their clients have been refused once and do not come
 	// back again.
 	lateWaitingShare = 0.8
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -158,7 +158,7 @@
 	// inTimeShare of the time left until the target is planned with; estimates are a little off.
 	inTimeShare = 0.85
 	// lateShare of the time left until the deadline is planned with for a first token that is late.
-	lateShare = 0.7
+	lateShare = 0.45
 )
 
 // usefulness returns the time in which the first token is of use, and whether that is late. The target counts from the client's first attempt; one that comes back has less time left than the route allows.
