--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -17,6 +17,8 @@
 	choice fleet.Choice
 	call   *fleet.Call
 	sent   time.Time
+	// late attempts come after others in the engine's queue.
+	late bool
 }
 
 // sendResult classifies a send.
@@ -39,11 +41,11 @@
 	for {
 		changed := x.server.parts.Fleet.Changed()
 		now := time.Now()
-		demand := x.fleetDemand()
-		choice, call := x.server.parts.Fleet.Reserve(demand, x.server.pace(x.service.Name), x.server.distance, now)
+		demand := x.fleetDemand(now)
+		choice, call := x.reserve(demand, now)
 		if call != nil {
 			x.logChoice(&choice)
-			return &attempt{choice: choice, call: call}, 0
+			return &attempt{choice: choice, call: call, late: demand.Late}, 0
 		}
 		x.obstacle = choice.Obstacle
 		expected, patience := x.obstacleTimes(&choice, demand, now)
@@ -53,6 +55,23 @@
 	}
 }
 
+// reserve chooses an endpoint for an answer in time, or else for a late one: that is worth more to the client than to be
+// refused and come back, and it takes only time that requests in time leave.
+func (x *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
+	pace := x.server.pace(x.service.Name)
+	choice, call := x.server.parts.Fleet.Reserve(demand, pace, x.server.distance, now)
+	if choice.Obstacle != fleet.Saturated || demand.Late {
+		return choice, call
+	}
+	within := demand.Within
+	x.makeLate(demand, now)
+	choice, call = x.server.parts.Fleet.Reserve(demand, pace, x.server.distance, now)
+	if call == nil {
+		demand.Late, demand.Within, demand.MaxPrefillShare = false, within, prefillShare
+	}
+	return choice, call
+}
+
 // obstacleTimes returns the time until an obstacle is likely gone, and how long the request may wait for that.
 func (x *clientRequest) obstacleTimes(choice *fleet.Choice, demand *fleet.Demand, now time.Time) (expected, patience time.Duration) {
 	if choice.Obstacle != fleet.Saturated {
@@ -141,21 +160,29 @@
 		Remaining:   x.deadline.Sub(a.sent),
 		Endpoint:    a.choice.ID,
 		LastEventID: lastEventID,
-		Priority:    x.enginePriority(),
+		Priority:    x.enginePriority(a.late),
 	})
 	return out
 }
 
-// enginePriority maps the route's rank to the engine's queue; plain services have none.
-func (x *clientRequest) enginePriority() int {
+// enginePriority maps the route's rank to the engine's queue, late requests after all others; plain services have none.
+func (x *clientRequest) enginePriority(late bool) int {
 	if x.service.Engine == nil {
 		return -1
 	}
-	return min(x.route.Priority, maxEnginePriority)
+	rank := min(x.route.Priority, latePriority-1)
+	if late {
+		rank += latePriority
+	}
+	return min(rank, maxEnginePriority)
 }
 
-// maxEnginePriority is the least urgent rank that engines know.
-const maxEnginePriority = 9
+const (
+	// maxEnginePriority is the least urgent rank that engines know.
+	maxEnginePriority = 9
+	// latePriority is the first rank of late requests.
+	latePriority = 5
+)
 
 // classify tells what a failed send means and records it against the endpoint.
 func (x *clientRequest) classify(a *attempt, err error) sendResult {
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -125,29 +126,31 @@
 	return x.plain(closing)
 }
 
-func (x *clientRequest) fleetDemand() *fleet.Demand {
-	output := x.request.ExpectedOutput
-	if output == 0 {
-		output = x.request.OutputTokens
-	}
-	now := time.Now()
-	within, late := x.usefulness(now)
-	share := prefillShare
-	if late {
-		share = latePrefillShare
-	}
-	return &fleet.Demand{
-		Within:          within,
-		Late:            late,
-		MaxPrefillShare: share,
-		Service:         x.service.Name,
-		Model:           x.request.Model,
-		Adapter:         x.request.Adapter,
-		PromptTokens:    x.request.PromptTokens,
-		OutputTokens:    output,
-		Parts:           x.request.Parts,
-		Exclude:         x.tried,
+func (x *clientRequest) fleetDemand(now time.Time) *fleet.Demand {
+	demand := &fleet.Demand{
+		Service:      x.service.Name,
+		Model:        x.request.Model,
+		Adapter:      x.request.Adapter,
+		PromptTokens: x.request.PromptTokens,
+		OutputTokens: cmp.Or(x.request.ExpectedOutput, x.request.OutputTokens),
+		Parts:        x.request.Parts,
+		Exclude:      x.tried,
 	}
+	if x.service.Engine == nil {
+		return demand
+	}
+	demand.Within, demand.MaxPrefillShare = x.usefulTime(now), prefillShare
+	if demand.Within < minimumAttempt {
+		x.makeLate(demand, now)
+	}
+	return demand
+}
+
+// makeLate turns the demand into that of a request that cannot be in time.
+func (x *clientRequest) makeLate(demand *fleet.Demand, now time.Time) {
+	demand.Late = true
+	demand.Within = time.Duration(float64(x.deadline.Sub(now)) * lateShare)
+	demand.MaxPrefillShare = latePrefillShare
 }
 
 const (
@@ -161,21 +164,16 @@
 	lateShare = 0.45
 )
 
-// usefulness returns the time in which the first token is of use, and whether that is late. The target counts from the client's first attempt; one that comes back has less time left than the route allows.
-func (x *clientRequest) usefulness(now time.Time) (within time.Duration, late bool) {
-	if x.service.Engine == nil {
-		return 0, false
-	}
-	before := max(x.route.Timeout-x.request.Remaining, 0)
-	if x.request.Remaining == 0 {
-		before = 0
+// usefulTime returns the time in which the first token is in time. The target counts from the client's first attempt; one
+// that comes back has less time left than the route allows.
+func (x *clientRequest) usefulTime(now time.Time) time.Duration {
+	before := time.Duration(0)
+	if x.request.Remaining > 0 {
+		before = max(x.route.Timeout-x.request.Remaining, 0)
 	}
 	target := x.arrived.Add(x.route.TargetLatency - before)
 	left := time.Duration(float64(target.Sub(now)) * inTimeShare)
-	if left > minimumAttempt {
-		return min(left, x.deadline.Sub(now)), false
-	}
-	return time.Duration(float64(x.deadline.Sub(now)) * lateShare), true
+	return min(left, x.deadline.Sub(now))
 }
 
 // mayRepeat tells whether the request may be sent once more after a send, and spends the budget if so.
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -7,6 +7,7 @@
 	registry *Registry
 	endpoint *Endpoint
 	prefill  int
+	urgent   int
 	memory   int
 	started  bool
 	ended    bool
@@ -35,7 +36,11 @@
 		memory:   demand.PromptTokens + demand.OutputTokens,
 	}
 	e.own.Waiting++
+	if !demand.Late {
+		call.urgent = call.prefill
+	}
 	e.own.PrefillTokens += call.prefill
+	e.own.UrgentTokens += call.urgent
 	e.sent.add(call.prefill, now)
 	e.own.MemoryTokens += call.memory
 	e.prompts.note(demand.Model, demand.Adapter, demand.Parts)
@@ -52,6 +57,7 @@
 	c.started = true
 	c.endpoint.own.Waiting--
 	c.endpoint.own.PrefillTokens -= c.prefill
+	c.endpoint.own.UrgentTokens -= c.urgent
 	c.endpoint.own.Running++
 	c.registry.signal()
 	return true
@@ -85,6 +91,7 @@
 	} else {
 		c.endpoint.own.Waiting--
 		c.endpoint.own.PrefillTokens -= c.prefill
+		c.endpoint.own.UrgentTokens -= c.urgent
 	}
 	c.endpoint.own.MemoryTokens -= c.memory
 	c.registry.signal()
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -16,7 +16,7 @@
 	Parts        []PromptPart
 	// Within is the time in which the first token must come to be of full use; zero means that there is no such time.
 	Within time.Duration
-	// Late requests cannot be in time any more.
+	// Late requests cannot be in time any more; engines read their prompts after those of others.
 	Late bool
 	// MaxPrefillShare bounds the part of an engine's time that may go to reading prompts.
 	MaxPrefillShare float64
@@ -196,7 +196,11 @@
 	if demand.Model == "" {
 		return time.Duration(work.Calls())*time.Millisecond + time.Duration(excess)*busyPenalty
 	}
-	tokens := work.PrefillTokens + max(demand.PromptTokens-kept, 0)
+	ahead := work.UrgentTokens
+	if demand.Late {
+		ahead = work.PrefillTokens
+	}
+	tokens := ahead + max(demand.PromptTokens-kept, 0)
 	read := time.Duration(float64(tokens) / pace.PrefillPerMs * float64(time.Millisecond))
 	// While prompts are read, each piece shares its step with the batch.
 	steps := time.Duration(work.Running) * pace.Step / 64
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -63,6 +63,8 @@
 	// Waiting counts calls without a first event; PrefillTokens are the prompt tokens that they still need.
 	Waiting       int
 	PrefillTokens int
+	// UrgentTokens are those of PrefillTokens that the engine reads before the prompts of late requests.
+	UrgentTokens int
 	// Running counts calls that generate.
 	Running int
 	// MemoryTokens are the prompt and expected output tokens of all calls.
@@ -76,6 +78,7 @@
 	return Work{
 		Waiting:       w.Waiting + o.Waiting,
 		PrefillTokens: w.PrefillTokens + o.PrefillTokens,
+		UrgentTokens:  w.UrgentTokens + o.UrgentTokens,
 		Running:       w.Running + o.Running,
 		MemoryTokens:  w.MemoryTokens + o.MemoryTokens,
 		PrefillRate:   w.PrefillRate + o.PrefillRate,
