--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -149,7 +149,8 @@
 // makeLate turns the demand into that of a request that cannot be in time.
 func (x *clientRequest) makeLate(demand *fleet.Demand, now time.Time) {
 	demand.Late = true
-	demand.Within = time.Duration(float64(x.deadline.Sub(now)) * lateShare)
+	left := x.deadline.Sub(now) - time.Duration(demand.OutputTokens)*loadedStep
+	demand.Within = min(time.Duration(float64(x.deadline.Sub(now))*lateShare), left)
 	demand.MaxPrefillShare = latePrefillShare
 }
 
@@ -160,6 +161,8 @@
 	latePrefillShare = 0.85
 	// inTimeShare of the time left until the target is planned with; estimates are a little off.
 	inTimeShare = 0.85
+	// loadedStep is the time for one token at an engine that reads prompts most of the time.
+	loadedStep = 40 * time.Millisecond
 	// lateShare of the time left until the deadline is planned with for a first token that is late.
 	lateShare = 0.45
 )
