--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -33,6 +33,8 @@
 	collectorPercent = 50
 	// memoryShare is the part of the process's limit at which the collector works harder.
 	memoryShare = 0.7
+	// metricsInterval is how often counters are flushed; metrics are read every few seconds.
+	metricsInterval = 5 * time.Second
 	// connectionIdleTimeout keeps connections to endpoints between requests; what an endpoint says of its own goes first.
 	connectionIdleTimeout = 10 * time.Second
 )
@@ -82,12 +84,16 @@
 	defer control.Close()
 	requests := httpconn.NewPool(httpconn.Options{Accept: platform.Accepts, Unframed: true, IdleTimeout: connectionIdleTimeout})
 	defer requests.Close()
+	metrics := telemetry.NewMetrics(metricsInterval)
+	defer func() { _ = metrics.Close() }()
 	server, err := edge.New(settings, edge.Parts{
 		Wire:    platform.Wire{},
 		Entries: platform.Entries(),
 		Store:   platform.NewStore(settings.StoreAddress, control),
 		Engines: platform.NewEngines(control),
 		Pool:    requests,
+		Scope:   metrics.Scope,
+		Metrics: metrics.Handler,
 	}, log)
 	if err != nil {
 		log.Error("start failed", zap.Error(err))
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -111,7 +111,7 @@
 	d := &Daemon{
 		settings:  s,
 		log:       log.With(zap.String("instance", s.InstanceID)),
-		metrics:   telemetry.NewMetrics(),
+		metrics:   telemetry.NewMetrics(telemetry.ReportInterval),
 		startedAt: time.Now(),
 		stop:      make(chan struct{}),
 	}
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -199,7 +199,7 @@
 	default:
 		a.call.End(blame(left, fleet.Failed), now)
 	}
-	x.sends++
+	x.countSend()
 	x.mayHaveRun = true
 	x.log.Info("send failed", zap.String("endpoint", a.choice.ID), zap.Error(err), zap.Duration("took", now.Sub(a.sent)))
 	return sendUnknown
@@ -221,7 +221,7 @@
 		x.server.parts.Fleet.Misdirected(a.choice.ID, reply.Endpoint, x.request.Model, x.request.Adapter, now)
 	}
 	x.tried = append(x.tried, a.choice.ID)
-	x.sends++
+	x.countSend()
 	x.log.Info("endpoint refused: not run", zap.String("endpoint", a.choice.ID), zap.Int("status", status),
 		zap.String("answeredBy", reply.Endpoint))
 	return sendNotRun
@@ -288,7 +288,7 @@
 	if reply.NotRun {
 		return x.refusedBy(a, resp.StatusCode(), &reply)
 	}
-	x.sends++
+	x.countSend()
 	x.tried = append(x.tried, a.choice.ID)
 	x.mayHaveRun = true
 	if !x.acceptable(a, &reply, resp) {
@@ -329,5 +329,6 @@
 		fields = append(fields, zap.String("endpoint", a.choice.ID))
 	}
 	x.log.Info("answered", fields...)
+	x.finished(x.server.metrics.answered)
 	return !closing
 }
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
@@ -202,6 +203,7 @@
 func (x *clientRequest) fail(reason string, retryAfter time.Duration, closing bool) bool {
 	if x.clientLeft() {
 		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
+		x.finished(x.server.metrics.left)
 		return false
 	}
 	if !x.mayHaveRun {
@@ -213,9 +215,25 @@
 	}
 	x.log.Warn("failed: outcome unknown", zap.String("reason", reason), zap.Int("status", status),
 		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
+	x.finished(x.server.metrics.failed)
 	return x.server.answer(x.conn, x.log, ownAnswer{status: status, close: closing})
 }
 
+// finished counts the end of the request.
+func (x *clientRequest) finished(end tally.Counter) {
+	end.Inc(1)
+	x.server.metrics.response.RecordDuration(time.Since(x.arrived))
+}
+
+// countSend counts a request that was handed to an endpoint.
+func (x *clientRequest) countSend() {
+	x.sends++
+	x.server.metrics.sends.Inc(1)
+	if x.sends > 1 {
+		x.server.metrics.repeats.Inc(1)
+	}
+}
+
 // clientLeft tells whether the request ended because the client closed its connection.
 func (x *clientRequest) clientLeft() bool {
 	return x.ctx.Err() != nil && !errors.Is(context.Cause(x.ctx), errStopping)
@@ -223,7 +241,10 @@
 
 // refuse tells the client that the request has not run and when to come back.
 func (x *clientRequest) refuse(retryAfter time.Duration, reason string, closing bool) bool {
-	x.log.Info("refused: not run", zap.String("model", x.request.Model), zap.String("adapter", x.request.Adapter), zap.String("reason", reason), zap.Stringer("obstacle", x.obstacle), zap.Duration("retryAfter", retryAfter),
+	x.finished(x.server.metrics.refused)
+	x.log.Info("refused: not run", zap.String("route", x.route.Name), zap.String("model", x.request.Model),
+		zap.String("adapter", x.request.Adapter), zap.String("reason", reason), zap.Stringer("obstacle", x.obstacle),
+		zap.Int64("configuration", x.table.Config.Version), zap.Duration("retryAfter", retryAfter),
 		zap.Strings("tried", x.tried), zap.Duration("after", time.Since(x.arrived)))
 	return x.server.answer(x.conn, x.log, ownAnswer{status: fasthttp.StatusServiceUnavailable, retryAfter: retryAfter, close: closing})
 }
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -1,11 +1,9 @@
 package edge
 
 import (
-	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 )
 
@@ -63,32 +61,3 @@
 		return false
 	}
 }
-
-// listenReady serves the load balancer's readiness checks.
-func (s *Server) listenReady(address string) (*fasthttp.Server, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for readiness checks")
-	}
-	server := &fasthttp.Server{
-		Handler: func(ctx *fasthttp.RequestCtx) {
-			if !s.ready() {
-				ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-			}
-		},
-		ReadBufferSize:        minReadBuffer,
-		Concurrency:           readyConcurrency,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		DisableKeepalive:      false,
-	}
-	go func() {
-		if err := server.Serve(listener); err != nil {
-			s.log.Warn("readiness listener ended", zap.Error(err))
-		}
-	}()
-	return server, nil
-}
-
-// readyConcurrency bounds the connections of the readiness listener.
-const readyConcurrency = 64
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -73,6 +73,7 @@
 			continue
 		}
 		f.expire()
+		f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
 		pause(ctx, watchPause-time.Since(started))
 	}
 }
@@ -237,6 +238,7 @@
 func (f *follower) lost(err error) {
 	if f.lostAt.IsZero() {
 		f.lostAt = time.Now()
+		f.server.metrics.storeLost.Inc(1)
 		f.server.log.Warn("store lost; the last view stays in force", zap.Error(err), zap.Int64("revision", int64(f.at)))
 	}
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -6,12 +6,14 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
@@ -34,6 +36,9 @@
 	Pool   *httpconn.Pool
 	Fleet  *fleet.Registry
 	Budget *retry.WindowBudget
+	// Scope receives the metrics and Metrics serves them; nil means that there are none.
+	Scope   tally.Scope
+	Metrics http.Handler
 }
 
 // Server is one entry instance.
@@ -42,6 +47,7 @@
 	log      *zap.Logger
 	config   atomic.Pointer[Settings]
 	table    atomic.Pointer[routing.Table]
+	metrics  *metrics
 	members  *members
 	demand   *demandBook
 	exchange *exchange.Exchange
@@ -55,6 +61,8 @@
 	mu     sync.Mutex
 	conns  map[*clientConn]struct{}
 	random *rand.Rand
+	// control runs the listeners for readiness checks and metrics.
+	control conc.WaitGroup
 	// active counts requests that are being handled.
 	active atomic.Int64
 }
@@ -67,6 +75,7 @@
 	server := &Server{
 		parts:    parts,
 		log:      log,
+		metrics:  newMetrics(parts.Scope),
 		members:  newMembers(),
 		demand:   newDemandBook(),
 		conns:    make(map[*clientConn]struct{}),
@@ -158,6 +167,7 @@
 		return
 	}
 	s.table.Store(routing.NewTable(config))
+	s.metrics.configVersion.Update(float64(config.Version))
 	s.log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", revision),
 		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
 }
@@ -329,6 +339,10 @@
 	if err != nil {
 		return err
 	}
+	served, err := s.listenMetrics(settings.MetricsAddress)
+	if err != nil {
+		return err
+	}
 	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
 		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
 	background, stopBackground := context.WithCancel(context.Background())
@@ -349,10 +363,10 @@
 		s.log.Debug("close client listener", zap.Error(err))
 	}
 	stopBackground()
-	if err := ready.Shutdown(); err != nil {
-		s.log.Debug("close readiness listener", zap.Error(err))
-	}
+	s.shutdown(ready)
+	s.shutdown(served)
 	tasks.Wait()
+	s.control.Wait()
 	s.log.Info("stopped")
 	return nil
 }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -83,11 +83,15 @@
 func (x *clientRequest) abort(reason string) bool {
 	x.log.Warn("stream broken off", zap.String("reason", reason), zap.Strings("tried", x.tried),
 		zap.Duration("after", time.Since(x.arrived)))
+	x.finished(x.server.metrics.broken)
 	return false
 }
 
 // openStream sends the request. A nil body with sendAnswered means that resp is a whole response without a stream.
 func (x *clientRequest) openStream(a *attempt, resp *fasthttp.Response, state *streamState) (*httpconn.Body, sendResult) {
+	if state.begun {
+		x.server.metrics.resumed.Inc(1)
+	}
 	out := x.forwardRequest(a, state.events.LastID)
 	defer fasthttp.ReleaseRequest(out)
 	resp.Header.SetNoDefaultContentType(true)
@@ -97,7 +101,7 @@
 	}
 	reply := x.server.parts.Wire.DecodeReply(&resp.Header)
 	if resp.StatusCode() == fasthttp.StatusOK {
-		x.sends++
+		x.countSend()
 		x.tried = append(x.tried, a.choice.ID)
 		x.mayHaveRun = true
 		if !x.acceptable(a, &reply, resp) {
@@ -119,7 +123,7 @@
 	if err != nil {
 		return x.classify(a, err)
 	}
-	x.sends++
+	x.countSend()
 	x.tried = append(x.tried, a.choice.ID)
 	x.mayHaveRun = true
 	if !x.acceptable(a, reply, resp) {
@@ -143,6 +147,7 @@
 			if failure := x.forwardEvents(resp, events, state, closing); failure != nil {
 				a.call.End(fleet.Neutral, time.Now())
 				x.log.Info("client left", zap.Error(failure), zap.Duration("after", time.Since(x.arrived)))
+				x.finished(x.server.metrics.left)
 				return relayClientGone
 			}
 		}
@@ -158,6 +163,7 @@
 
 func (x *clientRequest) noteFirst(a *attempt) {
 	if a.call.Started() {
+		x.server.metrics.firstEvent.RecordDuration(time.Since(a.sent))
 		x.log.Info("first event", zap.String("endpoint", a.choice.ID), zap.String("model", x.request.Model),
 			zap.Duration("took", time.Since(a.sent)), zap.Duration("expected", a.choice.FirstToken))
 	}
@@ -184,6 +190,7 @@
 	if err := x.conn.writeLastChunk(); err != nil {
 		return relayClientGone
 	}
+	x.finished(x.server.metrics.answered)
 	x.log.Info("stream complete", zap.String("endpoint", a.choice.ID), zap.String("lastEvent", state.events.LastID),
 		zap.Duration("after", time.Since(x.arrived)))
 	return relayComplete
@@ -193,6 +200,7 @@
 	if x.ctx.Err() != nil {
 		a.call.End(fleet.Neutral, time.Now())
 		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
+		x.finished(x.server.metrics.left)
 		return relayClientGone
 	}
 	a.call.End(fleet.Failed, time.Now())
--- a/pkg/telemetry/telemetry.go
+++ b/pkg/telemetry/telemetry.go
@@ -15,8 +15,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// reportInterval is how often tally flushes counters to the Prometheus registry.
-const reportInterval = time.Second
+// ReportInterval is how often a daemon flushes counters to the Prometheus registry.
+const ReportInterval = time.Second
 
 // NewLogger returns a JSON logger that writes to standard error. Level is debug, info, warn or error.
 func NewLogger(level string) (*zap.Logger, error) {
@@ -40,8 +40,8 @@
 	closer  io.Closer
 }
 
-// NewMetrics returns a scope whose metrics begin with "mulberryglade_".
-func NewMetrics() *Metrics {
+// NewMetrics returns a scope whose metrics begin with "mulberryglade_". Counters are flushed once per interval.
+func NewMetrics(interval time.Duration) *Metrics {
 	registry := prom.NewRegistry()
 	reporter := tallyprom.NewReporter(tallyprom.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -49,7 +49,7 @@
 		CachedReporter:  reporter,
 		Separator:       tallyprom.DefaultSeparator,
 		SanitizeOptions: &tallyprom.DefaultSanitizerOpts,
-	}, reportInterval)
+	}, interval)
 	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
 }
 
@@ -59,7 +59,7 @@
 }
 
 // NewStandardOutputLogger returns a JSON logger that writes to standard output. Level is debug, info, warn or error; empty
-// means info.
+// means info. The volume is bounded and a line never waits for the reader.
 func NewStandardOutputLogger(level string) (*zap.Logger, error) {
 	if level == "" {
 		level = "info"
@@ -70,6 +70,10 @@
 	}
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), zapcore.Lock(os.Stdout), parsed)
+	core := queuedCore{
+		LevelEnabler: parsed,
+		encoder:      zapcore.NewJSONEncoder(encoding),
+		queue:        newLineQueue(os.Stdout, time.Now),
+	}
 	return zap.New(shortErrors{Core: core}), nil
 }
