--- /dev/null
+++ b/pkg/residency/plan_test.go
@@ -0,0 +1,236 @@
+package residency
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// testEngine has room for three models and eight adapters, like the engines of the deployments of today.
+func testEngine(models int) *routing.Engine {
+	e := &routing.Engine{
+		Slots: 64, MemoryMB: 230_000, AdapterSlots: 8, LoadsPerSecond: 1.1,
+		Models: make(map[string]*routing.Model),
+	}
+	for i := range models {
+		name := fmt.Sprintf("m%02d", i)
+		e.Models[name] = &routing.Model{
+			Name: name, WeightsMB: 72_700, AdapterMB: 66, Adapters: 28,
+			FromStore: 9 * time.Second, FromDisk: 2400 * time.Millisecond, FromMemory: 1200 * time.Millisecond,
+		}
+	}
+	return e
+}
+
+func endpointWith(id string, models ...string) EndpointState {
+	e := EndpointState{Announcement: fleet.Announcement{ID: id, Slots: 64}}
+	for _, m := range models {
+		e.Models = append(e.Models, fleet.HeldModel{Name: m})
+	}
+	return e
+}
+
+func modelOrders(orders []Order) []Order {
+	return slices.DeleteFunc(slices.Clone(orders), func(o Order) bool { return o.Adapter != "" })
+}
+
+// Replays a shift of demand at the worst load: a model with one copy takes most of the requests, and a rare one has no
+// copy. Guards against the rare model, whose requests can wait, going first, as it did when need was counted per copy.
+func TestShiftLoadsTheHotModelFirst(t *testing.T) {
+	in := &Input{
+		Engine: testEngine(5),
+		Endpoints: []EndpointState{
+			endpointWith("e1", "m00", "m01"),
+			endpointWith("e2", "m02"),
+		},
+		Demand: map[string]ModelDemand{
+			"m00": {Load: 2.5, Forecast: 3, Requests: 20},
+			"m04": {Load: 0.03, Forecast: 0.03, Requests: 0.2},
+		},
+		StoreLoads: 1,
+	}
+	orders := modelOrders(Plan(in))
+	if len(orders) != 1 || orders[0].Model != "m00" || orders[0].Endpoint != "e2" || orders[0].Verb != Load {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards against a model whose only copy crashed under load never being loaded again: the load alone made every engine
+// look worse than none.
+func TestModelWithoutACopyIsLoadedHoweverLargeItsLoad(t *testing.T) {
+	for _, load := range []float64{0.01, 1, 20} {
+		in := &Input{
+			Engine:     testEngine(3),
+			Endpoints:  []EndpointState{endpointWith("e1", "m00")},
+			Demand:     map[string]ModelDemand{"m02": {Load: load, Forecast: load, Requests: 1, Waiting: 1}},
+			StoreLoads: 1,
+		}
+		if orders := modelOrders(Plan(in)); len(orders) != 1 || orders[0].Model != "m02" {
+			t.Errorf("load %v: orders are %+v", load, orders)
+		}
+	}
+}
+
+// Guards against a hot model taking the last copy of another one: every model stays reachable.
+func TestLastCopiesStay(t *testing.T) {
+	in := &Input{
+		Engine: testEngine(6),
+		Endpoints: []EndpointState{
+			endpointWith("e1", "m00", "m01", "m02"),
+			endpointWith("e2", "m03", "m04", "m05"),
+		},
+		Demand:     map[string]ModelDemand{"m00": {Load: 4, Forecast: 5, Requests: 30}},
+		StoreLoads: 5,
+	}
+	if orders := modelOrders(Plan(in)); len(orders) != 0 {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards against the copies that serve a model giving way while further copies of it are still being loaded.
+func TestServingCopyStaysWhileAnotherLoads(t *testing.T) {
+	loading := endpointWith("e2", "m00")
+	loading.Busy, loading.Changing = true, []string{"m00"}
+	in := &Input{
+		Engine:     testEngine(4),
+		Endpoints:  []EndpointState{endpointWith("e1", "m00", "m01", "m02"), loading},
+		Demand:     map[string]ModelDemand{"m03": {Load: 1, Forecast: 1, Requests: 8, Waiting: 5}},
+		StoreLoads: 5,
+	}
+	for _, o := range modelOrders(Plan(in)) {
+		if o.Verb == Unload && o.Model == "m00" {
+			t.Fatalf("the serving copy is unloaded: %+v", o)
+		}
+	}
+}
+
+// Guards against the room that an unload made being used for something else, or several engines being emptied for one
+// need by plans that follow each other.
+func TestUnloadIsFollowedByTheLoadThatItWasFor(t *testing.T) {
+	made := endpointWith("e1", "m00", "m01", "m05")
+	made.Intended, made.Changing = "m05", []string{"m05"}
+	in := &Input{
+		Engine:     testEngine(6),
+		Endpoints:  []EndpointState{made, endpointWith("e2", "m00", "m02", "m03")},
+		Demand:     map[string]ModelDemand{"m05": {Load: 0.5, Forecast: 0.5, Requests: 4, Waiting: 2}},
+		StoreLoads: 5,
+	}
+	orders := modelOrders(Plan(in))
+	if len(orders) != 1 || orders[0].Verb != Load || orders[0].Model != "m05" || orders[0].Endpoint != "e1" {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards against loads that exceed the rate of the weight store; copies on an endpoint's own disk are not bounded by it.
+func TestStoreLoadsAreBounded(t *testing.T) {
+	onDisk := endpointWith("e3")
+	onDisk.OnDisk = []string{"m00"}
+	in := &Input{
+		Engine:     testEngine(3),
+		Endpoints:  []EndpointState{endpointWith("e1"), endpointWith("e2"), onDisk, endpointWith("e4", "m00")},
+		Demand:     map[string]ModelDemand{"m00": {Load: 6, Forecast: 6, Requests: 50}},
+		StoreLoads: 1,
+	}
+	orders := modelOrders(Plan(in))
+	fromStore := 0
+	for _, o := range orders {
+		if o.FromStore {
+			fromStore++
+		}
+	}
+	if fromStore != 1 || len(orders) != 2 {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards against more adapters than an engine has slots for, and against unloading one that was just used.
+func TestAdapterMakesRoomByTheLeastRecentlyUsed(t *testing.T) {
+	e := endpointWith("e1", "m00")
+	use := map[string]time.Time{}
+	for i := range 8 {
+		name := fmt.Sprintf("a%d", i)
+		e.Models[0].Adapters = append(e.Models[0].Adapters, name)
+		use["m00/"+name] = start.Add(time.Duration(10-i) * time.Second)
+	}
+	e.AdapterUse = use
+	in := &Input{
+		Engine: testEngine(1), Endpoints: []EndpointState{e},
+		Adapters: []AdapterWant{{Model: "m00", Adapter: "a20", Waiting: 1}},
+	}
+	orders := Plan(in)
+	if len(orders) != 2 || orders[0].Verb != Unload || orders[0].Adapter != "a7" || orders[1].Adapter != "a20" {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards, over arbitrary states, against an order that exceeds an engine's memory or adapter slots, that names a busy or
+// leaving endpoint, or that gives one endpoint two model orders.
+func TestPlanKeepsTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		engine := testEngine(rapid.IntRange(1, 8).Draw(t, "models"))
+		var names []string
+		for name := range engine.Models {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		in := &Input{Engine: engine, Demand: make(map[string]ModelDemand), StoreLoads: rapid.IntRange(0, 5).Draw(t, "loads")}
+		for i := range rapid.IntRange(0, 5).Draw(t, "endpoints") {
+			held := rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, min(3, len(names)), rapid.ID[string]).Draw(t, "held")
+			e := endpointWith(fmt.Sprintf("e%d", i), held...)
+			e.Busy = rapid.Bool().Draw(t, "busy")
+			e.Leaving = rapid.Bool().Draw(t, "leaving")
+			e.OnDisk = rapid.SliceOf(rapid.SampledFrom(names)).Draw(t, "disk")
+			in.Endpoints = append(in.Endpoints, e)
+		}
+		for _, name := range names {
+			load := rapid.Float64Range(0, 5).Draw(t, "load")
+			in.Demand[name] = ModelDemand{Load: load, Forecast: load, Requests: load * 8, Waiting: rapid.IntRange(0, 3).Draw(t, "waiting")}
+		}
+		for range rapid.IntRange(0, 12).Draw(t, "wants") {
+			in.Adapters = append(in.Adapters, AdapterWant{
+				Model: rapid.SampledFrom(names).Draw(t, "model"), Adapter: rapid.StringMatching(`a[0-9]`).Draw(t, "adapter"), Waiting: 1,
+			})
+		}
+		before := make(map[string]EndpointState)
+		for _, e := range in.Endpoints {
+			before[e.ID] = e
+		}
+		checkOrders(t, engine, before, Plan(in))
+	})
+}
+
+func checkOrders(t *rapid.T, engine *routing.Engine, before map[string]EndpointState, orders []Order) {
+	modelOrders := make(map[string]int)
+	adapters := make(map[string]int)
+	for _, o := range orders {
+		e := before[o.Endpoint]
+		if e.Leaving {
+			t.Fatalf("order for a leaving endpoint: %+v", o)
+		}
+		if o.Adapter != "" {
+			if o.Verb == Load {
+				adapters[o.Endpoint]++
+			} else {
+				adapters[o.Endpoint]--
+			}
+			if adapters[o.Endpoint] > engine.AdapterSlots {
+				t.Fatalf("too many adapters at %s", o.Endpoint)
+			}
+			continue
+		}
+		modelOrders[o.Endpoint]++
+		if e.Busy || modelOrders[o.Endpoint] > 1 {
+			t.Fatalf("model order for a busy endpoint: %+v", o)
+		}
+		if o.Verb == Load && len(e.Models) >= 3 {
+			t.Fatalf("order exceeds the memory: %+v at %+v", o, e.Models)
+		}
+	}
+}
