--- /dev/null
+++ b/pkg/edge/decisions_test.go
@@ -0,0 +1,100 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+)
+
+// Guards against a joined or lost event when a stream breaks off inside one.
+func TestEventBufferYieldsWholeEvents(t *testing.T) {
+	var b eventBuffer
+	steps := []struct {
+		add, want, id string
+		partial       bool
+	}{
+		{"id: 1\nda", "", "", true},
+		{"ta: x\n", "", "", true},
+		{"\nid: 2\ndata: y\n\nid: 3", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "2", true},
+		{"\r\ndata: z\r\n\r\n", "id: 3\r\ndata: z\r\n\r\n", "3", false},
+		{"data: no id\n\n", "data: no id\n\n", "3", false},
+		{"", "", "3", false},
+	}
+	for i, s := range steps {
+		if got := string(b.Add([]byte(s.add))); got != s.want || b.LastID != s.id || b.Partial() != s.partial {
+			t.Errorf("step %d: got %q, last id %q, partial %v", i, got, b.LastID, b.Partial())
+		}
+	}
+}
+
+// Replays rates of a calm model, of a rare one by chance, and of a shift of demand. Guards against single requests for
+// rare models looking like a trend, which made them displace models in use, and against a shift that is not seen.
+func TestEstimateLoadTellsTrendsFromChance(t *testing.T) {
+	for name, c := range map[string]struct {
+		fast, slow, requests float64
+		rising               bool
+	}{
+		"one request for a rare model": {fast: 0.087, slow: 0.026, requests: 0.2},
+		"calm model":                   {fast: 1.1, slow: 1.0, requests: 8},
+		"shift to a new model":         {fast: 0.8, slow: 0.3, requests: 2.4, rising: true},
+	} {
+		load, forecast := estimateLoad(c.fast, c.slow, c.requests)
+		if rising := forecast > load; rising != c.rising {
+			t.Errorf("%s: load %v, forecast %v", name, load, forecast)
+		}
+	}
+	if load, forecast := estimateLoad(0.3, 1.0, 8); load != 0.3 || forecast != 0.3 {
+		t.Errorf("falling demand: load %v, forecast %v", load, forecast)
+	}
+}
+
+// Guards against the first seconds of an instance looking like a rise of every model's demand.
+func TestRatesAreUnbiasedAtTheStart(t *testing.T) {
+	start := time.Unix(1000, 0)
+	fast := decayingRate{memory: fastMemory, since: start}
+	slow := decayingRate{memory: slowMemory, since: start}
+	for i := range 200 {
+		at := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		fast.add(1, at)
+		slow.add(1, at)
+	}
+	at := start.Add(2 * time.Second)
+	if f, s := fast.read(at), slow.read(at); f < 95 || f > 110 || s < 95 || s > 110 {
+		t.Fatalf("rates are %v and %v, 100 a second were counted", f, s)
+	}
+}
+
+// Guards against a request that waits being counted more than once, which made rare models outweigh all others.
+func TestWaitingRequestsAreCountedOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newDemandBook()
+	r := &Request{Model: "m", Adapter: "a1", PromptTokens: 100}
+	b.note("s", r, now)
+	for range 5 {
+		done := b.wait("s", r, true)
+		if wants := b.AdapterWants("s", now); len(wants) != 1 || wants[0].Waiting != 1 {
+			t.Fatalf("wants are %+v", wants)
+		}
+		done()
+	}
+	if wants := b.AdapterWants("s", now); len(wants) != 0 {
+		t.Fatalf("wants are %+v after the last wait", wants)
+	}
+}
+
+// Guards against the demand of other instances being lost, counted twice or kept after they are gone.
+func TestDemandOfOtherInstances(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newDemandBook()
+	docs := []exchange.ModelDoc{{Service: "s", Model: "m", Load: 0.5, SlowLoad: 0.5, Requests: 4, Waiting: 1}}
+	b.receive("one", docs, nil, now)
+	b.receive("one", docs, nil, now)
+	b.receive("two", docs, nil, now)
+	if d := b.ModelDemand("s", now)["m"]; d.Requests != 8 || d.Waiting != 2 {
+		t.Fatalf("demand is %+v", d)
+	}
+	if d := b.ModelDemand("s", now.Add(remoteDemandAge+time.Second)); len(d) != 0 {
+		t.Fatalf("demand is %+v", d)
+	}
+}
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -278,11 +278,13 @@
 func estimateLoad(fast, slow, requests float64) (load, forecast float64) {
 	perRequest := slow / max(requests, negligible)
 	noise := perRequest * math.Sqrt(max(requests, negligible)/(2*fastMemory.Seconds()))
+	// A single request is never a trend.
+	least := max(trendNoise*noise, perRequest/fastMemory.Seconds())
 	trend := fast - slow
 	switch {
-	case trend > trendNoise*noise:
+	case trend > least:
 		return fast, fast + trendReach*(trend-noise)
-	case trend < -trendNoise*noise:
+	case trend < -least:
 		return fast, fast
 	default:
 		return slow, slow
--- /dev/null
+++ b/pkg/exchange/exchange_test.go
@@ -0,0 +1,58 @@
+package exchange
+
+import (
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+)
+
+// Guards against a datagram that was overtaken replacing newer state, also across a restart of its sender.
+func TestOvertakenMessagesAreDropped(t *testing.T) {
+	e := &Exchange{seen: make(map[string]seenMessage)}
+	now := time.Unix(1000, 0)
+	for i, c := range []struct {
+		started, sequence int64
+		want              bool
+	}{
+		{100, 1, true}, {100, 3, true}, {100, 2, false}, {100, 3, false},
+		{200, 1, true}, {100, 9, false}, {200, 2, true},
+	} {
+		if got := e.fresh(&Message{Instance: "i", Started: c.started, Sequence: c.sequence}, now); got != c.want {
+			t.Errorf("step %d: fresh is %v", i, got)
+		}
+	}
+}
+
+func TestMessageSurvivesTheWire(t *testing.T) {
+	work := fleet.Work{Waiting: 1, PrefillTokens: 2, UrgentTokens: 3, Running: 4, MemoryTokens: 5, PrefillRate: 6}
+	m := &Message{
+		Instance: "edge-1", Started: 7, Sequence: 8,
+		Work:     map[string]WorkDoc{"i-1": EncodeWork(work)},
+		Models:   []ModelDoc{{Service: "s", Model: "m", Load: 0.5, SlowLoad: 0.4, Requests: 3, Waiting: 1}},
+		Adapters: []AdapterDoc{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, IdleMs: 30}},
+		Held:     []HeldDoc{{Endpoint: "i-1", Lifetime: 9, Models: []HeldModel{{Name: "m", Version: 1, Adapters: []string{"a1"}}}}},
+		Loading:  []LoadingDoc{{Model: "n", ReadyMs: 900}},
+	}
+	data, err := Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := Decode(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, m) || got.Work["i-1"].Decode() != work {
+		t.Fatalf("got %+v", got)
+	}
+}
+
+// Guards against foreign datagrams stopping the exchange or being taken for an instance.
+func TestForeignDatagramsAreRefused(t *testing.T) {
+	for _, data := range []string{"", "\x00\x01", "[]", "{}", `{"i":7}`, `{"i":"x","w":{"e":"many"}}`} {
+		if m, err := Decode([]byte(data)); err == nil {
+			t.Errorf("%q decoded as %+v", data, m)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/fleet/fleet_test.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1000, 0)
+
+func near(string) Distance { return Distance{} }
+
+func announce(r *Registry, id string, models ...HeldModel) {
+	r.Announce(Announcement{ID: id, Service: "llm", Address: id + ":1", DataCentre: "z1", Lifetime: 1, Slots: 64, Models: models}, now)
+}
+
+func demandFor(model string) *Demand {
+	return &Demand{
+		Service: "llm", Model: model, PromptTokens: 2000, OutputTokens: 20, Within: 850 * time.Millisecond, MaxPrefillShare: 0.95,
+	}
+}
+
+// Replays a burst at one moment: 40 prompts of 2,000 tokens for two endpoints that read 20 tokens a millisecond. Guards
+// against queues in which every first token is late: seven prompts fit into the useful time of each endpoint.
+func TestBurstIsAdmittedOnlyAsFarAsItCanBeInTime(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	announce(r, "e2", HeldModel{Name: "m"})
+	admitted := 0
+	for range 40 {
+		choice, call := r.Reserve(demandFor("m"), DefaultPace(), near, now)
+		if call == nil {
+			if choice.Obstacle != Saturated {
+				t.Fatalf("obstacle is %v", choice.Obstacle)
+			}
+			continue
+		}
+		admitted++
+		if choice.FirstToken > 850*time.Millisecond {
+			t.Fatalf("first token expected after %v", choice.FirstToken)
+		}
+	}
+	if admitted < 12 || admitted > 18 {
+		t.Fatalf("%d requests admitted", admitted)
+	}
+}
+
+// Guards against late requests delaying those that can be in time: engines read them afterwards.
+func TestLateRequestsDoNotDelayOthers(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	late := demandFor("m")
+	late.Late, late.Within, late.MaxPrefillShare = true, 3*time.Second, 1
+	for range 6 {
+		if _, call := r.Reserve(late, DefaultPace(), near, now); call == nil {
+			t.Fatal("late request refused by an idle endpoint")
+		}
+	}
+	choice, call := r.Reserve(demandFor("m"), DefaultPace(), near, now)
+	if call == nil || choice.FirstToken > 200*time.Millisecond {
+		t.Fatalf("choice is %+v", choice)
+	}
+}
+
+// Guards against large requests being refused more often than small ones while an endpoint has time.
+func TestLargeRequestIsTreatedLikeASmallOne(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	if _, call := r.Reserve(demandFor("m"), DefaultPace(), near, now); call == nil {
+		t.Fatal("first request refused")
+	}
+	large := demandFor("m")
+	large.PromptTokens = 12_000
+	if _, call := r.Reserve(large, DefaultPace(), near, now); call == nil {
+		t.Fatal("large request refused")
+	}
+}
+
+// Guards against requests for what an endpoint does not hold, does not hold any more, or is leaving with.
+func TestObstacles(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m", Adapters: []string{"a1"}})
+	for name, c := range map[string]struct {
+		change func(d *Demand)
+		want   Obstacle
+	}{
+		"held":            {func(*Demand) {}, None},
+		"adapter held":    {func(d *Demand) { d.Adapter = "a1" }, None},
+		"adapter missing": {func(d *Demand) { d.Adapter = "a2" }, AdapterNotHeld},
+		"model missing":   {func(d *Demand) { d.Model = "n" }, NotHeld},
+		"other service":   {func(d *Demand) { d.Service = "x" }, NoEndpoint},
+		"already tried":   {func(d *Demand) { d.Exclude = []string{"e1"} }, NoEndpoint},
+	} {
+		d := demandFor("m")
+		c.change(d)
+		if choice, _ := r.Reserve(d, DefaultPace(), near, now); choice.Obstacle != c.want {
+			t.Errorf("%s: obstacle is %v, want %v", name, choice.Obstacle, c.want)
+		}
+	}
+	r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 1, Leaving: true}, now)
+	if choice, _ := r.Reserve(demandFor("m"), DefaultPace(), near, now); choice.Obstacle != NoEndpoint {
+		t.Errorf("leaving: obstacle is %v", choice.Obstacle)
+	}
+}
+
+// Guards against the paid link between regions being used while the own region answers in time, and against staying in
+// the own region when that is too late.
+func TestFarEndpointsAreUsedOnlyWhenNearOnesAreBusy(t *testing.T) {
+	distance := func(dataCentre string) Distance {
+		if dataCentre == "far" {
+			return Distance{Latency: 40 * time.Millisecond, Reluctance: 0.25}
+		}
+		return Distance{}
+	}
+	r := NewRegistry()
+	announce(r, "near", HeldModel{Name: "m"})
+	r.Announce(Announcement{ID: "far", Service: "llm", Address: "f:1", DataCentre: "far", Lifetime: 1, Slots: 64, Models: []HeldModel{{Name: "m"}}}, now)
+	var order []string
+	for range 6 {
+		choice, _ := r.Reserve(demandFor("m"), DefaultPace(), distance, now)
+		order = append(order, choice.ID)
+	}
+	if order[0] != "near" || order[1] != "near" || order[5] != "far" {
+		t.Fatalf("choices are %v", order)
+	}
+}
+
+// Guards against an endpoint that fails its calls getting more of them while others work, and against using none when all
+// have failed.
+func TestFailingEndpointsAreAvoided(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "bad", HeldModel{Name: "m"})
+	for range failuresToEject {
+		_, call := r.Reserve(demandFor("m"), DefaultPace(), near, now)
+		call.End(Failed, now)
+	}
+	announce(r, "good", HeldModel{Name: "m"})
+	for range 3 {
+		choice, call := r.Reserve(demandFor("m"), DefaultPace(), near, now)
+		if choice.ID != "good" {
+			t.Fatalf("chose %q", choice.ID)
+		}
+		call.End(Succeeded, now)
+	}
+	r.Withdraw("good", false, now)
+	if choice, _ := r.Reserve(demandFor("m"), DefaultPace(), near, now); choice.ID != "bad" {
+		t.Fatalf("chose %q", choice.ID)
+	}
+}
+
+// Guards against entries that lapsed while the store was away being dropped at its return, and against keeping those that
+// do not come back.
+func TestWithdrawnEndpointsReappearWithinTheGrace(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "lives", HeldModel{Name: "m"})
+	announce(r, "dead", HeldModel{Name: "m"})
+	r.Withdraw("lives", true, now)
+	r.Withdraw("dead", true, now)
+	if r.Usable() != 2 {
+		t.Fatal("endpoints are dropped at once")
+	}
+	announce(r, "lives", HeldModel{Name: "m"})
+	if gone := r.Expire(now.Add(reappearGrace)); len(gone) != 1 || gone[0] != "dead" {
+		t.Fatalf("expired are %v", gone)
+	}
+}
+
+// Guards against a restarted endpoint keeping the calls, failures and content of its former lifetime.
+func TestRestartUnderTheSameID(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	_, old := r.Reserve(demandFor("m"), DefaultPace(), near, now)
+	change := r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 2, Slots: 64}, now)
+	if change != Restarted {
+		t.Fatalf("change is %v", change)
+	}
+	if work := r.OwnWork(now)["e1"]; work.Calls() != 0 {
+		t.Fatalf("work is %+v", work)
+	}
+	old.End(Failed, now)
+	if work := r.OwnWork(now)["e1"]; work.Calls() != 0 {
+		t.Fatalf("the former lifetime's call changed the work to %+v", work)
+	}
+}
+
+// Guards against an announcement that was written before an order undoing what is known of it.
+func TestOlderAnnouncementDoesNotUndoAnOrder(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	r.SetAdapter("e1", 1, "m", "a1", true, now)
+	announce(r, "e1", HeldModel{Name: "m"})
+	d := demandFor("m")
+	d.Adapter = "a1"
+	if choice, _ := r.Reserve(d, DefaultPace(), near, now); choice.Obstacle != None {
+		t.Fatalf("obstacle is %v", choice.Obstacle)
+	}
+	r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 1, Slots: 64, Models: []HeldModel{{Name: "m"}}}, now.Add(heldTrust))
+	if choice, _ := r.Reserve(d, DefaultPace(), near, now); choice.Obstacle != AdapterNotHeld {
+		t.Fatalf("obstacle is %v", choice.Obstacle)
+	}
+}
+
+// Guards against the calls of an instance that is gone counting for ever.
+func TestRemoteWorkFades(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	r.SetRemoteWork("other", map[string]Work{"e1": {Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000}}, now)
+	if choice, _ := r.Reserve(demandFor("m"), DefaultPace(), near, now); choice.Obstacle != Saturated {
+		t.Fatalf("obstacle is %v", choice.Obstacle)
+	}
+	if choice, _ := r.Reserve(demandFor("m"), DefaultPace(), near, now.Add(remoteWorkAge)); choice.Obstacle != None {
+		t.Fatalf("obstacle is %v", choice.Obstacle)
+	}
+}
+
+// Guards against reading a prompt again whose parts an endpoint has: only leading parts count.
+func TestKeptPromptPartsAttract(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	announce(r, "e2", HeldModel{Name: "m"})
+	d := demandFor("m")
+	d.Parts = []PromptPart{{ID: 1, Tokens: 600}, {ID: 2, Tokens: 400}}
+	first, call := r.Reserve(d, DefaultPace(), near, now)
+	call.End(Succeeded, now)
+	for range 3 {
+		again, call := r.Reserve(d, DefaultPace(), near, now)
+		if again.ID != first.ID || again.KeptTokens != 1000 {
+			t.Fatalf("choice is %+v", again)
+		}
+		call.End(Succeeded, now)
+	}
+	d.Parts = []PromptPart{{ID: 9, Tokens: 600}, {ID: 2, Tokens: 400}}
+	if other, _ := r.Reserve(d, DefaultPace(), near, now); other.KeptTokens != 0 {
+		t.Fatalf("%d tokens count as kept", other.KeptTokens)
+	}
+}
