--- /dev/null
+++ b/pkg/residency/worker_test.go
@@ -0,0 +1,196 @@
+package residency
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// fakeEngine carries out orders as an engine does: it accepts one only if the count of accepted orders is as named.
+type fakeEngine struct {
+	mu       sync.Mutex
+	orders   int64
+	accepted []OrderCall
+	// loseReplies loses the replies of the next orders; delay also keeps them from being carried out until late is called.
+	loseReplies int
+	delayed     []OrderCall
+	delay       bool
+}
+
+var errLost = errors.New("connection lost")
+
+func (e *fakeEngine) Order(_ context.Context, _ Target, call OrderCall) (OrderReply, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	lost := e.loseReplies > 0
+	if lost {
+		e.loseReplies--
+	}
+	if lost && e.delay {
+		e.delayed = append(e.delayed, call)
+		return 0, errLost
+	}
+	reply := e.carryOut(call)
+	if lost {
+		return 0, errLost
+	}
+	return reply, nil
+}
+
+func (e *fakeEngine) carryOut(call OrderCall) OrderReply {
+	if call.AfterOrders != e.orders {
+		return Conflicting
+	}
+	e.orders++
+	e.accepted = append(e.accepted, call)
+	return Accepted
+}
+
+// late carries out the delayed orders.
+func (e *fakeEngine) late() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, call := range e.delayed {
+		e.carryOut(call)
+	}
+	e.delayed = nil
+}
+
+func (e *fakeEngine) Report(context.Context, Target) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return Report{Lifetime: 1, OrdersAccepted: e.orders}, nil
+}
+
+type fakeLease struct {
+	mu    sync.Mutex
+	fence int64
+	held  bool
+}
+
+func (l *fakeLease) Held() (int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fence, l.held
+}
+
+func (l *fakeLease) lose() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held = false
+}
+
+func newTestController(engines Engines, lease Lease) *Controller {
+	return NewController(Options{
+		Instance: "edge-1", Fleet: fleet.NewRegistry(), Lease: lease, Engines: engines,
+		Config: func() *routing.Config { return nil }, Log: zap.NewNop(),
+		Published:      func(string, Report) {},
+		ModelLeaving:   func(string, int64, string) {},
+		AdapterChanged: func(string, int64, Order) {},
+	})
+}
+
+// runOrders hands orders to the endpoint's worker and waits until it has none left.
+func runOrders(c *Controller, orders ...Order) {
+	c.mu.Lock()
+	c.worker(&fleet.Announcement{ID: "e1", Address: "e1:1", Lifetime: 1})
+	c.mu.Unlock()
+	var tasks conc.WaitGroup
+	c.start(context.Background(), &tasks, orders, 7)
+	tasks.Wait()
+}
+
+// Guards against an order whose reply was lost being carried out twice, or being given up though it was carried out.
+func TestOrderWithALostReplyIsCarriedOutOnce(t *testing.T) {
+	e := &fakeEngine{loseReplies: 1}
+	c := newTestController(e, &fakeLease{fence: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Expected: time.Second})
+	if len(e.accepted) != 1 {
+		t.Fatalf("%d orders carried out", len(e.accepted))
+	}
+}
+
+// Guards against an order that arrives seconds later acting on a state that newer orders have changed.
+func TestLateOrderHasNoEffect(t *testing.T) {
+	e := &fakeEngine{loseReplies: 1, delay: true}
+	c := newTestController(e, &fakeLease{fence: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Expected: time.Second})
+	if len(e.accepted) != 1 || len(e.delayed) != 1 {
+		t.Fatalf("%d orders carried out, %d delayed", len(e.accepted), len(e.delayed))
+	}
+	e.late()
+	if len(e.accepted) != 1 {
+		t.Fatal("the late copy was carried out as well")
+	}
+}
+
+// Guards against orders of an instance that no longer holds the lease, or holds another one than planned with.
+func TestNoOrderWithoutTheLease(t *testing.T) {
+	for name, lease := range map[string]*fakeLease{
+		"lost":      {fence: 7},
+		"other one": {fence: 8, held: true},
+	} {
+		e := &fakeEngine{}
+		runOrders(newTestController(e, lease), Order{Endpoint: "e1", Verb: Load, Model: "m"})
+		if len(e.accepted) != 0 {
+			t.Errorf("%s: order was carried out", name)
+		}
+	}
+}
+
+// Guards against an endpoint that does not answer holding up the worker for ever, and against a lost lease during it.
+func TestUnansweredOrderEndsWithTheLease(t *testing.T) {
+	lease := &fakeLease{fence: 7, held: true}
+	e := &endlessEngine{lease: lease}
+	runOrders(newTestController(e, lease), Order{Endpoint: "e1", Verb: Load, Model: "m"})
+	if e.calls != 1 {
+		t.Fatalf("%d calls", e.calls)
+	}
+}
+
+// endlessEngine loses every reply; the lease is lost with the first.
+type endlessEngine struct {
+	lease *fakeLease
+	calls int
+}
+
+func (e *endlessEngine) Order(context.Context, Target, OrderCall) (OrderReply, error) {
+	e.calls++
+	e.lease.lose()
+	return 0, errLost
+}
+
+func (e *endlessEngine) Report(context.Context, Target) (Report, error) {
+	return Report{Lifetime: 1}, nil
+}
+
+// Guards against an order that was certainly not sent being taken for one with an unknown outcome: it can simply be
+// planned again.
+func TestOrderThatWasNotSentIsDropped(t *testing.T) {
+	e := &unreachableEngine{}
+	c := newTestController(e, &fakeLease{fence: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m"})
+	if e.calls != 1 || c.workers["e1"].intended != "" {
+		t.Fatalf("%d calls, intended %q", e.calls, c.workers["e1"].intended)
+	}
+}
+
+type unreachableEngine struct{ calls int }
+
+func (e *unreachableEngine) Order(context.Context, Target, OrderCall) (OrderReply, error) {
+	e.calls++
+	return 0, errors.Wrap(engine.ErrNotSent, "connection refused")
+}
+
+func (e *unreachableEngine) Report(context.Context, Target) (Report, error) {
+	return Report{Lifetime: 1}, nil
+}
