--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -17,6 +17,8 @@
 const (
 	// planInterval is how often the holder plans.
 	planInterval = 100 * time.Millisecond
+	// planPauseFactor spaces plans that take long, so that planning takes at most a twentieth of an instance's time.
+	planPauseFactor = 20
 	// idleInterval is how often an instance that is not the holder looks whether it has become it.
 	idleInterval = 500 * time.Millisecond
 	// storeLoadBurst is the number of loads that the weight store allows above its rate in a window.
@@ -101,10 +103,11 @@
 			fence, since = token, time.Now()
 			c.options.Log.Info("placement begins after the handover pause", zap.Int64("fence", fence))
 		}
-		if time.Since(since) >= c.options.HandoverPause {
+		began := time.Now()
+		if began.Sub(since) >= c.options.HandoverPause {
 			c.planAll(ctx, &tasks, fence)
 		}
-		pause(ctx, planInterval)
+		pause(ctx, max(planInterval, planPauseFactor*time.Since(began)))
 	}
 }
 
