--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -74,6 +74,7 @@
 		return exitFailure
 	}
 	defer func() { _ = log.Sync() }()
+	log = log.With(zap.String("instance", settings.InstanceID))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return serve(ctx, o.Settings, settings, log)
--- a/pkg/operator/operator_test.go
+++ b/pkg/operator/operator_test.go
@@ -212,6 +212,18 @@
 		Entry("drain", "POST /v1/drain", `{"instanceId":"entry-1","inFlight":3}`, "3 calls in flight", "drain", "entry-1"),
 	)
 
+	// Guards against an on-call engineer needing anything but the logs to find a request's cause.
+	It("explain a request from logs on standard input and in files", func() {
+		log := `{"ts":"2026-10-04T03:18:31.5Z","msg":"routed","instance":"edge-1","request":"r1","endpoint":"e1"}` + "\n" +
+			`{"ts":"2026-10-04T03:18:31.9Z","msg":"endpoint withdrawn","instance":"edge-2","endpoint":"e1"}` + "\n"
+		for _, result := range []output{run(nil, log, "explain", "log", "r1"), run(nil, "", "explain", "log", "r1", write(log))} {
+			Expect(result.code).To(Equal(operator.ExitOK), result.stderr)
+			Expect(result.stdout).To(MatchRegexp("(?s)routed.*endpoint withdrawn"))
+		}
+		Expect(run(nil, log, "explain", "log", "r2").code).To(Equal(operator.ExitFailure))
+		Expect(run(nil, "", "explain", "log", "r1", "no-such-file").code).To(Equal(operator.ExitFailure))
+	})
+
 	It("tell unavailable from refused", func() {
 		refused := serve(func(w http.ResponseWriter, _ *http.Request) {
 			w.WriteHeader(http.StatusConflict)
--- a/pkg/operator/queries/instance.go
+++ b/pkg/operator/queries/instance.go
@@ -33,6 +33,7 @@
 	explain := operator.AddCommand(parser, "explain", "Show why a decision was made", explainHelp, &struct{}{})
 	operator.AddCommand(explain, "request", "Explain the choice of an endpoint", explainHelp,
 		&explainQuery{env: e, kind: decisions.Routing})
+	operator.AddCommand(explain, "log", "Explain a request from logs", logHelp, &logQuery{env: e})
 	operator.AddCommand(explain, "placement", "Explain a load or unload", explainHelp,
 		&explainQuery{env: e, kind: decisions.Placement})
 }
