--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -4,7 +4,10 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 )
 
 // Guards against a joined or lost event when a stream breaks off inside one.
@@ -98,3 +101,53 @@
 		t.Fatalf("demand is %+v", d)
 	}
 }
+
+// Guards against an instance that is cut off from the store sending to endpoints that are gone, and against older word
+// from another instance, or any while it reads the store itself, replacing what it knows.
+func TestEndpointsAreTakenOverOnlyWhileTheStoreIsLost(t *testing.T) {
+	s, err := New(Settings{InstanceID: "edge-1", ExchangeAddress: "127.0.0.1:0"}, Parts{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	s.parts.Fleet.Announce(fleet.Announcement{ID: "old", Service: "s", Address: "a:1"}, now)
+	s.storeView.revision.Store(10)
+	fresh := &exchange.Message{Instance: "edge-2", Revision: 12, Endpoints: []exchange.EndpointDoc{{ID: "new", Service: "s", Address: "a:1"}}}
+	older := &exchange.Message{Instance: "edge-3", Revision: 9, Endpoints: []exchange.EndpointDoc{{ID: "older", Service: "s", Address: "a:1"}}}
+
+	s.takeOverEndpoints(fresh, now)
+	if ids := s.parts.Fleet.IDs(); len(ids) != 1 || ids[0] != "old" {
+		t.Fatalf("endpoints are %v while the store answers", ids)
+	}
+	s.storeView.lose(now.Add(-staleAfter))
+	s.takeOverEndpoints(older, now)
+	if ids := s.parts.Fleet.IDs(); len(ids) != 1 || ids[0] != "old" {
+		t.Fatalf("endpoints are %v after older word", ids)
+	}
+	s.takeOverEndpoints(fresh, now)
+	if ids := s.parts.Fleet.IDs(); len(ids) != 1 || ids[0] != "new" {
+		t.Fatalf("endpoints are %v", ids)
+	}
+	s.storeView.regain()
+	if s.storeView.stale(now.Add(time.Hour)) {
+		t.Fatal("the view counts as stale though the store answers")
+	}
+}
+
+// Guards against an instance without the store being told the endpoints in every message, or after it has the store again.
+func TestStaleInstancesAreToldOnceInAWhile(t *testing.T) {
+	var p stalePeers
+	now := time.Unix(1000, 0)
+	p.note("edge-2", true, now)
+	if !p.due("edge-2", now) || p.due("edge-2", now) || p.due("edge-3", now) {
+		t.Fatal("told at the wrong time")
+	}
+	p.note("edge-2", true, now.Add(staleTellInterval))
+	if !p.due("edge-2", now.Add(staleTellInterval)) {
+		t.Fatal("not told again")
+	}
+	p.note("edge-2", false, now.Add(staleTellInterval))
+	if p.due("edge-2", now.Add(2*staleTellInterval)) {
+		t.Fatal("told though it can read the store")
+	}
+}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -117,6 +117,7 @@
 		f.server.members.setHolder("")
 	}
 	f.at = at
+	f.server.storeView.revision.Store(int64(at))
 	f.watch, err = f.store.Watch(ctx, "", at+1)
 	if err != nil {
 		f.lost(err)
@@ -148,6 +149,7 @@
 		f.apply(&events[i])
 		f.at = max(f.at, events[i].ModRevision)
 	}
+	f.server.storeView.revision.Store(int64(f.at))
 	return true
 }
 
@@ -238,6 +240,7 @@
 func (f *follower) lost(err error) {
 	if f.lostAt.IsZero() {
 		f.lostAt = time.Now()
+		f.server.storeView.lose(f.lostAt)
 		f.server.metrics.storeLost.Inc(1)
 		f.server.log.Warn("store lost; the last view stays in force", zap.Error(err), zap.Int64("revision", int64(f.at)))
 	}
@@ -249,5 +252,6 @@
 	}
 	f.server.log.Info("store regained", zap.Duration("after", time.Since(f.lostAt)))
 	f.lostAt = time.Time{}
+	f.server.storeView.regain()
 	f.graceUntil = time.Now().Add(outageGrace)
 }
--- /dev/null
+++ b/pkg/edge/peers.go
@@ -0,0 +1,174 @@
+package edge
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+)
+
+const (
+	// staleAfter is the time without the store after which an instance takes the endpoints from others.
+	staleAfter = 1500 * time.Millisecond
+	// staleTellInterval is the time between two lists of endpoints for an instance without the store.
+	staleTellInterval = time.Second
+	// stalePeerAge is the age at which an instance's word that it cannot read the store no longer counts.
+	stalePeerAge = 3 * time.Second
+)
+
+// storeView tells how current this instance's view of the store is. It is safe for concurrent use.
+type storeView struct {
+	revision atomic.Int64
+	// lostAt is in Unix nanoseconds, zero while the store answers.
+	lostAt atomic.Int64
+	// takenOver is set once the endpoints were taken from another instance in this outage.
+	takenOver atomic.Bool
+}
+
+func (v *storeView) lose(now time.Time) {
+	v.lostAt.Store(now.UnixNano())
+	v.takenOver.Store(false)
+}
+
+func (v *storeView) regain() {
+	v.lostAt.Store(0)
+}
+
+func (v *storeView) stale(now time.Time) bool {
+	lost := v.lostAt.Load()
+	return lost != 0 && now.Sub(time.Unix(0, lost)) >= staleAfter
+}
+
+// stalePeers remembers which instances cannot read the store.
+type stalePeers struct {
+	mu    sync.Mutex
+	heard map[string]time.Time
+	told  map[string]time.Time
+}
+
+func (p *stalePeers) note(instance string, stale bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !stale {
+		delete(p.heard, instance)
+		delete(p.told, instance)
+		return
+	}
+	if p.heard == nil {
+		p.heard, p.told = make(map[string]time.Time), make(map[string]time.Time)
+	}
+	p.heard[instance] = now
+}
+
+// due tells whether an instance should be told the endpoints now.
+func (p *stalePeers) due(instance string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	heard, stale := p.heard[instance]
+	if !stale || now.Sub(heard) >= stalePeerAge || now.Sub(p.told[instance]) < staleTellInterval {
+		return false
+	}
+	p.told[instance] = now
+	return true
+}
+
+// compose fills in this instance's message.
+func (s *Server) compose(m *exchange.Message, to exchange.Peer, toHolder bool) {
+	now := time.Now()
+	work := s.parts.Fleet.OwnWork(now)
+	m.Work = make(map[string]exchange.WorkDoc, len(work))
+	for id, w := range work {
+		m.Work[id] = exchange.EncodeWork(w)
+	}
+	if toHolder {
+		m.Models, m.Adapters = s.demand.own(now)
+	}
+	if _, held := s.lease.Held(); held {
+		m.Held = s.heldDocs(now)
+		m.Loading = s.loadingDocs(now)
+	}
+	m.Stale = s.storeView.stale(now)
+	if !m.Stale && s.stalePeers.due(to.Instance, now) {
+		m.Revision = s.storeView.revision.Load()
+		m.Endpoints = s.endpointDocs()
+	}
+}
+
+// endpointDocs tells the endpoints that the store names.
+func (s *Server) endpointDocs() []exchange.EndpointDoc {
+	var docs []exchange.EndpointDoc
+	for _, a := range s.parts.Fleet.Announcements("") {
+		docs = append(docs, exchange.EncodeEndpoint(&a))
+	}
+	return docs
+}
+
+// heldDocs tells what endpoints hold after this instance's own orders.
+func (s *Server) heldDocs(now time.Time) []exchange.HeldDoc {
+	var docs []exchange.HeldDoc
+	for _, a := range s.parts.Fleet.RecentlyHeld(now) {
+		docs = append(docs, exchange.HeldDoc{Endpoint: a.ID, Lifetime: a.Lifetime, Models: exchange.EncodeHeld(a.Models)})
+	}
+	return docs
+}
+
+// loadingDocs tells which loads are under way, and notes them here.
+func (s *Server) loadingDocs(now time.Time) []exchange.LoadingDoc {
+	var docs []exchange.LoadingDoc
+	for _, l := range s.placement.Loading() {
+		s.parts.Fleet.SetLoading(l.Model, l.Ready, now)
+		docs = append(docs, exchange.LoadingDoc{Model: l.Model, ReadyMs: max(l.Ready.Sub(now).Milliseconds(), 0)})
+	}
+	return docs
+}
+
+// receive takes over another instance's message.
+func (s *Server) receive(m *exchange.Message, now time.Time) {
+	work := make(map[string]fleet.Work, len(m.Work))
+	for id, w := range m.Work {
+		work[id] = w.Decode()
+	}
+	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
+	if m.Models != nil || m.Adapters != nil {
+		s.demand.receive(m.Instance, m.Models, m.Adapters, now)
+	}
+	s.stalePeers.note(m.Instance, m.Stale, now)
+	if len(m.Endpoints) > 0 {
+		s.takeOverEndpoints(m, now)
+	}
+	if m.Instance != s.members.currentHolder() {
+		return
+	}
+	for _, l := range m.Loading {
+		s.parts.Fleet.SetLoading(l.Model, now.Add(time.Duration(l.ReadyMs)*time.Millisecond), now)
+	}
+	for _, h := range m.Held {
+		s.parts.Fleet.SetHeld(h.Endpoint, h.Lifetime, exchange.DecodeHeld(h.Models), now)
+	}
+}
+
+// takeOverEndpoints replaces the endpoints by those of an instance that can read the store, while this one cannot.
+func (s *Server) takeOverEndpoints(m *exchange.Message, now time.Time) {
+	if !s.storeView.stale(now) || m.Revision < s.storeView.revision.Load() {
+		return
+	}
+	s.storeView.revision.Store(m.Revision)
+	present := make(map[string]bool, len(m.Endpoints))
+	for i := range m.Endpoints {
+		present[m.Endpoints[i].ID] = true
+		s.parts.Fleet.Announce(m.Endpoints[i].Decode(), now)
+	}
+	for _, id := range s.parts.Fleet.IDs() {
+		if !present[id] {
+			s.parts.Fleet.Withdraw(id, false, now)
+		}
+	}
+	if !s.storeView.takenOver.Swap(true) {
+		s.log.Info("endpoints taken over from another instance while the store is lost", zap.String("from", m.Instance),
+			zap.Int64("revision", m.Revision), zap.Int("endpoints", len(m.Endpoints)))
+	}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -55,6 +55,9 @@
 	// placement gives orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
+	storeView storeView
+	// stalePeers are the instances that cannot read the store.
+	stalePeers stalePeers
 	// refusing is closed once a stopping instance no longer begins requests.
 	refusing chan struct{}
 
@@ -229,71 +232,6 @@
 	return !s.draining.Load() && s.table.Load() != nil && s.parts.Fleet.Usable() > 0
 }
 
-// compose fills in this instance's message.
-func (s *Server) compose(m *exchange.Message, toHolder bool) {
-	work := s.parts.Fleet.OwnWork(time.Now())
-	m.Work = make(map[string]exchange.WorkDoc, len(work))
-	for id, w := range work {
-		m.Work[id] = exchange.EncodeWork(w)
-	}
-	if toHolder {
-		m.Models, m.Adapters = s.demand.own(time.Now())
-	}
-	if _, held := s.lease.Held(); held {
-		m.Held = s.heldDocs()
-		m.Loading = s.loadingDocs()
-	}
-}
-
-// heldDocs tells what endpoints hold after this instance's own orders.
-func (s *Server) heldDocs() []exchange.HeldDoc {
-	var docs []exchange.HeldDoc
-	for _, a := range s.parts.Fleet.RecentlyHeld(time.Now()) {
-		doc := exchange.HeldDoc{Endpoint: a.ID, Lifetime: a.Lifetime}
-		for _, m := range a.Models {
-			doc.Models = append(doc.Models, exchange.HeldModel{Name: m.Name, Version: m.Version, Adapters: m.Adapters})
-		}
-		docs = append(docs, doc)
-	}
-	return docs
-}
-
-// loadingDocs tells which loads are under way, and notes them here.
-func (s *Server) loadingDocs() []exchange.LoadingDoc {
-	now := time.Now()
-	var docs []exchange.LoadingDoc
-	for _, l := range s.placement.Loading() {
-		s.parts.Fleet.SetLoading(l.Model, l.Ready, now)
-		docs = append(docs, exchange.LoadingDoc{Model: l.Model, ReadyMs: max(l.Ready.Sub(now).Milliseconds(), 0)})
-	}
-	return docs
-}
-
-// receive takes over another instance's message.
-func (s *Server) receive(m *exchange.Message, now time.Time) {
-	work := make(map[string]fleet.Work, len(m.Work))
-	for id, w := range m.Work {
-		work[id] = w.Decode()
-	}
-	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
-	if m.Models != nil || m.Adapters != nil {
-		s.demand.receive(m.Instance, m.Models, m.Adapters, now)
-	}
-	if m.Instance != s.members.currentHolder() {
-		return
-	}
-	for _, l := range m.Loading {
-		s.parts.Fleet.SetLoading(l.Model, now.Add(time.Duration(l.ReadyMs)*time.Millisecond), now)
-	}
-	for _, h := range m.Held {
-		models := make([]fleet.HeldModel, 0, len(h.Models))
-		for _, held := range h.Models {
-			models = append(models, fleet.HeldModel{Name: held.Name, Version: held.Version, Adapters: held.Adapters})
-		}
-		s.parts.Fleet.SetHeld(h.Endpoint, h.Lifetime, models, now)
-	}
-}
-
 // controller returns the part that places models while this instance holds the lease.
 func (s *Server) controller() *residency.Controller {
 	return residency.NewController(residency.Options{
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -30,8 +30,8 @@
 	Peers func() []Peer
 	// Holder names the instance that places models, or is empty.
 	Holder func() string
-	// Compose fills in this instance's state; toHolder asks for demand as well.
-	Compose func(m *Message, toHolder bool)
+	// Compose fills in this instance's state for a peer; toHolder asks for demand as well.
+	Compose func(m *Message, to Peer, toHolder bool)
 	// Receive takes over another instance's message.
 	Receive func(m *Message, now time.Time)
 	Log     *zap.Logger
@@ -143,7 +143,7 @@
 func (e *Exchange) sendTo(peer Peer, toHolder bool) error {
 	e.sequence++
 	m := Message{Instance: e.options.Instance, Started: e.started, Sequence: e.sequence}
-	e.options.Compose(&m, toHolder)
+	e.options.Compose(&m, peer, toHolder)
 	data, err := Encode(&m)
 	if err != nil {
 		return err
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -27,6 +27,58 @@
 	// Held comes from the instance that places models.
 	Held    []HeldDoc    `json:"h,omitempty"`
 	Loading []LoadingDoc `json:"l,omitempty"`
+	// Stale is set while the sender cannot read the store; receivers then tell it the endpoints that they know of, with
+	// the store's revision that they know.
+	Stale     bool          `json:"x,omitempty"`
+	Revision  int64         `json:"v,omitempty"`
+	Endpoints []EndpointDoc `json:"e,omitempty"`
+}
+
+// EndpointDoc is an endpoint's announcement.
+type EndpointDoc struct {
+	ID         string      `json:"i"`
+	Service    string      `json:"s"`
+	Address    string      `json:"a"`
+	DataCentre string      `json:"d"`
+	Lifetime   int64       `json:"t"`
+	Slots      int         `json:"n"`
+	Leaving    bool        `json:"g,omitempty"`
+	RemovalMs  int64       `json:"r,omitempty"`
+	Models     []HeldModel `json:"m,omitempty"`
+}
+
+// EncodeEndpoint returns the announcement as it is sent.
+func EncodeEndpoint(a *fleet.Announcement) EndpointDoc {
+	return EndpointDoc{
+		ID: a.ID, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, Lifetime: a.Lifetime, Slots: a.Slots,
+		Leaving: a.Leaving, RemovalMs: a.RemovalIn.Milliseconds(), Models: EncodeHeld(a.Models),
+	}
+}
+
+// Decode returns the announcement.
+func (d *EndpointDoc) Decode() fleet.Announcement {
+	return fleet.Announcement{
+		ID: d.ID, Service: d.Service, Address: d.Address, DataCentre: d.DataCentre, Lifetime: d.Lifetime, Slots: d.Slots,
+		Leaving: d.Leaving, RemovalIn: time.Duration(d.RemovalMs) * time.Millisecond, Models: DecodeHeld(d.Models),
+	}
+}
+
+// EncodeHeld returns models as they are sent.
+func EncodeHeld(models []fleet.HeldModel) []HeldModel {
+	var docs []HeldModel
+	for _, m := range models {
+		docs = append(docs, HeldModel(m))
+	}
+	return docs
+}
+
+// DecodeHeld returns the models.
+func DecodeHeld(docs []HeldModel) []fleet.HeldModel {
+	var models []fleet.HeldModel
+	for _, d := range docs {
+		models = append(models, fleet.HeldModel(d))
+	}
+	return models
 }
 
 // WorkDoc is fleet.Work as waiting, prefill tokens, running, memory tokens, prefill rate and urgent tokens.
