--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -20,7 +20,7 @@
 	// planPauseFactor spaces plans that take long, so that planning takes at most a twentieth of an instance's time.
 	planPauseFactor = 20
 	// idleInterval is how often an instance that is not the holder looks whether it has become it.
-	idleInterval = 500 * time.Millisecond
+	idleInterval = 200 * time.Millisecond
 	// storeLoadBurst is the number of loads that the weight store allows above its rate in a window.
 	storeLoadBurst = 3
 	// storeLoadReserve is left unused, since loads begin a little later than they are ordered.
@@ -86,31 +86,50 @@
 func (c *Controller) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
 	defer tasks.Wait()
-	var since time.Time
-	var fence int64
+	turn := turn{pause: c.options.HandoverPause, log: c.options.Log}
 	for ctx.Err() == nil {
+		began := time.Now()
 		token, held := c.options.Lease.Held()
-		switch {
-		case !held:
-			if fence != 0 {
-				c.options.Log.Info("placement stopped: lease not held", zap.Int64("fence", fence))
-				c.forget()
-			}
-			fence = 0
+		if turn.begins(token, held) {
+			// What was under way under another token is read anew from the endpoints.
+			c.forget()
+		}
+		if !turn.mayOrder(token, held, began) {
 			pause(ctx, idleInterval)
 			continue
-		case token != fence:
-			fence, since = token, time.Now()
-			c.options.Log.Info("placement begins after the handover pause", zap.Int64("fence", fence))
-		}
-		began := time.Now()
-		if began.Sub(since) >= c.options.HandoverPause {
-			c.planAll(ctx, &tasks, fence)
 		}
+		c.planAll(ctx, &tasks, token)
 		pause(ctx, max(planInterval, planPauseFactor*time.Since(began)))
 	}
 }
 
+// turn is the time in which this instance is the only one that may give orders.
+type turn struct {
+	pause time.Duration
+	log   *zap.Logger
+	fence int64
+	since time.Time
+	held  bool
+}
+
+// begins tells whether a token is that of a new turn. A lease that was not renewed in time but never expired at the store
+// keeps its token, and the turn goes on.
+func (t *turn) begins(token int64, held bool) bool {
+	return held && token != t.fence
+}
+
+// mayOrder tells whether orders may be given now. A new turn waits until the orders of the former holder have arrived.
+func (t *turn) mayOrder(token int64, held bool, now time.Time) bool {
+	if t.begins(token, held) {
+		t.fence, t.since = token, now
+		t.log.Info("placement begins after the handover pause", zap.Int64("fence", token), zap.Duration("pause", t.pause))
+	} else if held != t.held {
+		t.log.Info("placement lease", zap.Bool("held", held), zap.Int64("fence", t.fence))
+	}
+	t.held = held
+	return held && now.Sub(t.since) >= t.pause
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -194,3 +194,32 @@
 func (e *unreachableEngine) Report(context.Context, Target) (Report, error) {
 	return Report{Lifetime: 1}, nil
 }
+
+// Guards against orders before those of the former holder have arrived, and against waiting again when a renewal was late
+// but the lease never expired.
+func TestTurn(t *testing.T) {
+	turn := turn{pause: 3 * time.Second, log: zap.NewNop()}
+	for i, c := range []struct {
+		token  int64
+		held   bool
+		at     time.Duration
+		begins bool
+		want   bool
+	}{
+		{0, false, 0, false, false},
+		{7, true, 1 * time.Second, true, false},
+		{7, true, 3 * time.Second, false, false},
+		{7, true, 4 * time.Second, false, true},
+		{7, false, 5 * time.Second, false, false},
+		{7, true, 6 * time.Second, false, true},
+		{9, true, 7 * time.Second, true, false},
+		{9, true, 10 * time.Second, false, true},
+	} {
+		if got := turn.begins(c.token, c.held); got != c.begins {
+			t.Errorf("step %d: begins is %v", i, got)
+		}
+		if got := turn.mayOrder(c.token, c.held, start.Add(c.at)); got != c.want {
+			t.Errorf("step %d: may order is %v", i, got)
+		}
+	}
+}
