Pace the exchange by the number of instances and the watch by the bounds; spread choices of large fleets

A grown deployment (61 instances, 140 engines) planned only once in some seconds: 13 loads and 282 orders in 44 s.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -140,6 +141,7 @@
 	if x.service.Engine == nil {
 		return demand
 	}
+	demand.Spread, demand.Random = x.server.spread(demand.PromptTokens), rand.Float64
 	demand.Within, demand.MaxPrefillShare = x.usefulTime(now), prefillShare
 	if demand.Within < minimumAttempt {
 		x.makeLate(demand, now)
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -30,9 +30,9 @@
 	// placementKey is held by the instance that places models.
 	placementKey = ownPrefix + "placement"
 
-	// watchPause is the time between two watches. Entries change many times a second, each call is paid for, and the
-	// tightest bound of a change is some seconds.
-	watchPause = time.Second
+	// watchShare is the part of the time in which a change must be known that lies between two watches: entries change many
+	// times a second, and each call is paid for. The rest is for a call that is lost and for the links.
+	watchShare = 0.4
 	// watchWait bounds one watch, so that a connection that has gone silent is noticed.
 	watchWait = 2 * time.Second
 	// retryPause is the time between attempts while the store does not answer.
@@ -74,7 +74,7 @@
 		}
 		f.expire()
 		f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
-		pause(ctx, watchPause-time.Since(started))
+		pause(ctx, f.server.settings().Bounds.watchPause()-time.Since(started))
 	}
 }
 
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -200,6 +200,24 @@
 	}
 }
 
+// spreadInstances is the number of instances from which on their views of each other are too old to agree on the least busy
+// endpoint, and maxSpread bounds the spread in prompts.
+const (
+	spreadInstances = 10
+	maxSpread       = 3.0
+)
+
+// spread returns the random part of the cost of an endpoint: the reading time of as many prompts of this size as other
+// instances may have sent there since they were heard.
+func (s *Server) spread(promptTokens int) time.Duration {
+	others := float64(s.members.count()) / spreadInstances
+	if others <= 1 {
+		return 0
+	}
+	reading := float64(promptTokens) / s.pace("").PrefillPerMs * float64(time.Millisecond)
+	return time.Duration(min(others, maxSpread) * reading)
+}
+
 func (s *Server) pace(string) fleet.Pace {
 	return fleet.DefaultPace()
 }
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -37,6 +37,9 @@
 type Bounds struct {
 	// ShutdownSeconds is the time between the request to stop and the end of the process.
 	ShutdownSeconds float64 `json:"shutdownSeconds"`
+	// LeavingMs and ConfigurationMs are the times in which a leaving endpoint and a new configuration must be respected.
+	LeavingMs       int64 `json:"leavingMs"`
+	ConfigurationMs int64 `json:"configurationMs"`
 	// RetryRatio, RetrySlack and RetryWindowSeconds bound repeated sends of all instances together.
 	RetryRatio         float64 `json:"retryRatio"`
 	RetrySlack         float64 `json:"retrySlack"`
@@ -54,6 +57,11 @@
 	return time.Duration(b.ShutdownSeconds * float64(time.Second))
 }
 
+// watchPause returns the time between two watches of the store.
+func (b *Bounds) watchPause() time.Duration {
+	return time.Duration(float64(min(b.LeavingMs, b.ConfigurationMs)) * watchShare * float64(time.Millisecond))
+}
+
 // placementLease returns the time in which only one instance may give placement orders.
 func (b *Bounds) placementLease() time.Duration {
 	return time.Duration(b.PlacementLeaseMs) * time.Millisecond
@@ -113,6 +121,8 @@
 		value   float64
 	}{
 		{"/bounds/shutdownSeconds", b.ShutdownSeconds},
+		{"/bounds/leavingMs", float64(b.LeavingMs)},
+		{"/bounds/configurationMs", float64(b.ConfigurationMs)},
 		{"/bounds/retryWindowSeconds", b.RetryWindowSeconds},
 		{"/bounds/placementLeaseMs", float64(b.PlacementLeaseMs)},
 		{"/bounds/weightStoreWindowSeconds", b.WeightStoreWindowSeconds},
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -38,9 +38,13 @@
 }
 
 const (
-	// nearInterval and farInterval are the times between messages to peers of the same and of other regions.
+	// nearInterval and farInterval are the times between messages to peers of the same and of other regions, as long as
+	// there are no more than fewPeers; they grow in proportion, so that an instance's messages in all grow no further.
 	nearInterval = 200 * time.Millisecond
 	farInterval  = time.Second
+	fewPeers     = 15
+	// maxInterval bounds the growth: older state would be of no use.
+	maxInterval = 2 * time.Second
 	// urgentGap is the least time between messages that are sent early.
 	urgentGap = 20 * time.Millisecond
 )
@@ -106,32 +110,38 @@
 	defer timer.Stop()
 	var lastFar time.Time
 	for {
-		urgent := false
 		select {
 		case <-ctx.Done():
 			return
-		case <-timer.C:
 		case <-e.urgent:
-			urgent = true
-		}
-		far := time.Since(lastFar) >= farInterval
-		if far {
-			lastFar = time.Now()
-		}
-		e.sendAll(urgent, far)
-		timer.Reset(nearInterval)
-		if urgent {
+			e.sendAll(e.options.Peers(), true, false)
 			time.Sleep(urgentGap)
+		case now := <-timer.C:
+			peers := e.options.Peers()
+			far := now.Sub(lastFar) >= interval(farInterval, len(peers))
+			if far {
+				lastFar = now
+			}
+			e.sendAll(peers, false, far)
+			timer.Reset(interval(nearInterval, len(peers)))
 		}
 	}
 }
 
-func (e *Exchange) sendAll(urgent, far bool) {
+// interval returns the time between messages for a number of peers.
+func interval(few time.Duration, peers int) time.Duration {
+	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, maxInterval)
+}
+
+// sendAll sends to peers of the region, to all if it is time for that, and urgent news only to and from the holder.
+func (e *Exchange) sendAll(peers []Peer, urgent, far bool) {
 	holder := e.options.Holder()
-	for _, peer := range e.options.Peers() {
+	fromHolder := holder == e.options.Instance
+	for _, peer := range peers {
 		toHolder := peer.Instance == holder
-		fromHolder := holder == e.options.Instance
-		if !peer.Near && !far && !(urgent && (toHolder || fromHolder)) {
+		news := urgent && (toHolder || fromHolder)
+		regular := !urgent && (peer.Near || far)
+		if !news && !regular {
 			continue
 		}
 		if err := e.sendTo(peer, toHolder); err != nil {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -20,6 +20,10 @@
 	Late bool
 	// MaxPrefillShare bounds the part of an engine's time that may go to reading prompts.
 	MaxPrefillShare float64
+	// Spread is added to the cost of each endpoint in a random part, so that many instances with the same view of some age
+	// do not all choose the same endpoint. Random returns numbers in [0, 1); nil means no spread.
+	Spread time.Duration
+	Random func() float64
 	// Exclude lists endpoints that have already had the request.
 	Exclude []string
 }
@@ -158,6 +162,9 @@
 	if e.SlowFor > 0 {
 		cost += expected
 	}
+	if demand.Random != nil {
+		cost += time.Duration(demand.Random() * float64(demand.Spread))
+	}
 	if cost >= choice.FirstToken {
 		if cost < choice.RunnerUpFirstToken {
 			choice.RunnerUp, choice.RunnerUpFirstToken = e.ID, cost
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -142,6 +142,7 @@
 		known = &Endpoint{remote: make(map[string]remoteWork), prompts: newPromptCache()}
 		r.endpoints[a.ID] = known
 	}
+	held := known.Models
 	known.goneAt = time.Time{}
 	known.announced = a.Models
 	if now.Before(known.trustHeldUntil) {
@@ -153,7 +154,9 @@
 	if a.RemovalIn > 0 {
 		known.RemovalAt = now.Add(a.RemovalIn)
 	}
-	r.signal()
+	if change != Unchanged || !slices.EqualFunc(held, known.Models, sameHeld) {
+		r.signal()
+	}
 	return change
 }
 
--- a/pkg/residency/models.go
+++ b/pkg/residency/models.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -185,16 +186,52 @@
 	}
 }
 
-// planModels orders copies, the most useful first, as long as one is worth its cost.
+// planModels orders copies, the most useful first, as long as one is worth its cost. Sites are valued for all models once;
+// after an order only those that come next are valued anew.
 func (p *planner) planModels() {
-	for range ordersPerPlan {
-		best := p.bestSite()
+	sites := p.bestSites()
+	for range valuationsPerPlan {
+		if len(sites) == 0 || len(p.orders) >= p.ordersAllowed {
+			return
+		}
+		best := p.bestFor(sites[0].model)
+		if len(sites) > 1 && best.net < sites[1].net {
+			sites = resort(sites, best)
+			continue
+		}
 		if best.net <= 0 {
 			return
 		}
 		p.order(&best)
 		p.look()
+		sites = resort(sites, p.bestFor(best.model))
+	}
+}
+
+// bestSites returns the best site of each model that clients ask for, the most useful first.
+func (p *planner) bestSites() []site {
+	var sites []site
+	for _, name := range p.demanded {
+		if s := p.bestFor(p.models[name]); s.net > 0 {
+			sites = append(sites, s)
+		}
 	}
+	slices.SortStableFunc(sites, byNet)
+	return sites
+}
+
+func byNet(a, b site) int {
+	return cmp.Compare(b.net, a.net)
+}
+
+// resort replaces the first site by a newer valuation of the same model.
+func resort(sites []site, newer site) []site {
+	if newer.net <= 0 {
+		return sites[1:]
+	}
+	sites[0] = newer
+	slices.SortStableFunc(sites, byNet)
+	return sites
 }
 
 // order adds the order of a site and takes it into account.
@@ -218,23 +255,20 @@
 	p.orders = append(p.orders, order)
 }
 
-// bestSite returns the site with the highest net gain; a net gain of zero means that none is worth its cost.
-func (p *planner) bestSite() site {
-	best := site{}
-	for _, name := range p.demanded {
-		m := p.models[name]
-		if len(m.holders) > 0 && m.relief <= loadCost {
-			// A copy that relieves its own model so little is not worth a load, whatever it would displace.
+// bestFor returns the best site of a model; a net gain of zero means that none is worth its cost.
+func (p *planner) bestFor(m *modelView) site {
+	best := site{model: m}
+	if len(m.holders) > 0 && m.relief <= loadCost {
+		// A copy that relieves its own model so little is not worth a load, whatever it would displace.
+		return best
+	}
+	for i := range p.endpoints {
+		e := p.endpoints[i].state
+		if e.Busy || e.Leaving || p.used[e.ID] || e.HoldsModel(m.spec.Name) {
 			continue
 		}
-		for i := range p.endpoints {
-			e := p.endpoints[i].state
-			if e.Busy || e.Leaving || p.used[e.ID] || e.HoldsModel(name) {
-				continue
-			}
-			if s := p.siteAt(i, m); s.net > best.net {
-				best = s
-			}
+		if s := p.siteAt(i, m); s.net > best.net {
+			best = s
 		}
 	}
 	return best
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -112,6 +112,8 @@
 	unloadCost = 0.05
 	// ordersPerPlan bounds the model orders of one plan; the next plan follows in a tenth of a second.
 	ordersPerPlan = 8
+	// valuationsPerPlan bounds how often the sites that come next are valued anew.
+	valuationsPerPlan = 64
 	// maxAdaptersInTransit is how many adapters an endpoint fetches at a time.
 	maxAdaptersInTransit = 4
 	// adapterLoadTime is the usual time to load an adapter.
@@ -130,6 +132,8 @@
 	// adapterReserveMB is the memory of full adapter slots: they may fill at any time.
 	adapterReserveMB float64
 	orders           []Order
+	// ordersAllowed bounds the orders, those for adapters included.
+	ordersAllowed int
 	// used marks endpoints that have a model order in this plan.
 	used map[string]bool
 }
@@ -140,6 +144,7 @@
 	p.planAdapters()
 	p.look()
 	p.planIntended()
+	p.ordersAllowed = len(p.orders) + ordersPerPlan
 	p.planModels()
 	return p.orders
 }
