--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -73,6 +73,7 @@
 			continue
 		}
 		f.expire()
+		f.server.limitIdleConnections()
 		f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
 		pause(ctx, f.server.settings().Bounds.watchPause()-time.Since(started))
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -245,6 +245,27 @@
 	return 0
 }
 
+// idleShare is the part of the connections which an endpoint accepts that all instances together may keep unused.
+const idleShare = 0.5
+
+// limitIdleConnections shares what endpoints accept among the instances.
+func (s *Server) limitIdleConnections() {
+	table := s.table.Load()
+	if table == nil {
+		return
+	}
+	least := maxIdleConnections
+	for _, service := range table.Config.Services {
+		if service.MaxConnections > 0 {
+			least = min(least, int(float64(service.MaxConnections)*idleShare)/s.members.count())
+		}
+	}
+	s.parts.Pool.LimitIdle(least)
+}
+
+// maxIdleConnections bounds the unused connections to an endpoint where nothing else does.
+const maxIdleConnections = 32
+
 // ready tells whether this instance should get new connections.
 func (s *Server) ready() bool {
 	return !s.draining.Load() && s.table.Load() != nil && s.parts.Fleet.Usable() > 0
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -9,8 +10,6 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
-
-	"io"
 )
 
 // streamState is what a client has received of a stream.
--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -47,15 +47,6 @@
 	NotRun bool
 	// Endpoint is the id of the endpoint that answered, when the response carries it.
 	Endpoint string
-	// Load is the endpoint's load, nil when the response does not carry it.
-	Load *ReportedLoad
-}
-
-// ReportedLoad is an endpoint's load as it says itself.
-type ReportedLoad struct {
-	Running int
-	Waiting int
-	Slots   int
 }
 
 // Wire translates between headers of the platform and the types above.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestMessageSurvivesTheWire(t *testing.T) {
-	work := fleet.Work{Waiting: 1, PrefillTokens: 2, UrgentTokens: 3, Running: 4, MemoryTokens: 5, PrefillRate: 6}
+	work := fleet.Work{Waiting: 1, PrefillTokens: 2, UrgentTokens: 3, Running: 4, PrefillRate: 6}
 	m := &Message{
 		Instance: "edge-1", Started: 7, Sequence: 8,
 		Work:     map[string]WorkDoc{"i-1": EncodeWork(work)},
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -81,17 +81,17 @@
 	return models
 }
 
-// WorkDoc is fleet.Work as waiting, prefill tokens, running, memory tokens, prefill rate and urgent tokens.
-type WorkDoc [6]int
+// WorkDoc is fleet.Work as waiting, prefill tokens, urgent tokens, running and prefill rate.
+type WorkDoc [5]int
 
 // EncodeWork returns the work as it is sent.
 func EncodeWork(w fleet.Work) WorkDoc {
-	return WorkDoc{w.Waiting, w.PrefillTokens, w.Running, w.MemoryTokens, w.PrefillRate, w.UrgentTokens}
+	return WorkDoc{w.Waiting, w.PrefillTokens, w.UrgentTokens, w.Running, w.PrefillRate}
 }
 
 // Decode returns the work.
 func (d WorkDoc) Decode() fleet.Work {
-	return fleet.Work{Waiting: d[0], PrefillTokens: d[1], Running: d[2], MemoryTokens: d[3], PrefillRate: d[4], UrgentTokens: d[5]}
+	return fleet.Work{Waiting: d[0], PrefillTokens: d[1], UrgentTokens: d[2], Running: d[3], PrefillRate: d[4]}
 }
 
 // ModelDoc is the demand for a model at one instance.
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -8,7 +8,6 @@
 	endpoint *Endpoint
 	prefill  int
 	urgent   int
-	memory   int
 	started  bool
 	ended    bool
 }
@@ -33,7 +32,6 @@
 		registry: r,
 		endpoint: e,
 		prefill:  max(demand.PromptTokens-choice.KeptTokens, 0),
-		memory:   demand.PromptTokens + demand.OutputTokens,
 	}
 	e.own.Waiting++
 	if !demand.Late {
@@ -42,7 +40,6 @@
 	e.own.PrefillTokens += call.prefill
 	e.own.UrgentTokens += call.urgent
 	e.sent.add(call.prefill, now)
-	e.own.MemoryTokens += call.memory
 	e.prompts.note(demand.Model, demand.Adapter, demand.Parts)
 	return choice, call
 }
@@ -93,7 +90,6 @@
 		c.endpoint.own.PrefillTokens -= c.prefill
 		c.endpoint.own.UrgentTokens -= c.urgent
 	}
-	c.endpoint.own.MemoryTokens -= c.memory
 	c.registry.signal()
 	switch result {
 	case Succeeded:
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -67,8 +67,6 @@
 	UrgentTokens int
 	// Running counts calls that generate.
 	Running int
-	// MemoryTokens are the prompt and expected output tokens of all calls.
-	MemoryTokens int
 	// PrefillRate is the number of prompt tokens per second that were sent lately.
 	PrefillRate int
 }
@@ -80,7 +78,6 @@
 		PrefillTokens: w.PrefillTokens + o.PrefillTokens,
 		UrgentTokens:  w.UrgentTokens + o.UrgentTokens,
 		Running:       w.Running + o.Running,
-		MemoryTokens:  w.MemoryTokens + o.MemoryTokens,
 		PrefillRate:   w.PrefillRate + o.PrefillRate,
 	}
 }
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -39,6 +39,7 @@
 // Pool keeps idle connections per endpoint. It is safe for concurrent use.
 type Pool struct {
 	options     Options
+	maxIdle     atomic.Int64
 	unsolicited atomic.Int64
 	stop        chan struct{}
 	reaper      conc.WaitGroup
@@ -60,10 +61,16 @@
 		options.MaxIdlePerAddress = defaultMaxIdlePerAddress
 	}
 	p := &Pool{options: options, stop: make(chan struct{}), idle: make(map[string][]*Conn)}
+	p.maxIdle.Store(int64(options.MaxIdlePerAddress))
 	p.reaper.Go(p.reap)
 	return p
 }
 
+// LimitIdle changes the bound of unused connections per endpoint; it is at least one.
+func (p *Pool) LimitIdle(perAddress int) {
+	p.maxIdle.Store(int64(max(perAddress, 1)))
+}
+
 // Close closes idle connections; connections in use are closed when they are returned.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -198,7 +205,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[conn.address]
-	if p.closed || len(conns) >= p.options.MaxIdlePerAddress {
+	if p.closed || int64(len(conns)) >= p.maxIdle.Load() {
 		conn.Close()
 		return
 	}
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -16,7 +16,7 @@
 // testEngine has room for three models and eight adapters, like the engines of the deployments of today.
 func testEngine(models int) *routing.Engine {
 	e := &routing.Engine{
-		Slots: 64, MemoryMB: 230_000, AdapterSlots: 8, LoadsPerSecond: 1.1,
+		MemoryMB: 230_000, AdapterSlots: 8, LoadsPerSecond: 1.1,
 		Models: make(map[string]*routing.Model),
 	}
 	for i := range models {
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -39,8 +39,6 @@
 	Timeout time.Duration
 	// TargetLatency is the time within which a response has its full value; for streams up to the first event.
 	TargetLatency time.Duration
-	// GapTarget is the longest pause between two events of a stream that is still on time.
-	GapTarget time.Duration
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
 	// MaxAttempts bounds the endpoints to which one request may be sent.
@@ -63,8 +61,7 @@
 
 // Service is a group of interchangeable endpoints.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name string
 	// MaxConnections is what one endpoint accepts from all callers together; zero means unknown.
 	MaxConnections int
 	// Engine is nil for a plain service.
@@ -73,19 +70,12 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	// Slots is the number of requests in one batch.
-	Slots int
-	// KVCapacityTokens is the memory that running requests and cached prompt parts share.
-	KVCapacityTokens int
 	// MemoryMB bounds the weights and adapters that one endpoint holds.
 	MemoryMB     float64
 	AdapterSlots int
 	// LoadsPerSecond is the rate of the weight store over all endpoints.
 	LoadsPerSecond float64
-	// HostMemoryMB and DiskMB hold copies of weights that load faster than from the weight store.
-	HostMemoryMB float64
-	DiskMB       float64
-	Models       map[string]*Model
+	Models         map[string]*Model
 }
 
 // Model is one model that an engine may hold.
