--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -71,7 +71,7 @@
 // Guards against a request that waits being counted more than once, which made rare models outweigh all others.
 func TestWaitingRequestsAreCountedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newDemandBook()
+	b := newDemandBook("r1")
 	r := &Request{Model: "m", Adapter: "a1", PromptTokens: 100}
 	b.note("s", r, now)
 	for range 5 {
@@ -89,12 +89,12 @@
 // Guards against the demand of other instances being lost, counted twice or kept after they are gone.
 func TestDemandOfOtherInstances(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := newDemandBook()
+	b := newDemandBook("r1")
 	docs := []exchange.ModelDoc{{Service: "s", Model: "m", Load: 0.5, SlowLoad: 0.5, Requests: 4, Waiting: 1}}
-	b.receive("one", docs, nil, now)
-	b.receive("one", docs, nil, now)
-	b.receive("two", docs, nil, now)
-	if d := b.ModelDemand("s", now)["m"]; d.Requests != 8 || d.Waiting != 2 {
+	b.receive("one", "r1", docs, nil, now)
+	b.receive("one", "r1", docs, nil, now)
+	b.receive("two", "r2", docs, nil, now)
+	if d := b.ModelDemand("s", now)["m"]; d.Requests != 8 || d.Waiting != 2 || d.ByRegion["r1"] != 0.5 || d.ByRegion["r2"] != 0.5 {
 		t.Fatalf("demand is %+v", d)
 	}
 	if d := b.ModelDemand("s", now.Add(remoteDemandAge+time.Second)); len(d) != 0 {
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -84,6 +84,7 @@
 
 // remoteDemand is what another instance told last.
 type remoteDemand struct {
+	region  string
 	models  []exchange.ModelDoc
 	waiting []exchange.AdapterDoc
 	at      time.Time
@@ -91,6 +92,9 @@
 
 // demandBook counts what clients ask for here and holds what the other instances told. It implements residency.Demands.
 type demandBook struct {
+	// region is that of this instance.
+	region string
+
 	mu sync.Mutex
 	// since is the time of the first request.
 	since    time.Time
@@ -103,8 +107,9 @@
 
 var _ residency.Demands = (*demandBook)(nil)
 
-func newDemandBook() *demandBook {
+func newDemandBook(region string) *demandBook {
 	return &demandBook{
+		region:     region,
 		models:     make(map[modelKey]*modelStats),
 		adapters:   make(map[adapterKey]*adapterStats),
 		remote:     make(map[string]remoteDemand),
@@ -179,10 +184,10 @@
 }
 
 // receive takes over another instance's demand.
-func (b *demandBook) receive(instance string, models []exchange.ModelDoc, adapters []exchange.AdapterDoc, now time.Time) {
+func (b *demandBook) receive(instance, region string, models []exchange.ModelDoc, adapters []exchange.AdapterDoc, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.remote[instance] = remoteDemand{models: models, waiting: adapters, at: now}
+	b.remote[instance] = remoteDemand{region: region, models: models, waiting: adapters, at: now}
 	for _, a := range adapters {
 		key := adapterKey{modelKey{a.Service, a.Model}, a.Adapter}
 		if used := now.Add(-time.Duration(a.IdleMs) * time.Millisecond); used.After(b.adapterUse[key]) {
@@ -234,10 +239,10 @@
 }
 
 // eachModel calls f with the demand of every instance.
-func (b *demandBook) eachModel(now time.Time, f func(m exchange.ModelDoc)) {
+func (b *demandBook) eachModel(now time.Time, f func(m exchange.ModelDoc, region string)) {
 	models, _ := b.own(now)
 	for _, m := range models {
-		f(m)
+		f(m, b.region)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -247,7 +252,7 @@
 			continue
 		}
 		for _, m := range r.models {
-			f(m)
+			f(m, r.region)
 		}
 	}
 }
@@ -255,7 +260,7 @@
 // ModelDemand implements residency.Demands.
 func (b *demandBook) ModelDemand(service string, now time.Time) map[string]residency.ModelDemand {
 	total := make(map[string]residency.ModelDemand)
-	b.eachModel(now, func(m exchange.ModelDoc) {
+	b.eachModel(now, func(m exchange.ModelDoc, region string) {
 		if m.Service != service {
 			return
 		}
@@ -264,6 +269,10 @@
 		d.Forecast += m.Load
 		d.Requests += m.Requests
 		d.Waiting += m.Waiting
+		if d.ByRegion == nil {
+			d.ByRegion = make(map[string]float64)
+		}
+		d.ByRegion[region] += m.SlowLoad
 		total[m.Model] = d
 	})
 	for model, d := range total {
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -73,6 +73,13 @@
 	return m.holder
 }
 
+// regionOf returns an instance's region, or an empty string for one that is not registered.
+func (m *members) regionOf(name string, regions map[string]string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return regions[m.instances[name].DataCentre]
+}
+
 // peers returns the other instances.
 func (m *members) peers(own string, regions map[string]string, region string) []exchange.Peer {
 	m.mu.Lock()
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -134,7 +134,7 @@
 	}
 	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
 	if m.Models != nil || m.Adapters != nil {
-		s.demand.receive(m.Instance, m.Models, m.Adapters, now)
+		s.demand.receive(m.Instance, s.members.regionOf(m.Instance, s.settings().Regions), m.Models, m.Adapters, now)
 	}
 	s.stalePeers.note(m.Instance, m.Stale, now)
 	if len(m.Endpoints) > 0 {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -80,7 +80,7 @@
 		log:      log,
 		metrics:  newMetrics(parts.Scope),
 		members:  newMembers(),
-		demand:   newDemandBook(),
+		demand:   newDemandBook(s.Region),
 		conns:    make(map[*clientConn]struct{}),
 		refusing: make(chan struct{}),
 		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -286,6 +286,7 @@
 			return nil
 		},
 		Log:           s.log,
+		RegionOf:      func(dataCentre string) string { return s.settings().Regions[dataCentre] },
 		HandoverPause: s.settings().Bounds.placementLease(),
 		StoreWindow: func() (time.Duration, float64) {
 			bounds := s.settings().Bounds
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -55,6 +55,8 @@
 	// Config returns the configuration in force, or nil.
 	Config func() *routing.Config
 	Log    *zap.Logger
+	// RegionOf returns the region of a data centre.
+	RegionOf func(dataCentre string) string
 	// HandoverPause keeps a new holder from orders while those of the former one may still arrive.
 	HandoverPause time.Duration
 	// StoreWindow returns the window over which the weight store's rate is bounded and the factor allowed in it.
@@ -166,6 +168,7 @@
 		Demand:     c.options.Demands.ModelDemand(service.Name, now),
 		Adapters:   c.options.Demands.AdapterWants(service.Name, now),
 		StoreLoads: c.storeLoadsAllowed(service.Engine, now),
+		RegionOf:   c.options.RegionOf,
 		Now:        now,
 	}
 	c.start(ctx, tasks, Plan(&in), fence)
--- a/pkg/residency/models.go
+++ b/pkg/residency/models.go
@@ -25,6 +25,8 @@
 	// load is the load to plan for.
 	load    float64
 	waiting int
+	// byRegion is the load by region of the clients.
+	byRegion map[string]float64
 	// holders are the endpoints that hold the model or will, by index; serving counts those that serve it now.
 	holders []int
 	serving int
@@ -40,8 +42,9 @@
 
 // endpointView is an endpoint with the load that its models bring it if each is shared evenly among its copies.
 type endpointView struct {
-	state *EndpointState
-	share float64
+	state  *EndpointState
+	region string
+	share  float64
 	// freeMB is the memory that neither held weights nor full adapter slots take.
 	freeMB float64
 	// spare is the model that is missed least among those that other endpoints serve as well, last the one missed least
@@ -137,7 +140,7 @@
 	}
 	share := p.endpoints[at].share
 	rest := share - m.shareOf(copies)
-	return m.strainGain - (strain(rest+m.shareOf(copies-1)) - strain(share))
+	return m.strainGain - (strain(rest+m.shareOf(copies-1)) - strain(share)) + p.nearer(m, at, 1)
 }
 
 // gain is the strain that the present copies of a model lose when the endpoint takes a share of its load, less the strain
@@ -148,7 +151,27 @@
 	if len(m.holders) == 0 {
 		return unservedWeight*m.load + waitingWeight*float64(m.waiting) + lastCopyWeight - added
 	}
-	return m.relief - added
+	return m.relief + p.nearer(m, at, 0) - added
+}
+
+// nearer values the load of the endpoint's region that has the model within the region only through this copy; others is
+// the number of copies there that may be this one.
+func (p *planner) nearer(m *modelView, at, others int) float64 {
+	region := p.endpoints[at].region
+	load := m.byRegion[region]
+	if load == 0 {
+		return 0
+	}
+	copies := 0
+	for _, i := range m.holders {
+		if p.endpoints[i].region == region {
+			copies++
+		}
+	}
+	if copies > others {
+		return 0
+	}
+	return farWeight * load
 }
 
 // site is one way to make room for a copy.
@@ -258,7 +281,7 @@
 // bestFor returns the best site of a model; a net gain of zero means that none is worth its cost.
 func (p *planner) bestFor(m *modelView) site {
 	best := site{model: m}
-	if len(m.holders) > 0 && m.relief <= loadCost {
+	if len(m.holders) > 0 && m.relief+farWeight*m.load <= loadCost {
 		// A copy that relieves its own model so little is not worth a load, whatever it would displace.
 		return best
 	}
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -68,6 +68,8 @@
 	Requests float64
 	// Waiting counts requests that wait because no endpoint holds the model.
 	Waiting int
+	// ByRegion is Load by the region of the instances that clients called.
+	ByRegion map[string]float64
 }
 
 // AdapterWant is an adapter that requests wait for.
@@ -83,6 +85,8 @@
 	Endpoints []EndpointState
 	Demand    map[string]ModelDemand
 	Adapters  []AdapterWant
+	// RegionOf returns the region of a data centre; nil means that all are one region.
+	RegionOf func(dataCentre string) string
 	// StoreLoads is the number of loads that may be fetched from the weight store now.
 	StoreLoads int
 	Now        time.Time
@@ -97,6 +101,8 @@
 	excessWeight = 5
 	// unservedWeight values load that no endpoint can serve. It exceeds excessWeight, so that a first copy is always of use.
 	unservedWeight = 6
+	// farWeight values load that crosses between regions, because that link is narrow and paid by volume.
+	farWeight = 0.15
 	// lastCopyWeight values that a model without demand stays reachable without a load.
 	lastCopyWeight = 0.3
 	// waitingWeight values each request that waits for a model.
@@ -154,7 +160,7 @@
 	largestAdapter := 0.0
 	for name, spec := range in.Engine.Models {
 		demand := in.Demand[name]
-		m := &modelView{spec: spec, load: max(demand.Load, demand.Forecast), waiting: demand.Waiting}
+		m := &modelView{spec: spec, load: max(demand.Load, demand.Forecast), waiting: demand.Waiting, byRegion: demand.ByRegion}
 		p.models[name] = m
 		if m.load > 0 || m.waiting > 0 {
 			p.demanded = append(p.demanded, name)
@@ -164,7 +170,11 @@
 	slices.Sort(p.demanded)
 	p.adapterReserveMB = largestAdapter * float64(in.Engine.AdapterSlots)
 	for i := range in.Endpoints {
-		p.endpoints = append(p.endpoints, endpointView{state: &in.Endpoints[i]})
+		view := endpointView{state: &in.Endpoints[i]}
+		if in.RegionOf != nil {
+			view.region = in.RegionOf(view.state.DataCentre)
+		}
+		p.endpoints = append(p.endpoints, view)
 	}
 	return p
 }
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -234,3 +234,22 @@
 		}
 	}
 }
+
+// Guards against the clients of a region calling a model over the link between regions while the region has room for it.
+func TestCopyGoesToTheRegionThatLacksOne(t *testing.T) {
+	near, far := endpointWith("e1", "m00"), endpointWith("e2")
+	third := endpointWith("e3")
+	near.DataCentre, far.DataCentre, third.DataCentre = "a", "b", "a"
+	far.OnDisk, third.OnDisk = []string{"m00"}, []string{"m00"}
+	in := &Input{
+		Engine: testEngine(2), Endpoints: []EndpointState{near, third, far}, StoreLoads: 5,
+		RegionOf: func(dataCentre string) string { return "region-" + dataCentre },
+		Demand: map[string]ModelDemand{
+			"m00": {Load: 0.4, Forecast: 0.4, Requests: 3, ByRegion: map[string]float64{"region-a": 0.1, "region-b": 0.3}},
+		},
+	}
+	orders := modelOrders(Plan(in))
+	if len(orders) == 0 || orders[0].Endpoint != "e2" {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
