--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// writeSlack is added to a request's deadline as the bound of writing its answer, so that a client that does not read does
+// not hold a request for ever.
+const writeSlack = time.Second
+
+func (c *clientConn) setWriteDeadline(deadline time.Time) {
+	if err := c.conn.SetWriteDeadline(deadline.Add(writeSlack)); err != nil {
+		c.server.log.Debug("set write deadline", zap.Error(err))
+	}
+}
+
 // serveOne reads and handles one request. It returns false when the connection must be closed.
 func (c *clientConn) serveOne(ctx context.Context) bool {
 	limits := c.server.limits()
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -75,6 +75,7 @@
 		deadline: arrived.Add(patience(request.Remaining, route.Timeout)),
 		log:      log,
 	}
+	c.setWriteDeadline(x.deadline)
 	return x.run(closing)
 }
 
--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -151,3 +151,23 @@
 		t.Fatal("told though it can read the store")
 	}
 }
+
+// Guards against the shares of a bound over a window growing when registrations lapse during an outage of the store.
+func TestInstanceCountRemembersItsPeak(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := newMembers()
+	for _, name := range []string{"a", "b", "c"} {
+		m.put(name, instanceDoc{})
+	}
+	if n := m.count(now); n != 3 {
+		t.Fatalf("count is %d", n)
+	}
+	m.remove("a")
+	m.remove("b")
+	if n := m.count(now.Add(peakMemory / 2)); n != 3 {
+		t.Fatalf("count is %d right after instances lapsed", n)
+	}
+	if n := m.count(now.Add(peakMemory)); n != 1 {
+		t.Fatalf("count is %d after the window", n)
+	}
+}
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -19,6 +19,9 @@
 	mu        sync.Mutex
 	instances map[string]instanceDoc
 	holder    string
+	// peak is the largest number of instances of the recent past, last reached at peakAt.
+	peak   int
+	peakAt time.Time
 }
 
 func newMembers() *members {
@@ -54,11 +57,18 @@
 	return names
 }
 
-// count returns the number of instances, at least one.
-func (m *members) count() int {
+// peakMemory is how long a larger number of instances is remembered: registrations lapse while the store is away, and the
+// shares of a bound over a window must not grow before the window has passed.
+const peakMemory = 30 * time.Second
+
+// count returns the largest number of instances of the recent past, at least one.
+func (m *members) count(now time.Time) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return max(len(m.instances), 1)
+	if len(m.instances) >= m.peak || now.Sub(m.peakAt) >= peakMemory {
+		m.peak, m.peakAt = len(m.instances), now
+	}
+	return max(m.peak, 1)
 }
 
 func (m *members) setHolder(name string) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -23,24 +23,24 @@
 // storeView tells how current this instance's view of the store is. It is safe for concurrent use.
 type storeView struct {
 	revision atomic.Int64
-	// lostAt is in Unix nanoseconds, zero while the store answers.
-	lostAt atomic.Int64
+	// lostAt is nil while the store answers.
+	lostAt atomic.Pointer[time.Time]
 	// takenOver is set once the endpoints were taken from another instance in this outage.
 	takenOver atomic.Bool
 }
 
 func (v *storeView) lose(now time.Time) {
-	v.lostAt.Store(now.UnixNano())
+	v.lostAt.Store(&now)
 	v.takenOver.Store(false)
 }
 
 func (v *storeView) regain() {
-	v.lostAt.Store(0)
+	v.lostAt.Store(nil)
 }
 
 func (v *storeView) stale(now time.Time) bool {
 	lost := v.lostAt.Load()
-	return lost != 0 && now.Sub(time.Unix(0, lost)) >= staleAfter
+	return lost != nil && now.Sub(*lost) >= staleAfter
 }
 
 // stalePeers remembers which instances cannot read the store.
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -159,7 +159,7 @@
 		Window:    time.Duration(bounds.RetryWindowSeconds * float64(time.Second)),
 		Ratio:     bounds.RetryRatio,
 		Slack:     bounds.RetrySlack,
-		Instances: s.members.count(),
+		Instances: s.members.count(time.Now()),
 	}
 }
 
@@ -210,7 +210,7 @@
 // spread returns the random part of the cost of an endpoint: the reading time of as many prompts of this size as other
 // instances may have sent there since they were heard.
 func (s *Server) spread(promptTokens int) time.Duration {
-	others := float64(s.members.count()) / spreadInstances
+	others := float64(s.members.count(time.Now())) / spreadInstances
 	if others <= 1 {
 		return 0
 	}
@@ -257,7 +257,7 @@
 	least := maxIdleConnections
 	for _, service := range table.Config.Services {
 		if service.MaxConnections > 0 {
-			least = min(least, int(float64(service.MaxConnections)*idleShare)/s.members.count())
+			least = min(least, int(float64(service.MaxConnections)*idleShare)/s.members.count(time.Now()))
 		}
 	}
 	s.parts.Pool.LimitIdle(least)
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -193,7 +193,8 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	last, known := e.seen[m.Instance]
-	if known && !newer(m, last.started, last.sequence) {
+	restarted := m.Started != last.started && now.Sub(last.at) >= restartGap
+	if known && !restarted && !newer(m, last.started, last.sequence) {
 		return false
 	}
 	e.seen[m.Instance] = seenMessage{started: m.Started, sequence: m.Sequence, at: now}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -25,6 +25,19 @@
 	}
 }
 
+// Guards against an instance that restarts with its clock set back not being heard for a minute.
+func TestRestartWithAnEarlierClockIsHeard(t *testing.T) {
+	e := &Exchange{seen: make(map[string]seenMessage)}
+	now := time.Unix(1000, 0)
+	e.fresh(&Message{Instance: "i", Started: 200, Sequence: 50}, now)
+	if e.fresh(&Message{Instance: "i", Started: 100, Sequence: 1}, now) {
+		t.Fatal("a message of the former start was taken")
+	}
+	if !e.fresh(&Message{Instance: "i", Started: 100, Sequence: 1}, now.Add(restartGap)) {
+		t.Fatal("the restarted instance is not heard")
+	}
+}
+
 func TestMessageSurvivesTheWire(t *testing.T) {
 	work := fleet.Work{Waiting: 1, PrefillTokens: 2, UrgentTokens: 3, Running: 4, PrefillRate: 6}
 	m := &Message{
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -172,5 +172,9 @@
 	return m.Sequence > sequence
 }
 
+// restartGap is the silence after which another start time counts as a restart even if it is earlier: the sender's wall
+// clock may have been set back.
+const restartGap = time.Second
+
 // staleAfter is the age at which another instance's state no longer counts.
 const staleAfter = 3 * time.Second
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -80,6 +80,14 @@
 	token    Token
 	lease    kvstore.LeaseID
 	deadline time.Time
+	// bootDeadline is the same time after the start of the machine, counting time in which the machine was suspended, which
+	// deadline does not.
+	bootDeadline time.Duration
+}
+
+// newHolding returns a holding that ends a time after the renewal was sent.
+func newHolding(token Token, id kvstore.LeaseID, sent time.Time, sentBoot, lasts time.Duration) *holding {
+	return &holding{token: token, lease: id, deadline: sent.Add(lasts), bootDeadline: sentBoot + lasts}
 }
 
 // New returns a Holder that holds nothing until Run is called.
@@ -105,11 +113,11 @@
 }
 
 // Held returns the token and true until the local deadline: the time before the last successful renewal was sent, plus
-// the granted time to live, minus the safety margin. The deadline uses the monotonic clock and needs no running
+// the granted time to live, minus the safety margin. The deadline counts time in which the machine was suspended and needs no running
 // goroutine, so a holder that was paused sees that its time is up.
 func (h *Holder) Held() (Token, bool) {
 	held := h.current.Load()
-	if held == nil || !time.Now().Before(held.deadline) {
+	if held == nil || !time.Now().Before(held.deadline) || timing.SinceBoot() >= held.bootDeadline {
 		return Token{}, false
 	}
 	return held.token, true
@@ -142,7 +150,7 @@
 	if taken {
 		return poll
 	}
-	sent := time.Now()
+	sent, sentBoot := time.Now(), timing.SinceBoot()
 	id, ttl, err := h.options.Store.Grant(ctx, h.options.TTL)
 	if err != nil {
 		return retry
@@ -154,11 +162,8 @@
 		h.revoke(id)
 		return retry
 	}
-	h.current.Store(&holding{
-		token:    Token{Key: h.options.Key, Revision: revision},
-		lease:    id,
-		deadline: sent.Add(ttl - h.options.SafetyMargin),
-	})
+	token := Token{Key: h.options.Key, Revision: revision}
+	h.current.Store(newHolding(token, id, sent, sentBoot, ttl-h.options.SafetyMargin))
 	h.options.Scope.Counter("acquired").Inc(1)
 	h.options.Log.Info("lease acquired", zap.Int64("revision", int64(revision)))
 	return h.options.TTL / renewDivisor
@@ -208,11 +213,11 @@
 	interval := h.options.TTL / renewDivisor
 	call, cancel := context.WithTimeout(ctx, interval)
 	defer cancel()
-	sent := time.Now()
+	sent, sentBoot := time.Now(), timing.SinceBoot()
 	ttl, err := h.options.Store.KeepAlive(call, held.lease)
 	switch {
 	case err == nil:
-		h.current.Store(&holding{token: held.token, lease: held.lease, deadline: sent.Add(ttl - h.options.SafetyMargin)})
+		h.current.Store(newHolding(held.token, held.lease, sent, sentBoot, ttl-h.options.SafetyMargin))
 		return interval - min(interval, time.Since(sent))
 	case errors.Is(err, kvstore.ErrLeaseNotFound):
 		h.current.Store(nil)
--- a/pkg/retry/window.go
+++ b/pkg/retry/window.go
@@ -28,7 +28,9 @@
 type WindowBudget struct {
 	limits func() WindowLimits
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// start is the time of the first use; buckets count from it, so that a step of the wall clock does not empty a window.
+	start    time.Time
 	services map[string]*window
 }
 
@@ -67,7 +69,10 @@
 
 // at returns the service's window with buckets up to now.
 func (b *WindowBudget) at(service string, limits WindowLimits, now time.Time) *window {
-	bucket := now.UnixNano() / max(int64(limits.Window)/windowBuckets, 1)
+	if b.start.IsZero() {
+		b.start = now
+	}
+	bucket := int64(now.Sub(b.start)) / max(int64(limits.Window)/windowBuckets, 1)
 	w := b.services[service]
 	if w == nil {
 		w = &window{newest: bucket}
