--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -44,7 +44,7 @@
 	bestScore := math.Inf(1)
 	for i := range p.in.Endpoints {
 		e := &p.in.Endpoints[i]
-		if e.Leaving || e.AdaptersBusy || e.ordered >= maxAdaptersInTransit {
+		if e.Leaving || e.Busy || e.ordered >= maxAdaptersInTransit {
 			continue
 		}
 		if !e.HoldsModel(want.Model) || slices.Contains(e.Changing, want.Model) {
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -42,10 +42,9 @@
 type EndpointState struct {
 	fleet.Announcement
 	Work fleet.Work
-	// Busy is set while a model order is under way or the state is not known; no model order can be sent.
+	// Busy is set while an order is under way or the state is not known. Engines carry out one order at a time, and refuse
+	// adapters too while they load or unload a model.
 	Busy bool
-	// AdaptersBusy is set while no adapter order can be sent.
-	AdaptersBusy bool
 	// Changing lists models that are being loaded or unloaded. They take memory and serve nothing.
 	Changing []string
 	// Intended is the model that an unload made room for; it counts as held until it is loaded.
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -53,7 +53,6 @@
 func (w *worker) apply(state *EndpointState, now time.Time) {
 	w.ledger.settle(state.announces, now)
 	state.Busy = w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
-	state.AdaptersBusy = !w.ledger.known || w.running || now.Before(w.blockedUntil)
 	if !w.ledger.known {
 		return
 	}
@@ -144,6 +143,11 @@
 	log := w.controller.options.Log.With(zap.String("endpoint", w.target.ID), zap.String("model", order.Model),
 		zap.String("adapter", order.Adapter), zap.Bool("load", order.Verb == Load), zap.String("reason", order.Reason))
 	uncertain := false
+	if order.Verb == Unload && order.Adapter == "" {
+		// Instances stop sending requests for the model first: the engine refuses those that the unload finds waiting.
+		w.controller.options.ModelLeaving(w.target.ID, w.lifetime, order.Model)
+		pause(ctx, leavingPause)
+	}
 	for range orderAttempts {
 		after, ok := w.mayOrder(ctx, fence)
 		if !ok {
@@ -151,11 +155,6 @@
 			w.dropQueue()
 			return
 		}
-		if order.Verb == Unload && order.Adapter == "" && !uncertain {
-			// Instances stop sending requests for the model first: the engine refuses those that the unload finds waiting.
-			w.controller.options.ModelLeaving(w.target.ID, w.lifetime, order.Model)
-			pause(ctx, leavingPause)
-		}
 		reply, err := w.send(ctx, order, after, fence)
 		if err == nil {
 			if reply == Conflicting && uncertain && w.acceptedSince(ctx, after) {
@@ -212,21 +211,22 @@
 	}
 }
 
-// alreadyHolds handles a reply that says that nothing is under way: an adapter is unloaded at once, and a model that is
-// there needs no load.
+// alreadyHolds handles a reply that says that nothing is under way. An adapter was unloaded at once, which counts as an
+// accepted order; an adapter or model that was there needed no load, which does not.
 func (w *worker) alreadyHolds(order Order, log *zap.Logger) {
 	log.Info("order done at once")
+	if order.Adapter == "" {
+		w.forgetState()
+		return
+	}
 	w.controller.mu.Lock()
-	if order.Adapter != "" {
+	if order.Verb == Unload {
+		w.ledger.accepted(&order, time.Now())
+	} else {
 		w.ledger.adapterChanged(&order)
 	}
-	// Whether the reply counts as an accepted order is not said; the next order or the report shows it.
 	w.controller.mu.Unlock()
-	if order.Adapter != "" {
-		w.controller.options.AdapterChanged(w.target.ID, w.lifetime, order)
-		return
-	}
-	w.forgetState()
+	w.controller.options.AdapterChanged(w.target.ID, w.lifetime, order)
 }
 
 // accepted records an accepted order and waits for an adapter.
