--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -72,10 +72,36 @@
 			pause(ctx, retryPause)
 			continue
 		}
-		f.expire()
-		f.server.limitIdleConnections()
-		f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
-		pause(ctx, f.server.settings().Bounds.watchPause()-time.Since(started))
+		f.afterWatch()
+		f.waitForNextWatch(ctx, started)
+	}
+}
+
+// afterWatch does what follows each look at the store.
+func (f *follower) afterWatch() {
+	f.expire()
+	f.server.limitIdleConnections()
+	f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
+}
+
+// waitForNextWatch waits until this instance should look at the store again: after the usual pause, or after several of
+// them as long as a relay of its data centre tells what changes.
+func (f *follower) waitForNextWatch(ctx context.Context, started time.Time) {
+	for range relayedWatches {
+		wait := time.NewTimer(max(f.server.settings().Bounds.watchPause()-time.Since(started), time.Millisecond))
+		select {
+		case <-ctx.Done():
+		case <-f.server.watchNow:
+			wait.Stop()
+			return
+		case <-wait.C:
+		}
+		wait.Stop()
+		if ctx.Err() != nil || !f.server.leavesWatchToRelays(time.Now()) {
+			return
+		}
+		started = time.Now()
+		f.afterWatch()
 	}
 }
 
@@ -207,8 +233,12 @@
 		f.withdraw(id)
 		return
 	}
-	change := f.server.parts.Fleet.Announce(announcement, time.Now())
+	now := time.Now()
+	change := f.server.parts.Fleet.Announce(announcement, now)
 	if change != fleet.Unchanged {
+		f.server.news.endpointChanged(id, now)
+	}
+	if change != fleet.Unchanged && change != fleet.Updated {
 		f.server.log.Info("endpoint announced", zap.String("endpoint", id), zap.String("service", announcement.Service),
 			zap.String("address", announcement.Address), zap.Bool("leaving", announcement.Leaving),
 			zap.Duration("removalIn", announcement.RemovalIn), zap.Int64("revision", int64(item.ModRevision)))
@@ -219,11 +249,16 @@
 	now := time.Now()
 	grace := now.Before(f.graceUntil)
 	f.server.parts.Fleet.Withdraw(id, grace, now)
+	if !grace {
+		f.server.news.endpointGone(id, now)
+	}
 	f.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
 }
 
 func (f *follower) expire() {
-	for _, id := range f.server.parts.Fleet.Expire(time.Now()) {
+	now := time.Now()
+	for _, id := range f.server.parts.Fleet.Expire(now) {
+		f.server.news.endpointGone(id, now)
 		f.server.log.Info("endpoint gone: not announced again after the store's outage", zap.String("endpoint", id))
 	}
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -91,6 +91,7 @@
 		m.Held = s.heldDocs(now)
 		m.Loading = s.loadingDocs(now)
 	}
+	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -137,6 +138,9 @@
 		s.demand.receive(m.Instance, s.members.regionOf(m.Instance, s.settings().Regions), m.Models, m.Adapters, now)
 	}
 	s.stalePeers.note(m.Instance, m.Stale, now)
+	if m.Relay != nil {
+		s.takeRelayed(m.Instance, m.Relay, now)
+	}
 	if len(m.Endpoints) > 0 {
 		s.takeOverEndpoints(m, now)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -56,6 +56,9 @@
 	placement *residency.Controller
 	draining  atomic.Bool
 	storeView storeView
+	news      *relayNews
+	// watchNow asks the follower for a watch at once.
+	watchNow chan struct{}
 	// stalePeers are the instances that cannot read the store.
 	stalePeers stalePeers
 	// refusing is closed once a stopping instance no longer begins requests.
@@ -79,6 +82,8 @@
 		parts:    parts,
 		log:      log,
 		metrics:  newMetrics(parts.Scope),
+		news:     newRelayNews(),
+		watchNow: make(chan struct{}, 1),
 		members:  newMembers(),
 		demand:   newDemandBook(s.Region),
 		conns:    make(map[*clientConn]struct{}),
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -128,6 +128,11 @@
 	}
 }
 
+// NearInterval returns the time between messages to instances of the same region.
+func NearInterval(instances int) time.Duration {
+	return interval(nearInterval, instances)
+}
+
 // interval returns the time between messages for a number of peers.
 func interval(few time.Duration, peers int) time.Duration {
 	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, maxInterval)
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -32,6 +32,19 @@
 	Stale     bool          `json:"x,omitempty"`
 	Revision  int64         `json:"v,omitempty"`
 	Endpoints []EndpointDoc `json:"e,omitempty"`
+	// Relay comes from an instance that watches the store for its data centre.
+	Relay *RelayDoc `json:"y,omitempty"`
+}
+
+// RelayDoc tells what changed in the store lately.
+type RelayDoc struct {
+	Revision int64 `json:"v"`
+	// Configuration is the version in force.
+	Configuration int64 `json:"c"`
+	// Holder is the instance that places models, or empty.
+	Holder  string        `json:"h,omitempty"`
+	Changed []EndpointDoc `json:"e,omitempty"`
+	Gone    []string      `json:"g,omitempty"`
 }
 
 // EndpointDoc is an endpoint's announcement.
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -120,6 +120,8 @@
 	Appeared
 	Restarted
 	StartedLeaving
+	// Updated means that what the endpoint holds or how it does changed.
+	Updated
 )
 
 // Announce takes over an announcement.
@@ -158,6 +160,8 @@
 		return Restarted
 	case a.Leaving && !known.Leaving:
 		return StartedLeaving
+	case a.Slots != known.Slots || a.RemovalIn > 0 || !slices.EqualFunc(a.Models, known.announced, sameHeld):
+		return Updated
 	default:
 		return Unchanged
 	}
