--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -76,21 +76,32 @@
 	return true
 }
 
+const (
+	// urgentAge is how old a change may be that an urgent message tells.
+	urgentAge = 150 * time.Millisecond
+	// heldRepeats is how long what an endpoint holds is told again, in intervals, because datagrams get lost.
+	heldRepeats = 3
+)
+
 // compose fills in this instance's message.
-func (s *Server) compose(m *exchange.Message, to exchange.Peer, toHolder bool) {
+func (s *Server) compose(m *exchange.Message, to exchange.Peer, kind exchange.Kind) {
 	now := time.Now()
-	work := s.parts.Fleet.OwnWork(now)
-	m.Work = make(map[string]exchange.WorkDoc, len(work))
-	for id, w := range work {
-		m.Work[id] = exchange.EncodeWork(w)
-	}
-	if toHolder {
+	if kind.ToHolder {
 		m.Models, m.Adapters = s.demand.own(now)
 	}
+	told := heldRepeats * kind.Interval
+	if kind.Urgent {
+		told = urgentAge
+	} else {
+		m.Work = s.workDocs(now)
+	}
 	if _, held := s.lease.Held(); held {
-		m.Held = s.heldDocs(now)
+		m.Held = s.heldDocs(now.Add(-told))
 		m.Loading = s.loadingDocs(now)
 	}
+	if kind.Urgent {
+		return
+	}
 	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
@@ -108,10 +119,20 @@
 	return docs
 }
 
-// heldDocs tells what endpoints hold after this instance's own orders.
-func (s *Server) heldDocs(now time.Time) []exchange.HeldDoc {
+// workDocs tells this instance's calls at the endpoints.
+func (s *Server) workDocs(now time.Time) map[string]exchange.WorkDoc {
+	work := s.parts.Fleet.OwnWork(now)
+	docs := make(map[string]exchange.WorkDoc, len(work))
+	for id, w := range work {
+		docs[id] = exchange.EncodeWork(w)
+	}
+	return docs
+}
+
+// heldDocs tells what endpoints hold after orders since a time.
+func (s *Server) heldDocs(since time.Time) []exchange.HeldDoc {
 	var docs []exchange.HeldDoc
-	for _, a := range s.parts.Fleet.RecentlyHeld(now) {
+	for _, a := range s.parts.Fleet.HeldSince(since) {
 		docs = append(docs, exchange.HeldDoc{Endpoint: a.ID, Lifetime: a.Lifetime, Models: exchange.EncodeHeld(a.Models)})
 	}
 	return docs
@@ -129,15 +150,15 @@
 
 // receive takes over another instance's message.
 func (s *Server) receive(m *exchange.Message, now time.Time) {
-	work := make(map[string]fleet.Work, len(m.Work))
-	for id, w := range m.Work {
-		work[id] = w.Decode()
+	if m.Work != nil {
+		s.receiveWork(m, now)
 	}
-	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
 	if m.Models != nil || m.Adapters != nil {
 		s.demand.receive(m.Instance, s.members.regionOf(m.Instance, s.settings().Regions), m.Models, m.Adapters, now)
 	}
-	s.stalePeers.note(m.Instance, m.Stale, now)
+	if m.Work != nil {
+		s.stalePeers.note(m.Instance, m.Stale, now)
+	}
 	if m.Relay != nil {
 		s.takeRelayed(m.Instance, m.Relay, now)
 	}
@@ -155,6 +176,14 @@
 	}
 }
 
+func (s *Server) receiveWork(m *exchange.Message, now time.Time) {
+	work := make(map[string]fleet.Work, len(m.Work))
+	for id, w := range m.Work {
+		work[id] = w.Decode()
+	}
+	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
+}
+
 // takeOverEndpoints replaces the endpoints by those of an instance that can read the store, while this one cannot.
 func (s *Server) takeOverEndpoints(m *exchange.Message, now time.Time) {
 	if !s.storeView.stale(now) || m.Revision < s.storeView.revision.Load() {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -30,8 +30,8 @@
 	Peers func() []Peer
 	// Holder names the instance that places models, or is empty.
 	Holder func() string
-	// Compose fills in this instance's state for a peer; toHolder asks for demand as well.
-	Compose func(m *Message, to Peer, toHolder bool)
+	// Compose fills in this instance's state for a peer.
+	Compose func(m *Message, to Peer, kind Kind)
 	// Receive takes over another instance's message.
 	Receive func(m *Message, now time.Time)
 	Log     *zap.Logger
@@ -49,6 +49,16 @@
 	urgentGap = 20 * time.Millisecond
 )
 
+// Kind tells what a message is for.
+type Kind struct {
+	// ToHolder messages carry demand.
+	ToHolder bool
+	// Urgent messages carry only what has just changed.
+	Urgent bool
+	// Interval is the usual time between two messages to the peer.
+	Interval time.Duration
+}
+
 // Exchange sends and receives messages.
 type Exchange struct {
 	options  Options
@@ -149,16 +159,20 @@
 		if !news && !regular {
 			continue
 		}
-		if err := e.sendTo(peer, toHolder); err != nil {
+		kind := Kind{ToHolder: toHolder, Urgent: urgent, Interval: interval(farInterval, len(peers))}
+		if peer.Near {
+			kind.Interval = interval(nearInterval, len(peers))
+		}
+		if err := e.sendTo(peer, kind); err != nil {
 			e.options.Log.Debug("exchange message not sent", zap.String("peer", peer.Instance), zap.Error(err))
 		}
 	}
 }
 
-func (e *Exchange) sendTo(peer Peer, toHolder bool) error {
+func (e *Exchange) sendTo(peer Peer, kind Kind) error {
 	e.sequence++
 	m := Message{Instance: e.options.Instance, Started: e.started, Sequence: e.sequence}
-	e.options.Compose(&m, peer, toHolder)
+	e.options.Compose(&m, peer, kind)
 	data, err := Encode(&m)
 	if err != nil {
 		return err
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -19,8 +19,8 @@
 	// Started and Sequence order the messages of an instance over its restarts; Started is in Unix milliseconds.
 	Started  int64 `json:"t"`
 	Sequence int64 `json:"n"`
-	// Work is this instance's own work by endpoint id.
-	Work map[string]WorkDoc `json:"w,omitempty"`
+	// Work is this instance's own work by endpoint id; nil in urgent messages, which leave the former one in force.
+	Work map[string]WorkDoc `json:"w"`
 	// Models and Adapters go to the instance that places models.
 	Models   []ModelDoc   `json:"m,omitempty"`
 	Adapters []AdapterDoc `json:"a,omitempty"`
--- a/pkg/fleet/held.go
+++ b/pkg/fleet/held.go
@@ -36,7 +36,7 @@
 		models[i].Adapters = adapters
 	}
 	e.Models = models
-	e.trustHeldUntil = now.Add(heldTrust)
+	e.heldAt, e.trustHeldUntil = now, now.Add(heldTrust)
 	r.signal()
 }
 
@@ -49,7 +49,7 @@
 		return
 	}
 	e.Models = slices.DeleteFunc(slices.Clone(e.Models), func(m HeldModel) bool { return m.Name == model })
-	e.trustHeldUntil = now.Add(heldTrust)
+	e.heldAt, e.trustHeldUntil = now, now.Add(heldTrust)
 	r.signal()
 }
 
@@ -62,7 +62,7 @@
 		return
 	}
 	e.Models = models
-	e.trustHeldUntil = now.Add(heldTrust)
+	e.heldAt, e.trustHeldUntil = now, now.Add(heldTrust)
 	r.signal()
 }
 
@@ -129,13 +129,13 @@
 	return max(known.ready.Sub(now), loadingSlack), true
 }
 
-// RecentlyHeld returns the endpoints whose content was changed by orders lately.
-func (r *Registry) RecentlyHeld(now time.Time) []Announcement {
+// HeldSince returns the endpoints whose content was changed by orders after a time.
+func (r *Registry) HeldSince(t time.Time) []Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var recent []Announcement
 	for _, e := range r.endpoints {
-		if now.Before(e.trustHeldUntil) {
+		if e.heldAt.After(t) {
 			recent = append(recent, e.Announcement)
 		}
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -31,6 +31,8 @@
 	goneAt    time.Time
 	// trustHeldUntil is the time until which Models, known from this system's orders, goes before announcements.
 	trustHeldUntil time.Time
+	// heldAt is when Models was changed by an order last.
+	heldAt time.Time
 }
 
 // AnnouncedModels returns the models that the endpoint's own last announcement lists.
