Learn the pace of engines from measured first tokens

Until now every engine was taken to read 20 tokens a millisecond, which holds for the deployments at hand only.

--- /dev/null
+++ b/pkg/edge/accept.go
@@ -0,0 +1,66 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// accept serves each connection in a goroutine of its own.
+func (s *Server) accept(ctx context.Context, listener net.Listener) {
+	var connections conc.WaitGroup
+	defer connections.Wait()
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			s.closeAll()
+			return
+		}
+		if err != nil {
+			s.log.Warn("connection not accepted", zap.Error(err))
+			pause(ctx, acceptPause)
+			continue
+		}
+		client := s.newClientConn(conn)
+		s.track(client)
+		connections.Go(func() {
+			defer s.untrack(client)
+			client.serve(ctx)
+		})
+	}
+}
+
+// acceptPause spaces attempts when descriptors have run out.
+const acceptPause = 50 * time.Millisecond
+
+func (s *Server) track(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) untrack(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Server) connections() []*clientConn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]*clientConn, 0, len(s.conns))
+	for c := range s.conns {
+		all = append(all, c)
+	}
+	return all
+}
+
+func (s *Server) closeAll() {
+	for _, c := range s.connections() {
+		c.close()
+	}
+}
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -58,7 +58,7 @@
 // reserve chooses an endpoint for an answer in time, or else for a late one: that is worth more to the client than to be
 // refused and come back, and it takes only time that requests in time leave.
 func (x *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
-	pace := x.server.pace(x.service.Name)
+	pace := x.server.paces.of(x.service.Name)
 	choice, call := x.server.parts.Fleet.Reserve(demand, pace, x.server.distance, now)
 	if choice.Obstacle != fleet.Saturated || demand.Late {
 		return choice, call
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -122,7 +122,7 @@
 		return x.refuse(startRetryAfter, "no service", closing)
 	}
 	x.server.parts.Budget.Requested(x.service.Name, x.arrived)
-	x.server.demand.note(x.service.Name, &x.request, x.arrived)
+	x.server.demand.note(x.service.Name, &x.request, x.server.paces.of(x.service.Name), x.arrived)
 	if x.route.Kind == routing.Streaming {
 		return x.stream(closing)
 	}
@@ -142,7 +142,7 @@
 	if x.service.Engine == nil {
 		return demand
 	}
-	demand.Spread, demand.Random = x.server.spread(demand.PromptTokens), rand.Float64
+	demand.Spread, demand.Random = x.server.spread(x.service.Name, demand.PromptTokens), rand.Float64
 	demand.Within, demand.MaxPrefillShare = x.usefulTime(now), prefillShare
 	if demand.Within < minimumAttempt {
 		x.makeLate(demand, now)
--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -73,7 +73,7 @@
 	now := time.Unix(1000, 0)
 	b := newDemandBook("r1")
 	r := &Request{Model: "m", Adapter: "a1", PromptTokens: 100}
-	b.note("s", r, now)
+	b.note("s", r, fleet.DefaultPace(), now)
 	for range 5 {
 		done := b.wait("s", r, true)
 		if wants := b.AdapterWants("s", now); len(wants) != 1 || wants[0].Waiting != 1 {
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
 )
 
@@ -21,8 +22,6 @@
 	trendNoise = 1.5
 	// decodeShare is the engine time of one generated token when a dozen requests share a batch.
 	decodeShare = 800 * time.Microsecond
-	// defaultPrefillPerMs is the reading speed assumed for the cost of a request.
-	defaultPrefillPerMs = 20.0
 	// negligible demand is no longer told.
 	negligible = 0.01
 	// remoteDemandAge is the age at which another instance's demand no longer counts.
@@ -118,7 +117,7 @@
 }
 
 // note counts a request.
-func (b *demandBook) note(service string, r *Request, now time.Time) {
+func (b *demandBook) note(service string, r *Request, pace fleet.Pace, now time.Time) {
 	if r.Model == "" {
 		return
 	}
@@ -129,8 +128,8 @@
 	}
 	stats := b.model(modelKey{service, r.Model})
 	stats.requests.add(1, now)
-	stats.load.add(engineSeconds(r), now)
-	stats.slowLoad.add(engineSeconds(r), now)
+	stats.load.add(engineSeconds(r, pace), now)
+	stats.slowLoad.add(engineSeconds(r, pace), now)
 	if r.Adapter != "" {
 		key := adapterKey{modelKey{service, r.Model}, r.Adapter}
 		b.adapter(key).lastUse = now
@@ -139,9 +138,9 @@
 }
 
 // engineSeconds is the engine time that a request needs.
-func engineSeconds(r *Request) float64 {
+func engineSeconds(r *Request, pace fleet.Pace) float64 {
 	output := cmp.Or(r.ExpectedOutput, r.OutputTokens)
-	return float64(r.PromptTokens)/defaultPrefillPerMs/1000 + float64(output)*decodeShare.Seconds()
+	return float64(r.PromptTokens)/pace.PrefillPerMs/1000 + float64(output)*decodeShare.Seconds()
 }
 
 func (b *demandBook) model(key modelKey) *modelStats {
--- /dev/null
+++ b/pkg/edge/placement.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/residency"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+// controller returns the part that places models while this instance holds the lease.
+func (s *Server) controller() *residency.Controller {
+	return residency.NewController(residency.Options{
+		Instance: s.settings().InstanceID,
+		Fleet:    s.parts.Fleet,
+		Lease:    placementLease{s.lease},
+		Engines:  s.parts.Engines,
+		Demands:  s.demand,
+		Config: func() *routing.Config {
+			if table := s.table.Load(); table != nil {
+				return table.Config
+			}
+			return nil
+		},
+		Log:           s.log,
+		RegionOf:      func(dataCentre string) string { return s.settings().Regions[dataCentre] },
+		HandoverPause: s.settings().Bounds.placementLease(),
+		StoreWindow: func() (time.Duration, float64) {
+			bounds := s.settings().Bounds
+			return time.Duration(bounds.WeightStoreWindowSeconds * float64(time.Second)), bounds.WeightStoreOverage
+		},
+		Published: func(id string, r residency.Report) {
+			s.parts.Fleet.SetHeld(id, r.Lifetime, r.Models, time.Now())
+		},
+		ModelLeaving: func(id string, lifetime int64, model string) {
+			s.parts.Fleet.SetModelLeaving(id, lifetime, model, time.Now())
+			s.exchange.Urge()
+		},
+		AdapterChanged: func(id string, lifetime int64, order residency.Order) {
+			s.parts.Fleet.SetAdapter(id, lifetime, order.Model, order.Adapter, order.Verb == residency.Load, time.Now())
+			s.exchange.Urge()
+		},
+	})
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -57,6 +57,7 @@
 	draining  atomic.Bool
 	storeView storeView
 	news      *relayNews
+	paces     *paceBook
 	// watchNow asks the follower for a watch at once.
 	watchNow chan struct{}
 	// stalePeers are the instances that cannot read the store.
@@ -83,6 +84,7 @@
 		log:      log,
 		metrics:  newMetrics(parts.Scope),
 		news:     newRelayNews(),
+		paces:    newPaceBook(),
 		watchNow: make(chan struct{}, 1),
 		members:  newMembers(),
 		demand:   newDemandBook(s.Region),
@@ -214,19 +216,15 @@
 
 // spread returns the random part of the cost of an endpoint: the reading time of as many prompts of this size as other
 // instances may have sent there since they were heard.
-func (s *Server) spread(promptTokens int) time.Duration {
+func (s *Server) spread(service string, promptTokens int) time.Duration {
 	others := float64(s.members.count(time.Now())) / spreadInstances
 	if others <= 1 {
 		return 0
 	}
-	reading := float64(promptTokens) / s.pace("").PrefillPerMs * float64(time.Millisecond)
+	reading := float64(promptTokens) / s.paces.of(service).PrefillPerMs * float64(time.Millisecond)
 	return time.Duration(min(others, maxSpread) * reading)
 }
 
-func (s *Server) pace(string) fleet.Pace {
-	return fleet.DefaultPace()
-}
-
 const (
 	// adapterWait is how long a request waits at most for an adapter that is being loaded.
 	adapterWait = 300 * time.Millisecond
@@ -276,41 +274,6 @@
 	return !s.draining.Load() && s.table.Load() != nil && s.parts.Fleet.Usable() > 0
 }
 
-// controller returns the part that places models while this instance holds the lease.
-func (s *Server) controller() *residency.Controller {
-	return residency.NewController(residency.Options{
-		Instance: s.settings().InstanceID,
-		Fleet:    s.parts.Fleet,
-		Lease:    placementLease{s.lease},
-		Engines:  s.parts.Engines,
-		Demands:  s.demand,
-		Config: func() *routing.Config {
-			if table := s.table.Load(); table != nil {
-				return table.Config
-			}
-			return nil
-		},
-		Log:           s.log,
-		RegionOf:      func(dataCentre string) string { return s.settings().Regions[dataCentre] },
-		HandoverPause: s.settings().Bounds.placementLease(),
-		StoreWindow: func() (time.Duration, float64) {
-			bounds := s.settings().Bounds
-			return time.Duration(bounds.WeightStoreWindowSeconds * float64(time.Second)), bounds.WeightStoreOverage
-		},
-		Published: func(id string, r residency.Report) {
-			s.parts.Fleet.SetHeld(id, r.Lifetime, r.Models, time.Now())
-		},
-		ModelLeaving: func(id string, lifetime int64, model string) {
-			s.parts.Fleet.SetModelLeaving(id, lifetime, model, time.Now())
-			s.exchange.Urge()
-		},
-		AdapterChanged: func(id string, lifetime int64, order residency.Order) {
-			s.parts.Fleet.SetAdapter(id, lifetime, order.Model, order.Adapter, order.Verb == residency.Load, time.Now())
-			s.exchange.Urge()
-		},
-	})
-}
-
 // Run serves until the context ends and then drains.
 func (s *Server) Run(ctx context.Context) error {
 	settings := s.settings()
@@ -353,58 +316,3 @@
 	s.log.Info("stopped")
 	return nil
 }
-
-// accept serves each connection in a goroutine of its own.
-func (s *Server) accept(ctx context.Context, listener net.Listener) {
-	var connections conc.WaitGroup
-	defer connections.Wait()
-	for {
-		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			s.closeAll()
-			return
-		}
-		if err != nil {
-			s.log.Warn("connection not accepted", zap.Error(err))
-			pause(ctx, acceptPause)
-			continue
-		}
-		client := s.newClientConn(conn)
-		s.track(client)
-		connections.Go(func() {
-			defer s.untrack(client)
-			client.serve(ctx)
-		})
-	}
-}
-
-// acceptPause spaces attempts when descriptors have run out.
-const acceptPause = 50 * time.Millisecond
-
-func (s *Server) track(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-}
-
-func (s *Server) untrack(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
-func (s *Server) connections() []*clientConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := make([]*clientConn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
-	}
-	return all
-}
-
-func (s *Server) closeAll() {
-	for _, c := range s.connections() {
-		c.close()
-	}
-}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -162,9 +162,11 @@
 
 func (x *clientRequest) noteFirst(a *attempt) {
 	if a.call.Started() {
-		x.server.metrics.firstEvent.RecordDuration(time.Since(a.sent))
+		took := time.Since(a.sent)
+		x.server.metrics.firstEvent.RecordDuration(took)
+		x.server.paces.measured(x.service.Name, a.choice.AtEndpoint, took-a.choice.Latency)
 		x.log.Info("first event", zap.String("endpoint", a.choice.ID), zap.String("model", x.request.Model),
-			zap.Duration("took", time.Since(a.sent)), zap.Duration("expected", a.choice.FirstToken))
+			zap.Duration("took", took), zap.Duration("expected", a.choice.AtEndpoint))
 	}
 }
 
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -95,8 +95,13 @@
 	DataCentre string
 	Lifetime   int64
 	Obstacle   Obstacle
-	// FirstToken is the expected time to the first token, or to the response of a plain service.
+	// FirstToken is the expected time to the first token, or to the response of a plain service, by which endpoints were
+	// compared.
 	FirstToken time.Duration
+	// AtEndpoint is the part of FirstToken that passes at the endpoint, Latency the way there and back. The rest of
+	// FirstToken is reluctance.
+	AtEndpoint time.Duration
+	Latency    time.Duration
 	// Work is what the instances had at the endpoint.
 	Work Work
 	// KeptTokens are the prompt tokens that the endpoint probably has already.
@@ -173,7 +178,8 @@
 	}
 	choice.RunnerUp, choice.RunnerUpFirstToken = choice.ID, choice.FirstToken
 	choice.ID, choice.Address, choice.DataCentre, choice.Lifetime = e.ID, e.Address, e.DataCentre, e.Lifetime
-	choice.FirstToken, choice.Work, choice.KeptTokens = cost, work, kept
+	choice.FirstToken, choice.AtEndpoint, choice.Latency = cost, expected, away.Latency
+	choice.Work, choice.KeptTokens = work, kept
 }
 
 // saturated tells whether the request would take more of the engine's time for prompts than allowed: while an engine reads
