--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -58,6 +58,8 @@
 	// lostAt is the time of the first failed call; zero while the store answers.
 	lostAt     time.Time
 	graceUntil time.Time
+	// news is set when a watch brought something that instances which rely on this one should hear early.
+	news bool
 }
 
 // run follows the store until the context ends.
@@ -87,8 +89,12 @@
 // waitForNextWatch waits until this instance should look at the store again: after the usual pause, or after several of
 // them as long as a relay of its data centre tells what changes.
 func (f *follower) waitForNextWatch(ctx context.Context, started time.Time) {
+	pauseTime := f.server.settings().Bounds.watchPause()
+	if f.server.isRelay() {
+		pauseTime = time.Duration(float64(pauseTime) * relayWatchShare)
+	}
 	for range relayedWatches {
-		wait := time.NewTimer(max(f.server.settings().Bounds.watchPause()-time.Since(started), time.Millisecond))
+		wait := time.NewTimer(max(pauseTime-time.Since(started), time.Millisecond))
 		select {
 		case <-ctx.Done():
 		case <-f.server.watchNow:
@@ -177,6 +183,10 @@
 		f.at = max(f.at, events[i].ModRevision)
 	}
 	f.server.storeView.revision.Store(int64(f.at))
+	if f.news && f.server.isRelay() {
+		f.server.exchange.Urge()
+	}
+	f.news = false
 	return true
 }
 
@@ -224,6 +234,7 @@
 		return
 	}
 	f.server.applyConfig(config, int64(item.ModRevision))
+	f.news = true
 }
 
 func (f *follower) putEndpoint(id string, item *kvstore.KeyValue) {
@@ -237,6 +248,7 @@
 	change := f.server.parts.Fleet.Announce(announcement, now)
 	if change != fleet.Unchanged {
 		f.server.news.endpointChanged(id, now)
+		f.news = f.news || change != fleet.Updated
 	}
 	if change != fleet.Unchanged && change != fleet.Updated {
 		f.server.log.Info("endpoint announced", zap.String("endpoint", id), zap.String("service", announcement.Service),
@@ -251,6 +263,7 @@
 	f.server.parts.Fleet.Withdraw(id, grace, now)
 	if !grace {
 		f.server.news.endpointGone(id, now)
+		f.news = true
 	}
 	f.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -99,10 +99,10 @@
 		m.Held = s.heldDocs(now.Add(-told))
 		m.Loading = s.loadingDocs(now)
 	}
+	s.relay(m, to, now)
 	if kind.Urgent {
 		return
 	}
-	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -19,6 +19,8 @@
 	// relayedWatches is the number of watches in a row that an instance leaves to its relays. The next one is its own and
 	// finds what was lost on the way.
 	relayedWatches = 5
+	// relayWatchShare shortens the time between the watches of a relay, because what it learns has one step more to go.
+	relayWatchShare = 0.5
 	// relayRepeats is how long a change is told again, in intervals of the exchange, because datagrams get lost.
 	relayRepeats = 6
 )
@@ -111,11 +113,25 @@
 		s.news.heardWithin(settings.Bounds.watchPause(), now)
 }
 
-// relay adds what changed lately to a message for an instance of the same data centre.
-func (s *Server) relay(m *exchange.Message, to exchange.Peer, now time.Time) {
+// isRelay tells whether this instance watches the store for others.
+func (s *Server) isRelay() bool {
 	settings := s.settings()
+	return slices.Contains(s.members.relays(settings.DataCentre), settings.InstanceID)
+}
+
+// relaysTo tells whether an instance relies on this one to watch the store.
+func (s *Server) relaysTo(to exchange.Peer) bool {
+	settings := s.settings()
+	if to.DataCentre != settings.DataCentre {
+		return false
+	}
 	relays := s.members.relays(settings.DataCentre)
-	if to.DataCentre != settings.DataCentre || !slices.Contains(relays, settings.InstanceID) || slices.Contains(relays, to.Instance) {
+	return slices.Contains(relays, settings.InstanceID) && !slices.Contains(relays, to.Instance)
+}
+
+// relay adds what changed lately to a message for an instance that relies on this one.
+func (s *Server) relay(m *exchange.Message, to exchange.Peer, now time.Time) {
+	if !s.relaysTo(to) {
 		return
 	}
 	if s.storeView.lostAt.Load() != nil || s.table.Load() == nil {
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -30,6 +30,8 @@
 	Peers func() []Peer
 	// Holder names the instance that places models, or is empty.
 	Holder func() string
+	// TellEarly tells whether urgent news go to a peer though neither is the holder; nil means never.
+	TellEarly func(to Peer) bool
 	// Compose fills in this instance's state for a peer.
 	Compose func(m *Message, to Peer, kind Kind)
 	// Receive takes over another instance's message.
@@ -148,13 +150,15 @@
 	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, maxInterval)
 }
 
-// sendAll sends to peers of the region, to all if it is time for that, and urgent news only to and from the holder.
+// sendAll sends to peers of the region, to all if it is time for that, and urgent news only to and from the holder and to
+// those that rely on this instance.
 func (e *Exchange) sendAll(peers []Peer, urgent, far bool) {
 	holder := e.options.Holder()
 	fromHolder := holder == e.options.Instance
 	for _, peer := range peers {
 		toHolder := peer.Instance == holder
-		news := urgent && (toHolder || fromHolder)
+		early := e.options.TellEarly != nil && e.options.TellEarly(peer)
+		news := urgent && (toHolder || fromHolder || early)
 		regular := !urgent && (peer.Near || far)
 		if !news && !regular {
 			continue
