--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -22,15 +22,15 @@
 // streamReadBytes is read from an endpoint at a time; an event takes some 60 bytes.
 const streamReadBytes = 4 << 10
 
-// relayResult tells how the relay of a stream from one endpoint ended.
-type relayResult int
+// streamEnd tells how forwarding a stream from one endpoint ended.
+type streamEnd int
 
 const (
-	relayComplete relayResult = iota
-	// relayBroken means that the endpoint broke off; the stream may be continued elsewhere.
-	relayBroken
-	// relayClientGone means that the client does not take any more bytes.
-	relayClientGone
+	streamWhole streamEnd = iota
+	// streamBroken means that the endpoint broke off; the stream may be continued elsewhere.
+	streamBroken
+	// streamUnwanted means that the client does not take any more bytes.
+	streamUnwanted
 )
 
 // stream serves a request that is answered by events.
@@ -54,14 +54,14 @@
 				}
 				return x.deliver(resp, a, closing)
 			}
-			result := x.relay(a, body, resp, state, closing)
+			result := x.forwardStream(a, body, resp, state, closing)
 			fasthttp.ReleaseResponse(resp)
 			switch result {
-			case relayComplete:
+			case streamWhole:
 				return !closing
-			case relayClientGone:
+			case streamUnwanted:
 				return false
-			case relayBroken:
+			case streamBroken:
 				reason = "stream broke off"
 			}
 			continue
@@ -133,8 +133,8 @@
 	return sendAnswered
 }
 
-// relay forwards whole events as they arrive.
-func (x *clientRequest) relay(a *attempt, body *httpconn.Body, resp *fasthttp.Response, state *streamState, closing bool) relayResult {
+// forwardStream forwards whole events as they arrive.
+func (x *clientRequest) forwardStream(a *attempt, body *httpconn.Body, resp *fasthttp.Response, state *streamState, closing bool) streamEnd {
 	defer body.Close()
 	state.events.Reset()
 	for {
@@ -147,7 +147,7 @@
 				a.call.End(fleet.Neutral, time.Now())
 				x.log.Info("client left", zap.Error(failure), zap.Duration("after", time.Since(x.arrived)))
 				x.finished(x.server.metrics.left)
-				return relayClientGone
+				return streamUnwanted
 			}
 		}
 		if err == nil {
@@ -181,31 +181,31 @@
 	return x.conn.writeChunk(events)
 }
 
-func (x *clientRequest) completeStream(a *attempt, resp *fasthttp.Response, state *streamState, closing bool) relayResult {
+func (x *clientRequest) completeStream(a *attempt, resp *fasthttp.Response, state *streamState, closing bool) streamEnd {
 	a.call.End(fleet.Succeeded, time.Now())
 	if !state.begun {
 		if err := x.conn.writeStreamHeader(&resp.Header, closing); err != nil {
-			return relayClientGone
+			return streamUnwanted
 		}
 	}
 	if err := x.conn.writeLastChunk(); err != nil {
-		return relayClientGone
+		return streamUnwanted
 	}
 	x.finished(x.server.metrics.answered)
 	x.log.Info("stream complete", zap.String("endpoint", a.choice.ID), zap.String("lastEvent", state.events.LastID),
 		zap.Duration("after", time.Since(x.arrived)))
-	return relayComplete
+	return streamWhole
 }
 
-func (x *clientRequest) brokenStream(a *attempt, err error) relayResult {
+func (x *clientRequest) brokenStream(a *attempt, err error) streamEnd {
 	if x.ctx.Err() != nil {
 		a.call.End(fleet.Neutral, time.Now())
 		x.log.Info("client left", zap.Duration("after", time.Since(x.arrived)))
 		x.finished(x.server.metrics.left)
-		return relayClientGone
+		return streamUnwanted
 	}
 	a.call.End(fleet.Failed, time.Now())
 	x.log.Info("stream broke off at the endpoint", zap.String("endpoint", a.choice.ID), zap.Error(err),
 		zap.Duration("took", time.Since(a.sent)))
-	return relayBroken
+	return streamBroken
 }
