--- a/pkg/engine/openaihttp/sse_fuzz_test.go
+++ b/pkg/engine/openaihttp/sse_fuzz_test.go
@@ -63,7 +63,7 @@
 	f.Fuzz(func(t *testing.T, content string, kind byte) {
 		quoted, err := json.Marshal(content)
 		if err != nil {
-			t.Skip()
+			t.Fatal(err)
 		}
 		formats := []string{
 			`{"choices":[{"delta":{"content":%s},"finish_reason":null}]}`,
