--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -34,6 +34,8 @@
 	tried []string
 	// obstacle is why no endpoint was chosen at last.
 	obstacle fleet.Obstacle
+	// waitsFor is the obstacle for which the request was last logged to wait; a request never waits for NoEndpoint.
+	waitsFor fleet.Obstacle
 	// urged is set once the instance that places models was told early that this request waits.
 	urged bool
 	// mayHaveRun is set once an endpoint may have begun to work on the request.
--- a/pkg/edge/place.go
+++ b/pkg/edge/place.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 )
 
@@ -20,12 +22,26 @@
 		}
 		x.obstacle = choice.Obstacle
 		expected, patience := x.obstacleTimes(&choice, demand, now)
-		if expected <= 0 || expected > patience || !x.waitForChange(changed, patience) {
+		if expected <= 0 || expected > patience {
+			return nil, max(expected, minimumRetryAfter)
+		}
+		x.logWait(expected, patience)
+		if !x.waitForChange(changed, patience) {
 			return nil, max(expected, minimumRetryAfter)
 		}
 	}
 }
 
+// logWait logs that the request begins to wait, once for each obstacle.
+func (x *clientRequest) logWait(expected, patience time.Duration) {
+	if x.waitsFor == x.obstacle {
+		return
+	}
+	x.waitsFor = x.obstacle
+	x.log.Info("waits for an endpoint", zap.Stringer("obstacle", x.obstacle), zap.String("model", x.request.Model),
+		zap.String("adapter", x.request.Adapter), zap.Duration("expected", expected), zap.Duration("patience", patience))
+}
+
 // reserve chooses an endpoint for an answer in time, or else for a late one: that is worth more to the client than to be
 // refused and come back, and it takes only time that requests in time leave.
 func (x *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
