--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,9 +92,9 @@
 	now := time.Unix(1000, 0)
 	b := newDemandBook("r1")
 	docs := []exchange.ModelDoc{{Service: "s", Model: "m", Load: 0.5, SlowLoad: 0.5, Requests: 4, Waiting: 1}}
-	b.receive("one", "r1", docs, nil, now)
-	b.receive("one", "r1", docs, nil, now)
-	b.receive("two", "r2", docs, nil, now)
+	b.receive("one", remoteDemand{region: "r1", models: docs, at: now}, false)
+	b.receive("one", remoteDemand{region: "r1", models: docs, at: now}, false)
+	b.receive("two", remoteDemand{region: "r2", models: docs, at: now}, false)
 	if d := b.ModelDemand("s", now)["m"]; d.Requests != 8 || d.Waiting != 2 || d.ByRegion["r1"] != 0.5 || d.ByRegion["r2"] != 0.5 {
 		t.Fatalf("demand is %+v", d)
 	}
@@ -102,6 +103,33 @@
 	}
 }
 
+// Guards against early word of what requests wait for growing with all that the instance's clients use, and against it
+// replacing the demand that it leaves out.
+func TestEarlyWordOfWaitingRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	teller, holder := newDemandBook("r1"), newDemandBook("r1")
+	for i := range 50 {
+		teller.note("s", &Request{Model: fmt.Sprintf("m%d", i), Adapter: "a", PromptTokens: 100}, fleet.DefaultPace(), now)
+	}
+	defer teller.wait("s", &Request{Model: "new"}, false)()
+	defer teller.wait("s", &Request{Model: "m7", Adapter: "b"}, true)()
+	models, adapters := teller.own(now)
+	holder.receive("one", remoteDemand{region: "r1", models: models, adapters: adapters, at: now}, false)
+	defer teller.wait("s", &Request{Model: "m7"}, false)()
+	models, adapters = teller.waiting(now)
+	if len(models) != 2 || len(adapters) != 1 {
+		t.Fatalf("early word names %d models and %d adapters", len(models), len(adapters))
+	}
+	holder.receive("one", remoteDemand{region: "r1", models: models, adapters: adapters, at: now}, true)
+	demand := holder.ModelDemand("s", now)
+	if len(demand) != 51 || demand["m7"].Waiting != 1 || demand["m8"].Requests == 0 || demand["new"].Waiting != 1 {
+		t.Fatalf("%d models; m7 %+v, m8 %+v, new %+v", len(demand), demand["m7"], demand["m8"], demand["new"])
+	}
+	if wants := holder.AdapterWants("s", now); len(wants) != 1 || wants[0].Adapter != "b" || wants[0].Waiting != 1 {
+		t.Fatalf("adapters wanted are %+v", wants)
+	}
+}
+
 // Guards against an instance that is cut off from the store sending to endpoints that are gone, and against older word
 // from another instance, or any while it reads the store itself, replacing what it knows.
 func TestEndpointsAreTakenOverOnlyWhileTheStoreIsLost(t *testing.T) {
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -83,10 +83,32 @@
 
 // remoteDemand is what another instance told last.
 type remoteDemand struct {
-	region  string
-	models  []exchange.ModelDoc
-	waiting []exchange.AdapterDoc
-	at      time.Time
+	region   string
+	models   []exchange.ModelDoc
+	adapters []exchange.AdapterDoc
+	at       time.Time
+}
+
+// merge takes over what requests wait for; the former state of other models and adapters stays.
+func (d *remoteDemand) merge(later *remoteDemand) {
+	d.region, d.at = later.region, later.at
+	d.models = mergeDocs(d.models, later.models, func(a, b *exchange.ModelDoc) bool {
+		return a.Service == b.Service && a.Model == b.Model
+	})
+	d.adapters = mergeDocs(d.adapters, later.adapters, func(a, b *exchange.AdapterDoc) bool {
+		return a.Service == b.Service && a.Model == b.Model && a.Adapter == b.Adapter
+	})
+}
+
+// mergeDocs replaces those of the former documents that are about the same as a later one, and adds the others.
+func mergeDocs[T any](former, later []T, same func(a, b *T) bool) []T {
+	merged := slices.Clone(later)
+	for i := range former {
+		if !slices.ContainsFunc(later, func(l T) bool { return same(&former[i], &l) }) {
+			merged = append(merged, former[i])
+		}
+	}
+	return merged
 }
 
 // demandBook counts what clients ask for here and holds what the other instances told. It implements residency.Demands.
@@ -182,17 +204,30 @@
 	}
 }
 
-// receive takes over another instance's demand.
-func (b *demandBook) receive(instance, region string, models []exchange.ModelDoc, adapters []exchange.AdapterDoc, now time.Time) {
+// receive takes over another instance's demand, or only what requests wait for there.
+func (b *demandBook) receive(instance string, told remoteDemand, waitingOnly bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.remote[instance] = remoteDemand{region: region, models: models, waiting: adapters, at: now}
-	for _, a := range adapters {
+	now := told.at
+	for _, a := range told.adapters {
 		key := adapterKey{modelKey{a.Service, a.Model}, a.Adapter}
 		if used := now.Add(-time.Duration(a.IdleMs) * time.Millisecond); used.After(b.adapterUse[key]) {
 			b.adapterUse[key] = used
 		}
 	}
+	if former, known := b.remote[instance]; known && waitingOnly {
+		former.merge(&told)
+		told = former
+	}
+	b.remote[instance] = told
+}
+
+// waiting returns the part of this instance's demand that requests wait for.
+func (b *demandBook) waiting(now time.Time) ([]exchange.ModelDoc, []exchange.AdapterDoc) {
+	models, adapters := b.own(now)
+	models = slices.DeleteFunc(models, func(m exchange.ModelDoc) bool { return m.Waiting == 0 })
+	adapters = slices.DeleteFunc(adapters, func(a exchange.AdapterDoc) bool { return a.Waiting == 0 })
+	return models, adapters
 }
 
 // own returns this instance's demand as it is sent, and forgets what has faded.
@@ -308,8 +343,8 @@
 	}
 	b.mu.Lock()
 	for _, r := range b.remote {
-		for i := range r.waiting {
-			addWaiting(waiting, service, &r.waiting[i])
+		for i := range r.adapters {
+			addWaiting(waiting, service, &r.adapters[i])
 		}
 	}
 	b.mu.Unlock()
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -184,7 +184,7 @@
 	}
 	f.server.storeView.revision.Store(int64(f.at))
 	if f.news && f.server.isRelay() {
-		f.server.exchange.Urge()
+		f.server.exchange.TellNews()
 	}
 	f.news = false
 	return true
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -77,8 +77,8 @@
 }
 
 const (
-	// urgentAge is how old a change may be that an urgent message tells.
-	urgentAge = 150 * time.Millisecond
+	// newsAge is how old a change may be that an early message tells, unless the time between two of them is longer.
+	newsAge = 150 * time.Millisecond
 	// heldRepeats is how long what an endpoint holds is told again, in intervals, because datagrams get lost.
 	heldRepeats = 3
 )
@@ -86,23 +86,36 @@
 // compose fills in this instance's message.
 func (s *Server) compose(m *exchange.Message, to exchange.Peer, kind exchange.Kind) {
 	now := time.Now()
+	switch kind.Reason {
+	case exchange.Ask:
+		m.Models, m.Adapters = s.demand.waiting(now)
+	case exchange.News:
+		s.composeNews(m, to, kind, now)
+	case exchange.Regular:
+		s.composeRegular(m, to, kind, now)
+	}
+}
+
+// composeNews tells what has just changed.
+func (s *Server) composeNews(m *exchange.Message, to exchange.Peer, kind exchange.Kind, now time.Time) {
+	since := now.Add(-max(newsAge, 2*kind.Interval))
+	if _, held := s.lease.Held(); held {
+		m.Held = s.heldDocs(since)
+		m.Loading = s.loadingDocs(now)
+	}
+	s.relay(m, to, since, now)
+}
+
+func (s *Server) composeRegular(m *exchange.Message, to exchange.Peer, kind exchange.Kind, now time.Time) {
+	m.Work = s.workDocs(now)
 	if kind.ToHolder {
 		m.Models, m.Adapters = s.demand.own(now)
 	}
-	told := heldRepeats * kind.Interval
-	if kind.Urgent {
-		told = urgentAge
-	} else {
-		m.Work = s.workDocs(now)
-	}
 	if _, held := s.lease.Held(); held {
-		m.Held = s.heldDocs(now.Add(-told))
+		m.Held = s.heldDocs(now.Add(-heldRepeats * kind.Interval))
 		m.Loading = s.loadingDocs(now)
 	}
-	s.relay(m, to, now)
-	if kind.Urgent {
-		return
-	}
+	s.relay(m, to, now.Add(-relayRepeats*kind.Interval), now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -154,7 +167,8 @@
 		s.receiveWork(m, now)
 	}
 	if m.Models != nil || m.Adapters != nil {
-		s.demand.receive(m.Instance, s.members.regionOf(m.Instance, s.settings().Regions), m.Models, m.Adapters, now)
+		told := remoteDemand{region: s.members.regionOf(m.Instance, s.settings().Regions), models: m.Models, adapters: m.Adapters, at: now}
+		s.demand.receive(m.Instance, told, m.Work == nil)
 	}
 	if m.Work != nil {
 		s.stalePeers.note(m.Instance, m.Stale, now)
--- a/pkg/edge/place.go
+++ b/pkg/edge/place.go
@@ -102,7 +102,7 @@
 		defer waited()
 		if !x.urged {
 			x.urged = true
-			x.server.exchange.Urge()
+			x.server.exchange.AskHolder()
 		}
 	}
 	timer := time.NewTimer(patience)
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -23,6 +23,8 @@
 	relayWatchShare = 0.5
 	// relayRepeats is how long a change is told again, in intervals of the exchange, because datagrams get lost.
 	relayRepeats = 6
+	// relayMemory is how long a change is remembered: the time of all repeats at the longest interval.
+	relayMemory = relayRepeats * exchange.MaxInterval
 )
 
 // relayNews remembers what changed lately, so that this instance can tell it as a relay, and when it heard from a relay. It
@@ -52,21 +54,23 @@
 	delete(n.changed, id)
 }
 
-// since returns the endpoints that changed and those that went after a time, and forgets older ones.
-func (n *relayNews) since(t time.Time) (changed, gone []string) {
+// since returns the endpoints that changed and those that went after a time, and forgets those that are told no more.
+func (n *relayNews) since(t, now time.Time) (changed, gone []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return recent(n.changed, t), recent(n.gone, t)
+	return recent(n.changed, t, now), recent(n.gone, t, now)
 }
 
-func recent(times map[string]time.Time, since time.Time) []string {
+func recent(times map[string]time.Time, since, now time.Time) []string {
 	var ids []string
 	for id, at := range times {
-		if at.Before(since) {
+		if now.Sub(at) > relayMemory {
 			delete(times, id)
 			continue
 		}
-		ids = append(ids, id)
+		if !at.Before(since) {
+			ids = append(ids, id)
+		}
 	}
 	slices.Sort(ids)
 	return ids
@@ -129,15 +133,15 @@
 	return slices.Contains(relays, settings.InstanceID) && !slices.Contains(relays, to.Instance)
 }
 
-// relay adds what changed lately to a message for an instance that relies on this one.
-func (s *Server) relay(m *exchange.Message, to exchange.Peer, now time.Time) {
+// relay adds what changed since a time to a message for an instance that relies on this one.
+func (s *Server) relay(m *exchange.Message, to exchange.Peer, since, now time.Time) {
 	if !s.relaysTo(to) {
 		return
 	}
 	if s.storeView.lostAt.Load() != nil || s.table.Load() == nil {
 		return
 	}
-	changed, gone := s.news.since(now.Add(-relayRepeats * exchange.NearInterval(s.members.count(now))))
+	changed, gone := s.news.since(since, now)
 	m.Relay = &exchange.RelayDoc{
 		Revision:      s.storeView.revision.Load(),
 		Configuration: s.table.Load().Config.Version,
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -58,7 +58,7 @@
 	relay.table.Store(routing.NewTable(&routing.Config{Version: 4}))
 
 	m := &exchange.Message{Instance: "edge-1"}
-	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now, now)
 	if m.Relay == nil {
 		t.Fatal("nothing is relayed")
 	}
@@ -96,7 +96,7 @@
 	relay := newRelayTestServer(t, "edge-1", relayThreshold)
 	relay.storeView.lose(now)
 	m := &exchange.Message{}
-	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now, now)
 	if m.Relay != nil {
 		t.Fatal("a relay without the store relays")
 	}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -30,7 +30,7 @@
 	Peers func() []Peer
 	// Holder names the instance that places models, or is empty.
 	Holder func() string
-	// TellEarly tells whether urgent news go to a peer though neither is the holder; nil means never.
+	// TellEarly tells whether a peer relies on this instance's news though neither is the holder; nil means never.
 	TellEarly func(to Peer) bool
 	// Compose fills in this instance's state for a peer.
 	Compose func(m *Message, to Peer, kind Kind)
@@ -45,19 +45,32 @@
 	nearInterval = 200 * time.Millisecond
 	farInterval  = time.Second
 	fewPeers     = 15
-	// maxInterval bounds the growth: older state would be of no use.
-	maxInterval = 2 * time.Second
-	// urgentGap is the least time between messages that are sent early.
+	// MaxInterval bounds the growth: older state would be of no use.
+	MaxInterval = 2 * time.Second
+	// urgentGap is the least time between early messages as long as there are no more than fewPeers; it grows in proportion,
+	// so that neither the early messages of the instance that places models nor those which it gets in all grow further.
 	urgentGap = 20 * time.Millisecond
 )
 
+// Reason tells why messages are sent.
+type Reason int
+
+// The reasons. Early messages, which are all but the regular ones, carry only what they are sent for.
+const (
+	// Regular messages replace the former state.
+	Regular Reason = iota
+	// Ask tells the holder what requests wait for.
+	Ask
+	// News tells what has just changed.
+	News
+)
+
 // Kind tells what a message is for.
 type Kind struct {
-	// ToHolder messages carry demand.
+	// ToHolder is set for the instance that places models.
 	ToHolder bool
-	// Urgent messages carry only what has just changed.
-	Urgent bool
-	// Interval is the usual time between two messages to the peer.
+	Reason   Reason
+	// Interval is the usual time between two regular messages to the peer, or the least between two early ones.
 	Interval time.Duration
 }
 
@@ -67,7 +80,9 @@
 	conn     *net.UDPConn
 	started  int64
 	sequence int64
-	urgent   chan struct{}
+	// ask and news are the two reasons for early messages.
+	ask  chan struct{}
+	news chan struct{}
 
 	mu   sync.Mutex
 	seen map[string]seenMessage
@@ -93,15 +108,25 @@
 		options: o,
 		conn:    conn,
 		started: time.Now().UnixMilli(),
-		urgent:  make(chan struct{}, 1),
+		ask:     make(chan struct{}, 1),
+		news:    make(chan struct{}, 1),
 		seen:    make(map[string]seenMessage),
 	}, nil
 }
 
-// Urge sends the next messages early.
-func (e *Exchange) Urge() {
+// AskHolder tells the instance that places models early what requests wait for.
+func (e *Exchange) AskHolder() {
+	signal(e.ask)
+}
+
+// TellNews tells early what has just changed: the holder tells all, others tell those that rely on them.
+func (e *Exchange) TellNews() {
+	signal(e.news)
+}
+
+func signal(c chan struct{}) {
 	select {
-	case e.urgent <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -125,54 +150,77 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.urgent:
-			e.sendAll(e.options.Peers(), true, false)
-			time.Sleep(urgentGap)
+		case <-e.ask:
+			e.sendEarly(ctx, Ask)
+		case <-e.news:
+			e.sendEarly(ctx, News)
 		case now := <-timer.C:
 			peers := e.options.Peers()
 			far := now.Sub(lastFar) >= interval(farInterval, len(peers))
 			if far {
 				lastFar = now
 			}
-			e.sendAll(peers, false, far)
+			e.sendAll(peers, Regular, far)
 			timer.Reset(interval(nearInterval, len(peers)))
 		}
 	}
 }
 
-// NearInterval returns the time between messages to instances of the same region.
-func NearInterval(instances int) time.Duration {
-	return interval(nearInterval, instances)
+// sendEarly sends early messages and waits until the next ones may follow.
+func (e *Exchange) sendEarly(ctx context.Context, reason Reason) {
+	peers := e.options.Peers()
+	e.sendAll(peers, reason, false)
+	gap := time.NewTimer(interval(urgentGap, len(peers)))
+	defer gap.Stop()
+	select {
+	case <-ctx.Done():
+	case <-gap.C:
+	}
+}
+
+// usualInterval returns the time between messages of a kind to a peer.
+func usualInterval(reason Reason, near bool, peers int) time.Duration {
+	switch {
+	case reason != Regular:
+		return interval(urgentGap, peers)
+	case near:
+		return interval(nearInterval, peers)
+	default:
+		return interval(farInterval, peers)
+	}
 }
 
 // interval returns the time between messages for a number of peers.
 func interval(few time.Duration, peers int) time.Duration {
-	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, maxInterval)
+	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, MaxInterval)
 }
 
-// sendAll sends to peers of the region, to all if it is time for that, and urgent news only to and from the holder and to
-// those that rely on this instance.
-func (e *Exchange) sendAll(peers []Peer, urgent, far bool) {
+// sendAll sends to the peers that a reason concerns.
+func (e *Exchange) sendAll(peers []Peer, reason Reason, far bool) {
 	holder := e.options.Holder()
-	fromHolder := holder == e.options.Instance
 	for _, peer := range peers {
-		toHolder := peer.Instance == holder
-		early := e.options.TellEarly != nil && e.options.TellEarly(peer)
-		news := urgent && (toHolder || fromHolder || early)
-		regular := !urgent && (peer.Near || far)
-		if !news && !regular {
+		if !e.concerns(peer, holder, reason, far) {
 			continue
 		}
-		kind := Kind{ToHolder: toHolder, Urgent: urgent, Interval: interval(farInterval, len(peers))}
-		if peer.Near {
-			kind.Interval = interval(nearInterval, len(peers))
-		}
+		kind := Kind{ToHolder: peer.Instance == holder, Reason: reason, Interval: usualInterval(reason, peer.Near, len(peers))}
 		if err := e.sendTo(peer, kind); err != nil {
 			e.options.Log.Debug("exchange message not sent", zap.String("peer", peer.Instance), zap.Error(err))
 		}
 	}
 }
 
+// concerns tells whether a peer gets a message: a regular one if it is of the region or it is time for the others, too.
+func (e *Exchange) concerns(peer Peer, holder string, reason Reason, far bool) bool {
+	switch reason {
+	case Ask:
+		return peer.Instance == holder
+	case News:
+		return holder == e.options.Instance || e.options.TellEarly != nil && e.options.TellEarly(peer)
+	default:
+		return peer.Near || far
+	}
+}
+
 func (e *Exchange) sendTo(peer Peer, kind Kind) error {
 	e.sequence++
 	m := Message{Instance: e.options.Instance, Started: e.started, Sequence: e.sequence}
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -69,3 +69,40 @@
 		}
 	}
 }
+
+// Guards against early messages that fill a link as the deployment grows: their number per second must not depend on the
+// number of instances, neither for a holder that tells all nor for the holder that all ask.
+func TestEarlyMessagesDoNotGrowWithTheDeployment(t *testing.T) {
+	most := float64(fewPeers) / urgentGap.Seconds()
+	for _, peers := range []int{1, fewPeers, 60, 87, 389} {
+		perSecond := float64(peers) / usualInterval(News, false, peers).Seconds()
+		if perSecond > most*1.001 {
+			t.Errorf("%d peers: %.0f early messages per second, at most %.0f", peers, perSecond, most)
+		}
+	}
+}
+
+// Guards against an instance whose requests wait telling others than the holder, and against news that go to all from
+// others than the holder.
+func TestEarlyMessagesGoToThoseConcerned(t *testing.T) {
+	relies := Peer{Instance: "edge-2", Near: true}
+	holder, other := Peer{Instance: "edge-3", Near: true}, Peer{Instance: "edge-4"}
+	e := &Exchange{options: Options{Instance: "edge-1", TellEarly: func(to Peer) bool { return to == relies }}}
+	for _, c := range []struct {
+		name   string
+		holder string
+		reason Reason
+		want   map[Peer]bool
+	}{
+		{"asks the holder", "edge-3", Ask, map[Peer]bool{holder: true}},
+		{"holds itself and asks nobody", "edge-1", Ask, map[Peer]bool{}},
+		{"relays to those that rely on it", "edge-3", News, map[Peer]bool{relies: true}},
+		{"holds and tells all", "edge-1", News, map[Peer]bool{relies: true, holder: true, other: true}},
+	} {
+		for _, peer := range []Peer{relies, holder, other} {
+			if got := e.concerns(peer, c.holder, c.reason, false); got != c.want[peer] {
+				t.Errorf("%s: message to %s is %v", c.name, peer.Instance, got)
+			}
+		}
+	}
+}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -19,9 +19,10 @@
 	// Started and Sequence order the messages of an instance over its restarts; Started is in Unix milliseconds.
 	Started  int64 `json:"t"`
 	Sequence int64 `json:"n"`
-	// Work is this instance's own work by endpoint id; nil in urgent messages, which leave the former one in force.
+	// Work is this instance's own work by endpoint id; nil in early messages, which leave the former one in force.
 	Work map[string]WorkDoc `json:"w"`
-	// Models and Adapters go to the instance that places models.
+	// Models and Adapters go to the instance that places models. In early messages they are those that requests wait for;
+	// the former state of others stays in force.
 	Models   []ModelDoc   `json:"m,omitempty"`
 	Adapters []AdapterDoc `json:"a,omitempty"`
 	// Held comes from the instance that places models.
