--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -58,8 +58,6 @@
 	// lostAt is the time of the first failed call; zero while the store answers.
 	lostAt     time.Time
 	graceUntil time.Time
-	// news is set when a watch brought something that instances which rely on this one should hear early.
-	news bool
 }
 
 // run follows the store until the context ends.
@@ -91,7 +89,7 @@
 func (f *follower) waitForNextWatch(ctx context.Context, started time.Time) {
 	pauseTime := f.server.settings().Bounds.watchPause()
 	if f.server.isRelay() {
-		pauseTime = time.Duration(float64(pauseTime) * relayWatchShare)
+		pauseTime = f.server.relayPause()
 	}
 	for range relayedWatches {
 		wait := time.NewTimer(max(pauseTime-time.Since(started), time.Millisecond))
@@ -131,6 +129,8 @@
 		return false
 	}
 	f.regained()
+	f.server.viewMu.Lock()
+	defer f.server.viewMu.Unlock()
 	present := make(map[string]bool, len(items))
 	for i := range items {
 		present[items[i].Key] = true
@@ -150,7 +150,7 @@
 		f.server.members.setHolder("")
 	}
 	f.at = at
-	f.server.storeView.revision.Store(int64(at))
+	f.server.completeUpTo(int64(at), time.Now())
 	f.watch, err = f.store.Watch(ctx, "", at+1)
 	if err != nil {
 		f.lost(err)
@@ -178,19 +178,28 @@
 		return false
 	}
 	f.regained()
+	f.applyAll(events)
+	if f.server.isRelay() {
+		f.server.exchange.TellNews()
+	}
+	return true
+}
+
+// applyAll takes over the changes of one look at the store.
+func (f *follower) applyAll(events []kvstore.Event) {
+	f.server.viewMu.Lock()
+	defer f.server.viewMu.Unlock()
 	for i := range events {
 		f.apply(&events[i])
 		f.at = max(f.at, events[i].ModRevision)
 	}
-	f.server.storeView.revision.Store(int64(f.at))
-	if f.news && f.server.isRelay() {
-		f.server.exchange.TellNews()
-	}
-	f.news = false
-	return true
+	f.server.completeUpTo(int64(f.at), time.Now())
 }
 
 func (f *follower) apply(event *kvstore.Event) {
+	if f.relayed(event) {
+		return
+	}
 	if !event.Deleted {
 		f.put(&event.KeyValue)
 		return
@@ -208,6 +217,12 @@
 	}
 }
 
+// relayed tells whether a change of an endpoint is already known from a relay. What is known may be newer than the change.
+func (f *follower) relayed(event *kvstore.Event) bool {
+	return strings.HasPrefix(event.Key, f.server.parts.Entries.EndpointPrefix) &&
+		int64(event.ModRevision) <= f.server.storeView.revision.Load()
+}
+
 func (f *follower) put(item *kvstore.KeyValue) {
 	if item.Key == f.server.parts.Entries.ConfigKey {
 		f.putConfig(item)
@@ -234,7 +249,6 @@
 		return
 	}
 	f.server.applyConfig(config, int64(item.ModRevision))
-	f.news = true
 }
 
 func (f *follower) putEndpoint(id string, item *kvstore.KeyValue) {
@@ -244,16 +258,19 @@
 		f.withdraw(id)
 		return
 	}
-	now := time.Now()
-	change := f.server.parts.Fleet.Announce(announcement, now)
+	f.server.announced(announcement, int64(item.ModRevision), "", time.Now())
+}
+
+// announced takes over an endpoint's announcement from the store, or from a relay that is named.
+func (s *Server) announced(a fleet.Announcement, revision int64, from string, now time.Time) {
+	change := s.parts.Fleet.Announce(a, now)
 	if change != fleet.Unchanged {
-		f.server.news.endpointChanged(id, now)
-		f.news = f.news || change != fleet.Updated
+		s.news.endpointChanged(a.ID, now)
 	}
 	if change != fleet.Unchanged && change != fleet.Updated {
-		f.server.log.Info("endpoint announced", zap.String("endpoint", id), zap.String("service", announcement.Service),
-			zap.String("address", announcement.Address), zap.Bool("leaving", announcement.Leaving),
-			zap.Duration("removalIn", announcement.RemovalIn), zap.Int64("revision", int64(item.ModRevision)))
+		s.log.Info("endpoint announced", zap.String("endpoint", a.ID), zap.String("service", a.Service),
+			zap.String("address", a.Address), zap.Bool("leaving", a.Leaving), zap.Duration("removalIn", a.RemovalIn),
+			zap.Int64("revision", revision), zap.String("from", from))
 	}
 }
 
@@ -263,7 +280,6 @@
 	f.server.parts.Fleet.Withdraw(id, grace, now)
 	if !grace {
 		f.server.news.endpointGone(id, now)
-		f.news = true
 	}
 	f.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
 }
@@ -301,6 +317,7 @@
 	}
 	f.server.log.Info("store regained", zap.Duration("after", time.Since(f.lostAt)))
 	f.lostAt = time.Time{}
-	f.server.storeView.regain()
-	f.graceUntil = time.Now().Add(outageGrace)
+	now := time.Now()
+	f.server.storeView.regain(now)
+	f.graceUntil = now.Add(outageGrace)
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -25,19 +25,39 @@
 	revision atomic.Int64
 	// lostAt is nil while the store answers.
 	lostAt atomic.Pointer[time.Time]
+	// settledAt is when the endpoints that went during the last outage are either back or dropped; nil before the first.
+	settledAt atomic.Pointer[time.Time]
 	// takenOver is set once the endpoints were taken from another instance in this outage.
 	takenOver atomic.Bool
 }
 
+// advance raises the revision; it never goes back.
+func (v *storeView) advance(revision int64) {
+	for {
+		known := v.revision.Load()
+		if revision <= known || v.revision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 func (v *storeView) lose(now time.Time) {
 	v.lostAt.Store(&now)
 	v.takenOver.Store(false)
 }
 
-func (v *storeView) regain() {
+func (v *storeView) regain(now time.Time) {
+	settled := now.Add(outageGrace + fleet.ReappearGrace)
+	v.settledAt.Store(&settled)
 	v.lostAt.Store(nil)
 }
 
+// settled tells whether the store answers and the view holds what it says, without grace for what an outage removed.
+func (v *storeView) settled(now time.Time) bool {
+	settledAt := v.settledAt.Load()
+	return v.lostAt.Load() == nil && (settledAt == nil || !now.Before(*settledAt))
+}
+
 func (v *storeView) stale(now time.Time) bool {
 	lost := v.lostAt.Load()
 	return lost != nil && now.Sub(*lost) >= staleAfter
@@ -98,12 +118,11 @@
 
 // composeNews tells what has just changed.
 func (s *Server) composeNews(m *exchange.Message, to exchange.Peer, kind exchange.Kind, now time.Time) {
-	since := now.Add(-max(newsAge, 2*kind.Interval))
 	if _, held := s.lease.Held(); held {
-		m.Held = s.heldDocs(since)
+		m.Held = s.heldDocs(now.Add(-max(newsAge, 2*kind.Interval)))
 		m.Loading = s.loadingDocs(now)
 	}
-	s.relay(m, to, since, now)
+	s.relay(m, to, now)
 }
 
 func (s *Server) composeRegular(m *exchange.Message, to exchange.Peer, kind exchange.Kind, now time.Time) {
@@ -115,7 +134,6 @@
 		m.Held = s.heldDocs(now.Add(-heldRepeats * kind.Interval))
 		m.Loading = s.loadingDocs(now)
 	}
-	s.relay(m, to, now.Add(-relayRepeats*kind.Interval), now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -200,10 +218,12 @@
 
 // takeOverEndpoints replaces the endpoints by those of an instance that can read the store, while this one cannot.
 func (s *Server) takeOverEndpoints(m *exchange.Message, now time.Time) {
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
 	if !s.storeView.stale(now) || m.Revision < s.storeView.revision.Load() {
 		return
 	}
-	s.storeView.revision.Store(m.Revision)
+	s.storeView.advance(m.Revision)
 	present := make(map[string]bool, len(m.Endpoints))
 	for i := range m.Endpoints {
 		present[m.Endpoints[i].ID] = true
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -17,23 +17,30 @@
 	// store themselves, which is sooner.
 	relayThreshold = 5
 	// relayedWatches is the number of watches in a row that an instance leaves to its relays. The next one is its own and
-	// finds what was lost on the way.
+	// finds which instances came and went.
 	relayedWatches = 5
 	// relayWatchShare shortens the time between the watches of a relay, because what it learns has one step more to go.
 	relayWatchShare = 0.5
-	// relayRepeats is how long a change is told again, in intervals of the exchange, because datagrams get lost.
-	relayRepeats = 6
-	// relayMemory is how long a change is remembered: the time of all repeats at the longest interval.
-	relayMemory = relayRepeats * exchange.MaxInterval
+	// relayRepeats is the number of watches of a relay for which a change is told, because datagrams get lost. An instance
+	// that misses all of them sees that and watches the store itself.
+	relayRepeats = 3
 )
 
-// relayNews remembers what changed lately, so that this instance can tell it as a relay, and when it heard from a relay. It
-// is safe for concurrent use.
+// relayNews remembers what changed lately and up to which revision the view of the store was complete at what time, so that
+// this instance can tell it as a relay, and when it heard from a relay. It is safe for concurrent use.
 type relayNews struct {
 	mu      sync.Mutex
 	changed map[string]time.Time
 	gone    map[string]time.Time
-	heardAt time.Time
+	// complete lists the revisions up to which the view was complete, the oldest first.
+	complete []revisionTime
+	heardAt  time.Time
+}
+
+// revisionTime is a revision and the time from which on it was known.
+type revisionTime struct {
+	revision int64
+	at       time.Time
 }
 
 func newRelayNews() *relayNews {
@@ -54,23 +61,39 @@
 	delete(n.changed, id)
 }
 
-// since returns the endpoints that changed and those that went after a time, and forgets those that are told no more.
-func (n *relayNews) since(t, now time.Time) (changed, gone []string) {
+// completeUpTo notes that the view holds all changes up to a revision.
+func (n *relayNews) completeUpTo(revision int64, now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if last := len(n.complete) - 1; last >= 0 && n.complete[last].revision >= revision {
+		return
+	}
+	n.complete = append(n.complete, revisionTime{revision, now})
+}
+
+// since returns the endpoints that changed and those that went after a time, and a revision: all changes that followed it
+// are among them. What is older is forgotten.
+func (n *relayNews) since(t time.Time) (changed, gone []string, after int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return recent(n.changed, t, now), recent(n.gone, t, now)
+	for len(n.complete) > 1 && n.complete[1].at.Before(t) {
+		n.complete = n.complete[1:]
+	}
+	if len(n.complete) > 0 {
+		// Changes are noted one by one before the view is complete with them.
+		after, t = n.complete[0].revision, n.complete[0].at
+	}
+	return recent(n.changed, t), recent(n.gone, t), after
 }
 
-func recent(times map[string]time.Time, since, now time.Time) []string {
+func recent(times map[string]time.Time, since time.Time) []string {
 	var ids []string
 	for id, at := range times {
-		if now.Sub(at) > relayMemory {
+		if at.Before(since) {
 			delete(times, id)
 			continue
 		}
-		if !at.Before(since) {
-			ids = append(ids, id)
-		}
+		ids = append(ids, id)
 	}
 	slices.Sort(ids)
 	return ids
@@ -133,16 +156,21 @@
 	return slices.Contains(relays, settings.InstanceID) && !slices.Contains(relays, to.Instance)
 }
 
-// relay adds what changed since a time to a message for an instance that relies on this one.
-func (s *Server) relay(m *exchange.Message, to exchange.Peer, since, now time.Time) {
-	if !s.relaysTo(to) {
-		return
-	}
-	if s.storeView.lostAt.Load() != nil || s.table.Load() == nil {
+// relayPause is the time between two watches of a relay.
+func (s *Server) relayPause() time.Duration {
+	return time.Duration(float64(s.settings().Bounds.watchPause()) * relayWatchShare)
+}
+
+// relay adds what changed lately to a message for an instance that relies on this one.
+func (s *Server) relay(m *exchange.Message, to exchange.Peer, now time.Time) {
+	if !s.relaysTo(to) || s.table.Load() == nil || !s.storeView.settled(now) {
 		return
 	}
-	changed, gone := s.news.since(since, now)
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	changed, gone, after := s.news.since(now.Add(-relayRepeats * s.relayPause()))
 	m.Relay = &exchange.RelayDoc{
+		After:         after,
 		Revision:      s.storeView.revision.Load(),
 		Configuration: s.table.Load().Config.Version,
 		Holder:        s.members.currentHolder(),
@@ -155,25 +183,40 @@
 	}
 }
 
-// takeRelayed takes over what a relay of the data centre tells, unless this instance knows more of the store.
+// takeRelayed takes over what a relay of the data centre tells, unless this instance knows more of the store, or lacks
+// changes that the relay no longer tells: then it watches the store itself.
 func (s *Server) takeRelayed(from string, r *exchange.RelayDoc, now time.Time) {
-	if !slices.Contains(s.members.relays(s.settings().DataCentre), from) || r.Revision < s.storeView.revision.Load() {
+	if !slices.Contains(s.members.relays(s.settings().DataCentre), from) {
+		return
+	}
+	s.viewMu.Lock()
+	defer s.viewMu.Unlock()
+	if known := s.storeView.revision.Load(); r.Revision < known || r.After > known {
 		return
 	}
 	s.news.heard(now)
 	s.members.setHolder(r.Holder)
 	for i := range r.Changed {
-		s.parts.Fleet.Announce(r.Changed[i].Decode(), now)
+		s.announced(r.Changed[i].Decode(), r.Revision, from, now)
 	}
 	for _, id := range r.Gone {
 		s.parts.Fleet.Withdraw(id, false, now)
+		s.news.endpointGone(id, now)
+		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", r.Revision))
 	}
+	s.completeUpTo(r.Revision, now)
 	if table := s.table.Load(); table != nil && r.Configuration > table.Config.Version {
 		s.log.Info("newer configuration announced by a relay", zap.String("from", from), zap.Int64("version", r.Configuration))
 		s.pokeWatch()
 	}
 }
 
+// completeUpTo notes that this instance knows all changes of endpoints up to a revision of the store.
+func (s *Server) completeUpTo(revision int64, now time.Time) {
+	s.storeView.advance(revision)
+	s.news.completeUpTo(revision, now)
+}
+
 // pokeWatch makes the follower watch the store at once.
 func (s *Server) pokeWatch() {
 	select {
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
 
@@ -58,7 +59,7 @@
 	relay.table.Store(routing.NewTable(&routing.Config{Version: 4}))
 
 	m := &exchange.Message{Instance: "edge-1"}
-	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now, now)
+	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
 	if m.Relay == nil {
 		t.Fatal("nothing is relayed")
 	}
@@ -96,8 +97,74 @@
 	relay := newRelayTestServer(t, "edge-1", relayThreshold)
 	relay.storeView.lose(now)
 	m := &exchange.Message{}
-	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now, now)
+	relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
 	if m.Relay != nil {
 		t.Fatal("a relay without the store relays")
 	}
 }
+
+// Guards against an instance that relies on its relays after their messages with a change got lost: an endpoint that leaves
+// must not get requests because nobody tells it again.
+func TestLostRelayMessagesAreSeen(t *testing.T) {
+	now := time.Now()
+	follower := newRelayTestServer(t, "edge-4", relayThreshold)
+	follower.completeUpTo(30, now)
+	follower.takeRelayed("edge-1", &exchange.RelayDoc{After: 28, Revision: 33}, now)
+	if !follower.leavesWatchToRelays(now) || follower.storeView.revision.Load() != 33 {
+		t.Fatalf("messages without a gap are not relied on; revision %d", follower.storeView.revision.Load())
+	}
+	later := now.Add(follower.settings().Bounds.watchPause())
+	follower.takeRelayed("edge-2", &exchange.RelayDoc{After: 34, Revision: 36}, later)
+	if follower.leavesWatchToRelays(later) || follower.storeView.revision.Load() != 33 {
+		t.Fatalf("a gap is not seen; revision %d", follower.storeView.revision.Load())
+	}
+}
+
+// Guards against an endpoint that leaves being used again because of older word of it, from a relay that lags behind or
+// from the instance's own next look at the store.
+func TestOlderWordDoesNotUndoARelayedChange(t *testing.T) {
+	now := time.Now()
+	s := newRelayTestServer(t, "edge-4", relayThreshold)
+	s.parts.Entries = Entries{EndpointPrefix: "e/", Endpoint: func(id string, _ []byte) (fleet.Announcement, error) {
+		return fleet.Announcement{ID: id, Service: "s", Address: "a:1"}, nil
+	}}
+	present := fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}
+	leaving := present
+	leaving.Leaving = true
+	s.parts.Fleet.Announce(present, now)
+	s.completeUpTo(30, now)
+	s.takeRelayed("edge-1", &exchange.RelayDoc{After: 28, Revision: 35, Changed: []exchange.EndpointDoc{exchange.EncodeEndpoint(&leaving)}}, now)
+	s.takeRelayed("edge-2", &exchange.RelayDoc{After: 28, Revision: 34, Changed: []exchange.EndpointDoc{exchange.EncodeEndpoint(&present)}}, now)
+	f := &follower{server: s, at: 30}
+	f.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 33}}})
+	if usable := s.parts.Fleet.Usable(); usable != 0 {
+		t.Fatalf("%d usable endpoints", usable)
+	}
+	f.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 36}}})
+	if usable := s.parts.Fleet.Usable(); usable != 1 {
+		t.Fatal("a newer entry is not taken over")
+	}
+}
+
+// Guards against a relay that claims more than it tells: each change after the revision that it names must be among those
+// told, whenever the message is composed.
+func TestRelayTellsAllChangesAfterTheRevisionItNames(t *testing.T) {
+	n := newRelayNews()
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for revision := 1; revision <= 40; revision++ {
+		n.endpointChanged(fmt.Sprint(revision), at(100*revision-30))
+		n.completeUpTo(int64(revision), at(100*revision))
+	}
+	for _, ms := range []int{900, 1950, 1980, 2000, 3999} {
+		changed, _, after := n.since(at(ms))
+		for revision := after + 1; revision <= 40; revision++ {
+			if !slices.Contains(changed, fmt.Sprint(revision)) {
+				t.Errorf("since %d ms: after %d, but %d is not told", ms, after, revision)
+			}
+		}
+		if len(changed) > 42-ms/100 {
+			t.Errorf("since %d ms: %d changes are told", ms, len(changed))
+		}
+	}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -55,6 +55,8 @@
 	// placement gives orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
+	// viewMu makes a change of endpoints and the revision that is known with it one step.
+	viewMu    sync.Mutex
 	storeView storeView
 	news      *relayNews
 	paces     *paceBook
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -37,8 +37,9 @@
 	Relay *RelayDoc `json:"y,omitempty"`
 }
 
-// RelayDoc tells what changed in the store lately.
+// RelayDoc tells what changed in the store after one revision up to another.
 type RelayDoc struct {
+	After    int64 `json:"f"`
 	Revision int64 `json:"v"`
 	// Configuration is the version in force.
 	Configuration int64 `json:"c"`
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -159,7 +159,7 @@
 		t.Fatal("endpoints are dropped at once")
 	}
 	announce(r, "lives", HeldModel{Name: "m"})
-	if gone := r.Expire(now.Add(reappearGrace)); len(gone) != 1 || gone[0] != "dead" {
+	if gone := r.Expire(now.Add(ReappearGrace)); len(gone) != 1 || gone[0] != "dead" {
 		t.Fatalf("expired are %v", gone)
 	}
 }
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -11,9 +11,9 @@
 	// remoteWorkAge is the age at which another instance's report of its calls no longer counts: that instance is gone or
 	// cut off, and its calls end within seconds.
 	remoteWorkAge = 2 * time.Second
-	// reappearGrace is how long an entry that the store removed during an outage of its own is kept, because endpoints
+	// ReappearGrace is how long an entry that the store removed during an outage of its own is kept, because endpoints
 	// that live announce themselves again within two seconds of the store's return.
-	reappearGrace = 2 * time.Second
+	ReappearGrace = 2 * time.Second
 )
 
 // Endpoint is one endpoint with all that is believed of it. Its fields are guarded by the registry.
@@ -180,7 +180,7 @@
 	}
 	if grace {
 		if known.goneAt.IsZero() {
-			known.goneAt = now.Add(reappearGrace)
+			known.goneAt = now.Add(ReappearGrace)
 		}
 		return
 	}
