--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -199,3 +200,35 @@
 		t.Fatalf("count is %d after the window", n)
 	}
 }
+
+// Guards against a small machine that places models and loses the lease again and again because it is too slow, and against
+// nobody placing them when the large ones are gone.
+func TestLargeInstancesPlaceModelsFirst(t *testing.T) {
+	const headStart = time.Second
+	now := time.Now()
+	m := newMembers()
+	m.put("large-1", instanceDoc{MemoryMB: 536})
+	m.put("large-2", instanceDoc{MemoryMB: 536})
+	m.put("small", instanceDoc{MemoryMB: 184})
+	may := func(now time.Time) string {
+		var names []string
+		for _, name := range []string{"large-1", "large-2", "small", "unregistered"} {
+			if m.mayPlace(name, headStart, now) {
+				names = append(names, name)
+			}
+		}
+		return strings.Join(names, " ")
+	}
+	m.setHolder("large-1", now)
+	if got := may(now); got != "large-1" {
+		t.Fatalf("while one places models, %q may", got)
+	}
+	m.setHolder("", now)
+	m.setHolder("", now.Add(headStart/2))
+	if got := may(now.Add(headStart / 2)); got != "large-1 large-2" {
+		t.Fatalf("at first, %q may", got)
+	}
+	if got := may(now.Add(headStart)); got != "large-1 large-2 small unregistered" {
+		t.Fatalf("after the head start, %q may", got)
+	}
+}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -45,6 +45,7 @@
 type instanceDoc struct {
 	Exchange   string `json:"exchange"`
 	DataCentre string `json:"dataCentre"`
+	MemoryMB   int    `json:"memoryMb"`
 }
 
 // follower keeps this instance's view of the store.
@@ -147,7 +148,7 @@
 		}
 	}
 	if !present[placementKey] {
-		f.server.members.setHolder("")
+		f.server.members.setHolder("", time.Now())
 	}
 	f.at = at
 	f.server.completeUpTo(int64(at), time.Now())
@@ -213,7 +214,7 @@
 		return
 	}
 	if event.Key == placementKey {
-		f.server.members.setHolder("")
+		f.server.members.setHolder("", time.Now())
 	}
 }
 
@@ -238,7 +239,7 @@
 	}
 	if item.Key == placementKey {
 		holder, _, _ := strings.Cut(string(item.Value), " ")
-		f.server.members.setHolder(holder)
+		f.server.members.setHolder(holder, time.Now())
 	}
 }
 
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -19,13 +19,15 @@
 	mu        sync.Mutex
 	instances map[string]instanceDoc
 	holder    string
+	// freeSince is when this instance saw first that no instance places models; zero while one does.
+	freeSince time.Time
 	// peak is the largest number of instances of the recent past, last reached at peakAt.
 	peak   int
 	peakAt time.Time
 }
 
 func newMembers() *members {
-	return &members{instances: make(map[string]instanceDoc)}
+	return &members{instances: make(map[string]instanceDoc), freeSince: time.Now()}
 }
 
 func (m *members) put(name string, doc instanceDoc) {
@@ -71,12 +73,42 @@
 	return max(m.peak, 1)
 }
 
-func (m *members) setHolder(name string) {
+func (m *members) setHolder(name string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	switch {
+	case name != "":
+		m.freeSince = time.Time{}
+	case m.freeSince.IsZero():
+		m.freeSince = now
+	}
 	m.holder = name
 }
 
+// mayPlace tells whether an instance may place models: it does already, or no instance does and it is one of those with the
+// most memory. Small machines lack the processor time and the bandwidth to place models for many endpoints and would lose
+// the lease again and again; they wait until a larger one has had the time to see that it is free.
+func (m *members) mayPlace(name string, headStart time.Duration, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holder != "" {
+		return m.holder == name
+	}
+	if now.Sub(m.freeSince) >= headStart {
+		return true
+	}
+	own, registered := m.instances[name]
+	if !registered {
+		return false
+	}
+	for _, doc := range m.instances {
+		if doc.MemoryMB > own.MemoryMB {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *members) currentHolder() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -159,7 +191,7 @@
 		}
 		p.lease = id
 	}
-	value, err := json.Marshal(instanceDoc{Exchange: s.ExchangeAddress, DataCentre: s.DataCentre})
+	value, err := json.Marshal(instanceDoc{Exchange: s.ExchangeAddress, DataCentre: s.DataCentre, MemoryMB: s.MemoryMB})
 	if err != nil {
 		return errors.Wrap(err, "encode instance entry")
 	}
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -195,7 +195,7 @@
 		return
 	}
 	s.news.heard(now)
-	s.members.setHolder(r.Holder)
+	s.members.setHolder(r.Holder, now)
 	for i := range r.Changed {
 		s.announced(r.Changed[i].Decode(), r.Revision, from, now)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -105,8 +105,7 @@
 		TTL:      s.Bounds.placementLease() / placementRenewalShare,
 		// The watch tells when the key is free, so that waiting instances make no calls.
 		Eligible: func() bool {
-			holder := server.members.currentHolder()
-			return server.table.Load() != nil && (holder == "" || holder == s.InstanceID)
+			return server.table.Load() != nil && server.members.mayPlace(s.InstanceID, s.Bounds.watchPause(), time.Now())
 		},
 		Log: log,
 	})
