--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -244,12 +244,7 @@
 }
 
 func (f *follower) putConfig(item *kvstore.KeyValue) {
-	config, err := f.server.parts.Entries.Config(item.Value)
-	if err != nil {
-		f.server.log.Error("configuration not readable; the one in force stays", zap.Error(err))
-		return
-	}
-	f.server.applyConfig(config, int64(item.ModRevision))
+	f.server.takeConfig(item.Value, int64(item.ModRevision), "", time.Now())
 }
 
 func (f *follower) putEndpoint(id string, item *kvstore.KeyValue) {
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -176,6 +176,7 @@
 		Holder:        s.members.currentHolder(),
 		Gone:          gone,
 	}
+	m.Relay.ConfigurationEntry = s.newConfig(m.Relay.Configuration, now)
 	for _, a := range s.parts.Fleet.Announcements("") {
 		if slices.Contains(changed, a.ID) {
 			m.Relay.Changed = append(m.Relay.Changed, exchange.EncodeEndpoint(&a))
@@ -183,6 +184,20 @@
 	}
 }
 
+// newConfig returns the compressed configuration until the next watch; nil means that there is no new one, or that it is too
+// large. Instances that miss the message hear of the version in the next one and read it from the store.
+func (s *Server) newConfig(version int64, now time.Time) []byte {
+	entry := s.configEntry.Load()
+	if entry == nil || entry.version != version || now.Sub(entry.since) >= s.relayPause()/2 {
+		return nil
+	}
+	packed, err := entry.compressed()
+	if err != nil {
+		s.log.Error("configuration not relayed", zap.Error(err), zap.Int64("version", version))
+	}
+	return packed
+}
+
 // takeRelayed takes over what a relay of the data centre tells, unless this instance knows more of the store, or lacks
 // changes that the relay no longer tells: then it watches the store itself.
 func (s *Server) takeRelayed(from string, r *exchange.RelayDoc, now time.Time) {
@@ -205,7 +220,24 @@
 		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", r.Revision))
 	}
 	s.completeUpTo(r.Revision, now)
-	if table := s.table.Load(); table != nil && r.Configuration > table.Config.Version {
+	s.takeRelayedConfig(from, r, now)
+}
+
+// takeRelayedConfig takes over a new configuration, or reads it from the store when the message does not have it.
+func (s *Server) takeRelayedConfig(from string, r *exchange.RelayDoc, now time.Time) {
+	table := s.table.Load()
+	if table == nil || r.Configuration <= table.Config.Version {
+		return
+	}
+	if len(r.ConfigurationEntry) > 0 {
+		value, err := unpackConfig(r.ConfigurationEntry)
+		if err != nil {
+			s.log.Warn("relayed configuration not readable", zap.Error(err), zap.String("from", from))
+		} else {
+			s.takeConfig(value, r.Revision, from, now)
+		}
+	}
+	if r.Configuration > s.table.Load().Config.Version {
 		s.log.Info("newer configuration announced by a relay", zap.String("from", from), zap.Int64("version", r.Configuration))
 		s.pokeWatch()
 	}
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +171,50 @@
 		}
 	}
 }
+
+// testConfigEntries decodes entries that are a version, padded with any bytes.
+func testConfigEntries() Entries {
+	return Entries{Config: func(value []byte) (*routing.Config, error) {
+		version, err := strconv.ParseInt(strings.TrimSpace(string(value[:min(len(value), 8)])), 10, 64)
+		return &routing.Config{Version: version}, err
+	}}
+}
+
+// Guards against all instances of a data centre reading a new configuration from the store at once, which fills the link
+// between regions, and against one that gets none with its relay's message not reading it.
+func TestRelaysTellANewConfiguration(t *testing.T) {
+	now := time.Now()
+	random := make([]byte, maxRelayedConfig+1)
+	rand.NewChaCha8([32]byte{}).Read(random)
+	for _, c := range []struct {
+		name   string
+		value  []byte
+		age    time.Duration
+		damage bool
+		told   bool
+	}{
+		{name: "new", value: []byte("7       "), told: true},
+		{name: "no longer new", value: []byte("7       "), age: time.Second},
+		{name: "too large for a datagram", value: append([]byte("7       "), random...)},
+		{name: "damaged", value: []byte("7       "), damage: true},
+	} {
+		relay, follower := newRelayTestServer(t, "edge-1", relayThreshold), newRelayTestServer(t, "edge-4", relayThreshold)
+		relay.parts.Entries, follower.parts.Entries = testConfigEntries(), testConfigEntries()
+		relay.takeConfig(c.value, 20, "", now.Add(-c.age))
+		m := &exchange.Message{Instance: "edge-1"}
+		relay.relay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+		if c.damage {
+			m.Relay.ConfigurationEntry = m.Relay.ConfigurationEntry[:2]
+		}
+		if _, err := exchange.Encode(m); err != nil {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		follower.takeRelayed("edge-1", m.Relay, now)
+		if inForce := follower.table.Load().Config.Version == 7; inForce != c.told {
+			t.Errorf("%s: in force is %v", c.name, inForce)
+		}
+		if reads := len(follower.watchNow) == 1; reads == c.told {
+			t.Errorf("%s: reads the store is %v", c.name, reads)
+		}
+	}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -43,15 +43,17 @@
 
 // Server is one entry instance.
 type Server struct {
-	parts    Parts
-	log      *zap.Logger
-	config   atomic.Pointer[Settings]
-	table    atomic.Pointer[routing.Table]
-	metrics  *metrics
-	members  *members
-	demand   *demandBook
-	exchange *exchange.Exchange
-	lease    *lease.Holder
+	parts  Parts
+	log    *zap.Logger
+	config atomic.Pointer[Settings]
+	table  atomic.Pointer[routing.Table]
+	// configEntry is what the table was made from.
+	configEntry atomic.Pointer[configEntry]
+	metrics     *metrics
+	members     *members
+	demand      *demandBook
+	exchange    *exchange.Exchange
+	lease       *lease.Holder
 	// placement gives orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
@@ -172,16 +174,29 @@
 	}
 }
 
+// takeConfig takes over an entry of the configuration from the store, or from a relay that is named.
+func (s *Server) takeConfig(value []byte, revision int64, from string, now time.Time) {
+	config, err := s.parts.Entries.Config(value)
+	if err != nil {
+		s.log.Error("configuration not readable; the one in force stays", zap.Error(err), zap.String("from", from))
+		return
+	}
+	if s.applyConfig(config, revision, from) {
+		s.configEntry.Store(&configEntry{version: config.Version, value: value, since: now})
+	}
+}
+
 // applyConfig puts a configuration in force unless a newer one is.
-func (s *Server) applyConfig(config *routing.Config, revision int64) {
+func (s *Server) applyConfig(config *routing.Config, revision int64, from string) bool {
 	current := s.table.Load()
 	if current != nil && config.Version <= current.Config.Version {
-		return
+		return false
 	}
 	s.table.Store(routing.NewTable(config))
 	s.metrics.configVersion.Update(float64(config.Version))
 	s.log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", revision),
-		zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+		zap.String("from", from), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)))
+	return true
 }
 
 func (s *Server) chooseService(table *routing.Table, route *routing.Route) *routing.Service {
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -41,8 +41,9 @@
 type RelayDoc struct {
 	After    int64 `json:"f"`
 	Revision int64 `json:"v"`
-	// Configuration is the version in force.
-	Configuration int64 `json:"c"`
+	// Configuration is the version in force. While it is new, ConfigurationEntry is its compressed entry in the store.
+	Configuration      int64  `json:"c"`
+	ConfigurationEntry []byte `json:"b,omitempty"`
 	// Holder is the instance that places models, or empty.
 	Holder  string        `json:"h,omitempty"`
 	Changed []EndpointDoc `json:"e,omitempty"`
