--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -142,10 +142,12 @@
 }
 
 const (
-	// presenceTTL is how long an instance that died stays registered.
-	presenceTTL = 6 * time.Second
-	// presenceRenewal is the time between renewals of the registration.
-	presenceRenewal = 2 * time.Second
+	// presenceTTL is how long an instance that died stays registered. Others notice sooner that it is silent, so that this
+	// only bounds for how long they send it datagrams and leave it its shares.
+	presenceTTL = 30 * time.Second
+	// presenceRenewal is the time between renewals of the registration: each is a call of the store, by every instance. Three
+	// may fail in a row.
+	presenceRenewal = 8 * time.Second
 )
 
 // presence keeps this instance registered.
