--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -126,7 +126,7 @@
 }
 
 func (s *Server) composeRegular(m *exchange.Message, to exchange.Peer, kind exchange.Kind, now time.Time) {
-	m.Work = s.workDocs(now)
+	m.Work = exchange.PackWork(s.parts.Fleet.OwnWork(now))
 	if kind.ToHolder {
 		m.Models, m.Adapters = s.demand.own(now)
 	}
@@ -150,16 +150,6 @@
 	return docs
 }
 
-// workDocs tells this instance's calls at the endpoints.
-func (s *Server) workDocs(now time.Time) map[string]exchange.WorkDoc {
-	work := s.parts.Fleet.OwnWork(now)
-	docs := make(map[string]exchange.WorkDoc, len(work))
-	for id, w := range work {
-		docs[id] = exchange.EncodeWork(w)
-	}
-	return docs
-}
-
 // heldDocs tells what endpoints hold after orders since a time.
 func (s *Server) heldDocs(since time.Time) []exchange.HeldDoc {
 	var docs []exchange.HeldDoc
@@ -209,11 +199,12 @@
 }
 
 func (s *Server) receiveWork(m *exchange.Message, now time.Time) {
-	work := make(map[string]fleet.Work, len(m.Work))
-	for id, w := range m.Work {
-		work[id] = w.Decode()
+	work, err := exchange.UnpackWork(m.Work)
+	if err != nil {
+		s.log.Info("work of another instance not readable; the former one stays", zap.String("from", m.Instance), zap.Error(err))
+		return
 	}
-	s.parts.Fleet.SetRemoteWork(m.Instance, work, now)
+	s.parts.Fleet.SetRemoteWork(m.Instance, work.Of, now)
 }
 
 // takeOverEndpoints replaces the endpoints by those of an instance that can read the store, while this one cannot.
--- a/pkg/exchange/exchange_test.go
+++ b/pkg/exchange/exchange_test.go
@@ -39,10 +39,9 @@
 }
 
 func TestMessageSurvivesTheWire(t *testing.T) {
-	work := fleet.Work{Waiting: 1, PrefillTokens: 2, UrgentTokens: 3, Running: 4, PrefillRate: 6}
 	m := &Message{
 		Instance: "edge-1", Started: 7, Sequence: 8,
-		Work:     map[string]WorkDoc{"i-1": EncodeWork(work)},
+		Work:     PackWork(map[string]fleet.Work{"i-1": {Waiting: 1}}),
 		Models:   []ModelDoc{{Service: "s", Model: "m", Load: 0.5, SlowLoad: 0.4, Requests: 3, Waiting: 1}},
 		Adapters: []AdapterDoc{{Service: "s", Model: "m", Adapter: "a1", Waiting: 2, IdleMs: 30}},
 		Held:     []HeldDoc{{Endpoint: "i-1", Lifetime: 9, Models: []HeldModel{{Name: "m", Version: 1, Adapters: []string{"a1"}}}}},
@@ -56,14 +55,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(got, m) || got.Work["i-1"].Decode() != work {
+	if !reflect.DeepEqual(got, m) {
 		t.Fatalf("got %+v", got)
 	}
 }
 
 // Guards against foreign datagrams stopping the exchange or being taken for an instance.
 func TestForeignDatagramsAreRefused(t *testing.T) {
-	for _, data := range []string{"", "\x00\x01", "[]", "{}", `{"i":7}`, `{"i":"x","w":{"e":"many"}}`} {
+	for _, data := range []string{"", "\x00\x01", "[]", "{}", `{"i":7}`, `{"i":"x","w":{"e":"many"}}`, `{"i":"x","w":7}`} {
 		if m, err := Decode([]byte(data)); err == nil {
 			t.Errorf("%q decoded as %+v", data, m)
 		}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -19,8 +19,9 @@
 	// Started and Sequence order the messages of an instance over its restarts; Started is in Unix milliseconds.
 	Started  int64 `json:"t"`
 	Sequence int64 `json:"n"`
-	// Work is this instance's own work by endpoint id; nil in early messages, which leave the former one in force.
-	Work map[string]WorkDoc `json:"w"`
+	// Work is this instance's own work at the endpoints as PackWork writes it; nil in early messages, which leave the former
+	// one in force.
+	Work []byte `json:"w"`
 	// Models and Adapters go to the instance that places models. In early messages they are those that requests wait for;
 	// the former state of others stays in force.
 	Models   []ModelDoc   `json:"m,omitempty"`
@@ -97,19 +98,6 @@
 	return models
 }
 
-// WorkDoc is fleet.Work as waiting, prefill tokens, urgent tokens, running and prefill rate.
-type WorkDoc [5]int
-
-// EncodeWork returns the work as it is sent.
-func EncodeWork(w fleet.Work) WorkDoc {
-	return WorkDoc{w.Waiting, w.PrefillTokens, w.UrgentTokens, w.Running, w.PrefillRate}
-}
-
-// Decode returns the work.
-func (d WorkDoc) Decode() fleet.Work {
-	return fleet.Work{Waiting: d[0], PrefillTokens: d[1], UrgentTokens: d[2], Running: d[3], PrefillRate: d[4]}
-}
-
 // ModelDoc is the demand for a model at one instance.
 type ModelDoc struct {
 	Service string `json:"s"`
--- /dev/null
+++ b/pkg/exchange/work_test.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+)
+
+// Guards against work being attributed to another endpoint or changed on the way.
+func TestWorkSurvivesPacking(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		work := make(map[string]fleet.Work)
+		number := rapid.IntRange(0, 200_000)
+		for i := range rapid.IntRange(0, 200).Draw(rt, "endpoints") {
+			work[fmt.Sprintf("i-%08x", i*0x9e3779b1)] = fleet.Work{
+				Waiting: number.Draw(rt, "waiting"), PrefillTokens: number.Draw(rt, "prefill"),
+				UrgentTokens: number.Draw(rt, "urgent"), Running: number.Draw(rt, "running"), PrefillRate: number.Draw(rt, "rate"),
+			}
+		}
+		got, err := UnpackWork(PackWork(work))
+		if err != nil || len(got) != len(work) {
+			rt.Fatalf("%d of %d endpoints: %v", len(got), len(work), err)
+		}
+		for id, want := range work {
+			if w, found := got.Of(id); !found || w != want {
+				rt.Fatalf("%s has %+v, not %+v", id, w, want)
+			}
+		}
+	})
+}
+
+// Guards against an empty message being taken for an early one, which leaves the former work in force.
+func TestNoWorkIsToldAsSuch(t *testing.T) {
+	if PackWork(nil) == nil {
+		t.Fatal("no work is packed as nil")
+	}
+}
+
+// Guards against truncated or foreign bytes stopping the exchange or being taken for work.
+func FuzzUnpackWork(f *testing.F) {
+	whole := PackWork(map[string]fleet.Work{"i-1": {Waiting: 3, PrefillTokens: 4000}})
+	for n := range whole {
+		f.Add(whole[:n])
+	}
+	f.Add([]byte("\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		work, err := UnpackWork(data)
+		if err != nil {
+			return
+		}
+		for _, w := range work {
+			if w.Waiting < 0 || w.PrefillTokens < 0 || w.UrgentTokens < 0 || w.Running < 0 || w.PrefillRate < 0 {
+				t.Fatalf("negative work %+v", w)
+			}
+		}
+	})
+}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -203,7 +203,9 @@
 func TestRemoteWorkFades(t *testing.T) {
 	r := NewRegistry()
 	announce(r, "e1", HeldModel{Name: "m"})
-	r.SetRemoteWork("other", map[string]Work{"e1": {Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000}}, now)
+	r.SetRemoteWork("other", func(id string) (Work, bool) {
+		return Work{Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000}, id == "e1"
+	}, now)
 	if choice, _ := r.Reserve(demandFor("m"), DefaultPace(), near, now); choice.Obstacle != Saturated {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
 	}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -265,12 +265,12 @@
 	return work
 }
 
-// SetRemoteWork replaces another instance's calls at all endpoints.
-func (r *Registry) SetRemoteWork(instance string, work map[string]Work, now time.Time) {
+// SetRemoteWork replaces another instance's calls at all endpoints; workOf returns those at one, and whether there are any.
+func (r *Registry) SetRemoteWork(instance string, workOf func(id string) (Work, bool), now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for id, e := range r.endpoints {
-		w, ok := work[id]
+		w, ok := workOf(id)
 		if !ok {
 			delete(e.remote, instance)
 			continue
