--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
@@ -41,13 +42,6 @@
 	outageGrace = 2 * time.Second
 )
 
-// instanceDoc is the entry of an instance.
-type instanceDoc struct {
-	Exchange   string `json:"exchange"`
-	DataCentre string `json:"dataCentre"`
-	MemoryMB   int    `json:"memoryMb"`
-}
-
 // follower keeps this instance's view of the store.
 type follower struct {
 	server *Server
@@ -85,14 +79,14 @@
 	f.server.metrics.endpoints.Update(float64(f.server.parts.Fleet.Usable()))
 }
 
-// waitForNextWatch waits until this instance should look at the store again: after the usual pause, or after several of
-// them as long as a relay of its data centre tells what changes.
+// waitForNextWatch waits until this instance should look at the store again: after the usual pause, unless a relay of its
+// data centre tells what changes.
 func (f *follower) waitForNextWatch(ctx context.Context, started time.Time) {
 	pauseTime := f.server.settings().Bounds.watchPause()
 	if f.server.isRelay() {
 		pauseTime = f.server.relayPause()
 	}
-	for range relayedWatches {
+	for {
 		wait := time.NewTimer(max(pauseTime-time.Since(started), time.Millisecond))
 		select {
 		case <-ctx.Done():
@@ -124,6 +118,7 @@
 
 // readAll replaces the view by the store's present content.
 func (f *follower) readAll(ctx context.Context) bool {
+	before := f.server.storeView.revision.Load()
 	items, at, err := f.store.Range(ctx, "")
 	if err != nil {
 		f.lost(err)
@@ -132,6 +127,10 @@
 	f.regained()
 	f.server.viewMu.Lock()
 	defer f.server.viewMu.Unlock()
+	if known := f.server.storeView.revision.Load(); known > before && int64(at) < known {
+		// A relay told more while the entries were read.
+		return false
+	}
 	present := make(map[string]bool, len(items))
 	for i := range items {
 		present[items[i].Key] = true
@@ -144,7 +143,7 @@
 	}
 	for _, name := range f.server.members.names() {
 		if !present[instancePrefix+name] {
-			f.server.members.remove(name)
+			f.removeInstance(name)
 		}
 	}
 	if !present[placementKey] {
@@ -163,6 +162,10 @@
 
 // watchOnce applies the changes since the last call.
 func (f *follower) watchOnce(ctx context.Context) bool {
+	if err := f.skipRelayed(ctx); err != nil {
+		f.lost(err)
+		return false
+	}
 	call, cancel := context.WithTimeout(ctx, watchWait)
 	defer cancel()
 	events, err := f.watch.Next(call)
@@ -186,21 +189,39 @@
 	return true
 }
 
+// skipRelayed lets the next watch begin after what relays have told.
+func (f *follower) skipRelayed(ctx context.Context) error {
+	known := kvstore.Revision(f.server.storeView.revision.Load())
+	if known <= f.at {
+		return nil
+	}
+	watch, err := f.store.Watch(ctx, "", known+1)
+	if err != nil {
+		return err
+	}
+	f.watch.Close()
+	f.watch, f.at = watch, known
+	return nil
+}
+
 // applyAll takes over the changes of one look at the store.
 func (f *follower) applyAll(events []kvstore.Event) {
 	f.server.viewMu.Lock()
 	defer f.server.viewMu.Unlock()
+	known := f.server.storeView.revision.Load()
 	for i := range events {
-		f.apply(&events[i])
 		f.at = max(f.at, events[i].ModRevision)
+		// What a relay told meanwhile may be newer than the change.
+		if int64(events[i].ModRevision) > known {
+			f.apply(&events[i])
+		}
+	}
+	if int64(f.at) > known {
+		f.server.completeUpTo(int64(f.at), time.Now())
 	}
-	f.server.completeUpTo(int64(f.at), time.Now())
 }
 
 func (f *follower) apply(event *kvstore.Event) {
-	if f.relayed(event) {
-		return
-	}
 	if !event.Deleted {
 		f.put(&event.KeyValue)
 		return
@@ -210,7 +231,7 @@
 		return
 	}
 	if name, found := strings.CutPrefix(event.Key, instancePrefix); found {
-		f.server.members.remove(name)
+		f.removeInstance(name)
 		return
 	}
 	if event.Key == placementKey {
@@ -218,12 +239,6 @@
 	}
 }
 
-// relayed tells whether a change of an endpoint is already known from a relay. What is known may be newer than the change.
-func (f *follower) relayed(event *kvstore.Event) bool {
-	return strings.HasPrefix(event.Key, f.server.parts.Entries.EndpointPrefix) &&
-		int64(event.ModRevision) <= f.server.storeView.revision.Load()
-}
-
 func (f *follower) put(item *kvstore.KeyValue) {
 	if item.Key == f.server.parts.Entries.ConfigKey {
 		f.putConfig(item)
@@ -261,7 +276,7 @@
 func (s *Server) announced(a fleet.Announcement, revision int64, from string, now time.Time) {
 	change := s.parts.Fleet.Announce(a, now)
 	if change != fleet.Unchanged {
-		s.news.endpointChanged(a.ID, now)
+		s.news.endpoints.changedAt(a.ID, now)
 	}
 	if change != fleet.Unchanged && change != fleet.Updated {
 		s.log.Info("endpoint announced", zap.String("endpoint", a.ID), zap.String("service", a.Service),
@@ -275,26 +290,34 @@
 	grace := now.Before(f.graceUntil)
 	f.server.parts.Fleet.Withdraw(id, grace, now)
 	if !grace {
-		f.server.news.endpointGone(id, now)
+		f.server.news.endpoints.goneAt(id, now)
 	}
 	f.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
 }
 
 func (f *follower) expire() {
+	f.server.viewMu.Lock()
+	defer f.server.viewMu.Unlock()
 	now := time.Now()
 	for _, id := range f.server.parts.Fleet.Expire(now) {
-		f.server.news.endpointGone(id, now)
+		f.server.news.endpoints.goneAt(id, now)
 		f.server.log.Info("endpoint gone: not announced again after the store's outage", zap.String("endpoint", id))
 	}
 }
 
 func (f *follower) putInstance(name string, item *kvstore.KeyValue) {
-	var doc instanceDoc
+	var doc exchange.InstanceDoc
 	if err := json.Unmarshal(item.Value, &doc); err != nil {
 		f.server.log.Warn("instance entry not readable", zap.String("instance", name), zap.Error(err))
 		return
 	}
 	f.server.members.put(name, doc)
+	f.server.news.instances.changedAt(name, time.Now())
+}
+
+func (f *follower) removeInstance(name string) {
+	f.server.members.remove(name)
+	f.server.news.instances.goneAt(name, time.Now())
 }
 
 // lost notes a failed call; only the first of an outage is logged.
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -17,7 +17,7 @@
 // members are the instances that are registered in the store, and the one that places models.
 type members struct {
 	mu        sync.Mutex
-	instances map[string]instanceDoc
+	instances map[string]exchange.InstanceDoc
 	holder    string
 	// freeSince is when this instance saw first that no instance places models; zero while one does.
 	freeSince time.Time
@@ -27,10 +27,10 @@
 }
 
 func newMembers() *members {
-	return &members{instances: make(map[string]instanceDoc), freeSince: time.Now()}
+	return &members{instances: make(map[string]exchange.InstanceDoc), freeSince: time.Now()}
 }
 
-func (m *members) put(name string, doc instanceDoc) {
+func (m *members) put(name string, doc exchange.InstanceDoc) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.instances[name] = doc
@@ -42,6 +42,19 @@
 	delete(m.instances, name)
 }
 
+// entries returns the entries of those among the named instances that are registered.
+func (m *members) entries(names []string) map[string]exchange.InstanceDoc {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	entries := make(map[string]exchange.InstanceDoc, len(names))
+	for _, name := range names {
+		if doc, found := m.instances[name]; found {
+			entries[name] = doc
+		}
+	}
+	return entries
+}
+
 func (m *members) has(name string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -193,7 +206,7 @@
 		}
 		p.lease = id
 	}
-	value, err := json.Marshal(instanceDoc{Exchange: s.ExchangeAddress, DataCentre: s.DataCentre, MemoryMB: s.MemoryMB})
+	value, err := json.Marshal(exchange.InstanceDoc{Exchange: s.ExchangeAddress, DataCentre: s.DataCentre, MemoryMB: s.MemoryMB})
 	if err != nil {
 		return errors.Wrap(err, "encode instance entry")
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -22,7 +22,10 @@
 
 // storeView tells how current this instance's view of the store is. It is safe for concurrent use.
 type storeView struct {
+	// revision is that up to which all changes are known.
 	revision atomic.Int64
+	// taken is the revision of the endpoints that were last taken from another instance; the server's viewMu guards it.
+	taken int64
 	// lostAt is nil while the store answers.
 	lostAt atomic.Pointer[time.Time]
 	// settledAt is when the endpoints that went during the last outage are either back or dropped; nil before the first.
@@ -31,16 +34,6 @@
 	takenOver atomic.Bool
 }
 
-// advance raises the revision; it never goes back.
-func (v *storeView) advance(revision int64) {
-	for {
-		known := v.revision.Load()
-		if revision <= known || v.revision.CompareAndSwap(known, revision) {
-			return
-		}
-	}
-}
-
 func (v *storeView) lose(now time.Time) {
 	v.lostAt.Store(&now)
 	v.takenOver.Store(false)
@@ -134,6 +127,7 @@
 		m.Held = s.heldDocs(now.Add(-heldRepeats * kind.Interval))
 		m.Loading = s.loadingDocs(now)
 	}
+	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -211,10 +205,10 @@
 func (s *Server) takeOverEndpoints(m *exchange.Message, now time.Time) {
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	if !s.storeView.stale(now) || m.Revision < s.storeView.revision.Load() {
+	if !s.storeView.stale(now) || m.Revision < max(s.storeView.revision.Load(), s.storeView.taken) {
 		return
 	}
-	s.storeView.advance(m.Revision)
+	s.storeView.taken = m.Revision
 	present := make(map[string]bool, len(m.Endpoints))
 	for i := range m.Endpoints {
 		present[m.Endpoints[i].ID] = true
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -2,7 +2,7 @@
 
 import (
 	"slices"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,9 +16,6 @@
 	// relayThreshold is the number of instances of a data centre from which on relays are used. Fewer instances watch the
 	// store themselves, which is sooner.
 	relayThreshold = 5
-	// relayedWatches is the number of watches in a row that an instance leaves to its relays. The next one is its own and
-	// finds which instances came and went.
-	relayedWatches = 5
 	// relayWatchShare shortens the time between the watches of a relay, because what it learns has one step more to go.
 	relayWatchShare = 0.5
 	// relayRepeats is the number of watches of a relay for which a change is told, because datagrams get lost. An instance
@@ -26,15 +23,39 @@
 	relayRepeats = 3
 )
 
-// relayNews remembers what changed lately and up to which revision the view of the store was complete at what time, so that
-// this instance can tell it as a relay, and when it heard from a relay. It is safe for concurrent use.
-type relayNews struct {
-	mu      sync.Mutex
+// changes are the names of entries that changed or went lately, with the time at which this instance learned of it.
+type changes struct {
 	changed map[string]time.Time
 	gone    map[string]time.Time
+}
+
+func newChanges() changes {
+	return changes{changed: make(map[string]time.Time), gone: make(map[string]time.Time)}
+}
+
+func (c *changes) changedAt(name string, now time.Time) {
+	c.changed[name] = now
+	delete(c.gone, name)
+}
+
+func (c *changes) goneAt(name string, now time.Time) {
+	c.gone[name] = now
+	delete(c.changed, name)
+}
+
+// since returns the names of what changed and of what went since a time, and forgets the others.
+func (c *changes) since(t time.Time) (changed, gone []string) {
+	return recent(c.changed, t), recent(c.gone, t)
+}
+
+// relayNews remembers what changed lately and up to which revision the view of the store was complete at what time, so that
+// this instance can tell it as a relay, and when it heard from a relay. The server's viewMu guards it.
+type relayNews struct {
+	endpoints changes
+	instances changes
 	// complete lists the revisions up to which the view was complete, the oldest first.
 	complete []revisionTime
-	heardAt  time.Time
+	heardAt  atomic.Pointer[time.Time]
 }
 
 // revisionTime is a revision and the time from which on it was known.
@@ -44,46 +65,35 @@
 }
 
 func newRelayNews() *relayNews {
-	return &relayNews{changed: make(map[string]time.Time), gone: make(map[string]time.Time)}
-}
-
-func (n *relayNews) endpointChanged(id string, now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.changed[id] = now
-	delete(n.gone, id)
-}
-
-func (n *relayNews) endpointGone(id string, now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.gone[id] = now
-	delete(n.changed, id)
+	return &relayNews{endpoints: newChanges(), instances: newChanges()}
 }
 
 // completeUpTo notes that the view holds all changes up to a revision.
 func (n *relayNews) completeUpTo(revision int64, now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if last := len(n.complete) - 1; last >= 0 && n.complete[last].revision >= revision {
-		return
+	if last := len(n.complete) - 1; last >= 0 && n.complete[last].revision > revision {
+		// The store began anew.
+		n.complete = nil
 	}
 	n.complete = append(n.complete, revisionTime{revision, now})
 }
 
-// since returns the endpoints that changed and those that went after a time, and a revision: all changes that followed it
-// are among them. What is older is forgotten.
-func (n *relayNews) since(t time.Time) (changed, gone []string, after int64) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
+// forget drops what changed before a time.
+func (n *relayNews) forget(t time.Time) {
+	_, from := n.since(t)
+	n.endpoints.since(from)
+	n.instances.since(from)
+}
+
+// since returns the revision up to which the view was complete at or before a time, and a time: all later changes were noted
+// since then. Older revisions are forgotten.
+func (n *relayNews) since(t time.Time) (after int64, from time.Time) {
 	for len(n.complete) > 1 && n.complete[1].at.Before(t) {
 		n.complete = n.complete[1:]
 	}
-	if len(n.complete) > 0 {
-		// Changes are noted one by one before the view is complete with them.
-		after, t = n.complete[0].revision, n.complete[0].at
+	if len(n.complete) == 0 {
+		return 0, t
 	}
-	return recent(n.changed, t), recent(n.gone, t), after
+	return n.complete[0].revision, n.complete[0].at
 }
 
 func recent(times map[string]time.Time, since time.Time) []string {
@@ -100,15 +110,12 @@
 }
 
 func (n *relayNews) heard(now time.Time) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.heardAt = now
+	n.heardAt.Store(&now)
 }
 
 func (n *relayNews) heardWithin(d time.Duration, now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.heardAt.IsZero() && now.Sub(n.heardAt) < d
+	at := n.heardAt.Load()
+	return at != nil && now.Sub(*at) < d
 }
 
 // relays returns the instances that watch the store for a data centre, or none if it has few instances.
@@ -168,20 +175,23 @@
 	}
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	changed, gone, after := s.news.since(now.Add(-relayRepeats * s.relayPause()))
+	after, from := s.news.since(now.Add(-s.relayWindow()))
 	m.Relay = &exchange.RelayDoc{
 		After:         after,
 		Revision:      s.storeView.revision.Load(),
 		Configuration: s.table.Load().Config.Version,
 		Holder:        s.members.currentHolder(),
-		Gone:          gone,
 	}
 	m.Relay.ConfigurationEntry = s.newConfig(m.Relay.Configuration, now)
+	var changed []string
+	changed, m.Relay.Gone = s.news.endpoints.since(from)
 	for _, a := range s.parts.Fleet.Announcements("") {
 		if slices.Contains(changed, a.ID) {
 			m.Relay.Changed = append(m.Relay.Changed, exchange.EncodeEndpoint(&a))
 		}
 	}
+	changed, m.Relay.GoneInstances = s.news.instances.since(from)
+	m.Relay.Instances = s.members.entries(changed)
 }
 
 // newConfig returns the compressed configuration until the next watch; nil means that there is no new one, or that it is too
@@ -209,44 +219,71 @@
 	if known := s.storeView.revision.Load(); r.Revision < known || r.After > known {
 		return
 	}
+	if !s.takeRelayedConfig(from, r, now) {
+		s.log.Info("newer configuration announced by a relay", zap.String("from", from), zap.Int64("version", r.Configuration))
+		s.pokeWatch()
+		return
+	}
 	s.news.heard(now)
 	s.members.setHolder(r.Holder, now)
 	for i := range r.Changed {
 		s.announced(r.Changed[i].Decode(), r.Revision, from, now)
 	}
 	for _, id := range r.Gone {
-		s.parts.Fleet.Withdraw(id, false, now)
-		s.news.endpointGone(id, now)
-		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", r.Revision))
+		s.withdrawRelayed(id, r.Revision, from, now)
+	}
+	for name, doc := range r.Instances {
+		s.members.put(name, doc)
+		s.news.instances.changedAt(name, now)
+	}
+	for _, name := range r.GoneInstances {
+		s.members.remove(name)
+		s.news.instances.goneAt(name, now)
 	}
 	s.completeUpTo(r.Revision, now)
-	s.takeRelayedConfig(from, r, now)
 }
 
-// takeRelayedConfig takes over a new configuration, or reads it from the store when the message does not have it.
-func (s *Server) takeRelayedConfig(from string, r *exchange.RelayDoc, now time.Time) {
-	table := s.table.Load()
-	if table == nil || r.Configuration <= table.Config.Version {
-		return
+// withdrawRelayed drops an endpoint of which a relay tells, again and again, that it has gone.
+func (s *Server) withdrawRelayed(id string, revision int64, from string, now time.Time) {
+	s.news.endpoints.goneAt(id, now)
+	if s.parts.Fleet.Withdraw(id, false, now) {
+		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", revision))
 	}
-	if len(r.ConfigurationEntry) > 0 {
-		value, err := unpackConfig(r.ConfigurationEntry)
-		if err != nil {
-			s.log.Warn("relayed configuration not readable", zap.Error(err), zap.String("from", from))
-		} else {
-			s.takeConfig(value, r.Revision, from, now)
-		}
+}
+
+// takeRelayedConfig takes over a new configuration. It returns false when there is one but the message does not have it.
+func (s *Server) takeRelayedConfig(from string, r *exchange.RelayDoc, now time.Time) bool {
+	if s.hasConfig(r.Configuration) {
+		return true
 	}
-	if r.Configuration > s.table.Load().Config.Version {
-		s.log.Info("newer configuration announced by a relay", zap.String("from", from), zap.Int64("version", r.Configuration))
-		s.pokeWatch()
+	if len(r.ConfigurationEntry) == 0 {
+		return false
+	}
+	value, err := unpackConfig(r.ConfigurationEntry)
+	if err != nil {
+		s.log.Warn("relayed configuration not readable", zap.Error(err), zap.String("from", from))
+		return false
 	}
+	s.takeConfig(value, r.Revision, from, now)
+	return s.hasConfig(r.Configuration)
 }
 
-// completeUpTo notes that this instance knows all changes of endpoints up to a revision of the store.
+// hasConfig tells whether a version of the configuration, or a later one, is in force.
+func (s *Server) hasConfig(version int64) bool {
+	table := s.table.Load()
+	return table != nil && table.Config.Version >= version
+}
+
+// completeUpTo notes that this instance knows all changes up to a revision of the store; viewMu is held.
 func (s *Server) completeUpTo(revision int64, now time.Time) {
-	s.storeView.advance(revision)
+	s.storeView.revision.Store(revision)
 	s.news.completeUpTo(revision, now)
+	s.news.forget(now.Add(-s.relayWindow()))
+}
+
+// relayWindow is how long a relay tells a change.
+func (s *Server) relayWindow() time.Duration {
+	return relayRepeats * s.relayPause()
 }
 
 // pokeWatch makes the follower watch the store at once.
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -38,7 +38,7 @@
 	Relay *RelayDoc `json:"y,omitempty"`
 }
 
-// RelayDoc tells what changed in the store after one revision up to another.
+// RelayDoc tells all that changed in the store after one revision up to another.
 type RelayDoc struct {
 	After    int64 `json:"f"`
 	Revision int64 `json:"v"`
@@ -49,6 +49,17 @@
 	Holder  string        `json:"h,omitempty"`
 	Changed []EndpointDoc `json:"e,omitempty"`
 	Gone    []string      `json:"g,omitempty"`
+	// Instances are the entries of instances that changed, by name, and GoneInstances those that went.
+	Instances     map[string]InstanceDoc `json:"p,omitempty"`
+	GoneInstances []string               `json:"q,omitempty"`
+}
+
+// InstanceDoc is an instance's entry in the store.
+type InstanceDoc struct {
+	// Exchange is IP:PORT of its exchange socket.
+	Exchange   string `json:"exchange"`
+	DataCentre string `json:"dataCentre"`
+	MemoryMB   int    `json:"memoryMb"`
 }
 
 // EndpointDoc is an endpoint's announcement.
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -171,21 +171,23 @@
 
 // Withdraw drops an endpoint whose entry was removed. With grace it stays usable for a while: the store has just
 // returned from an outage in which entries expired, and endpoints that live are about to announce themselves again.
-func (r *Registry) Withdraw(id string, grace bool, now time.Time) {
+// It returns whether the endpoint was there.
+func (r *Registry) Withdraw(id string, grace bool, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	known := r.endpoints[id]
 	if known == nil {
-		return
+		return false
 	}
 	if grace {
 		if known.goneAt.IsZero() {
 			known.goneAt = now.Add(ReappearGrace)
 		}
-		return
+		return true
 	}
 	delete(r.endpoints, id)
 	r.signal()
+	return true
 }
 
 // Expire drops endpoints whose grace has ended and returns their ids.
