--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/residency"
 )
 
 // Guards against a joined or lost event when a stream breaks off inside one.
@@ -219,12 +221,12 @@
 		}
 		return strings.Join(names, " ")
 	}
-	m.setHolder("large-1", now)
+	m.setHolder(holding{"large-1", 7}, now)
 	if got := may(now); got != "large-1" {
 		t.Fatalf("while one places models, %q may", got)
 	}
-	m.setHolder("", now)
-	m.setHolder("", now.Add(headStart/2))
+	m.setHolder(holding{}, now)
+	m.setHolder(holding{}, now.Add(headStart/2))
 	if got := may(now.Add(headStart / 2)); got != "large-1 large-2" {
 		t.Fatalf("at first, %q may", got)
 	}
@@ -232,3 +234,36 @@
 		t.Fatalf("after the head start, %q may", got)
 	}
 }
+
+// Guards against a new holder that trusts the word of an instance which did not hold right before it: orders of the one
+// between them would be missing.
+func TestPreviousHolder(t *testing.T) {
+	now := time.Now()
+	one, two, own := holding{"edge-1", 7}, holding{"edge-2", 9}, holding{"edge-3", 12}
+	for _, c := range []struct {
+		name  string
+		steps func(m *members)
+		want  holding
+	}{
+		{"the key expired", func(m *members) { m.setHolder(holding{}, now); m.setHolder(own, now) }, one},
+		{"another one held between", func(m *members) { m.setHolder(two, now); m.setHolder(holding{}, now); m.setHolder(own, now) }, two},
+		{"own key not seen yet", func(m *members) { m.setHolder(holding{}, now) }, holding{}},
+		{"a relay told of the last change", func(m *members) { m.sawHolder("", now); m.setHolder(own, now) }, holding{}},
+		{"changes may be missing", func(m *members) { m.setHolder(own, now); m.forgetPrevious() }, holding{}},
+	} {
+		m := newMembers()
+		m.setHolder(one, now)
+		c.steps(m)
+		instance, fence, known := m.previousHolder(own.fence)
+		if got := (holding{instance, fence}); got != c.want || known != (c.want != holding{}) {
+			t.Errorf("%s: %v, known %v, not %v", c.name, got, known, c.want)
+		}
+	}
+}
+
+func TestHandoverSurvivesTheWire(t *testing.T) {
+	h := residency.Handover{Fence: 7, Ordered: []string{"e1"}, StoreLoads: []time.Duration{1500 * time.Millisecond}}
+	if got := decodeHandover(encodeHandover(&h)); !reflect.DeepEqual(got, h) {
+		t.Fatalf("got %+v", got)
+	}
+}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -147,8 +147,9 @@
 		}
 	}
 	if !present[placementKey] {
-		f.server.members.setHolder("", time.Now())
+		f.server.members.sawHolder("", time.Now())
 	}
+	f.server.members.forgetPrevious()
 	f.at = at
 	f.server.completeUpTo(int64(at), time.Now())
 	f.watch, err = f.store.Watch(ctx, "", at+1)
@@ -235,7 +236,7 @@
 		return
 	}
 	if event.Key == placementKey {
-		f.server.members.setHolder("", time.Now())
+		f.server.members.setHolder(holding{}, time.Now())
 	}
 }
 
@@ -254,7 +255,7 @@
 	}
 	if item.Key == placementKey {
 		holder, _, _ := strings.Cut(string(item.Value), " ")
-		f.server.members.setHolder(holder, time.Now())
+		f.server.members.setHolder(holding{holder, int64(item.CreateRevision)}, time.Now())
 	}
 }
 
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -18,7 +18,9 @@
 type members struct {
 	mu        sync.Mutex
 	instances map[string]exchange.InstanceDoc
-	holder    string
+	holder    holding
+	// previous held right before holder. Both are empty when it is not known who did.
+	previous holding
 	// freeSince is when this instance saw first that no instance places models; zero while one does.
 	freeSince time.Time
 	// peak is the largest number of instances of the recent past, last reached at peakAt.
@@ -26,6 +28,12 @@
 	peakAt time.Time
 }
 
+// holding is an instance that places models with its token; the token is zero when it is not known.
+type holding struct {
+	instance string
+	fence    int64
+}
+
 func newMembers() *members {
 	return &members{instances: make(map[string]exchange.InstanceDoc), freeSince: time.Now()}
 }
@@ -86,16 +94,52 @@
 	return max(m.peak, 1)
 }
 
-func (m *members) setHolder(name string, now time.Time) {
+// setHolder notes who places models, as each change of the store's key tells; an empty name means nobody.
+func (m *members) setHolder(now holding, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holder.instance != "" && now != m.holder {
+		m.previous = m.holder
+	}
+	m.noteHolder(now, at)
+}
+
+// sawHolder notes who places models without knowing who did right before.
+func (m *members) sawHolder(instance string, at time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if instance == m.holder.instance {
+		return
+	}
+	m.previous = holding{}
+	m.noteHolder(holding{instance: instance}, at)
+}
+
+// forgetPrevious is called when changes of the holder may have been missed.
+func (m *members) forgetPrevious() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.previous = holding{}
+}
+
+func (m *members) noteHolder(now holding, at time.Time) {
 	switch {
-	case name != "":
+	case now.instance != "":
 		m.freeSince = time.Time{}
 	case m.freeSince.IsZero():
-		m.freeSince = now
+		m.freeSince = at
+	}
+	m.holder = now
+}
+
+// previousHolder returns who placed models right before the instance that does under a token, and false if that is not known.
+func (m *members) previousHolder(token int64) (instance string, fence int64, known bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.holder.fence != token || m.previous.fence == 0 {
+		return "", 0, false
 	}
-	m.holder = name
+	return m.previous.instance, m.previous.fence, true
 }
 
 // mayPlace tells whether an instance may place models: it does already, or no instance does and it is one of those with the
@@ -104,8 +148,8 @@
 func (m *members) mayPlace(name string, headStart time.Duration, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.holder != "" {
-		return m.holder == name
+	if m.holder.instance != "" {
+		return m.holder.instance == name
 	}
 	if now.Sub(m.freeSince) >= headStart {
 		return true
@@ -125,7 +169,7 @@
 func (m *members) currentHolder() string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.holder
+	return m.holder.instance
 }
 
 // regionOf returns an instance's region, or an empty string for one that is not registered.
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/residency"
 )
 
 const (
@@ -127,6 +128,9 @@
 		m.Held = s.heldDocs(now.Add(-heldRepeats * kind.Interval))
 		m.Loading = s.loadingDocs(now)
 	}
+	if h, ok := s.placement.Handover(now); ok {
+		m.Handover = encodeHandover(&h)
+	}
 	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.stalePeers.due(to.Instance, now) {
@@ -181,6 +185,9 @@
 	if len(m.Endpoints) > 0 {
 		s.takeOverEndpoints(m, now)
 	}
+	if m.Handover != nil {
+		s.placement.TakeHandover(m.Instance, decodeHandover(m.Handover), now)
+	}
 	if m.Instance != s.members.currentHolder() {
 		return
 	}
@@ -224,3 +231,19 @@
 			zap.Int64("revision", m.Revision), zap.Int("endpoints", len(m.Endpoints)))
 	}
 }
+
+func encodeHandover(h *residency.Handover) *exchange.HandoverDoc {
+	doc := &exchange.HandoverDoc{Fence: h.Fence, Ordered: h.Ordered}
+	for _, age := range h.StoreLoads {
+		doc.LoadAgesMs = append(doc.LoadAgesMs, age.Milliseconds())
+	}
+	return doc
+}
+
+func decodeHandover(doc *exchange.HandoverDoc) residency.Handover {
+	h := residency.Handover{Fence: doc.Fence, Ordered: doc.Ordered}
+	for _, ms := range doc.LoadAgesMs {
+		h.StoreLoads = append(h.StoreLoads, time.Duration(ms)*time.Millisecond)
+	}
+	return h
+}
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -24,6 +24,8 @@
 		Log:           s.log,
 		RegionOf:      func(dataCentre string) string { return s.settings().Regions[dataCentre] },
 		HandoverPause: s.settings().Bounds.placementLease(),
+		Previous:      s.members.previousHolder,
+		TurnBegins:    s.pokeWatch,
 		StoreWindow: func() (time.Duration, float64) {
 			bounds := s.settings().Bounds
 			return time.Duration(bounds.WeightStoreWindowSeconds * float64(time.Second)), bounds.WeightStoreOverage
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -225,7 +225,7 @@
 		return
 	}
 	s.news.heard(now)
-	s.members.setHolder(r.Holder, now)
+	s.members.sawHolder(r.Holder, now)
 	for i := range r.Changed {
 		s.announced(r.Changed[i].Decode(), r.Revision, from, now)
 	}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -29,6 +29,8 @@
 	// Held comes from the instance that places models.
 	Held    []HeldDoc    `json:"h,omitempty"`
 	Loading []LoadingDoc `json:"l,omitempty"`
+	// Handover comes from an instance that placed models until lately.
+	Handover *HandoverDoc `json:"o,omitempty"`
 	// Stale is set while the sender cannot read the store; receivers then tell it the endpoints that they know of, with
 	// the store's revision that they know.
 	Stale     bool          `json:"x,omitempty"`
@@ -145,6 +147,15 @@
 	ReadyMs int64 `json:"r"`
 }
 
+// HandoverDoc says that the sender gives no more orders under a token.
+type HandoverDoc struct {
+	Fence int64 `json:"f"`
+	// Ordered lists the endpoints that had an order lately.
+	Ordered []string `json:"e,omitempty"`
+	// LoadAgesMs are the ages of recent loads from the weight store.
+	LoadAgesMs []int64 `json:"a,omitempty"`
+}
+
 // HeldModel is a model with its adapters.
 type HeldModel struct {
 	Name     string   `json:"n"`
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -59,6 +59,11 @@
 	RegionOf func(dataCentre string) string
 	// HandoverPause keeps a new holder from orders while those of the former one may still arrive.
 	HandoverPause time.Duration
+	// Previous returns who held the lease right before a token, under which token, and whether that is known; nil means that
+	// it never is.
+	Previous func(token int64) (instance string, fence int64, known bool)
+	// TurnBegins is called when this instance has got the lease; nil means nothing.
+	TurnBegins func()
 	// StoreWindow returns the window over which the weight store's rate is bounded and the factor allowed in it.
 	StoreWindow func() (time.Duration, float64)
 	// Published is called when this instance read an endpoint's report.
@@ -77,6 +82,9 @@
 	workers map[string]*worker
 	// storeLoads are the start times of recent loads from the weight store.
 	storeLoads []time.Time
+	// past is this instance's own last turn, handover what a former holder said last.
+	past     pastTurn
+	handover receivedHandover
 }
 
 // NewController returns a controller that gives no orders until Run.
@@ -95,16 +103,32 @@
 		if turn.begins(token, held) {
 			// What was under way under another token is read anew from the endpoints.
 			c.forget()
+			c.turnBegins()
 		}
-		if !turn.mayOrder(token, held, began) {
+		settled := turn.mayOrder(token, held, began)
+		if !held {
 			pause(ctx, idleInterval)
 			continue
 		}
-		c.planAll(ctx, &tasks, token)
+		c.noteTurn(token, settled, began)
+		c.planAll(ctx, &tasks, permission{token: token, settled: settled})
 		pause(ctx, max(planInterval, planPauseFactor*time.Since(began)))
 	}
 }
 
+func (c *Controller) turnBegins() {
+	if c.options.TurnBegins != nil {
+		c.options.TurnBegins()
+	}
+}
+
+// permission is what a plan may order: all endpoints once the handover pause has passed, before that those which the former
+// holder has left alone.
+type permission struct {
+	token   int64
+	settled bool
+}
+
 // turn is the time in which this instance is the only one that may give orders.
 type turn struct {
 	pause time.Duration
@@ -148,34 +172,34 @@
 	c.workers = make(map[string]*worker)
 }
 
-func (c *Controller) planAll(ctx context.Context, tasks *conc.WaitGroup, fence int64) {
+func (c *Controller) planAll(ctx context.Context, tasks *conc.WaitGroup, may permission) {
 	config := c.options.Config()
 	if config == nil {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(config.Services)) {
 		if service := config.Services[name]; service.Engine != nil {
-			c.planService(ctx, tasks, service, fence)
+			c.planService(ctx, tasks, service, may)
 		}
 	}
 }
 
-func (c *Controller) planService(ctx context.Context, tasks *conc.WaitGroup, service *routing.Service, fence int64) {
+func (c *Controller) planService(ctx context.Context, tasks *conc.WaitGroup, service *routing.Service, may permission) {
 	now := time.Now()
 	in := Input{
 		Engine:     service.Engine,
-		Endpoints:  c.endpointStates(service, now),
+		Endpoints:  c.endpointStates(service, may, now),
 		Demand:     c.options.Demands.ModelDemand(service.Name, now),
 		Adapters:   c.options.Demands.AdapterWants(service.Name, now),
-		StoreLoads: c.storeLoadsAllowed(service.Engine, now),
+		StoreLoads: c.storeLoadsAllowed(service.Engine, may.token, now),
 		RegionOf:   c.options.RegionOf,
 		Now:        now,
 	}
-	c.start(ctx, tasks, Plan(&in), fence)
+	c.start(ctx, tasks, Plan(&in), may.token)
 }
 
 // endpointStates joins announcements with the orders under way.
-func (c *Controller) endpointStates(service *routing.Service, now time.Time) []EndpointState {
+func (c *Controller) endpointStates(service *routing.Service, may permission, now time.Time) []EndpointState {
 	uses := c.options.Demands.AdapterUse(service.Name)
 	var states []EndpointState
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
@@ -199,6 +223,9 @@
 	defer c.mu.Unlock()
 	for i := range states {
 		c.worker(&states[i].Announcement).apply(&states[i], now)
+		if !may.settled && !c.mayOrderEarly(states[i].ID, may.token) {
+			states[i].Busy = true
+		}
 	}
 	return states
 }
@@ -218,13 +245,14 @@
 }
 
 // storeLoadsAllowed is the number of loads that may start now without exceeding the weight store's rate.
-func (c *Controller) storeLoadsAllowed(engine *routing.Engine, now time.Time) int {
+func (c *Controller) storeLoadsAllowed(engine *routing.Engine, token int64, now time.Time) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	window, overage := c.options.StoreWindow()
 	allowed := int(engine.LoadsPerSecond*window.Seconds()*overage) + storeLoadBurst - storeLoadReserve
-	c.storeLoads = slices.DeleteFunc(c.storeLoads, func(t time.Time) bool { return now.Sub(t) >= window+storeLoadSpread })
-	return max(allowed-len(c.storeLoads), 0)
+	window += storeLoadSpread
+	c.storeLoads = slices.DeleteFunc(c.storeLoads, func(t time.Time) bool { return now.Sub(t) >= window })
+	return max(allowed-len(c.storeLoads)-c.handedLoads(token, window, now), 0)
 }
 
 // Loading is a model that an endpoint is loading.
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -183,6 +183,7 @@
 // mayOrder returns the number of accepted orders that an order builds on. It is false when this instance must not give
 // orders, or the endpoint's state is not known or not the one that the order was decided on.
 func (w *worker) mayOrder(ctx context.Context, order *Order, fence int64) (int64, bool) {
+	w.controller.noteOrder(w.target.ID, time.Now())
 	current, held := w.controller.options.Lease.Held()
 	if !held || current != fence || ctx.Err() != nil {
 		return 0, false
