--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -212,10 +212,11 @@
 	m.put("large-1", exchange.InstanceDoc{MemoryMB: 536})
 	m.put("large-2", exchange.InstanceDoc{MemoryMB: 536})
 	m.put("small", exchange.InstanceDoc{MemoryMB: 184})
+	configured := now
 	may := func(now time.Time) string {
 		var names []string
 		for _, name := range []string{"large-1", "large-2", "small", "unregistered"} {
-			if m.mayPlace(name, headStart, now) {
+			if m.mayPlace(name, headStart, configured, now) {
 				names = append(names, name)
 			}
 		}
@@ -233,6 +234,11 @@
 	if got := may(now.Add(headStart)); got != "large-1 large-2 small unregistered" {
 		t.Fatalf("after the head start, %q may", got)
 	}
+	// The first configuration reaches all at the same time, long after the key was seen to be free.
+	configured = now.Add(headStart)
+	if got := may(now.Add(headStart)); got != "large-1 large-2" {
+		t.Fatalf("with the first configuration, %q may", got)
+	}
 }
 
 // Guards against a new holder that trusts the word of an instance which did not hold right before it: orders of the one
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -144,14 +144,15 @@
 
 // mayPlace tells whether an instance may place models: it does already, or no instance does and it is one of those with the
 // most memory. Small machines lack the processor time and the bandwidth to place models for many endpoints and would lose
-// the lease again and again; they wait until a larger one has had the time to see that it is free.
-func (m *members) mayPlace(name string, headStart time.Duration, now time.Time) bool {
+// the lease again and again; they wait until a larger one has had the time to see that it is free, and to get the first
+// configuration, which this instance has had since a time.
+func (m *members) mayPlace(name string, headStart time.Duration, configured, now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.holder.instance != "" {
 		return m.holder.instance == name
 	}
-	if now.Sub(m.freeSince) >= headStart {
+	if now.Sub(m.freeSince) >= headStart && now.Sub(configured) >= headStart {
 		return true
 	}
 	own, registered := m.instances[name]
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -49,11 +49,13 @@
 	table  atomic.Pointer[routing.Table]
 	// configEntry is what the table was made from.
 	configEntry atomic.Pointer[configEntry]
-	metrics     *metrics
-	members     *members
-	demand      *demandBook
-	exchange    *exchange.Exchange
-	lease       *lease.Holder
+	// configured is when the first configuration came into force; nil before.
+	configured atomic.Pointer[time.Time]
+	metrics    *metrics
+	members    *members
+	demand     *demandBook
+	exchange   *exchange.Exchange
+	lease      *lease.Holder
 	// placement gives orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
@@ -107,7 +109,8 @@
 		TTL:      s.Bounds.placementLease() / placementRenewalShare,
 		// The watch tells when the key is free, so that waiting instances make no calls.
 		Eligible: func() bool {
-			return server.table.Load() != nil && server.members.mayPlace(s.InstanceID, s.Bounds.watchPause(), time.Now())
+			configured := server.configured.Load()
+			return configured != nil && server.members.mayPlace(s.InstanceID, s.Bounds.watchPause(), *configured, time.Now())
 		},
 		Log: log,
 	})
@@ -183,6 +186,7 @@
 	}
 	if s.applyConfig(config, revision, from) {
 		s.configEntry.Store(&configEntry{version: config.Version, value: value, since: now})
+		s.configured.CompareAndSwap(nil, &now)
 	}
 }
 
