--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -268,8 +268,12 @@
 }
 
 func TestHandoverSurvivesTheWire(t *testing.T) {
-	h := residency.Handover{Fence: 7, Ordered: []string{"e1"}, StoreLoads: []time.Duration{1500 * time.Millisecond}}
-	if got := decodeHandover(encodeHandover(&h)); !reflect.DeepEqual(got, h) {
+	now := time.Now()
+	h := residency.Handover{
+		Fence: 7, Ordered: []string{"e1"}, StoreLoads: []time.Duration{1500 * time.Millisecond},
+		Loading: []residency.Loading{{Endpoint: "e1", Model: "m", Ready: now.Add(4 * time.Second)}},
+	}
+	if got := decodeHandover(encodeHandover(&h, now), now); !reflect.DeepEqual(got, h) {
 		t.Fatalf("got %+v", got)
 	}
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -129,7 +129,7 @@
 		m.Loading = s.loadingDocs(now)
 	}
 	if h, ok := s.placement.Handover(now); ok {
-		m.Handover = encodeHandover(&h)
+		m.Handover = encodeHandover(&h, now)
 	}
 	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
@@ -186,7 +186,7 @@
 		s.takeOverEndpoints(m, now)
 	}
 	if m.Handover != nil {
-		s.placement.TakeHandover(m.Instance, decodeHandover(m.Handover), now)
+		s.placement.TakeHandover(m.Instance, decodeHandover(m.Handover, now), now)
 	}
 	if m.Instance != s.members.currentHolder() {
 		return
@@ -232,16 +232,26 @@
 	}
 }
 
-func encodeHandover(h *residency.Handover) *exchange.HandoverDoc {
+func encodeHandover(h *residency.Handover, now time.Time) *exchange.HandoverDoc {
 	doc := &exchange.HandoverDoc{Fence: h.Fence, Ordered: h.Ordered}
+	for _, l := range h.Loading {
+		doc.Loading = append(doc.Loading, exchange.HandedLoadDoc{
+			Endpoint: l.Endpoint, Model: l.Model, ReadyMs: l.Ready.Sub(now).Milliseconds(),
+		})
+	}
 	for _, age := range h.StoreLoads {
 		doc.LoadAgesMs = append(doc.LoadAgesMs, age.Milliseconds())
 	}
 	return doc
 }
 
-func decodeHandover(doc *exchange.HandoverDoc) residency.Handover {
+func decodeHandover(doc *exchange.HandoverDoc, now time.Time) residency.Handover {
 	h := residency.Handover{Fence: doc.Fence, Ordered: doc.Ordered}
+	for _, l := range doc.Loading {
+		h.Loading = append(h.Loading, residency.Loading{
+			Endpoint: l.Endpoint, Model: l.Model, Ready: now.Add(time.Duration(l.ReadyMs) * time.Millisecond),
+		})
+	}
 	for _, ms := range doc.LoadAgesMs {
 		h.StoreLoads = append(h.StoreLoads, time.Duration(ms)*time.Millisecond)
 	}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -152,10 +152,20 @@
 	Fence int64 `json:"f"`
 	// Ordered lists the endpoints that had an order lately.
 	Ordered []string `json:"e,omitempty"`
+	// Loading are the loads that have not ended.
+	Loading []HandedLoadDoc `json:"l,omitempty"`
 	// LoadAgesMs are the ages of recent loads from the weight store.
 	LoadAgesMs []int64 `json:"a,omitempty"`
 }
 
+// HandedLoadDoc is a load that an order of a former holder began.
+type HandedLoadDoc struct {
+	Endpoint string `json:"e"`
+	Model    string `json:"m"`
+	// ReadyMs is the time until the model can serve.
+	ReadyMs int64 `json:"r"`
+}
+
 // HeldModel is a model with its adapters.
 type HeldModel struct {
 	Name     string   `json:"n"`
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -82,14 +82,14 @@
 	workers map[string]*worker
 	// storeLoads are the start times of recent loads from the weight store.
 	storeLoads []time.Time
-	// past is this instance's own last turn, handover what a former holder said last.
-	past     pastTurn
-	handover receivedHandover
+	// past is this instance's own last turn, handovers what former holders said last.
+	past      pastTurn
+	handovers map[string]receivedHandover
 }
 
 // NewController returns a controller that gives no orders until Run.
 func NewController(o Options) *Controller {
-	return &Controller{options: o, workers: make(map[string]*worker)}
+	return &Controller{options: o, workers: make(map[string]*worker), handovers: make(map[string]receivedHandover)}
 }
 
 // Run plans until the context ends.
@@ -223,6 +223,7 @@
 	defer c.mu.Unlock()
 	for i := range states {
 		c.worker(&states[i].Announcement).apply(&states[i], now)
+		c.addHandedLoads(&states[i], may.token, now)
 		if !may.settled && !c.mayOrderEarly(states[i].ID, may.token) {
 			states[i].Busy = true
 		}
@@ -267,6 +268,11 @@
 func (c *Controller) Loading() []Loading {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.loading()
+}
+
+// loading returns the loads under way on orders of this instance. The controller's lock is held.
+func (c *Controller) loading() []Loading {
 	var loading []Loading
 	for id, w := range c.workers {
 		for i := range w.ledger.models {
--- a/pkg/residency/handover.go
+++ b/pkg/residency/handover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 )
 
 // Handover is the word of an instance that has placed models and gives no more orders under its token. It lets the next
@@ -14,6 +16,8 @@
 	Fence int64
 	// Ordered lists the endpoints to which it may have sent orders within the handover pause.
 	Ordered []string
+	// Loading are the loads that its orders began and that have not ended. The endpoints' reports do not name them.
+	Loading []Loading
 	// StoreLoads are the ages of its recent loads from the weight store, which count in the window of the next holder too.
 	StoreLoads []time.Duration
 }
@@ -36,8 +40,7 @@
 // receivedHandover is the word of a former holder.
 type receivedHandover struct {
 	Handover
-	from string
-	at   time.Time
+	at time.Time
 }
 
 // noteTurn records that the lease is held. The controller's lock is not held.
@@ -78,6 +81,7 @@
 		}
 	}
 	slices.Sort(h.Ordered)
+	h.Loading = c.loading()
 	for _, at := range c.storeLoads {
 		h.StoreLoads = append(h.StoreLoads, now.Sub(at))
 	}
@@ -88,24 +92,27 @@
 func (c *Controller) TakeHandover(from string, h Handover, now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.handover.from != from || c.handover.Fence != h.Fence {
+	for name, old := range c.handovers {
+		if now.Sub(old.at) >= handoverTime {
+			delete(c.handovers, name)
+		}
+	}
+	if old, known := c.handovers[from]; !known || old.Fence != h.Fence {
 		c.options.Log.Info("handover received", zap.String("from", from), zap.Int64("fence", h.Fence),
-			zap.Strings("ordered", h.Ordered), zap.Int("storeLoads", len(h.StoreLoads)))
+			zap.Strings("ordered", h.Ordered), zap.Int("loading", len(h.Loading)), zap.Int("storeLoads", len(h.StoreLoads)))
 	}
-	c.handover = receivedHandover{Handover: h, from: from, at: now}
+	c.handovers[from] = receivedHandover{Handover: h, at: now}
 }
 
 // handedOver returns the word of the instance that held the lease right before a token, and false if there is none or it is
 // not known who that was. The controller's lock is held.
-func (c *Controller) handedOver(token int64) (*receivedHandover, bool) {
+func (c *Controller) handedOver(token int64) (receivedHandover, bool) {
 	if c.options.Previous == nil {
-		return nil, false
+		return receivedHandover{}, false
 	}
 	name, fence, known := c.options.Previous(token)
-	if !known || c.handover.from != name || c.handover.Fence != fence {
-		return nil, false
-	}
-	return &c.handover, true
+	h, received := c.handovers[name]
+	return h, known && received && h.Fence == fence
 }
 
 // mayOrderEarly tells whether an endpoint may be ordered during the handover pause of a turn.
@@ -114,6 +121,21 @@
 	return ok && !slices.Contains(h.Ordered, endpoint)
 }
 
+// addHandedLoads adds the models that an endpoint is loading on orders of the former holder. The controller's lock is held.
+func (c *Controller) addHandedLoads(state *EndpointState, token int64, now time.Time) {
+	h, ok := c.handedOver(token)
+	if !ok {
+		return
+	}
+	for _, l := range h.Loading {
+		if l.Endpoint != state.ID || !now.Before(l.Ready.Add(doneSlack)) || state.HoldsModel(l.Model) {
+			continue
+		}
+		state.Models = append(slices.Clone(state.Models), fleet.HeldModel{Name: l.Model})
+		state.Changing = append(state.Changing, l.Model)
+	}
+}
+
 // handedLoads counts the former holder's loads from the weight store that fall into a window. The controller's lock is held.
 func (c *Controller) handedLoads(token int64, window time.Duration, now time.Time) int {
 	h, ok := c.handedOver(token)
--- a/pkg/residency/handover_test.go
+++ b/pkg/residency/handover_test.go
@@ -114,6 +114,30 @@
 	}
 }
 
+// Guards against a new holder that orders further copies of what is loading already, on the word of the right former holder
+// while others speak too, and against loads that count for ever.
+func TestFormerHoldersLoadsAreKnown(t *testing.T) {
+	c := newTestController(&fakeEngine{}, &fakeLease{fence: 9, held: true})
+	c.options.Demands = noDemands{}
+	c.options.Previous = func(int64) (string, int64, bool) { return "edge-1", 7, true }
+	now := time.Now()
+	announced := fleet.Announcement{ID: "e1", Service: "s", Lifetime: 1}
+	c.options.Fleet.Announce(announced, now)
+	c.worker(&announced).ledger.known = true
+	ready := now.Add(5 * time.Second)
+	c.TakeHandover("edge-1", Handover{Fence: 7, Loading: []Loading{{Endpoint: "e1", Model: "m", Ready: ready}}}, now)
+	c.TakeHandover("edge-2", Handover{Fence: 5}, now)
+	state := func(now time.Time) EndpointState {
+		return c.endpointStates(&routing.Service{Name: "s"}, permission{token: 9, settled: true}, now)[0]
+	}
+	if s := state(now); !s.HoldsModel("m") || !slices.Contains(s.Changing, "m") {
+		t.Fatalf("the endpoint has %v, changing %v", s.Models, s.Changing)
+	}
+	if s := state(ready.Add(doneSlack)); s.HoldsModel("m") {
+		t.Fatal("a load that must have ended still counts")
+	}
+}
+
 type noDemands struct{}
 
 func (noDemands) ModelDemand(string, time.Time) map[string]ModelDemand { return nil }
