--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -277,3 +278,51 @@
 		t.Fatalf("got %+v", got)
 	}
 }
+
+// Guards against all instances telling the list of endpoints to each one that cannot read the store, which fills the links
+// when many are cut off at once, and against nobody telling it.
+func TestFewTellTheEndpoints(t *testing.T) {
+	now := time.Now()
+	regions := map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}
+	all := []string{"a-1", "a-2", "a-3", "b-1", "b-2", "c-1"}
+	tellers := func(silent string, stale ...string) string {
+		var names []string
+		for _, name := range all {
+			s, err := New(Settings{InstanceID: name, ExchangeAddress: "127.0.0.1:0", Regions: regions}, Parts{}, zap.NewNop())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, other := range []string{"a-1", "a-2", "a-3"} {
+				s.members.put(other, exchange.InstanceDoc{DataCentre: "z1"})
+			}
+			s.members.put("b-1", exchange.InstanceDoc{DataCentre: "z2"})
+			s.members.put("b-2", exchange.InstanceDoc{DataCentre: "z2"})
+			s.members.put("c-1", exchange.InstanceDoc{DataCentre: "z3"})
+			for _, other := range all {
+				if other != silent {
+					s.stalePeers.note(other, slices.Contains(stale, other), now)
+				}
+			}
+			if name != silent && !slices.Contains(stale, name) && s.tellsEndpointsTo(exchange.Peer{Instance: "a-3", DataCentre: "z1"}, now) {
+				names = append(names, name)
+			}
+		}
+		return strings.Join(names, " ")
+	}
+	for _, c := range []struct {
+		silent string
+		stale  []string
+		want   string
+	}{
+		{"", []string{"a-3"}, "a-1 a-2"},
+		{"a-1", []string{"a-3"}, "a-2 b-1"},
+		{"", []string{"a-3", "a-1"}, "a-2 b-1"},
+		{"", []string{"a-1", "a-2", "a-3"}, "b-1 b-2"},
+		{"b-1", []string{"a-1", "a-2", "a-3"}, "b-2 c-1"},
+		{"", []string{"a-1", "a-2", "a-3", "b-1", "b-2"}, "c-1"},
+	} {
+		if got := tellers(c.silent, c.stale...); got != c.want {
+			t.Errorf("with %v without the store %q tell, not %q", c.stale, got, c.want)
+		}
+	}
+}
--- a/pkg/edge/members.go
+++ b/pkg/edge/members.go
@@ -1,8 +1,11 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -173,6 +176,31 @@
 	return m.holder.instance
 }
 
+// byNearness returns the instances, those of a data centre first, then those of its region, each the largest first.
+func (m *members) byNearness(dataCentre string, regions map[string]string) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	distance := func(name string) int {
+		switch other := m.instances[name].DataCentre; {
+		case other == dataCentre:
+			return 0
+		case regions[other] == regions[dataCentre]:
+			return 1
+		default:
+			return 2
+		}
+	}
+	names := slices.Collect(maps.Keys(m.instances))
+	slices.SortFunc(names, func(a, b string) int { return cmp.Or(cmp.Compare(distance(a), distance(b)), m.bySize(a, b)) })
+	return names
+}
+
+// bySize orders instances by memory, the largest first, and then by name: larger machines have the wider links. The lock is
+// held.
+func (m *members) bySize(a, b string) int {
+	return cmp.Or(cmp.Compare(m.instances[b].MemoryMB, m.instances[a].MemoryMB), cmp.Compare(a, b))
+}
+
 // regionOf returns an instance's region, or an empty string for one that is not registered.
 func (m *members) regionOf(name string, regions map[string]string) string {
 	m.mu.Lock()
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,7 +17,7 @@
 	// staleAfter is the time without the store after which an instance takes the endpoints from others.
 	staleAfter = 1500 * time.Millisecond
 	// staleTellInterval is the time between two lists of endpoints for an instance without the store.
-	staleTellInterval = time.Second
+	staleTellInterval = 2 * time.Second
 	// stalePeerAge is the age at which an instance's word that it cannot read the store no longer counts.
 	stalePeerAge = 3 * time.Second
 )
@@ -59,7 +60,10 @@
 
 // stalePeers remembers which instances cannot read the store.
 type stalePeers struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// spoke is when each instance was heard last, heard when it last said that it cannot read the store, told when this
+	// instance last told it the endpoints.
+	spoke map[string]time.Time
 	heard map[string]time.Time
 	told  map[string]time.Time
 }
@@ -67,14 +71,15 @@
 func (p *stalePeers) note(instance string, stale bool, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.spoke == nil {
+		p.spoke, p.heard, p.told = make(map[string]time.Time), make(map[string]time.Time), make(map[string]time.Time)
+	}
+	p.spoke[instance] = now
 	if !stale {
 		delete(p.heard, instance)
 		delete(p.told, instance)
 		return
 	}
-	if p.heard == nil {
-		p.heard, p.told = make(map[string]time.Time), make(map[string]time.Time)
-	}
 	p.heard[instance] = now
 }
 
@@ -82,14 +87,41 @@
 func (p *stalePeers) due(instance string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	heard, stale := p.heard[instance]
-	if !stale || now.Sub(heard) >= stalePeerAge || now.Sub(p.told[instance]) < staleTellInterval {
+	if !p.isStale(instance, now) || now.Sub(p.told[instance]) < staleTellInterval {
 		return false
 	}
 	p.told[instance] = now
 	return true
 }
 
+// isStale tells whether an instance said lately that it cannot read the store. The lock is held.
+func (p *stalePeers) isStale(instance string, now time.Time) bool {
+	heard, said := p.heard[instance]
+	return said && now.Sub(heard) < stalePeerAge
+}
+
+// current returns those of the instances that were heard lately and can read the store, and this one.
+func (p *stalePeers) current(instances []string, own string, now time.Time) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.DeleteFunc(instances, func(name string) bool {
+		return name != own && (p.isStale(name, now) || now.Sub(p.spoke[name]) >= stalePeerAge)
+	})
+}
+
+// staleTellers is how many instances tell the endpoints to one that cannot read the store: a list of all endpoints has some
+// ten kilobytes, and a whole region may be cut off at the same time.
+const staleTellers = 2
+
+// tellsEndpointsTo tells whether this instance is one of those that tell an instance without the store the endpoints: the
+// largest in its data centre, in its region and elsewhere that can read the store.
+func (s *Server) tellsEndpointsTo(to exchange.Peer, now time.Time) bool {
+	settings := s.settings()
+	order := s.members.byNearness(to.DataCentre, settings.Regions)
+	tellers := s.stalePeers.current(order, settings.InstanceID, now)
+	return slices.Contains(tellers[:min(len(tellers), staleTellers)], settings.InstanceID)
+}
+
 const (
 	// newsAge is how old a change may be that an early message tells, unless the time between two of them is longer.
 	newsAge = 150 * time.Millisecond
@@ -133,7 +165,7 @@
 	}
 	s.relay(m, to, now)
 	m.Stale = s.storeView.stale(now)
-	if !m.Stale && s.stalePeers.due(to.Instance, now) {
+	if !m.Stale && s.tellsEndpointsTo(to, now) && s.stalePeers.due(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
 		m.Endpoints = s.endpointDocs()
 	}
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -34,8 +34,9 @@
 	return s
 }
 
-// Guards against a small data centre waiting for relays, and against instances that disagree on who they are.
-func TestRelaysAreAgreedOnByName(t *testing.T) {
+// Guards against a small data centre waiting for relays, against instances that disagree on who they are, and against small
+// machines with narrow links relaying while there are larger ones.
+func TestRelaysAreAgreedOn(t *testing.T) {
 	if relays := newRelayTestServer(t, "edge-1", relayThreshold-1).members.relays("z1"); relays != nil {
 		t.Fatalf("relays of a small data centre are %v", relays)
 	}
@@ -43,6 +44,11 @@
 	if !slices.Equal(relays, []string{"edge-1", "edge-2"}) {
 		t.Fatalf("relays are %v", relays)
 	}
+	s := newRelayTestServer(t, "edge-4", relayThreshold)
+	s.members.put("edge-5", exchange.InstanceDoc{DataCentre: "z1", MemoryMB: 536})
+	if relays := s.members.relays("z1"); !slices.Equal(relays, []string{"edge-5", "edge-1"}) {
+		t.Fatalf("relays are %v, not the largest first", relays)
+	}
 }
 
 // Guards against an instance that no longer watches the store missing a leaving endpoint, one that is gone or a new
--- a/pkg/exchange/work_test.go
+++ b/pkg/exchange/work_test.go
@@ -58,3 +58,24 @@
 		}
 	})
 }
+
+// BenchmarkRegularMessage packs and encodes a regular message with the work at some endpoints and reports its bytes.
+func BenchmarkRegularMessage(b *testing.B) {
+	for _, endpoints := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("%d endpoints", endpoints), func(b *testing.B) {
+			work := make(map[string]fleet.Work)
+			for i := range endpoints {
+				work[fmt.Sprintf("i-%010x", i)] = fleet.Work{Waiting: 2, PrefillTokens: 3800, UrgentTokens: 1900, Running: 9, PrefillRate: 11_000}
+			}
+			size := 0
+			for b.Loop() {
+				data, err := Encode(&Message{Instance: "edge-lisboa-a-1", Started: 1_780_000_000_000, Sequence: 1000, Work: PackWork(work)})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
