--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -45,8 +45,8 @@
 	nearInterval = 200 * time.Millisecond
 	farInterval  = time.Second
 	fewPeers     = 15
-	// MaxInterval bounds the growth: older state would be of no use.
-	MaxInterval = 2 * time.Second
+	// maxInterval bounds the growth: older state would be of no use.
+	maxInterval = 2 * time.Second
 	// urgentGap is the least time between early messages as long as there are no more than fewPeers; it grows in proportion,
 	// so that neither the early messages of the instance that places models nor those which it gets in all grow further.
 	urgentGap = 20 * time.Millisecond
@@ -192,7 +192,7 @@
 
 // interval returns the time between messages for a number of peers.
 func interval(few time.Duration, peers int) time.Duration {
-	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, MaxInterval)
+	return min(few*time.Duration(max(peers, fewPeers))/fewPeers, maxInterval)
 }
 
 // sendAll sends to the peers that a reason concerns.
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -85,6 +85,8 @@
 	// past is this instance's own last turn, handovers what former holders said last.
 	past      pastTurn
 	handovers map[string]receivedHandover
+	// turnBegan is when this instance got the lease for its present or last turn.
+	turnBegan time.Time
 }
 
 // NewController returns a controller that gives no orders until Run.
@@ -101,9 +103,7 @@
 		began := time.Now()
 		token, held := c.options.Lease.Held()
 		if turn.begins(token, held) {
-			// What was under way under another token is read anew from the endpoints.
-			c.forget()
-			c.turnBegins()
+			c.beginTurn(began)
 		}
 		settled := turn.mayOrder(token, held, began)
 		if !held {
@@ -116,12 +116,6 @@
 	}
 }
 
-func (c *Controller) turnBegins() {
-	if c.options.TurnBegins != nil {
-		c.options.TurnBegins()
-	}
-}
-
 // permission is what a plan may order: all endpoints once the handover pause has passed, before that those which the former
 // holder has left alone.
 type permission struct {
@@ -165,11 +159,15 @@
 	}
 }
 
-// forget drops what was under way: a later holding starts from what the endpoints say.
-func (c *Controller) forget() {
+// beginTurn drops what was under way: a later holding starts from what the endpoints say.
+func (c *Controller) beginTurn(now time.Time) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.workers = make(map[string]*worker)
+	c.turnBegan = now
+	c.mu.Unlock()
+	if c.options.TurnBegins != nil {
+		c.options.TurnBegins()
+	}
 }
 
 func (c *Controller) planAll(ctx context.Context, tasks *conc.WaitGroup, may permission) {
--- a/pkg/residency/handover.go
+++ b/pkg/residency/handover.go
@@ -105,14 +105,15 @@
 }
 
 // handedOver returns the word of the instance that held the lease right before a token, and false if there is none or it is
-// not known who that was. The controller's lock is held.
+// not known who that was. Words from before the turn do not count: an instance that did not renew the lease in time says that
+// it gives no orders, and goes on under the same token if a late renewal succeeds. The controller's lock is held.
 func (c *Controller) handedOver(token int64) (receivedHandover, bool) {
 	if c.options.Previous == nil {
 		return receivedHandover{}, false
 	}
 	name, fence, known := c.options.Previous(token)
 	h, received := c.handovers[name]
-	return h, known && received && h.Fence == fence
+	return h, known && received && h.Fence == fence && !h.at.Before(c.turnBegan)
 }
 
 // mayOrderEarly tells whether an endpoint may be ordered during the handover pause of a turn.
--- a/pkg/residency/handover_test.go
+++ b/pkg/residency/handover_test.go
@@ -72,13 +72,15 @@
 		previous string
 		known    bool
 		ordered  []string
+		age      time.Duration
 		early    bool
 	}{
-		{"left alone", "edge-1", 7, "edge-1", true, []string{"e2"}, true},
-		{"ordered lately", "edge-1", 7, "edge-1", true, []string{"e1"}, false},
-		{"not the last holder", "edge-1", 7, "edge-2", true, nil, false},
-		{"an earlier turn", "edge-1", 5, "edge-1", true, nil, false},
-		{"last holder not known", "edge-1", 7, "", false, nil, false},
+		{"left alone", "edge-1", 7, "edge-1", true, []string{"e2"}, 0, true},
+		{"ordered lately", "edge-1", 7, "edge-1", true, []string{"e1"}, 0, false},
+		{"not the last holder", "edge-1", 7, "edge-2", true, nil, 0, false},
+		{"an earlier turn", "edge-1", 5, "edge-1", true, nil, 0, false},
+		{"last holder not known", "edge-1", 7, "", false, nil, 0, false},
+		{"said before the lease was lost for good", "edge-1", 7, "edge-1", true, nil, time.Millisecond, false},
 	} {
 		controller := newTestController(&fakeEngine{}, &fakeLease{fence: 9, held: true})
 		controller.options.Demands = noDemands{}
@@ -86,8 +88,9 @@
 		now := time.Now()
 		announced := fleet.Announcement{ID: "e1", Service: "s", Lifetime: 1}
 		controller.options.Fleet.Announce(announced, now)
+		controller.TakeHandover(c.from, Handover{Fence: c.fence, Ordered: c.ordered}, now.Add(-c.age))
+		controller.beginTurn(now)
 		controller.worker(&announced).ledger.known = true
-		controller.TakeHandover(c.from, Handover{Fence: c.fence, Ordered: c.ordered}, now)
 		service := &routing.Service{Name: "s"}
 		pausing := controller.endpointStates(service, permission{token: 9}, now)
 		settled := controller.endpointStates(service, permission{token: 9, settled: true}, now)
