--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -160,7 +160,7 @@
 	if ids := s.parts.Fleet.IDs(); len(ids) != 1 || ids[0] != "new" {
 		t.Fatalf("endpoints are %v", ids)
 	}
-	s.storeView.regain(now)
+	s.storeView.regain()
 	if s.storeView.stale(now.Add(time.Hour)) {
 		t.Fatal("the view counts as stale though the store answers")
 	}
--- a/pkg/edge/follow.go
+++ b/pkg/edge/follow.go
@@ -48,6 +48,8 @@
 	store  kvstore.Store
 	// watch is nil until the store's whole content was read.
 	watch kvstore.Watch
+	// justRead is set from a read of the whole content to the next watch that succeeds.
+	justRead bool
 	// at is the newest revision seen.
 	at kvstore.Revision
 	// lostAt is the time of the first failed call; zero while the store answers.
@@ -67,6 +69,10 @@
 			pause(ctx, retryPause)
 			continue
 		}
+		if f.watch == nil {
+			// The history is gone: what has changed is read at once.
+			continue
+		}
 		f.afterWatch()
 		f.waitForNextWatch(ctx, started)
 	}
@@ -99,7 +105,7 @@
 		if ctx.Err() != nil || !f.server.leavesWatchToRelays(time.Now()) {
 			return
 		}
-		started = time.Now()
+		started = f.server.news.lastHeard()
 		f.afterWatch()
 	}
 }
@@ -158,6 +164,8 @@
 		return false
 	}
 	f.server.log.Info("store read", zap.Int("entries", len(items)), zap.Int64("revision", int64(at)))
+	f.justRead = true
+	f.tell()
 	return true
 }
 
@@ -175,7 +183,8 @@
 		f.server.log.Info("store history is gone; reading all entries", zap.Int64("revision", int64(f.at)))
 		f.watch.Close()
 		f.watch = nil
-		return true
+		// A history that ends before what was just read is not read again without a pause.
+		return !f.justRead
 	case ctx.Err() != nil:
 		return false
 	case err != nil:
@@ -183,11 +192,17 @@
 		return false
 	}
 	f.regained()
+	f.justRead = false
 	f.applyAll(events)
+	f.tell()
+	return true
+}
+
+// tell lets those who rely on this instance know what it has just seen.
+func (f *follower) tell() {
 	if f.server.isRelay() {
 		f.server.exchange.TellNews()
 	}
-	return true
 }
 
 // skipRelayed lets the next watch begin after what relays have told.
@@ -337,7 +352,6 @@
 	}
 	f.server.log.Info("store regained", zap.Duration("after", time.Since(f.lostAt)))
 	f.lostAt = time.Time{}
-	now := time.Now()
-	f.server.storeView.regain(now)
-	f.graceUntil = now.Add(outageGrace)
+	f.server.storeView.regain()
+	f.graceUntil = time.Now().Add(outageGrace)
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -9,7 +9,6 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
-	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
 )
 
@@ -30,8 +29,6 @@
 	taken int64
 	// lostAt is nil while the store answers.
 	lostAt atomic.Pointer[time.Time]
-	// settledAt is when the endpoints that went during the last outage are either back or dropped; nil before the first.
-	settledAt atomic.Pointer[time.Time]
 	// takenOver is set once the endpoints were taken from another instance in this outage.
 	takenOver atomic.Bool
 }
@@ -41,18 +38,10 @@
 	v.takenOver.Store(false)
 }
 
-func (v *storeView) regain(now time.Time) {
-	settled := now.Add(outageGrace + fleet.ReappearGrace)
-	v.settledAt.Store(&settled)
+func (v *storeView) regain() {
 	v.lostAt.Store(nil)
 }
 
-// settled tells whether the store answers and the view holds what it says, without grace for what an outage removed.
-func (v *storeView) settled(now time.Time) bool {
-	settledAt := v.settledAt.Load()
-	return v.lostAt.Load() == nil && (settledAt == nil || !now.Before(*settledAt))
-}
-
 func (v *storeView) stale(now time.Time) bool {
 	lost := v.lostAt.Load()
 	return lost != nil && now.Sub(*lost) >= staleAfter
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -74,11 +74,15 @@
 
 // relay adds what changed lately to a message for an instance that relies on this one.
 func (s *Server) relay(m *exchange.Message, to exchange.Peer, now time.Time) {
-	if !s.relaysTo(to) || s.table.Load() == nil || !s.storeView.settled(now) {
+	if !s.relaysTo(to) || s.table.Load() == nil || s.storeView.lostAt.Load() != nil {
 		return
 	}
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
+	if s.parts.Fleet.Graced() {
+		// The view differs from the store until the endpoints that an outage removed are back or dropped.
+		return
+	}
 	after, from := s.news.since(now.Add(-s.relayWindow()))
 	m.Relay = &exchange.RelayDoc{
 		After:         after,
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
@@ -22,10 +23,11 @@
 	t.Helper()
 	s, err := New(Settings{
 		InstanceID: name, DataCentre: "z1", ExchangeAddress: "127.0.0.1:0", Bounds: Bounds{LeavingMs: 4000, ConfigurationMs: 4000},
-	}, Parts{}, zap.NewNop())
+	}, Parts{Pool: httpconn.NewPool(httpconn.Options{})}, zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(s.parts.Pool.Close)
 	for i := range instances {
 		s.members.put(fmt.Sprintf("edge-%d", i+1), exchange.InstanceDoc{DataCentre: "z1"})
 	}
--- a/pkg/edge/relaynews.go
+++ b/pkg/edge/relaynews.go
@@ -96,7 +96,14 @@
 	n.heardAt.Store(&now)
 }
 
+// lastHeard returns the time of the last message of a relay that counts; the zero time means that there was none.
+func (n *relayNews) lastHeard() time.Time {
+	if at := n.heardAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
 func (n *relayNews) heardWithin(d time.Duration, now time.Time) bool {
-	at := n.heardAt.Load()
-	return at != nil && now.Sub(*at) < d
+	return now.Sub(n.lastHeard()) < d
 }
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -190,6 +190,18 @@
 	return true
 }
 
+// Graced tells whether an endpoint is kept that was withdrawn.
+func (r *Registry) Graced() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, e := range r.endpoints {
+		if !e.goneAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // Expire drops endpoints whose grace has ended and returns their ids.
 func (r *Registry) Expire(now time.Time) []string {
 	r.mu.Lock()
