Log how old an instance's view of the store is

The hypotheses of docs/incidents/grown-stale-views.md cannot be told apart by today's logs: nothing says as of when the view of an instance is complete. A view now records that time across the hop from a relay (the relay's message carries the age), and `routed`, `refused: no route`, `store lost` and `store regained` have the field viewAge. Endpoints taken over from another instance are logged one by one like all others, and an endpoint that is no longer leaving is logged too.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -49,6 +49,7 @@
 		zap.Int("hint", r.request.ExpectedOutput),
 		zap.String("model", r.request.Model),
 		zap.String("adapter", r.request.Adapter),
+		zap.Duration("viewAge", r.server.storeView.age(time.Now())),
 		zap.String("runnerUp", choice.RunnerUp),
 		zap.Int("candidates", choice.Candidates))
 }
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -62,7 +62,8 @@
 	}
 	route := table.Lookup(string(httpRequest.Header.Host()), pathOf(httpRequest.Header.RequestURI()))
 	if route == nil {
-		log.Info("refused: no route", zap.Int64("configuration", table.Config.Version))
+		log.Info("refused: no route", zap.Int64("configuration", table.Config.Version),
+			zap.Duration("viewAge", s.storeView.age(arrivedAt)))
 		return s.respond(c, log, ownResponse{status: fasthttp.StatusNotFound, closeAfter: closeAfter})
 	}
 	r := &clientRequest{
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -26,6 +26,8 @@
 type storeView struct {
 	// revision is the revision up to which all changes are known.
 	revision atomic.Int64
+	// completeAt is the latest time at which the view is known to have been complete; nil before the first read.
+	completeAt atomic.Pointer[time.Time]
 	// peerRevision is the revision of the endpoints last received from another instance; guarded by the server's
 	// viewMu.
 	peerRevision int64
@@ -44,6 +46,27 @@
 	v.unreachableSince.Store(nil)
 }
 
+// recordComplete records that the view was complete at a time, which may be earlier than a recorded one. Calls must not
+// overlap.
+func (v *storeView) recordComplete(at time.Time) {
+	if at.After(v.lastComplete()) {
+		v.completeAt.Store(&at)
+	}
+}
+
+// lastComplete returns the latest time at which the view is known to have been complete; the zero time means never.
+func (v *storeView) lastComplete() time.Time {
+	if at := v.completeAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// age returns the time since the view was last known to be complete.
+func (v *storeView) age(now time.Time) time.Duration {
+	return now.Sub(v.lastComplete())
+}
+
 func (v *storeView) stale(now time.Time) bool {
 	since := v.unreachableSince.Load()
 	return since != nil && now.Sub(*since) >= staleViewAfter
@@ -247,7 +270,7 @@
 	present := make(map[string]bool, len(m.Endpoints))
 	for i := range m.Endpoints {
 		present[m.Endpoints[i].ID] = true
-		s.deps.Fleet.Announce(m.Endpoints[i].Decode(), now)
+		s.applyAnnouncement(m.Endpoints[i].Decode(), m.Revision, m.Instance, now)
 	}
 	for _, id := range s.deps.Fleet.IDs() {
 		if !present[id] {
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -91,6 +91,7 @@
 	m.Relay = &exchange.RelayDoc{
 		After:         after,
 		Revision:      s.storeView.revision.Load(),
+		AgeMs:         s.storeView.age(now).Milliseconds(),
 		Configuration: s.table.Load().Config.Version,
 		Holder:        s.instances.currentHolder(),
 	}
@@ -155,6 +156,7 @@
 		s.changeLog.instances.recordRemoval(name, now)
 	}
 	s.recordRevision(r.Revision, now)
+	s.storeView.recordComplete(now.Add(-time.Duration(r.AgeMs) * time.Millisecond))
 }
 
 // withdrawRelayed drops an endpoint that a relay reports as removed. Relays repeat such reports; only the first is
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -159,11 +159,11 @@
 	s.applyRelayed("edge-1", &exchange.RelayDoc{After: 28, Revision: 35, ChangedEndpoints: []exchange.EndpointDoc{exchange.EncodeEndpoint(&leaving)}}, now)
 	s.applyRelayed("edge-2", &exchange.RelayDoc{After: 28, Revision: 34, ChangedEndpoints: []exchange.EndpointDoc{exchange.EncodeEndpoint(&present)}}, now)
 	w := &storeWatcher{server: s, seenRevision: 30}
-	w.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 33}}})
+	w.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 33}}}, now)
 	if usable := s.deps.Fleet.Usable(); usable != 0 {
 		t.Fatalf("%d usable endpoints", usable)
 	}
-	w.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 36}}})
+	w.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 36}}}, now)
 	if usable := s.deps.Fleet.Usable(); usable != 1 {
 		t.Fatal("a newer entry is not applied")
 	}
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -128,6 +128,7 @@
 // readAll replaces the view by all present entries of the store and starts a new watch.
 func (w *storeWatcher) readAll(ctx context.Context) bool {
 	before := w.server.storeView.revision.Load()
+	started := time.Now()
 	items, seenRevision, err := w.store.Range(ctx, "")
 	if err != nil {
 		w.recordFailure(err)
@@ -161,6 +162,7 @@
 	w.server.instances.forgetPrevious()
 	w.seenRevision = seenRevision
 	w.server.recordRevision(int64(seenRevision), time.Now())
+	w.server.storeView.recordComplete(started)
 	w.watch, err = w.store.Watch(ctx, "", seenRevision+1)
 	if err != nil {
 		w.recordFailure(err)
@@ -179,6 +181,7 @@
 		w.recordFailure(err)
 		return false
 	}
+	started := time.Now()
 	call, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	events, err := w.watch.Next(call)
@@ -197,7 +200,7 @@
 	}
 	w.recordSuccess()
 	w.justRead = false
-	w.applyAll(events)
+	w.applyAll(events, started)
 	w.sendUpdate()
 	return true
 }
@@ -224,8 +227,8 @@
 	return nil
 }
 
-// applyAll applies the changes that one watch returned.
-func (w *storeWatcher) applyAll(events []kvstore.Event) {
+// applyAll applies the changes that one watch, called at started, returned.
+func (w *storeWatcher) applyAll(events []kvstore.Event, started time.Time) {
 	w.server.viewMu.Lock()
 	defer w.server.viewMu.Unlock()
 	known := w.server.storeView.revision.Load()
@@ -239,6 +242,7 @@
 	if int64(w.seenRevision) > known {
 		w.server.recordRevision(int64(w.seenRevision), time.Now())
 	}
+	w.server.storeView.recordComplete(started)
 }
 
 func (w *storeWatcher) apply(event *kvstore.Event) {
@@ -346,7 +350,8 @@
 		w.unreachableSince = time.Now()
 		w.server.storeView.setUnreachable(w.unreachableSince)
 		w.server.metrics.storeOutages.Inc(1)
-		w.server.log.Warn("store lost; the last view stays in use", zap.Error(err), zap.Int64("revision", int64(w.seenRevision)))
+		w.server.log.Warn("store lost; the last view stays in use", zap.Error(err), zap.Int64("revision", int64(w.seenRevision)),
+			zap.Duration("viewAge", w.server.storeView.age(time.Now())))
 	}
 }
 
@@ -354,7 +359,8 @@
 	if w.unreachableSince.IsZero() {
 		return
 	}
-	w.server.log.Info("store regained", zap.Duration("after", time.Since(w.unreachableSince)))
+	w.server.log.Info("store regained", zap.Duration("after", time.Since(w.unreachableSince)),
+		zap.Duration("viewAge", w.server.storeView.age(time.Now())))
 	w.unreachableSince = time.Time{}
 	w.server.storeView.setReachable()
 	w.graceUntil = time.Now().Add(graceAfterOutage)
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -46,6 +46,8 @@
 type RelayDoc struct {
 	After    int64 `json:"f"`
 	Revision int64 `json:"v"`
+	// AgeMs is the age of the sender's view: the time since it was last known to be complete.
+	AgeMs int64 `json:"d"`
 	// Configuration is the version in force. While that version is new, ConfigurationEntry is its compressed store
 	// entry.
 	Configuration      int64  `json:"c"`
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -123,6 +123,8 @@
 	Appeared
 	Restarted
 	StartedLeaving
+	// StoppedLeaving means that the endpoint announced itself as leaving before and no longer does.
+	StoppedLeaving
 	// Updated means that the endpoint's models, slots or removal time changed.
 	Updated
 )
@@ -163,6 +165,8 @@
 		return Restarted
 	case a.Leaving && !existing.Leaving:
 		return StartedLeaving
+	case !a.Leaving && existing.Leaving:
+		return StoppedLeaving
 	case a.Slots != existing.Slots || a.RemovalIn > 0 || !slices.EqualFunc(a.Models, existing.announcedModels, sameModel):
 		return Updated
 	default:
