--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -37,6 +37,8 @@
 	Pool   *httpconn.Pool
 	Fleet  *fleet.Registry
 	Budget *retry.WindowBudget
+	// ExchangeConn exchanges datagrams with other instances; nil opens a socket at Settings.ExchangeAddress.
+	ExchangeConn net.PacketConn
 	// Scope receives the metrics and Metrics serves them; nil disables either.
 	Scope   tally.Scope
 	Metrics http.Handler
@@ -120,6 +122,7 @@
 	server.exchange, err = exchange.Listen(exchange.Options{
 		Instance: s.InstanceID,
 		Address:  s.ExchangeAddress,
+		Conn:     deps.ExchangeConn,
 		Peers: func() []exchange.Peer {
 			current := server.settings()
 			return server.instances.peers(current.InstanceID, current.Regions, current.Region)
--- /dev/null
+++ b/pkg/edge/views_test.go
@@ -0,0 +1,264 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+)
+
+var (
+	viewSeeds     = flag.Uint64("views.seeds", 12, "number of simulated deployments of each test")
+	firstViewSeed = flag.Uint64("views.first", 1, "seed of the first simulated deployment")
+	viewLog       = flag.Bool("views.log", false, "print the logs of the simulated instances")
+)
+
+const (
+	viewDataCentres = 2
+	viewInstances   = 6
+	viewEndpoints   = 12
+	viewDuration    = 30 * time.Second
+	viewTick        = 40 * time.Millisecond
+	// viewBound is the time in which a change must be in force, contactTime how long after its last fault an instance is
+	// bound by it again: the bounds of the larger deployments.
+	viewBound   = 4 * time.Second
+	contactTime = 5 * time.Second
+	// viewForget is how long an endpoint that has left is checked.
+	viewForget = 15 * time.Second
+)
+
+// viewSimulation is a deployment whose operator changes the configuration and the endpoints while instances lose the
+// store.
+type viewSimulation struct {
+	t         *testing.T
+	random    *rand.Rand
+	store     *simulatedStore
+	instances []*simulatedInstance
+	version   int64
+	// versionsAt are the times at which the versions were written; the first is version 1.
+	versionsAt []time.Time
+	present    []fleet.Announcement
+	leftAt     map[string]time.Time
+	created    int
+	// withoutNotice is set if endpoints are removed without being announced as leaving.
+	withoutNotice bool
+}
+
+func newViewSimulation(t *testing.T, seed uint64) *viewSimulation {
+	random := rand.New(rand.NewPCG(seed, 0))
+	s := &viewSimulation{t: t, random: random, store: newSimulatedStore(), leftAt: make(map[string]time.Time)}
+	network := &simulatedNetwork{random: rand.New(rand.NewPCG(seed, 1)), conns: make(map[string]*simulatedConn), loss: 0.01}
+	regions := make(map[string]string)
+	for d := range viewDataCentres {
+		regions[fmt.Sprintf("z%d", d+1)] = "r1"
+	}
+	for i := range viewDataCentres * viewInstances {
+		s.instances = append(s.instances, s.newInstance(i, network, regions))
+	}
+	s.changeConfig()
+	for range viewEndpoints {
+		s.addEndpoint()
+	}
+	return s
+}
+
+// newInstance returns an instance that is registered. The first two of each data centre are the largest.
+func (s *viewSimulation) newInstance(index int, network *simulatedNetwork, regions map[string]string) *simulatedInstance {
+	dataCentre := fmt.Sprintf("z%d", index%viewDataCentres+1)
+	name := fmt.Sprintf("edge-%s-%d", dataCentre, index/viewDataCentres+1)
+	doc := exchange.InstanceDoc{Exchange: fmt.Sprintf("127.0.0.1:%d", 7000+index), DataCentre: dataCentre, MemoryMB: 184}
+	if index < relaysPerDataCentre*viewDataCentres {
+		doc.MemoryMB = 536
+	}
+	pool := httpconn.NewPool(httpconn.Options{})
+	s.t.Cleanup(pool.Close)
+	server, err := New(Settings{
+		InstanceID: name, DataCentre: dataCentre, Region: "r1", ExchangeAddress: doc.Exchange, Regions: regions,
+		Bounds: Bounds{LeavingMs: viewBound.Milliseconds(), ConfigurationMs: viewBound.Milliseconds()},
+	}, Dependencies{Pool: pool, EntryDecoder: simulatedDecoder(), ExchangeConn: network.listen(doc.Exchange)}, viewLogger(name))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	value, err := json.Marshal(doc)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.put(instancePrefix+name, value)
+	client := &simulatedClient{store: s.store, latency: time.Duration(4+s.random.IntN(50)) * time.Millisecond}
+	return &simulatedInstance{name: name, dataCentre: dataCentre, server: server, client: client, impairedUntil: time.Now()}
+}
+
+// viewLogger returns the logger of an instance.
+func viewLogger(name string) *zap.Logger {
+	if !*viewLog {
+		return zap.NewNop()
+	}
+	return zap.Must(zap.NewDevelopment()).With(zap.String("instance", name))
+}
+
+func (s *viewSimulation) changeConfig() {
+	s.version++
+	s.versionsAt = append(s.versionsAt, time.Now())
+	s.store.put(simulatedConfigKey, simulatedConfig(s.version))
+}
+
+func (s *viewSimulation) addEndpoint() {
+	s.created++
+	a := fleet.Announcement{ID: fmt.Sprintf("e%d", s.created), Service: simulatedService, Address: fmt.Sprintf("a:%d", s.created), Slots: 8}
+	s.present = append(s.present, a)
+	s.announce(&a)
+}
+
+func (s *viewSimulation) announce(a *fleet.Announcement) {
+	value, err := json.Marshal(a)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.put(simulatedEndpoints+a.ID, value)
+}
+
+// replaceEndpoint lets an endpoint leave and adds another one.
+func (s *viewSimulation) replaceEndpoint() {
+	i := s.random.IntN(len(s.present))
+	a := s.present[i]
+	s.present = append(s.present[:i], s.present[i+1:]...)
+	s.leftAt[a.ID] = time.Now()
+	s.addEndpoint()
+	if s.withoutNotice {
+		s.store.delete(simulatedEndpoints + a.ID)
+		return
+	}
+	a.Leaving = true
+	s.announce(&a)
+	time.AfterFunc(viewBound, func() { s.store.delete(simulatedEndpoints + a.ID) })
+}
+
+// updateEndpoint announces an endpoint that has changed but does not leave.
+func (s *viewSimulation) updateEndpoint() {
+	i := s.random.IntN(len(s.present))
+	s.present[i].Slots++
+	s.announce(&s.present[i])
+}
+
+// loseStore takes the store from some instances for a time, relays more often than others.
+func (s *viewSimulation) loseStore() {
+	fault := []storeFault{storeSilent, storeRefuses}[s.random.IntN(2)]
+	duration := 50 * time.Millisecond
+	if s.random.IntN(3) > 0 {
+		duration = time.Duration(500+s.random.IntN(6000)) * time.Millisecond
+	}
+	end := time.Now().Add(duration)
+	for i, instance := range s.instances {
+		share := 0.2
+		if i < relaysPerDataCentre*viewDataCentres {
+			share = 0.8
+		}
+		if time.Now().Before(instance.impairedUntil) || s.random.Float64() >= share {
+			continue
+		}
+		instance.impairedUntil = end
+		instance.client.setFault(fault)
+		time.AfterFunc(duration, func() { instance.client.setFault(storeSound) })
+	}
+}
+
+// bound reports whether the bounds hold for an instance now.
+func (s *viewSimulation) bound(i *simulatedInstance) bool {
+	return time.Since(i.impairedUntil) >= contactTime
+}
+
+// step changes the deployment at random.
+func (s *viewSimulation) step() {
+	perSecond := func(rate float64) bool { return s.random.Float64() < rate*viewTick.Seconds() }
+	if perSecond(1.5) {
+		s.changeConfig()
+	}
+	if perSecond(3) {
+		s.replaceEndpoint()
+	}
+	if perSecond(10) {
+		s.updateEndpoint()
+	}
+	if perSecond(0.3) {
+		s.loseStore()
+	}
+}
+
+// check returns what is wrong at an instance that the bounds hold for; empty if nothing is.
+func (s *viewSimulation) check(i *simulatedInstance) string {
+	now := time.Now()
+	if have := i.version(); have < s.version && now.Sub(s.versionsAt[have]) > viewBound {
+		return fmt.Sprintf("version %d is in force, version %d was written %v before", have, have+1, now.Sub(s.versionsAt[have]))
+	}
+	usable := i.usable()
+	for id, leftAt := range s.leftAt {
+		if now.Sub(leftAt) > viewForget {
+			delete(s.leftAt, id)
+			continue
+		}
+		if now.Sub(leftAt) > viewBound && usable[id] {
+			return fmt.Sprintf("%s is used, it left %v before", id, now.Sub(leftAt))
+		}
+	}
+	return ""
+}
+
+// run plays the deployment and returns the first finding; empty if there is none.
+func (s *viewSimulation) run() string {
+	ctx, cancel := context.WithCancel(context.Background())
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer cancel()
+	for _, i := range s.instances {
+		i.start(ctx, &tasks)
+	}
+	for started := time.Now(); time.Since(started) < viewDuration; {
+		time.Sleep(viewTick)
+		s.step()
+		for _, i := range s.instances {
+			if !s.bound(i) {
+				continue
+			}
+			if finding := s.check(i); finding != "" {
+				return fmt.Sprintf("%s after %v: %s; its view is %v old", i.name, time.Since(started), finding, i.server.storeView.age(time.Now()))
+			}
+		}
+	}
+	return ""
+}
+
+// playViews plays deployments with different seeds.
+func playViews(t *testing.T, withoutNotice bool) {
+	for seed := *firstViewSeed; seed < *firstViewSeed+*viewSeeds; seed++ {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newViewSimulation(t, seed)
+				s.withoutNotice = withoutNotice
+				if finding := s.run(); finding != "" {
+					t.Error(finding)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that knows a change too late because the relays on which it relies have lost the store.
+func TestRelaysThatLoseTheStoreDoNotDelayChanges(t *testing.T) {
+	playViews(t, false)
+}
+
+// Guards against using endpoints for too long that were removed without notice after an instance had lost the store.
+func TestEndpointsRemovedAfterALostConnectionAreNotUsed(t *testing.T) {
+	playViews(t, true)
+}
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -27,6 +27,8 @@
 	Instance string
 	// Address is IP:PORT to listen on.
 	Address string
+	// Conn sends and receives the datagrams; nil opens a socket at Address.
+	Conn net.PacketConn
 	// Peers returns all other instances.
 	Peers func() []Peer
 	// Holder returns the instance that places models, or an empty string if there is none.
@@ -82,7 +84,7 @@
 // Exchange sends this instance's messages to its peers and receives theirs.
 type Exchange struct {
 	options  Options
-	conn     *net.UDPConn
+	conn     net.PacketConn
 	started  int64
 	sequence int64
 	// demandSignal and updateSignal request early messages with ReasonWaitingDemand and ReasonUpdate.
@@ -102,17 +104,16 @@
 
 // Listen opens the socket; Run sends and receives on it.
 func Listen(o Options) (*Exchange, error) {
-	address, err := net.ResolveUDPAddr("udp4", o.Address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "exchange address %q", o.Address)
-	}
-	conn, err := net.ListenUDP("udp4", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen for exchange")
+	if o.Conn == nil {
+		conn, err := listenUDP(o.Address)
+		if err != nil {
+			return nil, err
+		}
+		o.Conn = conn
 	}
 	return &Exchange{
 		options:      o,
-		conn:         conn,
+		conn:         o.Conn,
 		started:      time.Now().UnixMilli(),
 		demandSignal: make(chan struct{}, 1),
 		updateSignal: make(chan struct{}, 1),
@@ -120,6 +121,15 @@
 	}, nil
 }
 
+func listenUDP(address string) (*net.UDPConn, error) {
+	resolved, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "exchange address %q", address)
+	}
+	conn, err := net.ListenUDP("udp4", resolved)
+	return conn, errors.Wrap(err, "listen for exchange")
+}
+
 // ReportWaitingDemand requests an early message to the holder about the models and adapters for which requests are
 // waiting. Requests made before it is sent are merged into one message.
 func (e *Exchange) ReportWaitingDemand() {
@@ -242,14 +252,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.conn.WriteToUDP(data, address)
+	_, err = e.conn.WriteTo(data, address)
 	return err
 }
 
 func (e *Exchange) receive() {
 	buffer := make([]byte, maxMessageBytes+1)
 	for {
-		n, _, err := e.conn.ReadFromUDP(buffer)
+		n, _, err := e.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
