Count a relayed view as old as the relay's own view

What callers saw: instances that reach the store sent requests to endpoints 4.2 and 4.95 s after these had said that they leave, and answered 404 for a route that was 4.1 s old; both bounds are 4 s.

Cause: a relay's message counted as news as of its arrival. A relay whose watch hangs repeats its old view for up to 2.8 s, and each message postpones the recipients' own watch by a whole interval: 0.8 + 2.0 + 1.6 s. The store serves all others meanwhile, so they stay bound. Class of fault: a freshness that starts anew at each hop.

Why this fixes it: the view carries the time as of which it was complete across the hop, and an instance watches the store itself as soon as its view is one watch interval old, whoever told it. The sum no longer has a term for the relay.

--- a/pkg/edge/changelog.go
+++ b/pkg/edge/changelog.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sync/atomic"
 	"time"
 )
 
@@ -33,14 +32,12 @@
 }
 
 // storeChangeLog records the recent changes in the store, the revisions up to which the view was complete, and the time
-// of each, so that a relay can send them. It also records when this instance last received a relay message. The
-// server's viewMu guards it, except for the atomic field.
+// of each, so that a relay can send them. The server's viewMu guards it.
 type storeChangeLog struct {
 	endpoints recentChanges
 	instances recentChanges
 	// revisions lists the revisions up to which the view was complete, in order of time.
-	revisions          []revisionTime
-	lastRelayMessageAt atomic.Pointer[time.Time]
+	revisions []revisionTime
 }
 
 // revisionTime is a revision and the time since when it is known.
@@ -93,19 +90,3 @@
 	slices.Sort(names)
 	return names
 }
-
-func (l *storeChangeLog) recordRelayMessage(now time.Time) {
-	l.lastRelayMessageAt.Store(&now)
-}
-
-// lastRelayMessage returns when the last relay message was applied; the zero time means never.
-func (l *storeChangeLog) lastRelayMessage() time.Time {
-	if receivedAt := l.lastRelayMessageAt.Load(); receivedAt != nil {
-		return *receivedAt
-	}
-	return time.Time{}
-}
-
-func (l *storeChangeLog) hasRelayMessageWithin(d time.Duration, now time.Time) bool {
-	return now.Sub(l.lastRelayMessage()) < d
-}
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -42,8 +42,8 @@
 	return names[:relaysPerDataCentre]
 }
 
-// reliesOnRelays reports whether this instance need not watch the store, because a relay of its data centre has sent a
-// message recently. The instance that places models and the relays always watch the store themselves.
+// reliesOnRelays reports whether this instance need not watch the store, because the messages of the relays of its data
+// centre keep its view recent. The instance that places models and the relays always watch the store themselves.
 func (s *Server) reliesOnRelays(now time.Time) bool {
 	settings := s.settings()
 	if _, holder := s.lease.Held(); holder || s.table.Load() == nil {
@@ -51,7 +51,7 @@
 	}
 	relays := s.instances.relays(settings.DataCentre)
 	return relays != nil && !slices.Contains(relays, settings.InstanceID) &&
-		s.changeLog.hasRelayMessageWithin(settings.Bounds.watchInterval(), now)
+		s.storeView.age(now) < settings.Bounds.watchInterval()
 }
 
 // isRelay reports whether this instance watches the store for its data centre.
@@ -77,7 +77,7 @@
 
 // composeRelay adds the recent changes in the store to a message, if this instance is a relay for the recipient.
 func (s *Server) composeRelay(m *exchange.Message, to exchange.Peer, now time.Time) {
-	if !s.relaysTo(to) || s.table.Load() == nil || s.storeView.unreachableSince.Load() != nil {
+	if !s.relaysTo(to) || s.table.Load() == nil || s.storeView.completeAt.Load() == nil || s.storeView.unreachableSince.Load() != nil {
 		return
 	}
 	s.viewMu.Lock()
@@ -139,7 +139,6 @@
 		s.requestWatch()
 		return
 	}
-	s.changeLog.recordRelayMessage(now)
 	s.instances.setHolderWithoutPrevious(r.Holder, now)
 	for i := range r.ChangedEndpoints {
 		s.applyAnnouncement(r.ChangedEndpoints[i].Decode(), r.Revision, from, now)
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -70,6 +70,7 @@
 	relay.deps.Fleet.Withdraw("goes", false, now)
 	relay.changeLog.endpoints.recordRemoval("goes", now)
 	relay.storeView.revision.Store(20)
+	relay.storeView.recordComplete(now)
 
 	m := &exchange.Message{Instance: "edge-1"}
 	relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
@@ -94,6 +95,7 @@
 	now := time.Now()
 	relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
 	relay.storeView.revision.Store(20)
+	relay.storeView.recordComplete(now)
 	relay.table.Store(routing.NewTable(&routing.Config{Version: 4}))
 	m := &exchange.Message{Instance: "edge-1"}
 	relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
@@ -103,6 +105,22 @@
 	}
 }
 
+// Guards against counting a relay's message as news as of its arrival although the relay itself has heard nothing from the
+// store for most of the watch interval.
+func TestRelayedViewIsAsOldAsTheRelaysView(t *testing.T) {
+	now := time.Now()
+	relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
+	interval := reliant.settings().Bounds.watchInterval()
+	relay.storeView.recordComplete(now)
+	later := now.Add(interval * 3 / 4)
+	m := &exchange.Message{Instance: "edge-1"}
+	relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, later)
+	reliant.applyRelayed("edge-1", m.Relay, later)
+	if !reliant.reliesOnRelays(later) || reliant.reliesOnRelays(now.Add(interval)) {
+		t.Fatal("the instance must rely on the relay until the relay's view is one watch interval old")
+	}
+}
+
 // Guards against applying relayed changes that are older than the instance's own view or come from an instance that is
 // not a relay of the data centre, and against a relay sending changes while it cannot read the store.
 func TestIgnoredRelayMessages(t *testing.T) {
@@ -270,6 +288,7 @@
 		relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
 		relay.deps.EntryDecoder, reliant.deps.EntryDecoder = testConfigDecoder(), testConfigDecoder()
 		relay.applyConfigEntry(c.value, 20, "", now.Add(-c.age))
+		relay.storeView.recordComplete(now)
 		m := &exchange.Message{Instance: "edge-1"}
 		relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
 		if c.damage {
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -88,8 +88,8 @@
 	w.server.metrics.usableEndpoints.Update(float64(w.server.deps.Fleet.Usable()))
 }
 
-// waitForNextWatch waits until the next watch is due: after the watch interval, or later while a relay of the data
-// centre reports changes, or at once when requestWatch is called.
+// waitForNextWatch waits until the next watch is due: after the watch interval, or later while the messages of relays
+// keep the view recent, or at once when requestWatch is called.
 func (w *storeWatcher) waitForNextWatch(ctx context.Context, started time.Time) {
 	interval := w.server.settings().Bounds.watchInterval()
 	if w.server.isRelay() {
@@ -108,7 +108,7 @@
 		if ctx.Err() != nil || !w.server.reliesOnRelays(time.Now()) {
 			return
 		}
-		started = w.server.changeLog.lastRelayMessage()
+		started = w.server.storeView.lastComplete()
 		w.afterWatch()
 	}
 }
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -93,6 +93,7 @@
 	now := time.Now()
 	s := newRelayTestServer(t, "edge-1", minInstancesForRelays)
 	s.deps.Fleet.Announce(fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}, now)
+	s.storeView.recordComplete(now)
 	relays := func(now time.Time) bool {
 		m := &exchange.Message{}
 		s.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
