End the grace of removed endpoints two seconds after the store is back

What callers saw: a request reached a server up to 5 s after its entry had been removed, though the instance had heard of that in time.

Cause: after any lost call of the store, an endpoint that the store no longer lists was kept for two seconds from the watch that showed the removal, and dropped only after the next watch: 1.6 + 2.0 + 1.6 s of 4. Class of fault: a deadline that is counted from when it is noticed, and checked only in passing.

Why this fixes it: the grace has an end, the same for all endpoints of an outage, and the choice of an endpoint observes it. Dropped endpoints wake up waiting requests now. TestEndpointIsNotChosenAfterItsGrace and TestGraceEndsAFixedTimeAfterTheOutage fail without the two parts.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -274,7 +274,7 @@
 	}
 	for _, id := range s.deps.Fleet.IDs() {
 		if !present[id] {
-			s.deps.Fleet.Withdraw(id, false, now)
+			s.deps.Fleet.Withdraw(id, now, now)
 		}
 	}
 	if !s.storeView.peerEndpointsApplied.Swap(true) {
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -162,7 +162,7 @@
 // logged.
 func (s *Server) withdrawRelayed(id string, revision int64, from string, now time.Time) {
 	s.changeLog.endpoints.recordRemoval(id, now)
-	if s.deps.Fleet.Withdraw(id, false, now) {
+	if s.deps.Fleet.Withdraw(id, now, now) {
 		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", revision))
 	}
 }
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -67,7 +67,7 @@
 	}
 	relay.deps.Fleet.Announce(fleet.Announcement{ID: "leaves", Service: "s", Address: "a:1", Leaving: true}, now)
 	relay.changeLog.endpoints.recordChange("leaves", now)
-	relay.deps.Fleet.Withdraw("goes", false, now)
+	relay.deps.Fleet.Withdraw("goes", now, now)
 	relay.changeLog.endpoints.recordRemoval("goes", now)
 	relay.storeView.revision.Store(20)
 	relay.storeView.recordComplete(now)
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -39,9 +39,6 @@
 	watchTimeout = 2 * time.Second
 	// storeRetryDelay is the delay between attempts while the store does not respond.
 	storeRetryDelay = 300 * time.Millisecond
-	// graceAfterOutage is how long after an outage endpoints are withdrawn with grace, which keeps them in use for
-	// fleet.ReappearGrace.
-	graceAfterOutage = 2 * time.Second
 )
 
 // storeWatcher keeps this instance's view of the store up to date.
@@ -56,8 +53,8 @@
 	seenRevision kvstore.Revision
 	// unreachableSince is the time of the first failed call; zero while the store responds.
 	unreachableSince time.Time
-	// graceUntil is the end of the time after an outage in which endpoints are withdrawn with grace.
-	graceUntil time.Time
+	// graceEnd is the time until which endpoints that the store no longer lists after an outage are kept.
+	graceEnd time.Time
 }
 
 // run watches the store until the context ends.
@@ -311,8 +308,8 @@
 
 func (w *storeWatcher) withdrawEndpoint(id string) {
 	now := time.Now()
-	grace := now.Before(w.graceUntil)
-	w.server.deps.Fleet.Withdraw(id, grace, now)
+	grace := now.Before(w.graceEnd)
+	w.server.deps.Fleet.Withdraw(id, w.graceEnd, now)
 	if !grace {
 		w.server.changeLog.endpoints.recordRemoval(id, now)
 	}
@@ -363,5 +360,5 @@
 		zap.Duration("viewAge", w.server.storeView.age(time.Now())))
 	w.unreachableSince = time.Time{}
 	w.server.storeView.setReachable()
-	w.graceUntil = time.Now().Add(graceAfterOutage)
+	w.graceEnd = time.Now().Add(fleet.ReappearGrace)
 }
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -107,7 +107,7 @@
 	if !relays(now) {
 		t.Fatal("sends no relay messages although the store responds and no endpoint is kept with grace")
 	}
-	s.deps.Fleet.Withdraw("e1", true, now)
+	s.deps.Fleet.Withdraw("e1", now.Add(fleet.ReappearGrace), now)
 	if relays(now) {
 		t.Fatal("sends relay messages while an endpoint is kept that the store no longer has")
 	}
@@ -116,3 +116,23 @@
 		t.Fatal("sends no relay messages although the endpoint kept with grace was dropped")
 	}
 }
+
+// Guards against keeping endpoints for longer than they need to announce themselves again after an outage, which adds to
+// the time in which a removal must take effect.
+func TestGraceEndsAFixedTimeAfterTheOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRelayTestServer(t, "edge-1", 1)
+		s.deps.Fleet.Announce(fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}, time.Now())
+		w := &storeWatcher{server: s}
+		w.recordFailure(kvstore.ErrUnavailable)
+		w.recordSuccess()
+		regainedAt := time.Now()
+		time.Sleep(fleet.ReappearGrace * 3 / 4)
+		w.withdrawEndpoint("e1")
+		time.Sleep(time.Until(regainedAt.Add(fleet.ReappearGrace)))
+		demand := &fleet.Demand{Service: "s"}
+		if choice, _ := s.deps.Fleet.Reserve(demand, fleet.DefaultEngineSpeed(), s.distance, time.Now()); choice.ID != "" {
+			t.Fatalf("%s is used %v after the outage", choice.ID, time.Since(regainedAt))
+		}
+	})
+}
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -138,7 +138,7 @@
 }
 
 func evaluate(choice *Choice, e *Endpoint, demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time, includeAvoided bool) {
-	if e.Leaving || excluded(e.ID, demand.Exclude) {
+	if e.Leaving || e.graceEnded(now) || excluded(e.ID, demand.Exclude) {
 		return
 	}
 	if !includeAvoided && e.Health.Avoided(now) {
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -143,7 +143,7 @@
 		}
 		call.End(Succeeded, now)
 	}
-	r.Withdraw("good", false, now)
+	r.Withdraw("good", now, now)
 	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.ID != "bad" {
 		t.Fatalf("chose %q", choice.ID)
 	}
@@ -155,8 +155,8 @@
 	r := NewRegistry()
 	announce(r, "lives", HeldModel{Name: "m"})
 	announce(r, "dead", HeldModel{Name: "m"})
-	r.Withdraw("lives", true, now)
-	r.Withdraw("dead", true, now)
+	r.Withdraw("lives", now.Add(ReappearGrace), now)
+	r.Withdraw("dead", now.Add(ReappearGrace), now)
 	if r.Usable() != 2 {
 		t.Fatal("endpoints are dropped immediately")
 	}
@@ -166,6 +166,21 @@
 	}
 }
 
+// Guards against choosing an endpoint whose grace has ended before the next watch of the store drops it.
+func TestEndpointIsNotChosenAfterItsGrace(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "gone", HeldModel{Name: "m"})
+	r.Withdraw("gone", now.Add(ReappearGrace), now)
+	for _, c := range []struct {
+		at   time.Time
+		want string
+	}{{now.Add(ReappearGrace - 1), "gone"}, {now.Add(ReappearGrace), ""}} {
+		if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, c.at); choice.ID != c.want {
+			t.Fatalf("chose %q %v after the removal, want %q", choice.ID, c.at.Sub(now), c.want)
+		}
+	}
+}
+
 // Guards against a restarted endpoint that keeps the calls, failures and models of its previous lifetime.
 func TestRestartUnderTheSameID(t *testing.T) {
 	r := NewRegistry()
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -11,8 +11,8 @@
 	// maxRemoteWorkAge is the age at which another instance's report of its calls no longer counts. An instance without
 	// a newer report has stopped or is disconnected, and its calls end within seconds.
 	maxRemoteWorkAge = 2 * time.Second
-	// ReappearGrace is how long an endpoint is kept whose entry the store removed during an outage of the store.
-	// Running endpoints announce themselves again within two seconds of the store's recovery.
+	// ReappearGrace is how long after an outage of the store an endpoint is kept whose entry the store removed. Running
+	// endpoints announce themselves again within two seconds of the store's recovery.
 	ReappearGrace = 2 * time.Second
 )
 
@@ -36,6 +36,11 @@
 	modelsChangedAt time.Time
 }
 
+// graceEnded reports whether the endpoint was withdrawn with a grace period that has ended.
+func (e *Endpoint) graceEnded(now time.Time) bool {
+	return !e.graceEndsAt.IsZero() && !now.Before(e.graceEndsAt)
+}
+
 // AnnouncedModels returns the names of the models in the endpoint's last announcement.
 func (e *Endpoint) AnnouncedModels() []string {
 	names := make([]string, 0, len(e.announcedModels))
@@ -174,19 +179,19 @@
 	}
 }
 
-// Withdraw removes an endpoint whose entry was removed. With grace the endpoint stays usable for ReappearGrace: the
-// store has just recovered from an outage in which entries expired, and running endpoints are about to announce
-// themselves again. It reports whether the endpoint was known.
-func (r *Registry) Withdraw(id string, grace bool, now time.Time) bool {
+// Withdraw removes an endpoint whose entry was removed, at graceEnd if that is in the future. A store that has just
+// recovered from an outage may have removed the entries of running endpoints, which are about to announce themselves
+// again. It reports whether the endpoint was known.
+func (r *Registry) Withdraw(id string, graceEnd, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	existing := r.endpoints[id]
 	if existing == nil {
 		return false
 	}
-	if grace {
+	if graceEnd.After(now) {
 		if existing.graceEndsAt.IsZero() {
-			existing.graceEndsAt = now.Add(ReappearGrace)
+			existing.graceEndsAt = graceEnd
 		}
 		return true
 	}
@@ -213,11 +218,14 @@
 	defer r.mu.Unlock()
 	var expired []string
 	for id, e := range r.endpoints {
-		if !e.graceEndsAt.IsZero() && !now.Before(e.graceEndsAt) {
+		if e.graceEnded(now) {
 			expired = append(expired, id)
 			delete(r.endpoints, id)
 		}
 	}
+	if len(expired) > 0 {
+		r.signalChange()
+	}
 	return expired
 }
 
