Send the grace of a removed endpoint along with it

What callers saw: requests that reach an endpoint long after it has left, DRAIN without a limit; later, failed connections.

Cause: an instance that keeps an endpoint which the store no longer lists, for the two seconds after an outage, sent it to instances without the store as if it were listed. The recipient took that for a new announcement, which ends the grace: no later change of the store names the endpoint, so that it stayed for good, and a recipient that is a relay passed it on to its data centre. Class of fault: state with a term that loses the term at a hop.

Why this fixes it: the list says how long the sender still keeps an endpoint, and the recipient keeps it for no longer. TestEndpointKeptWithGraceIsNotKeptForGoodByAnotherInstance fails without that.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -285,6 +285,29 @@
 	}
 }
 
+// Guards against using an endpoint for good that the store has removed, because an instance that keeps it with grace sent
+// it to one that cannot read the store: no later change names the endpoint again.
+func TestEndpointKeptWithGraceIsNotKeptForGoodByAnotherInstance(t *testing.T) {
+	now := time.Now()
+	sender, recipient := newRelayTestServer(t, "edge-1", 2), newRelayTestServer(t, "edge-2", 2)
+	recipient.storeView.setUnreachable(now.Add(-staleViewAfter))
+	gone := fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}
+	for _, s := range []*Server{sender, recipient} {
+		s.deps.Fleet.Announce(gone, now)
+	}
+	sender.deps.Fleet.Withdraw(gone.ID, now.Add(fleet.ReappearGrace), now)
+	recipient.applyPeerEndpoints(&exchange.Message{Instance: "edge-1", Revision: 9, Endpoints: sender.endpointDocs(now)}, now)
+	for _, c := range []struct {
+		at   time.Time
+		want string
+	}{{now, "e1"}, {now.Add(fleet.ReappearGrace), ""}} {
+		choice, _ := recipient.deps.Fleet.Reserve(&fleet.Demand{Service: "s"}, fleet.DefaultEngineSpeed(), recipient.distance, c.at)
+		if choice.ID != c.want {
+			t.Fatalf("chose %q %v after the removal, want %q", choice.ID, c.at.Sub(now), c.want)
+		}
+	}
+}
+
 // Guards against all instances sending the list of endpoints to each stale instance, which overloads the links when
 // many are cut off at once, and against no instance sending it.
 func TestFewInstancesSendEndpoints(t *testing.T) {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -185,15 +185,23 @@
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.sendsEndpointsTo(to, now) && s.stalePeers.endpointsDue(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
-		m.Endpoints = s.endpointDocs()
+		m.Endpoints = s.endpointDocs(now)
 	}
 }
 
 // endpointDocs returns all endpoints that the store lists, and those that the fleet still keeps with grace.
-func (s *Server) endpointDocs() []exchange.EndpointDoc {
+func (s *Server) endpointDocs(now time.Time) []exchange.EndpointDoc {
 	var docs []exchange.EndpointDoc
+	graceEnds := s.deps.Fleet.GraceEnds()
 	for _, a := range s.deps.Fleet.Announcements("") {
-		docs = append(docs, exchange.EncodeEndpoint(&a))
+		doc := exchange.EncodeEndpoint(&a)
+		if end, withdrawn := graceEnds[a.ID]; withdrawn {
+			doc.GraceMs = end.Sub(now).Milliseconds()
+			if doc.GraceMs <= 0 {
+				continue
+			}
+		}
+		docs = append(docs, doc)
 	}
 	return docs
 }
@@ -267,13 +275,17 @@
 		return
 	}
 	s.storeView.peerRevision = m.Revision
-	present := make(map[string]bool, len(m.Endpoints))
+	listed := make(map[string]bool, len(m.Endpoints))
 	for i := range m.Endpoints {
-		present[m.Endpoints[i].ID] = true
-		s.applyAnnouncement(m.Endpoints[i].Decode(), m.Revision, m.Instance, now)
+		doc := &m.Endpoints[i]
+		listed[doc.ID] = true
+		s.applyAnnouncement(doc.Decode(), m.Revision, m.Instance, now)
+		if doc.GraceMs > 0 {
+			s.deps.Fleet.Withdraw(doc.ID, now.Add(time.Duration(doc.GraceMs)*time.Millisecond), now)
+		}
 	}
 	for _, id := range s.deps.Fleet.IDs() {
-		if !present[id] {
+		if !listed[id] {
 			s.deps.Fleet.Withdraw(id, now, now)
 		}
 	}
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -82,7 +82,7 @@
 	}
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	if s.deps.Fleet.HasWithdrawn() {
+	if len(s.deps.Fleet.GraceEnds()) > 0 {
 		// After an outage, the view differs from the store until each endpoint that is kept with grace has been
 		// announced again or dropped.
 		return
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -71,15 +71,18 @@
 
 // EndpointDoc is the encoded announcement of an endpoint.
 type EndpointDoc struct {
-	ID         string      `json:"i"`
-	Service    string      `json:"s"`
-	Address    string      `json:"a"`
-	DataCentre string      `json:"d"`
-	Lifetime   int64       `json:"t"`
-	Slots      int         `json:"n"`
-	Leaving    bool        `json:"g,omitempty"`
-	RemovalMs  int64       `json:"r,omitempty"`
-	Models     []HeldModel `json:"m,omitempty"`
+	ID         string `json:"i"`
+	Service    string `json:"s"`
+	Address    string `json:"a"`
+	DataCentre string `json:"d"`
+	Lifetime   int64  `json:"t"`
+	Slots      int    `json:"n"`
+	Leaving    bool   `json:"g,omitempty"`
+	RemovalMs  int64  `json:"r,omitempty"`
+	// GraceMs is the time for which the sender keeps an endpoint that the store no longer lists; zero means that the
+	// store lists it.
+	GraceMs int64       `json:"k,omitempty"`
+	Models  []HeldModel `json:"m,omitempty"`
 }
 
 // EncodeEndpoint encodes an announcement.
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -200,16 +200,17 @@
 	return true
 }
 
-// HasWithdrawn reports whether any withdrawn endpoint is still kept.
-func (r *Registry) HasWithdrawn() bool {
+// GraceEnds returns the ends of the grace periods of withdrawn endpoints that are still kept, by id.
+func (r *Registry) GraceEnds() map[string]time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, e := range r.endpoints {
+	ends := make(map[string]time.Time)
+	for id, e := range r.endpoints {
 		if !e.graceEndsAt.IsZero() {
-			return true
+			ends[id] = e.graceEndsAt
 		}
 	}
-	return false
+	return ends
 }
 
 // Expire removes endpoints whose grace period has ended and returns their ids.
