Relay removals that another instance had told the relay of

Cause: while a relay cannot read the store, another instance sends it the endpoints. A removal learned that way was not entered in the log of changes from which relay messages are composed, and after the outage the relay's own watch found nothing to withdraw and, with grace, did not enter it either. The relay's messages claim to list all changes and lacked this one. Class of fault: two ways to change one state, only one of which keeps the record of it.

Evidence: TestRemovalKnownFromAnotherInstanceIsRelayed fails before.

Why this fixes it: all withdrawals go through one function that enters them, whoever told.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -281,12 +281,13 @@
 		listed[doc.ID] = true
 		s.applyAnnouncement(doc.Decode(), m.Revision, m.Instance, now)
 		if doc.GraceMs > 0 {
-			s.deps.Fleet.Withdraw(doc.ID, now.Add(time.Duration(doc.GraceMs)*time.Millisecond), now)
+			graceEnd := now.Add(time.Duration(doc.GraceMs) * time.Millisecond)
+			s.withdrawEndpoint(doc.ID, graceEnd, m.Revision, m.Instance, now)
 		}
 	}
 	for _, id := range s.deps.Fleet.IDs() {
 		if !listed[id] {
-			s.deps.Fleet.Withdraw(id, now, now)
+			s.withdrawEndpoint(id, now, m.Revision, m.Instance, now)
 		}
 	}
 	if !s.storeView.peerEndpointsApplied.Swap(true) {
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -144,7 +144,7 @@
 		s.applyAnnouncement(r.ChangedEndpoints[i].Decode(), r.Revision, from, now)
 	}
 	for _, id := range r.RemovedEndpoints {
-		s.withdrawRelayed(id, r.Revision, from, now)
+		s.withdrawEndpoint(id, now, r.Revision, from, now)
 	}
 	for name, doc := range r.ChangedInstances {
 		s.instances.put(name, doc)
@@ -158,15 +158,6 @@
 	s.storeView.recordComplete(now.Add(-time.Duration(r.AgeMs) * time.Millisecond))
 }
 
-// withdrawRelayed drops an endpoint that a relay reports as removed. Relays repeat such reports; only the first is
-// logged.
-func (s *Server) withdrawRelayed(id string, revision int64, from string, now time.Time) {
-	s.changeLog.endpoints.recordRemoval(id, now)
-	if s.deps.Fleet.Withdraw(id, now, now) {
-		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.String("from", from), zap.Int64("revision", revision))
-	}
-}
-
 // applyRelayedConfig applies the configuration of a relay message if it is newer than the one in force. It returns
 // false if the message does not carry the newer configuration or if that cannot be applied.
 func (s *Server) applyRelayedConfig(from string, r *exchange.RelayDoc, now time.Time) bool {
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -145,7 +145,7 @@
 	}
 	for _, id := range w.server.deps.Fleet.IDs() {
 		if !present[w.server.deps.EntryDecoder.EndpointPrefix+id] {
-			w.withdrawEndpoint(id)
+			w.withdraw(id, seenRevision)
 		}
 	}
 	for _, name := range w.server.instances.names() {
@@ -248,7 +248,7 @@
 		return
 	}
 	if id, found := strings.CutPrefix(event.Key, w.server.deps.EntryDecoder.EndpointPrefix); found {
-		w.withdrawEndpoint(id)
+		w.withdraw(id, event.ModRevision)
 		return
 	}
 	if name, found := strings.CutPrefix(event.Key, instancePrefix); found {
@@ -287,7 +287,7 @@
 	announcement, err := w.server.deps.EntryDecoder.Endpoint(id, item.Value)
 	if err != nil {
 		w.server.log.Info("endpoint entry cannot be decoded", zap.Error(err), zap.Int64("revision", int64(item.ModRevision)))
-		w.withdrawEndpoint(id)
+		w.withdraw(id, item.ModRevision)
 		return
 	}
 	w.server.applyAnnouncement(announcement, int64(item.ModRevision), "", time.Now())
@@ -306,14 +306,23 @@
 	}
 }
 
-func (w *storeWatcher) withdrawEndpoint(id string) {
-	now := time.Now()
-	grace := now.Before(w.graceEnd)
-	w.server.deps.Fleet.Withdraw(id, w.graceEnd, now)
-	if !grace {
-		w.server.changeLog.endpoints.recordRemoval(id, now)
+// withdraw withdraws an endpoint that the store no longer lists, or whose entry cannot be decoded.
+func (w *storeWatcher) withdraw(id string, revision kvstore.Revision) {
+	w.server.withdrawEndpoint(id, w.graceEnd, int64(revision), "", time.Now())
+}
+
+// withdrawEndpoint withdraws an endpoint that the store, or the instance named by from, no longer lists. It stays in use
+// until graceEnd. Instances repeat such reports; only the first is logged.
+func (s *Server) withdrawEndpoint(id string, graceEnd time.Time, revision int64, from string, now time.Time) {
+	known := s.deps.Fleet.Withdraw(id, graceEnd, now)
+	kept := known && graceEnd.After(now)
+	if !kept {
+		s.changeLog.endpoints.recordRemoval(id, now)
+	}
+	if known {
+		s.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", kept), zap.Int64("revision", revision),
+			zap.String("from", from))
 	}
-	w.server.log.Info("endpoint withdrawn", zap.String("endpoint", id), zap.Bool("grace", grace))
 }
 
 func (w *storeWatcher) expireEndpoints() {
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -128,7 +128,7 @@
 		w.recordSuccess()
 		regainedAt := time.Now()
 		time.Sleep(fleet.ReappearGrace * 3 / 4)
-		w.withdrawEndpoint("e1")
+		w.withdraw("e1", 1)
 		time.Sleep(time.Until(regainedAt.Add(fleet.ReappearGrace)))
 		demand := &fleet.Demand{Service: "s"}
 		if choice, _ := s.deps.Fleet.Reserve(demand, fleet.DefaultEngineSpeed(), s.distance, time.Now()); choice.ID != "" {
@@ -136,3 +136,27 @@
 		}
 	})
 }
+
+// Guards against a relay that leaves out a removal because another instance had told it of that before: the instances that
+// rely on it would use the endpoint for good.
+func TestRemovalKnownFromAnotherInstanceIsRelayed(t *testing.T) {
+	now := time.Now()
+	relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
+	for _, s := range []*Server{relay, reliant} {
+		s.deps.Fleet.Announce(fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}, now)
+		s.recordRevision(30, now)
+		s.storeView.recordComplete(now)
+	}
+	relay.deps.EntryDecoder.EndpointPrefix = "e/"
+	relay.storeView.setUnreachable(now.Add(-staleViewAfter))
+	relay.applyPeerEndpoints(&exchange.Message{Instance: "elsewhere", Revision: 40}, now)
+	w := &storeWatcher{server: relay, unreachableSince: now.Add(-staleViewAfter)}
+	w.recordSuccess()
+	w.applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "e/e1", ModRevision: 35}, Deleted: true}}, now)
+	m := &exchange.Message{Instance: "edge-1"}
+	relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+	reliant.applyRelayed("edge-1", m.Relay, now)
+	if ids := reliant.deps.Fleet.IDs(); len(ids) != 0 {
+		t.Fatalf("endpoints are %v", ids)
+	}
+}
