Keep older states of an endpoint from replacing newer ones of another instance

What callers saw: nothing that is proved to have come from this. Without the store, an instance that has learned from another one that an endpoint leaves sends requests there again, until the next list two seconds later or until its own watch has caught up.

Cause: endpoints received from another instance carry a revision of their own, which only later lists were compared with. A relay behind it, a read of all entries begun before it, and the first events of the own watch after an outage put older states back. Class of fault: two revisions for one state.

Evidence: TestOlderUpdateDoesNotUndoEndpointsOfAnotherInstance fails on three of four ways before; the fourth is the guard that existed.

Why this fixes it: whoever updates an endpoint as of a revision that such a list already reflects is ignored for endpoints; configuration, instances and holder of the same update still apply.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -37,6 +37,12 @@
 	peerEndpointsApplied atomic.Bool
 }
 
+// endpointsReflect reports whether the endpoints received from another instance already reflect a revision, so that an
+// update as of that revision must not change them. The caller holds the server's viewMu.
+func (v *storeView) endpointsReflect(revision int64) bool {
+	return revision <= v.peerRevision
+}
+
 func (v *storeView) setUnreachable(now time.Time) {
 	v.unreachableSince.Store(&now)
 	v.peerEndpointsApplied.Store(false)
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -140,12 +140,7 @@
 		return
 	}
 	s.instances.setHolderWithoutPrevious(r.Holder, now)
-	for i := range r.ChangedEndpoints {
-		s.applyAnnouncement(r.ChangedEndpoints[i].Decode(), r.Revision, from, now)
-	}
-	for _, id := range r.RemovedEndpoints {
-		s.withdrawEndpoint(id, now, r.Revision, from, now)
-	}
+	s.applyRelayedEndpoints(from, r, now)
 	for name, doc := range r.ChangedInstances {
 		s.instances.put(name, doc)
 		s.changeLog.instances.recordChange(name, now)
@@ -158,6 +153,19 @@
 	s.storeView.recordComplete(now.Add(-time.Duration(r.AgeMs) * time.Millisecond))
 }
 
+// applyRelayedEndpoints applies the changed and removed endpoints of a relay message, unless newer ones are known.
+func (s *Server) applyRelayedEndpoints(from string, r *exchange.RelayDoc, now time.Time) {
+	if s.storeView.endpointsReflect(r.Revision) {
+		return
+	}
+	for i := range r.ChangedEndpoints {
+		s.applyAnnouncement(r.ChangedEndpoints[i].Decode(), r.Revision, from, now)
+	}
+	for _, id := range r.RemovedEndpoints {
+		s.withdrawEndpoint(id, now, r.Revision, from, now)
+	}
+}
+
 // applyRelayedConfig applies the configuration of a relay message if it is newer than the one in force. It returns
 // false if the message does not carry the newer configuration or if that cannot be applied.
 func (s *Server) applyRelayedConfig(from string, r *exchange.RelayDoc, now time.Time) bool {
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -187,6 +188,54 @@
 	}
 }
 
+// Guards against using a leaving endpoint again because of an older state of it, from a relay or from the own watch, after
+// another instance has sent a newer one during an outage of the store.
+func TestOlderUpdateDoesNotUndoEndpointsOfAnotherInstance(t *testing.T) {
+	now := time.Now()
+	s := newRelayTestServer(t, "edge-4", minInstancesForRelays)
+	s.deps.EntryDecoder = simulatedDecoder()
+	present := fleet.Announcement{ID: "e1", Service: "s", Address: "a:1"}
+	leaving := present
+	leaving.Leaving = true
+	s.deps.Fleet.Announce(present, now)
+	s.recordRevision(30, now)
+	s.storeView.setUnreachable(now.Add(-staleViewAfter))
+	s.applyPeerEndpoints(&exchange.Message{Instance: "elsewhere", Revision: 40, Endpoints: []exchange.EndpointDoc{exchange.EncodeEndpoint(&leaving)}}, now)
+	value, err := json.Marshal(present)
+	if err != nil {
+		t.Fatal(err)
+	}
+	entry := func(revision kvstore.Revision) kvstore.KeyValue {
+		return kvstore.KeyValue{Key: simulatedEndpoints + "e1", Value: value, ModRevision: revision}
+	}
+	store := &scriptedStore{items: []kvstore.KeyValue{entry(34)}, compacted: func(int) bool { return false }}
+	w := &storeWatcher{server: s, store: store}
+	usedBefore := []exchange.EndpointDoc{exchange.EncodeEndpoint(&present)}
+	for _, older := range []struct {
+		from  string
+		apply func()
+	}{
+		{"another instance", func() {
+			s.applyPeerEndpoints(&exchange.Message{Instance: "elsewhere", Revision: 39, Endpoints: usedBefore}, now)
+		}},
+		{"a relay", func() {
+			s.applyRelayed("edge-1", &exchange.RelayDoc{After: 28, Revision: 33, Configuration: 3, ChangedEndpoints: usedBefore}, now)
+		}},
+		{"a read of all entries", func() { w.readAll(t.Context()) }},
+		{"a watch", func() { w.applyAll([]kvstore.Event{{KeyValue: entry(39)}}, now) }},
+	} {
+		older.apply()
+		if s.deps.Fleet.Usable() != 0 {
+			t.Errorf("older state from %s makes a leaving endpoint usable again", older.from)
+			s.deps.Fleet.Announce(leaving, now)
+		}
+	}
+	w.applyAll([]kvstore.Event{{KeyValue: entry(41)}}, now)
+	if s.deps.Fleet.Usable() != 1 {
+		t.Fatal("a newer entry is not applied")
+	}
+}
+
 // Guards against a relay message that leaves out changes: it must list each change whose revision is greater than the
 // message's field After, whenever it is composed.
 func TestRelayMessageListsAllLaterChanges(t *testing.T) {
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -284,6 +284,9 @@
 }
 
 func (w *storeWatcher) putEndpoint(id string, item *kvstore.KeyValue) {
+	if w.server.storeView.endpointsReflect(int64(item.ModRevision)) {
+		return
+	}
 	announcement, err := w.server.deps.EntryDecoder.Endpoint(id, item.Value)
 	if err != nil {
 		w.server.log.Info("endpoint entry cannot be decoded", zap.Error(err), zap.Int64("revision", int64(item.ModRevision)))
@@ -306,8 +309,11 @@
 	}
 }
 
-// withdraw withdraws an endpoint that the store no longer lists, or whose entry cannot be decoded.
+// withdraw withdraws an endpoint that the store does not list as of a revision, or whose entry cannot be decoded.
 func (w *storeWatcher) withdraw(id string, revision kvstore.Revision) {
+	if w.server.storeView.endpointsReflect(int64(revision)) {
+		return
+	}
 	w.server.withdrawEndpoint(id, w.graceEnd, int64(revision), "", time.Now())
 }
 
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -11,9 +11,10 @@
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
-// scriptedStore is an empty store that records when all entries are read and when a watch fails with ErrCompacted.
+// scriptedStore is a store at revision 10, or at the newest of its items, that records when all entries are read and when a watch fails with ErrCompacted.
 type scriptedStore struct {
 	kvstore.Store
+	items []kvstore.KeyValue
 	// compacted reports whether a watch fails with ErrCompacted. Watches are counted from one.
 	compacted   func(watch int) bool
 	watches     int
@@ -23,7 +24,11 @@
 
 func (s *scriptedStore) Range(context.Context, string) ([]kvstore.KeyValue, kvstore.Revision, error) {
 	s.rangeTimes = append(s.rangeTimes, time.Now())
-	return nil, 10, nil
+	revision := kvstore.Revision(10)
+	for i := range s.items {
+		revision = max(revision, s.items[i].ModRevision)
+	}
+	return s.items, revision, nil
 }
 
 func (s *scriptedStore) Watch(context.Context, string, kvstore.Revision) (kvstore.Watch, error) {
