--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -222,7 +222,11 @@
 		}
 		info := SendInfo{ToHolder: peer.Instance == holder, Reason: reason, Interval: messageInterval(reason, peer.SameRegion, len(peers))}
 		if err := e.sendTo(peer, info); err != nil {
-			e.options.Log.Debug("exchange message not sent", zap.String("peer", peer.Instance), zap.Error(err))
+			level := zap.DebugLevel
+			if errors.Is(err, ErrTooLarge) {
+				level = zap.WarnLevel
+			}
+			e.options.Log.Log(level, "exchange message not sent", zap.String("peer", peer.Instance), zap.Int("reason", int(reason)), zap.Error(err))
 		}
 	}
 }
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -184,14 +184,17 @@
 // maxMessageBytes bounds the size of a datagram.
 const maxMessageBytes = 60 << 10
 
-// Encode returns the datagram that carries a message. A message above maxMessageBytes is an error.
+// ErrTooLarge means that a message does not fit into a datagram.
+var ErrTooLarge = errors.New("exchange message too large")
+
+// Encode returns the datagram that carries a message. Errors: ErrTooLarge above maxMessageBytes.
 func Encode(m *Message) ([]byte, error) {
 	data, err := json.Marshal(m)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode exchange message")
 	}
 	if len(data) > maxMessageBytes {
-		return nil, errors.Newf("exchange message of %d bytes exceeds the size limit", len(data))
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes", len(data))
 	}
 	return data, nil
 }
