Withhold prompt parts that crash endpoints

Cause: nothing related a crash to what the requests had in common, and a resumable stream took the guilty part to the next endpoint at once. Class of fault: a retry that repeats what broke the endpoint.

Why this fixes it: parts of requests that an endpoint was beginning to answer when it ended are suspects, unless an answer with them ended well within 30 s. An end counts only if the endpoint refuses connections, so that resets and cuts do not count. Three endpoints and two requests put a part in quarantine for ten minutes; requests with it are refused as not run, at once. Parts that the crashed requests always had together are withheld together only, so that an unproven neighbour goes on. After two crashes such a request is not repeated. Instances tell each other crashes early and for five seconds, quarantines as long as they last, and that a part which others suspect has been cleared.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -17,6 +17,8 @@
 	choice fleet.Choice
 	call   *fleet.Call
 	sentAt time.Time
+	// firstEventAt is when the first bytes of a stream arrived; zero before.
+	firstEventAt time.Time
 	// late is set if the response is expected after its target. Late attempts rank after all others in the engine's
 	// queue.
 	late bool
@@ -108,6 +110,7 @@
 	r.recordSend()
 	r.mayHaveRun = true
 	r.log.Info("send failed", zap.String("endpoint", a.choice.ID), zap.Error(err), zap.Duration("took", now.Sub(a.sentAt)))
+	r.recordCrash(a, err)
 	return sendUnknown
 }
 
@@ -202,6 +205,9 @@
 		return sendUnknown
 	}
 	a.call.End(callResult(resp), time.Now())
+	if resp.StatusCode() < fasthttp.StatusMultipleChoices {
+		r.recordAnswered()
+	}
 	return sendAnswered
 }
 
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -39,6 +39,8 @@
 	loggedObstacle fleet.Obstacle
 	// holderNotified is set once this request has triggered an early report to the instance that places models.
 	holderNotified bool
+	// quarantinedPart is the prompt part because of which the request is not sent; zero if there is none.
+	quarantinedPart uint64
 	// mayHaveRun is set once an endpoint may have begun to run the request.
 	mayHaveRun bool
 }
@@ -127,6 +129,9 @@
 		return r.refuse(startupRetryAfter, "no service", closeAfter)
 	}
 	r.server.deps.Budget.Requested(r.service.Name, r.arrivedAt)
+	if remaining, found := r.inQuarantine(r.arrivedAt); found {
+		return r.fail("prompt part in quarantine", remaining, closeAfter)
+	}
 	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.prefillRates.forService(r.service.Name), r.arrivedAt)
 	if r.route.Kind == routing.Streaming {
 		return r.serveStream(closeAfter)
@@ -202,6 +207,8 @@
 		return false
 	case r.sends == 0:
 		return true
+	case r.server.quarantine.Suspected(r.request.Parts):
+		return false
 	}
 	return r.server.deps.Budget.Take(r.service.Name, now)
 }
@@ -219,6 +226,9 @@
 		r.recordEnd(r.server.metrics.clientsLeft)
 		return false
 	}
+	if r.quarantinedPart != 0 {
+		reason = "prompt part in quarantine"
+	}
 	if !r.mayHaveRun {
 		return r.refuse(retryAfter, reason, closeAfter)
 	}
@@ -255,7 +265,11 @@
 // refuse responds that the request has not run and when the client should retry.
 func (r *clientRequest) refuse(retryAfter time.Duration, reason string, closeAfter bool) bool {
 	r.recordEnd(r.server.metrics.refused)
-	r.log.Info("refused: not run", zap.String("route", r.route.Name), zap.String("model", r.request.Model),
+	log := r.log
+	if r.quarantinedPart != 0 {
+		log = log.With(zap.String("quarantinedPart", formatPart(r.quarantinedPart)))
+	}
+	log.Info("refused: not run", zap.String("route", r.route.Name), zap.String("model", r.request.Model),
 		zap.String("adapter", r.request.Adapter), zap.String("reason", reason), zap.Stringer("obstacle", r.obstacle),
 		zap.Int64("configuration", r.table.Config.Version), zap.Duration("retryAfter", retryAfter),
 		zap.Strings("tried", r.tried), zap.Duration("after", time.Since(r.arrivedAt)))
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -15,6 +15,9 @@
 	for {
 		changed := r.server.deps.Fleet.Changed()
 		now := time.Now()
+		if remaining, found := r.inQuarantine(now); found {
+			return nil, remaining
+		}
 		demand := r.fleetDemand(now)
 		choice, call := r.reserve(demand, now)
 		if call != nil {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -27,9 +27,11 @@
 	// resumed counts attempts to continue a stream at another endpoint.
 	resumed tally.Counter
 	// responseTime is the time from a request's arrival to its end, firstEventTime from the send to the first event.
-	responseTime    tally.Histogram
-	firstEventTime  tally.Histogram
-	storeOutages    tally.Counter
+	responseTime   tally.Histogram
+	firstEventTime tally.Histogram
+	storeOutages   tally.Counter
+	// quarantines counts prompt parts put in quarantine.
+	quarantines     tally.Counter
 	configVersion   tally.Gauge
 	usableEndpoints tally.Gauge
 }
@@ -53,6 +55,7 @@
 		responseTime:    scope.Histogram("response_seconds", latencyBuckets),
 		firstEventTime:  scope.Histogram("first_event_seconds", latencyBuckets),
 		storeOutages:    scope.Counter("store_lost"),
+		quarantines:     scope.Counter("quarantined_prompt_parts"),
 		configVersion:   scope.Gauge("configuration_version"),
 		usableEndpoints: scope.Gauge("usable_endpoints"),
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -161,6 +161,8 @@
 		m.Models, m.Adapters = s.demand.waitingDemand(now)
 	case exchange.ReasonUpdate:
 		s.composeUpdate(m, to, info, now)
+	case exchange.ReasonCrash:
+		s.composeQuarantine(m, now)
 	case exchange.ReasonRegular:
 		s.composeRegular(m, to, info, now)
 	}
@@ -188,6 +190,7 @@
 		m.Handover = encodeHandover(&h, now)
 	}
 	s.composeRelay(m, to, now)
+	s.composeQuarantine(m, now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.sendsEndpointsTo(to, now) && s.stalePeers.endpointsDue(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -249,6 +252,9 @@
 	if len(m.Endpoints) > 0 {
 		s.applyPeerEndpoints(m, now)
 	}
+	if m.Quarantine != nil {
+		s.receiveQuarantine(m, now)
+	}
 	if m.Handover != nil {
 		s.placement.ReceiveHandover(m.Instance, decodeHandover(m.Handover, now), now)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -22,6 +22,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
+	"github.com/mulberryglade/mulberryglade/pkg/quarantine"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
@@ -63,9 +64,11 @@
 	placement *residency.Controller
 	draining  atomic.Bool
 	// viewMu makes a change of the endpoints atomic with the change of the revision up to which they are known.
-	viewMu       sync.Mutex
-	storeView    storeView
-	changeLog    *storeChangeLog
+	viewMu    sync.Mutex
+	storeView storeView
+	changeLog *storeChangeLog
+	// quarantine holds the prompt parts that crash endpoints.
+	quarantine   *quarantine.Tracker
 	prefillRates *prefillRateEstimator
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
@@ -93,6 +96,7 @@
 		log:            log,
 		metrics:        newMetrics(deps.Scope),
 		changeLog:      newStoreChangeLog(),
+		quarantine:     quarantine.NewTracker(),
 		prefillRates:   newPrefillRateEstimator(),
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -164,7 +164,8 @@
 
 func (r *clientRequest) recordFirstEvent(a *attempt) {
 	if a.call.Started() {
-		took := time.Since(a.sentAt)
+		a.firstEventAt = time.Now()
+		took := a.firstEventAt.Sub(a.sentAt)
 		r.server.metrics.firstEventTime.RecordDuration(took)
 		r.server.prefillRates.recordFirstToken(r.service.Name, a.choice.AtEndpoint, took-a.choice.Latency)
 		r.log.Info("first event", zap.String("endpoint", a.choice.ID), zap.String("model", r.request.Model),
@@ -185,6 +186,7 @@
 
 func (r *clientRequest) completeStream(a *attempt, resp *fasthttp.Response, state *streamState, closeAfter bool) streamResult {
 	a.call.End(fleet.Succeeded, time.Now())
+	r.recordAnswered()
 	if !state.started {
 		if err := r.conn.writeStreamHeader(&resp.Header, closeAfter); err != nil {
 			return streamClientLeft
@@ -209,5 +211,6 @@
 	a.call.End(fleet.Failed, time.Now())
 	r.log.Info("stream broke off at the endpoint", zap.String("endpoint", a.choice.ID), zap.Error(err),
 		zap.Duration("took", time.Since(a.sentAt)))
+	r.recordCrash(a, err)
 	return streamBroken
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -70,6 +70,8 @@
 	// ReasonUpdate messages report recent changes. The holder reports those of the models and adapters at endpoints and
 	// the loads in progress, a relay those of the entries in the store.
 	ReasonUpdate
+	// ReasonCrash messages report to all that an endpoint crashed under prompt parts.
+	ReasonCrash
 )
 
 // SendInfo describes a message to be composed.
@@ -87,9 +89,11 @@
 	conn     net.PacketConn
 	started  int64
 	sequence int64
-	// demandSignal and updateSignal request early messages with ReasonWaitingDemand and ReasonUpdate.
+	// demandSignal, updateSignal and crashSignal request early messages with ReasonWaitingDemand, ReasonUpdate and
+	// ReasonCrash.
 	demandSignal chan struct{}
 	updateSignal chan struct{}
+	crashSignal  chan struct{}
 
 	mu sync.Mutex
 	// lastReceived maps each instance to its newest accepted message.
@@ -117,6 +121,7 @@
 		started:      time.Now().UnixMilli(),
 		demandSignal: make(chan struct{}, 1),
 		updateSignal: make(chan struct{}, 1),
+		crashSignal:  make(chan struct{}, 1),
 		lastReceived: make(map[string]receivedMessage),
 	}, nil
 }
@@ -142,6 +147,11 @@
 	notify(e.updateSignal)
 }
 
+// ReportCrash requests an early message to all peers about a crash, and is merged like ReportWaitingDemand.
+func (e *Exchange) ReportCrash() {
+	notify(e.crashSignal)
+}
+
 func notify(c chan struct{}) {
 	select {
 	case c <- struct{}{}:
@@ -172,6 +182,8 @@
 			e.sendEarly(ctx, ReasonWaitingDemand)
 		case <-e.updateSignal:
 			e.sendEarly(ctx, ReasonUpdate)
+		case <-e.crashSignal:
+			e.sendEarly(ctx, ReasonCrash)
 		case now := <-timer.C:
 			peers := e.options.Peers()
 			otherRegions := now.Sub(lastOtherRegions) >= scaledInterval(otherRegionInterval, len(peers))
@@ -237,6 +249,8 @@
 	switch reason {
 	case ReasonWaitingDemand:
 		return peer.Instance == holder
+	case ReasonCrash:
+		return true
 	case ReasonUpdate:
 		return holder == e.options.Instance || e.options.NeedsUpdates != nil && e.options.NeedsUpdates(peer)
 	default:
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/quarantine"
 )
 
 // Message is one instance's state.
@@ -40,6 +41,8 @@
 	Endpoints []EndpointDoc `json:"e,omitempty"`
 	// Relay is sent by an instance that watches the store for its data centre.
 	Relay *RelayDoc `json:"y,omitempty"`
+	// Quarantine is sent while prompt parts are suspected of crashing endpoints.
+	Quarantine *quarantine.Report `json:"z,omitempty"`
 }
 
 // RelayDoc lists all changes in the store after one revision up to and including another.
