Break off a stream whose event does not end

Cause: an incomplete event was buffered without a bound and searched anew with each read, up to the request's deadline: memory that an endpoint determines, and processor time that grows with the square of it. Class of fault: a buffer whose size the other side chooses.

Streams without a length or chunks, which end with their connection, were right already, too: broken off when they end inside an event, resumed where that is allowed.

Why this fixes it: an event above 256 KiB counts as a stream broken off: the connection is closed, and the stream resumed or failed.

--- a/pkg/edge/events.go
+++ b/pkg/edge/events.go
@@ -1,6 +1,16 @@
 package edge
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxEventBytes bounds one event. An event with a few tokens takes some 60 bytes.
+const maxEventBytes = 256 << 10
+
+// errEventTooLarge means that an event exceeds maxEventBytes.
+var errEventTooLarge = errors.New("event of a stream too large")
 
 // eventBuffer splits a stream of bytes into complete server-sent events. If the stream breaks off within an event,
 // another endpoint can then continue the stream without parts of two events being joined.
@@ -25,6 +35,11 @@
 	return events
 }
 
+// Oversized reports whether the incomplete event in the buffer exceeds maxEventBytes.
+func (b *eventBuffer) Oversized() bool {
+	return len(b.pending) > maxEventBytes
+}
+
 // Partial reports whether the buffer has an incomplete event.
 func (b *eventBuffer) Partial() bool {
 	return len(b.pending) > 0
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -152,6 +152,9 @@
 				return streamClientLeft
 			}
 		}
+		if state.events.Oversized() {
+			return r.handleBrokenStream(a, errEventTooLarge)
+		}
 		if err == nil {
 			continue
 		}
