Do not deliver a cut failure response as if it were whole

What callers saw: nothing reported; by a test of ours. In place of a stream, a failure with a body above 8 MiB, or without end, was delivered with the endpoint's signature and its first 8 MiB as a complete response.

Cause: the reader was limited to the bound and its end taken for the end of the body. Class of fault: a limit that looks like an end; the other three limited readers of these packages were checked: one reads one byte more, two do not deliver what they read.

Evidence: the entry 'a failure in place of a stream' of 'Bytes without end from an endpoint' failed: status 500, signed, body whole.

Why this fixes it: one byte above the bound is an error, and the request is repeated where that is allowed or ends with 502. Measured: the entry passes.

--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 )
@@ -116,8 +117,11 @@
 
 // readErrorResponse reads the body of a response that is not a stream, and ends the call.
 func (r *clientRequest) readErrorResponse(a *attempt, body *httpconn.Body, resp *fasthttp.Response, reply *Reply) sendResult {
-	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes))
+	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
 	body.Close()
+	if err == nil && len(content) > maxResponseBytes {
+		err = errors.Wrapf(engine.ErrTruncated, "body exceeds %d bytes", maxResponseBytes)
+	}
 	if reply.NotRun {
 		return r.recordRefusal(a, resp.StatusCode(), reply)
 	}
