--- a/pkg/edge/quarantine.go
+++ b/pkg/edge/quarantine.go
@@ -50,13 +50,11 @@
 
 // recordAnswered clears the prompt parts of a request whose answer ended well.
 func (r *clientRequest) recordAnswered() {
-	for _, part := range r.server.quarantine.RecordSuccess(r.request.Parts, time.Now()) {
-		r.log.Warn("prompt part released from quarantine", zap.String("part", formatPart(part)))
-	}
+	r.server.logReleased(r.server.quarantine.RecordSuccess(r.request.Parts, time.Now()), "")
 }
 
-// logQuarantined logs the parts that have been put in quarantine, because of the instance named by from unless that is
-// empty.
+// logQuarantined logs the parts that have been put in quarantine, because of a report of the instance named by from unless
+// that is empty.
 func (s *Server) logQuarantined(parts []uint64, from string) {
 	for _, part := range parts {
 		s.metrics.quarantines.Inc(1)
@@ -65,6 +63,13 @@
 	}
 }
 
+// logReleased logs the parts whose quarantine has ended because an answer with them ended well.
+func (s *Server) logReleased(parts []uint64, from string) {
+	for _, part := range parts {
+		s.log.Warn("prompt part released from quarantine", zap.String("part", formatPart(part)), zap.String("from", from))
+	}
+}
+
 func formatPart(part uint64) string {
 	return strconv.FormatUint(part, 16)
 }
@@ -77,5 +82,7 @@
 }
 
 func (s *Server) receiveQuarantine(m *exchange.Message, now time.Time) {
-	s.logQuarantined(s.quarantine.Merge(m.Quarantine, now), m.Instance)
+	quarantined, released := s.quarantine.Merge(m.Quarantine, now)
+	s.logQuarantined(quarantined, m.Instance)
+	s.logReleased(released, m.Instance)
 }
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -111,14 +111,16 @@
 	return reports
 }
 
-// Merge adds what another instance reports. It returns the parts that are put in quarantine because of that.
-func (t *Tracker) Merge(report *Report, now time.Time) []uint64 {
+// Merge adds what another instance reports. It returns the parts that are put in quarantine because of that, and those
+// whose quarantine ends.
+func (t *Tracker) Merge(report *Report, now time.Time) (quarantined, released []uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, c := range report.Cleared {
-		t.clear(c.Part, now.Add(-milliseconds(c.AgeMs)))
+		if t.clear(c.Part, now.Add(-milliseconds(c.AgeMs))) {
+			released = append(released, c.Part)
+		}
 	}
-	var quarantined []uint64
 	for _, r := range report.Crashes {
 		parts := r.Parts[:min(len(r.Parts), maxPartsPerRequest)]
 		t.contest(parts, now)
@@ -132,7 +134,7 @@
 			quarantined = append(quarantined, q.Part)
 		}
 	}
-	return quarantined
+	return quarantined, released
 }
 
 func milliseconds(ms int64) time.Duration {
