Check that instances make no watches of their own while their relays are sound

Counting a relayed view as old as the relay's own makes instances watch sooner; the incident of full links came from too many own watches.

--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -100,6 +100,8 @@
 	store *simulatedStore
 	mu    sync.Mutex
 	fault storeFault
+	// watches counts the watch calls.
+	watches int
 	// latency is the time of a call without faults.
 	latency time.Duration
 }
@@ -110,6 +112,19 @@
 	c.fault = f
 }
 
+func (c *simulatedClient) countWatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watches++
+}
+
+// watchCount returns the number of watch calls so far.
+func (c *simulatedClient) watchCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watches
+}
+
 // transfer takes half of a call's latency. It fails according to the fault.
 func (c *simulatedClient) transfer(ctx context.Context) error {
 	c.mu.Lock()
@@ -158,6 +173,7 @@
 
 // Next implements kvstore.Watch.
 func (w *simulatedWatch) Next(ctx context.Context) ([]kvstore.Event, error) {
+	w.client.countWatch()
 	if err := w.client.transfer(ctx); err != nil {
 		return nil, err
 	}
--- a/pkg/edge/views_test.go
+++ b/pkg/edge/views_test.go
@@ -50,6 +50,8 @@
 	present    []fleet.Announcement
 	leftAt     map[string]time.Time
 	created    int
+	// sound is set if nothing is impaired but single datagrams.
+	sound bool
 	// withoutNotice is set if endpoints are removed without being announced as leaving.
 	withoutNotice bool
 }
@@ -225,7 +227,7 @@
 	if perSecond(10) {
 		s.updateEndpoint()
 	}
-	if perSecond(0.3) {
+	if !s.sound && perSecond(0.3) {
 		s.impair()
 	}
 	for _, i := range s.instances {
@@ -308,3 +310,26 @@
 func TestEndpointsRemovedAfterALostConnectionAreNotUsed(t *testing.T) {
 	playViews(t, true)
 }
+
+// Guards against instances that watch the store although their relays keep their views recent: with many instances, their
+// watches fill the links.
+func TestInstancesRelyOnSoundRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newViewSimulation(t, *firstViewSeed)
+		s.sound = true
+		if finding := s.run(); finding != "" {
+			t.Fatal(finding)
+		}
+		reliant := s.instances[relaysPerDataCentre*viewDataCentres:]
+		watches := 0
+		for _, i := range reliant {
+			watches += i.client.watchCount()
+		}
+		interval := reliant[0].settings.Bounds.watchInterval()
+		withoutRelays := len(reliant) * int(viewDuration/interval)
+		t.Logf("%d watches, %d without relays", watches, withoutRelays)
+		if watches > withoutRelays/10 {
+			t.Fatalf("instances that rely on relays made %d watches, without relays they make %d", watches, withoutRelays)
+		}
+	})
+}
