Bound reports of crashes, and count prompt parts beyond the 64th as one

With prompts of 64 parts a report took 16 KB and more, so that a message with a new configuration, up to 43 KB, might not have fitted into a datagram and would have been dropped whole. A caller could also have hidden a guilty part behind 64 others, which were all that is tracked. TestHostilePromptsAreBounded, with a bound of 12 KB, and TestPromptsWithTooManyPartsAreWithheldTogether failed on the code before.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -7,6 +7,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -36,8 +37,9 @@
 	maxCleared  = 4096
 	// maxCrashesPerPart is the number of crashes recorded for a part. More do not change the verdict.
 	maxCrashesPerPart = 6
-	// maxPartsPerRequest bounds the work for one request. Parts beyond are never suspects.
+	// maxPartsPerRequest bounds the work for one request. All parts beyond count as the one part overflowPart.
 	maxPartsPerRequest = 64
+	overflowPart       = math.MaxUint64
 )
 
 // Endpoint identifies one run of an endpoint. It can crash only once.
@@ -94,6 +96,9 @@
 	for i := range min(len(prompt)-1, maxPartsPerRequest) {
 		parts = append(parts, prompt[i].ID)
 	}
+	if len(prompt)-1 > maxPartsPerRequest {
+		parts = append(parts, overflowPart)
+	}
 	return parts
 }
 
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -198,6 +199,15 @@
 	}
 }
 
+// manyParts returns 1000 parts that no other request has.
+func manyParts(request int) []uint64 {
+	var parts []uint64
+	for part := range 1000 {
+		parts = append(parts, 1<<47+uint64(1000*request+part))
+	}
+	return parts
+}
+
 // Guards against memory and messages that grow with what callers send, and against a guilty part that is dropped for
 // others.
 func TestHostilePromptsAreBounded(t *testing.T) {
@@ -206,21 +216,37 @@
 		tracker.RecordCrash(prompt(uint64(endpoint), deadly), run(endpoint), start)
 	}
 	for request := range 100 {
-		var shared []uint64
-		for part := range 1000 {
-			shared = append(shared, uint64(10_000+1000*request+part))
-		}
-		tracker.RecordCrash(prompt(uint64(request), shared...), run(100+request), start)
+		tracker.RecordCrash(prompt(uint64(request), manyParts(request)...), run(100+request), start)
 	}
 	report := tracker.Report(start)
-	if len(tracker.suspects) > maxSuspects || len(report.Crashes) > maxReported || len(report.Crashes[0].Parts) > maxPartsPerRequest {
-		t.Fatalf("%d suspects, %d reported crashes with %d parts", len(tracker.suspects), len(report.Crashes), len(report.Crashes[0].Parts))
+	encoded, err := json.Marshal(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	const maxBytes = 12 << 10
+	if len(tracker.suspects) > maxSuspects || len(encoded) > maxBytes || len(report.Crashes) == 0 {
+		t.Fatalf("%d suspects, a report of %d bytes with %d crashes", len(tracker.suspects), len(encoded), len(report.Crashes))
 	}
 	if !withheld(tracker, start, deadly) {
 		t.Fatal("the guilty part is dropped")
 	}
 }
 
+// Guards against a guilty part that hides behind so many others that it is not tracked itself.
+func TestPromptsWithTooManyPartsAreWithheldTogether(t *testing.T) {
+	tracker := NewTracker()
+	for request := range minCrashes {
+		tracker.RecordCrash(prompt(uint64(request), append(manyParts(request), deadly)...), run(request), start)
+	}
+	if !withheld(tracker, start, manyParts(77)...) || withheld(tracker, start, manyParts(77)[:maxPartsPerRequest]...) {
+		t.Fatal("not exactly the prompts with too many parts are withheld")
+	}
+	tracker.RecordSuccess(prompt(9, manyParts(78)...), start)
+	if withheld(tracker, start, manyParts(77)...) {
+		t.Fatal("prompts with many parts are withheld although an answer to one ended well")
+	}
+}
+
 // Guards against withholding sound requests in any order of crashes, answers and reports: only requests with the part under
 // which every request crashes its endpoint may be withheld.
 func TestOnlyTheGuiltyPartIsWithheldInAnyOrder(t *testing.T) {
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -12,8 +12,10 @@
 	reportedFor = 5 * time.Second
 	// contestedFor is how long a cleared part is reported after another instance has last reported it as a suspect.
 	contestedFor = 3 * time.Second
-	// maxReported bounds each list of a report, so that reports fit into datagrams.
-	maxReported = 16
+	// maxReported bounds each list of a report, and maxReportedParts the parts and companions in all entries of a list, so
+	// that reports fit into datagrams together with other state. What is left out is known to the sender only.
+	maxReported      = 16
+	maxReportedParts = 160
 )
 
 // Report is what an instance tells others. It has ages instead of times, because clocks differ.
@@ -76,9 +78,15 @@
 	})
 }
 
+// crashReports returns the crashes that this instance saw, the newest ones if there are too many. The caller holds the
+// lock.
 func (t *Tracker) crashReports(now time.Time) []CrashReport {
 	var reports []CrashReport
-	for _, c := range t.ownCrashes {
+	parts := 0
+	for _, c := range slices.Backward(t.ownCrashes) {
+		if parts += len(c.parts); parts > maxReportedParts {
+			break
+		}
 		reports = append(reports, CrashReport{
 			Endpoint: c.endpoint.ID, Lifetime: c.endpoint.Lifetime, Request: c.request, Parts: c.parts, AgeMs: now.Sub(c.at).Milliseconds(),
 		})
@@ -86,11 +94,15 @@
 	return reports
 }
 
+// quarantineReports returns the parts in quarantine. The caller holds the lock.
 func (t *Tracker) quarantineReports(now time.Time) []QuarantineReport {
 	var reports []QuarantineReport
+	parts := 0
 	for _, part := range slices.Sorted(maps.Keys(t.suspects)) {
 		s := t.suspects[part]
-		if !s.until.IsZero() && len(reports) < maxReported {
+		fits := len(reports) < maxReported && parts+1+len(s.companions) <= maxReportedParts
+		if !s.until.IsZero() && fits {
+			parts += 1 + len(s.companions)
 			reports = append(reports, QuarantineReport{
 				Part: part, Companions: slices.Clone(s.companions), RemainingMs: s.until.Sub(now).Milliseconds(),
 			})
