--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -75,9 +75,14 @@
 	return time.Duration(float64(s.settings().Bounds.watchInterval()) * relayWatchIntervalShare)
 }
 
+// canRelay reports whether this instance has a view of the store that others can rely on.
+func (s *Server) canRelay() bool {
+	return s.table.Load() != nil && s.storeView.completeAt.Load() != nil && s.storeView.unreachableSince.Load() == nil
+}
+
 // composeRelay adds the recent changes in the store to a message, if this instance is a relay for the recipient.
 func (s *Server) composeRelay(m *exchange.Message, to exchange.Peer, now time.Time) {
-	if !s.relaysTo(to) || s.table.Load() == nil || s.storeView.completeAt.Load() == nil || s.storeView.unreachableSince.Load() != nil {
+	if !s.relaysTo(to) || !s.canRelay() {
 		return
 	}
 	s.viewMu.Lock()
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -74,6 +74,22 @@
 	ReasonCrash
 )
 
+// String returns the reason's name for logs.
+func (r Reason) String() string {
+	switch r {
+	case ReasonRegular:
+		return "regular"
+	case ReasonWaitingDemand:
+		return "waiting demand"
+	case ReasonUpdate:
+		return "update"
+	case ReasonCrash:
+		return "crash"
+	default:
+		return "unknown"
+	}
+}
+
 // SendInfo describes a message to be composed.
 type SendInfo struct {
 	// ToHolder is set if the recipient is the instance that places models.
@@ -238,7 +254,7 @@
 			if errors.Is(err, ErrTooLarge) {
 				level = zap.WarnLevel
 			}
-			e.options.Log.Log(level, "exchange message not sent", zap.String("peer", peer.Instance), zap.Int("reason", int(reason)), zap.Error(err))
+			e.options.Log.Log(level, "exchange message not sent", zap.String("peer", peer.Instance), zap.Stringer("reason", reason), zap.Error(err))
 		}
 	}
 }
