Do not count a view as complete for changes that its relay skipped

Cause: a relay that reads all entries at once, after lost history, or takes over the endpoints of another instance, does not see each change in between. An endpoint that was created and removed there is unknown to it, so that its message cannot list the removal, but claimed to be complete. An instance that had read the store within that range knew the endpoint and never heard that it was gone. Class of fault: a claim of completeness that does not hold for each recipient.

TestRelayDoesNotSpeakForChangesThatItSkipped fails without the check.

Why this fixes it: messages name the ranges that their relay skipped; a recipient whose view is within one watches the store itself. Recipients before the range are told all that changed, as the relay knew all that they know.

--- a/pkg/edge/changelog.go
+++ b/pkg/edge/changelog.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 )
 
 // recentChanges maps the names of recently changed and removed entries to the times at which this instance learned of
@@ -38,6 +40,8 @@
 	instances recentChanges
 	// revisions lists the revisions up to which the view was complete, in order of time.
 	revisions []revisionTime
+	// gaps lists the ranges of revisions that the view skipped.
+	gaps []exchange.RevisionGap
 }
 
 // revisionTime is a revision and the time since when it is known.
@@ -59,11 +63,25 @@
 	l.revisions = append(l.revisions, revisionTime{revision, now})
 }
 
+// recordGap records that the view skipped the revisions between two, because all entries were read at once.
+func (l *storeChangeLog) recordGap(after, before int64) {
+	if after < before-1 {
+		l.gaps = append(l.gaps, exchange.RevisionGap{After: after, Before: before})
+	}
+}
+
+// gapsSince returns the gaps that concern a view at some revision from after on, and drops the others.
+func (l *storeChangeLog) gapsSince(after int64) []exchange.RevisionGap {
+	l.gaps = slices.DeleteFunc(l.gaps, func(g exchange.RevisionGap) bool { return g.Before <= after })
+	return slices.Clone(l.gaps)
+}
+
 // dropBefore drops changes that are not needed to report all changes since a time.
 func (l *storeChangeLog) dropBefore(t time.Time) {
-	_, from := l.since(t)
+	after, from := l.since(t)
 	l.endpoints.since(from)
 	l.instances.since(from)
+	l.gapsSince(after)
 }
 
 // since returns the newest revision up to which the view was complete before t, or else the oldest recorded one, and
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -96,6 +96,7 @@
 	m.Relay = &exchange.RelayDoc{
 		After:         after,
 		Revision:      s.storeView.revision.Load(),
+		Gaps:          s.changeLog.gapsSince(after),
 		AgeMs:         s.storeView.age(now).Milliseconds(),
 		Configuration: s.table.Load().Config.Version,
 		Holder:        s.instances.currentHolder(),
@@ -128,7 +129,7 @@
 }
 
 // applyRelayed applies the changes that a relay of the data centre reports. It ignores a message if this instance knows
-// a newer revision. It also ignores a message that no longer lists changes which this instance lacks, or that does not
+// a newer revision. It also ignores a message that may not list all changes which this instance lacks, or that does not
 // carry a configuration which this instance lacks; the instance then watches the store itself.
 func (s *Server) applyRelayed(from string, r *exchange.RelayDoc, now time.Time) {
 	if !slices.Contains(s.instances.relays(s.settings().DataCentre), from) {
@@ -136,7 +137,9 @@
 	}
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	if known := s.storeView.revision.Load(); r.Revision < known || r.After > known {
+	known := s.storeView.revision.Load()
+	inGap := slices.ContainsFunc(r.Gaps, func(g exchange.RevisionGap) bool { return g.Contains(known) })
+	if r.Revision < known || r.After > known || inGap {
 		return
 	}
 	if !s.applyRelayedConfig(from, r, now) {
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -236,6 +236,49 @@
 	}
 }
 
+// Guards against using an endpoint for good that was created and removed while a relay did not see each change: the relay
+// has never known it, and cannot report that it is gone.
+func TestRelayDoesNotSpeakForChangesThatItSkipped(t *testing.T) {
+	now := time.Now()
+	brief := fleet.Announcement{ID: "brief", Service: "s", Address: "a:1"}
+	skips := map[string]func(relay *Server){
+		"a read of all entries": func(relay *Server) {
+			store := &scriptedStore{items: []kvstore.KeyValue{{Key: "other", ModRevision: 40}}, compacted: func(int) bool { return false }}
+			(&storeWatcher{server: relay, store: store}).readAll(t.Context())
+		},
+		"endpoints of another instance": func(relay *Server) {
+			relay.storeView.setUnreachable(now.Add(-staleViewAfter))
+			relay.applyPeerEndpoints(&exchange.Message{Instance: "elsewhere", Revision: 39}, now)
+			relay.storeView.setReachable()
+			(&storeWatcher{server: relay}).applyAll([]kvstore.Event{{KeyValue: kvstore.KeyValue{Key: "other", ModRevision: 40}}}, now)
+		},
+	}
+	for name, skip := range skips {
+		for known, complete := range map[int64]bool{29: true, 30: true, 35: false, 38: false} {
+			relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
+			relay.deps.EntryDecoder = simulatedDecoder()
+			relay.recordRevision(28, now.Add(-time.Minute))
+			relay.recordRevision(30, now)
+			relay.storeView.recordComplete(now)
+			reliant.recordRevision(known, now)
+			if known > 30 {
+				reliant.deps.Fleet.Announce(brief, now)
+			}
+			skip(relay)
+			// A read of all entries has dropped the instances that the test store does not have.
+			for i := range minInstancesForRelays {
+				relay.instances.put(fmt.Sprintf("edge-%d", i+1), exchange.InstanceDoc{DataCentre: "z1"})
+			}
+			m := &exchange.Message{Instance: "edge-1"}
+			relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+			reliant.applyRelayed("edge-1", m.Relay, now)
+			if told := reliant.storeView.revision.Load() == 40; told != complete {
+				t.Errorf("%s: a view at revision %d counts as complete up to 40: %v", name, known, told)
+			}
+		}
+	}
+}
+
 // Guards against a relay message that leaves out changes: it must list each change whose revision is greater than the
 // message's field After, whenever it is composed.
 func TestRelayMessageListsAllLaterChanges(t *testing.T) {
--- a/pkg/edge/stalepeers.go
+++ b/pkg/edge/stalepeers.go
@@ -110,6 +110,7 @@
 		return
 	}
 	s.storeView.peerRevision = m.Revision
+	s.changeLog.recordGap(s.storeView.revision.Load(), m.Revision)
 	listed := make(map[string]bool, len(m.Endpoints))
 	for i := range m.Endpoints {
 		doc := &m.Endpoints[i]
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -134,10 +134,12 @@
 	w.recordSuccess()
 	w.server.viewMu.Lock()
 	defer w.server.viewMu.Unlock()
-	if known := w.server.storeView.revision.Load(); known > before && int64(seenRevision) < known {
+	known := w.server.storeView.revision.Load()
+	if known > before && int64(seenRevision) < known {
 		// A relay has reported newer changes while the entries were read.
 		return false
 	}
+	w.server.changeLog.recordGap(known, int64(seenRevision))
 	present := make(map[string]bool, len(items))
 	for i := range items {
 		present[items[i].Key] = true
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -49,6 +49,9 @@
 type RelayDoc struct {
 	After    int64 `json:"f"`
 	Revision int64 `json:"v"`
+	// Gaps are ranges of revisions within which the sender did not see each change. It does not know of entries that were
+	// created and removed within one, so that the message is not complete for a recipient whose view is within one.
+	Gaps []RevisionGap `json:"k,omitempty"`
 	// AgeMs is the age of the sender's view: the time since it was last known to be complete.
 	AgeMs int64 `json:"d"`
 	// Configuration is the version in force. While that version is new, ConfigurationEntry is its compressed store
@@ -64,6 +67,17 @@
 	RemovedInstances []string               `json:"q,omitempty"`
 }
 
+// RevisionGap is the range of revisions after one and before another.
+type RevisionGap struct {
+	After  int64 `json:"f"`
+	Before int64 `json:"b"`
+}
+
+// Contains reports whether a revision is within the gap.
+func (g RevisionGap) Contains(revision int64) bool {
+	return g.After < revision && revision < g.Before
+}
+
 // InstanceDoc is an instance's entry in the store.
 type InstanceDoc struct {
 	// Exchange is IP:PORT of the instance's exchange socket.
