Let relays read the store after its history is lost

Cause: an instance whose own watch fails with lost history read all entries at once, though its relays were doing so.

Why this fixes it: such an instance waits for its relays until its view is one relay interval older than usual (2.4 s of 4), and goes on after what they tell. Only then it reads itself.

Limit: relays that keep an endpoint with grace say nothing, as before; then all read, 0.8 s later than before.

--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -45,13 +45,17 @@
 // reliesOnRelays reports whether this instance need not watch the store, because the messages of the relays of its data
 // centre keep its view recent. The instance that places models and the relays always watch the store themselves.
 func (s *Server) reliesOnRelays(now time.Time) bool {
+	return s.storeView.age(now) < s.settings().Bounds.watchInterval() && s.hasRelays()
+}
+
+// hasRelays reports whether relays of the data centre watch the store for this instance.
+func (s *Server) hasRelays() bool {
 	settings := s.settings()
 	if _, holder := s.lease.Held(); holder || s.table.Load() == nil {
 		return false
 	}
 	relays := s.instances.relays(settings.DataCentre)
-	return relays != nil && !slices.Contains(relays, settings.InstanceID) &&
-		s.storeView.age(now) < settings.Bounds.watchInterval()
+	return relays != nil && !slices.Contains(relays, settings.InstanceID)
 }
 
 // isRelay reports whether this instance watches the store for its data centre.
--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -27,7 +27,9 @@
 	items           map[string]kvstore.KeyValue
 	history         []kvstore.Event
 	compactedBefore kvstore.Revision
-	changed         chan struct{}
+	// muted is set while watches hear of no changes.
+	muted   bool
+	changed chan struct{}
 }
 
 func newSimulatedStore() *simulatedStore {
@@ -57,10 +59,18 @@
 	s.changed = make(chan struct{})
 }
 
+// mute keeps changes from watches until the store compacts its history.
+func (s *simulatedStore) mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.muted = true
+}
+
 // compact drops the history, so that pending watches fail.
 func (s *simulatedStore) compact() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.muted = false
 	s.compactedBefore = s.revision + 1
 	s.history = nil
 	close(s.changed)
@@ -75,7 +85,7 @@
 		return nil, nil, kvstore.ErrCompacted
 	}
 	for i := range s.history {
-		if s.history[i].ModRevision > after {
+		if s.history[i].ModRevision > after && !s.muted {
 			return slices.Clone(s.history[i:]), nil, nil
 		}
 	}
@@ -100,8 +110,8 @@
 	store *simulatedStore
 	mu    sync.Mutex
 	fault storeFault
-	// watches counts the watch calls.
-	watches int
+	// watches and reads count the calls of either kind.
+	watches, reads int
 	// latency is the time of a call without faults.
 	latency time.Duration
 }
@@ -118,11 +128,11 @@
 	c.watches++
 }
 
-// watchCount returns the number of watch calls so far.
-func (c *simulatedClient) watchCount() int {
+// calls returns the numbers of watches and of reads of all entries so far.
+func (c *simulatedClient) calls() (watches, reads int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.watches
+	return c.watches, c.reads
 }
 
 // transfer takes half of a call's latency. It fails according to the fault.
@@ -148,6 +158,9 @@
 func (c *simulatedClient) Range(ctx context.Context, _ string) ([]kvstore.KeyValue, kvstore.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, simulatedCallTimeout)
 	defer cancel()
+	c.mu.Lock()
+	c.reads++
+	c.mu.Unlock()
 	if err := c.transfer(ctx); err != nil {
 		return nil, 0, err
 	}
@@ -181,10 +194,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if changed != nil {
+	for changed != nil {
 		select {
 		case <-changed:
-			events, _, err = w.client.store.eventsAfter(w.after)
+			events, changed, err = w.client.store.eventsAfter(w.after)
 		case <-ctx.Done():
 			return nil, kvstore.ErrUnavailable
 		}
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -60,7 +60,7 @@
 // run watches the store until the context ends.
 func (w *storeWatcher) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if w.watch == nil && !w.readAll(ctx) {
+		if w.watch == nil && !w.resumeAfterRelay(ctx) && !w.readAll(ctx) {
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
@@ -70,7 +70,7 @@
 			continue
 		}
 		if w.watch == nil {
-			// The store has compacted the missing changes; all entries are read without a delay.
+			// The store has compacted the missing changes.
 			continue
 		}
 		w.afterWatch()
@@ -122,6 +122,24 @@
 	}
 }
 
+// relayPollInterval is the time between two checks whether a relay has reported changes.
+const relayPollInterval = 50 * time.Millisecond
+
+// resumeAfterRelay waits for a relay to report the changes that the store has compacted, and then starts a watch after
+// them. It returns false if this instance must read all entries: without relays, or when its view is older than the relays
+// need to read the entries. If all instances read them at once, they fill the links between them and the store.
+func (w *storeWatcher) resumeAfterRelay(ctx context.Context) bool {
+	before := w.server.storeView.revision.Load()
+	maxAge := w.server.settings().Bounds.watchInterval() + w.server.relayWatchInterval()
+	for ctx.Err() == nil && w.server.hasRelays() && w.server.storeView.age(time.Now()) < maxAge {
+		if w.server.storeView.revision.Load() > before {
+			return w.skipRelayed(ctx) == nil
+		}
+		sleep(ctx, relayPollInterval)
+	}
+	return false
+}
+
 // readAll replaces the view by all present entries of the store and starts a new watch.
 func (w *storeWatcher) readAll(ctx context.Context) bool {
 	before := w.server.storeView.revision.Load()
@@ -221,7 +239,9 @@
 	if err != nil {
 		return err
 	}
-	w.watch.Close()
+	if w.watch != nil {
+		w.watch.Close()
+	}
 	w.watch, w.seenRevision = watch, known
 	return nil
 }
--- a/pkg/edge/views_test.go
+++ b/pkg/edge/views_test.go
@@ -32,6 +32,10 @@
 	// bound by it again: the bounds of the larger deployments.
 	viewBound   = 4 * time.Second
 	contactTime = 5 * time.Second
+	// muteTime is how long watches hear of no changes before the store loses its history.
+	muteTime = time.Second
+	// longMuteTime is long enough that instances which rely on relays watch the store themselves meanwhile.
+	longMuteTime = 1500 * time.Millisecond
 	// viewForget is how long an endpoint that has left is checked.
 	viewForget = 15 * time.Second
 )
@@ -196,10 +200,17 @@
 	case 4:
 		s.impairInstances(duration, func(i *simulatedInstance) { i.kill() })
 	case 5:
-		s.store.compact()
-		for _, i := range s.instances {
-			i.impairedUntil = maxTime(i.impairedUntil, time.Now())
-		}
+		s.loseHistory()
+	}
+}
+
+// loseHistory keeps changes from all watches for a second and then drops the store's history. All instances count as
+// impaired until then.
+func (s *viewSimulation) loseHistory() {
+	s.store.mute()
+	time.AfterFunc(muteTime, s.store.compact)
+	for _, i := range s.instances {
+		i.impairedUntil = maxTime(i.impairedUntil, time.Now().Add(muteTime))
 	}
 }
 
@@ -323,7 +334,8 @@
 		reliant := s.instances[relaysPerDataCentre*viewDataCentres:]
 		watches := 0
 		for _, i := range reliant {
-			watches += i.client.watchCount()
+			made, _ := i.client.calls()
+			watches += made
 		}
 		interval := reliant[0].settings.Bounds.watchInterval()
 		withoutRelays := len(reliant) * int(viewDuration/interval)
@@ -333,3 +345,27 @@
 		}
 	})
 }
+
+// Guards against all instances reading the whole store at once, which fills the links, when its history is lost while
+// relays can read it for them.
+func TestLostHistoryIsReadByRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newViewSimulation(t, *firstViewSeed)
+		s.sound = true
+		// The pause differs from the watch interval, so that the loss falls into each phase between two watches.
+		const pause = 2730 * time.Millisecond
+		for at := pause; at < viewDuration; at += pause {
+			time.AfterFunc(at, s.store.mute)
+			time.AfterFunc(at+longMuteTime, s.store.compact)
+		}
+		if finding := s.run(); finding != "" {
+			t.Fatal(finding)
+		}
+		for index, i := range s.instances {
+			_, reads := i.client.calls()
+			if reliant := index >= relaysPerDataCentre*viewDataCentres; reliant && reads > 1 {
+				t.Errorf("%s read the store %d times, not only at its start", i.settings.InstanceID, reads)
+			}
+		}
+	})
+}
