--- a/pkg/edge/simulation_test.go
+++ b/pkg/edge/simulation_test.go
@@ -380,8 +380,8 @@
 
 const (
 	simulatedService    = "s"
-	simulatedConfigKey  = "op/config"
-	simulatedEndpoints  = "servers/"
+	simulatedConfigKey  = "configuration"
+	simulatedEndpoints  = "endpoints/"
 	simulatedConfigSize = 200
 )
 
