Search each byte of a stream for the end of an event once

What callers saw: nothing reported; by a test of ours. A stream whose event does not end kept a processor busy for seconds before it was broken off: a machine with a fifth of a core would have stood still for all others.

Cause: an incomplete event was searched anew with each read, and a chunked stream is read chunk by chunk: 16,384 searches of up to 256 KiB with chunks of 16 bytes. 'Break off a stream whose event does not end' had bounded the bytes, not the work. Class of fault: work that grows with the square of what the other side sends.

Why this fixes it: the end of an event can only begin at the last two bytes that were searched before.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -356,3 +356,20 @@
 		}
 	}
 }
+
+// Guards against missing the end of an event that is read in parts, since each byte is searched only once.
+func TestEventBufferFindsEndsReadInParts(t *testing.T) {
+	const stream = "id: 1\ndata: x\n\nid: 2\r\ndata: y\r\n\r\nid: 3\n\r\nrest"
+	for size := 1; size <= len(stream); size++ {
+		var b eventBuffer
+		var events strings.Builder
+		for rest := stream; rest != ""; {
+			n := min(size, len(rest))
+			events.Write(b.Add([]byte(rest[:n])))
+			rest = rest[n:]
+		}
+		if events.String() != strings.TrimSuffix(stream, "rest") || b.LastID != "3" || !b.Partial() {
+			t.Errorf("reads of %d bytes: events %q, last id %q", size, events.String(), b.LastID)
+		}
+	}
+}
--- a/pkg/edge/events.go
+++ b/pkg/edge/events.go
@@ -22,11 +22,14 @@
 
 // Add appends data and returns the events that are complete now.
 func (b *eventBuffer) Add(data []byte) []byte {
+	// The bytes before had no end of an event, so that one can only begin at the last of them.
+	searchFrom := max(len(b.pending)-len(longestEventEnd)+1, 0)
 	b.pending = append(b.pending, data...)
-	end := lastEventEnd(b.pending)
+	end := lastEventEnd(b.pending[searchFrom:])
 	if end == 0 {
 		return nil
 	}
+	end += searchFrom
 	events := append([]byte(nil), b.pending[:end]...)
 	b.pending = append(b.pending[:0], b.pending[end:]...)
 	if id := lastID(events); id != "" {
@@ -50,13 +53,16 @@
 	b.pending = b.pending[:0]
 }
 
+// longestEventEnd is the longest sequence of bytes that ends an event.
+const longestEventEnd = "\n\r\n"
+
 // lastEventEnd returns the length of the complete events in data. An event ends with an empty line.
 func lastEventEnd(data []byte) int {
 	end := 0
 	if i := bytes.LastIndex(data, []byte("\n\n")); i >= 0 {
 		end = i + 2
 	}
-	if i := bytes.LastIndex(data, []byte("\n\r\n")); i >= 0 {
+	if i := bytes.LastIndex(data, []byte(longestEventEnd)); i >= 0 {
 		end = max(end, i+3)
 	}
 	return end
