Be ready only once the configuration is applied

What callers saw: an instance of the product's own daemon that has just become ready refuses calls with 503 'This instance has not received its configuration'.

Cause: readiness looked at whether the configuration had been received; it is applied to topology, endpoints and admission after that, in another goroutine. Class of fault: a state reported by one part for another.

Why this fixes it: readiness waits for the first configuration to be applied in all parts.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -55,7 +55,9 @@
 	linkBudget *scheduling.LinkBudget
 	prefixes   *scheduling.PrefixIndex
 	admission  *admission.Controller
-	recorder   *decisions.Recorder
+	// applied is set once the first configuration is in effect in all of the above.
+	applied  atomic.Bool
+	recorder *decisions.Recorder
 
 	engineClient *openaihttp.Client
 	servicePool  *httpconn.Pool
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -30,7 +30,7 @@
 	if d.draining.Load() {
 		return errDraining
 	}
-	if d.syncer.Current() == nil {
+	if !d.applied.Load() {
 		return errNoConfiguration
 	}
 	return nil
@@ -170,6 +170,7 @@
 	d.topology.Apply(snapshot)
 	d.registry.Apply(snapshot)
 	d.admission.Apply(snapshot)
+	d.applied.Store(true)
 	d.log.Info("configuration in effect",
 		zap.Int64("revision", snapshot.Revision),
 		zap.Duration("age", time.Since(snapshot.CommittedAt)))
