Let a quarantine end among many instances

What callers saw: nothing yet; found by reading the change as its next maintainer. Requests with a part would have been refused for good, not for ten minutes, where many instances report to each other.

Cause: an instance whose quarantine had ended adopted it again from one whose report was a few milliseconds behind; each adoption added the time that the report had taken.

Evidence: TestQuarantineEndsAmongManyInstances fails before: two of three instances still withhold the part a minute after its end.

Why this fixes it: a quarantine is adopted only while ten seconds are left, more than any report takes.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -32,6 +32,9 @@
 	clearedFor = 30 * time.Second
 	// Duration is how long a part stays in quarantine. After that it is forgotten, and endpoints may crash again.
 	Duration = 10 * time.Minute
+	// minAdoptedTime is the time that must be left in a quarantine for another instance to adopt it. It exceeds the time
+	// that a report takes to arrive, so that instances do not pass an ended quarantine on among each other.
+	minAdoptedTime = 10 * time.Second
 	// maxSuspects and maxCleared bound the memory.
 	maxSuspects = 256
 	maxCleared  = 4096
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -277,3 +277,24 @@
 		}
 	})
 }
+
+// Guards against a quarantine that instances pass on among each other for good: a report takes time to arrive, and the time
+// left in it would count anew from there.
+func TestQuarantineEndsAmongManyInstances(t *testing.T) {
+	const transit = 40 * time.Millisecond
+	trackers := []*Tracker{NewTracker(), NewTracker(), NewTracker()}
+	for endpoint := range minCrashes {
+		trackers[0].RecordCrash(prompt(uint64(endpoint), deadly), run(endpoint), start)
+	}
+	for now := start; now.Before(start.Add(Duration + time.Minute)); now = now.Add(transit / 4) {
+		for i, from := range trackers {
+			report := from.Report(now)
+			trackers[(i+1)%len(trackers)].Merge(&report, now.Add(transit))
+		}
+	}
+	for i, tracker := range trackers {
+		if withheld(tracker, start.Add(Duration+time.Minute), deadly) {
+			t.Errorf("instance %d withholds the part a minute after the end of the quarantine", i)
+		}
+	}
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -153,10 +153,10 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// adopt puts a part in quarantine that another instance has there. It returns false if the part already is, or if an
-// answer has cleared it. The caller holds the lock.
+// adopt puts a part in quarantine that another instance has there. It returns false if the part already is, if an answer
+// has cleared it, or if little time is left. The caller holds the lock.
 func (t *Tracker) adopt(q *QuarantineReport, now time.Time) bool {
-	if t.isCleared(q.Part, now) || q.RemainingMs <= 0 {
+	if t.isCleared(q.Part, now) || milliseconds(q.RemainingMs) < minAdoptedTime {
 		return false
 	}
 	s := t.suspects[q.Part]
