Count crashes under prompts with too many parts over all instances

What callers saw: nothing yet; found by reading the change. Prompts with more than 64 shared parts would have crashed three endpoints for each instance instead of three in all.

Cause: the part that stands for all parts beyond the 64th is the 65th of a report, and the recipient kept 64.

Evidence: TestTooManyPartsAreReported fails before at both instances.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -43,6 +43,7 @@
 	// maxPartsPerRequest bounds the work for one request. All parts beyond count as the one part overflowPart.
 	maxPartsPerRequest = 64
 	overflowPart       = math.MaxUint64
+	maxSharedParts     = maxPartsPerRequest + 1
 )
 
 // Endpoint identifies one run of an endpoint. It can crash only once.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -298,3 +298,20 @@
 		}
 	}
 }
+
+// Guards against a report that leaves out that a prompt had too many parts, so that crashes under such prompts do not count
+// together.
+func TestTooManyPartsAreReported(t *testing.T) {
+	trackers := []*Tracker{NewTracker(), NewTracker()}
+	for request := range minCrashes {
+		from, to := trackers[request%2], trackers[1-request%2]
+		from.RecordCrash(prompt(uint64(request), manyParts(request)...), run(request), start)
+		report := from.Report(start)
+		to.Merge(&report, start)
+	}
+	for i, tracker := range trackers {
+		if !withheld(tracker, start, manyParts(77)...) {
+			t.Errorf("instance %d does not withhold prompts with too many parts", i)
+		}
+	}
+}
--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -134,7 +134,7 @@
 		}
 	}
 	for _, r := range report.Crashes {
-		parts := r.Parts[:min(len(r.Parts), maxPartsPerRequest)]
+		parts := r.Parts[:min(len(r.Parts), maxSharedParts)]
 		t.contest(parts, now)
 		c := crash{endpoint: Endpoint{r.Endpoint, r.Lifetime}, request: r.Request, parts: parts, at: now.Add(-milliseconds(r.AgeMs))}
 		quarantined = append(quarantined, t.addCrash(c, now)...)
