Keep one gap for a long outage

What callers saw: nothing yet; found by reading the change. After an outage of an hour a relay's messages would not have fitted into a datagram, and its data centre would have heard nothing of it for some seconds.

Cause: each list of endpoints from another instance, one or two in two seconds, entered a range of revisions of its own, and the message names all. Class of fault: a list that grows with the length of an outage.

Evidence: TestGapsOfALongOutageAreOne fails before with 496 gaps after 496 lists.

Why this fixes it: ranges without a complete view between them are one.

--- a/pkg/edge/changelog.go
+++ b/pkg/edge/changelog.go
@@ -63,11 +63,17 @@
 	l.revisions = append(l.revisions, revisionTime{revision, now})
 }
 
-// recordGap records that the view skipped the revisions between two, because all entries were read at once.
+// recordGap records that the view skipped the revisions between two, because all entries were read at once or came from
+// another instance. It extends the last gap if no complete view lies between them.
 func (l *storeChangeLog) recordGap(after, before int64) {
-	if after < before-1 {
-		l.gaps = append(l.gaps, exchange.RevisionGap{After: after, Before: before})
+	if after >= before-1 {
+		return
 	}
+	if last := len(l.gaps) - 1; last >= 0 && after < l.gaps[last].Before {
+		l.gaps[last].Before = max(l.gaps[last].Before, before)
+		return
+	}
+	l.gaps = append(l.gaps, exchange.RevisionGap{After: after, Before: before})
 }
 
 // gapsSince returns the gaps that concern a view at some revision from after on, and drops the others.
--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -398,3 +398,22 @@
 		}
 	}
 }
+
+// Guards against relay messages that become too large to be sent, because the relay entered each list of endpoints that it
+// received during a long outage.
+func TestGapsOfALongOutageAreOne(t *testing.T) {
+	now := time.Now()
+	relay := newRelayTestServer(t, "edge-1", minInstancesForRelays)
+	relay.recordRevision(30, now)
+	relay.storeView.setUnreachable(now.Add(-staleViewAfter))
+	for revision := int64(40); revision < 5000; revision += 10 {
+		relay.applyPeerEndpoints(&exchange.Message{Instance: "elsewhere", Revision: revision}, now)
+	}
+	if gaps := relay.changeLog.gapsSince(0); len(gaps) != 1 || !gaps[0].Contains(31) || !gaps[0].Contains(4980) || gaps[0].Contains(30) {
+		t.Fatalf("%d gaps: %v", len(gaps), gaps[:min(len(gaps), 3)])
+	}
+	relay.changeLog.recordGap(6000, 6100)
+	if gaps := relay.changeLog.gapsSince(0); len(gaps) != 2 {
+		t.Fatalf("gaps with complete revisions between them are %v", gaps)
+	}
+}
