Use what a relay reports while a watch finds the history gone

What callers saw: nothing yet; found by reading the change.

Cause: news was compared with the revision known after that watch, not with the one from which it had watched.

--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -129,10 +129,9 @@
 // them. It returns false if this instance must read all entries: without relays, or when its view is older than the relays
 // need to read the entries. If all instances read them at once, they fill the links between them and the store.
 func (w *storeWatcher) resumeAfterRelay(ctx context.Context) bool {
-	before := w.server.storeView.revision.Load()
 	maxAge := w.server.settings().Bounds.watchInterval() + w.server.relayWatchInterval()
 	for ctx.Err() == nil && w.server.hasRelays() && w.server.storeView.age(time.Now()) < maxAge {
-		if w.server.storeView.revision.Load() > before {
+		if kvstore.Revision(w.server.storeView.revision.Load()) > w.seenRevision {
 			return w.skipRelayed(ctx) == nil
 		}
 		sleep(ctx, relayPollInterval)
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -165,3 +165,19 @@
 		t.Fatalf("endpoints are %v", ids)
 	}
 }
+
+// Guards against waiting for relays, and then reading all entries, although a relay has reported the missing changes while
+// the watch that found the history gone was under way.
+func TestRelayedChangesDuringAWatchAreUsedAfterLostHistory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRelayTestServer(t, "edge-4", minInstancesForRelays)
+		s.recordRevision(30, time.Now())
+		s.storeView.recordComplete(time.Now())
+		w := &storeWatcher{server: s, store: &scriptedStore{}, seenRevision: 30}
+		s.applyRelayed("edge-1", &exchange.RelayDoc{After: 30, Revision: 40, Configuration: 3}, time.Now())
+		started := time.Now()
+		if !w.resumeAfterRelay(context.Background()) || time.Since(started) > 0 || w.seenRevision != 40 {
+			t.Fatalf("resumes at revision %d after %v", w.seenRevision, time.Since(started))
+		}
+	})
+}
