--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"slices"
 	"sort"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sourcegraph/conc"
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
@@ -260,89 +258,6 @@
 	r.onChange()
 }
 
-// Instances returns the number of known entry instances, including this one.
-func (r *Registry) Instances() int {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	return len(r.peers) + 1
-}
-
-// LocalLoads returns the in-flight counts of this instance. Endpoints that it used before are included with zero, so
-// that a receiver that merges the counts sees calls end. If reports are shared, LocalLoads returns nil. The reports of
-// the pollers then contain the sum over all instances, since counts per instance and endpoint would be the largest part
-// of the exchange.
-func (r *Registry) LocalLoads() []Load {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	if r.sharesReports() {
-		return nil
-	}
-	var loads []Load
-	for _, e := range r.entries {
-		if e.everUsed {
-			loads = append(loads, Load{EndpointHash: e.hash, InFlight: e.ownInFlight})
-		}
-	}
-	sort.Slice(loads, func(i, j int) bool { return loads[i].EndpointHash < loads[j].EndpointHash })
-	return loads
-}
-
-// MergePeerLoads merges the in-flight counts of a peer. Endpoints that are not listed keep their previous count. An
-// empty slice only records that the peer is running. A restarted peer must use a new id.
-func (r *Registry) MergePeerLoads(peerID string, loads []Load) {
-	r.mu.Lock()
-	p := r.peer(peerID)
-	p.lastReceivedAt = time.Now()
-	for _, load := range loads {
-		r.addPeerInFlight(load.EndpointHash, load.InFlight-p.inFlight[load.EndpointHash])
-		if load.InFlight == 0 {
-			delete(p.inFlight, load.EndpointHash)
-			continue
-		}
-		p.inFlight[load.EndpointHash] = load.InFlight
-	}
-	r.mu.Unlock()
-	r.onChange()
-}
-
-func (r *Registry) peer(id string) *peer {
-	p := r.peers[id]
-	if p == nil {
-		p = &peer{lastReceivedAt: time.Now(), inFlight: make(map[uint64]int)}
-		r.peers[id] = p
-	}
-	return p
-}
-
-// RemovePeer removes a peer and its in-flight counts.
-func (r *Registry) RemovePeer(peerID string) {
-	r.mu.Lock()
-	if p := r.peers[peerID]; p != nil {
-		for hash, count := range p.inFlight {
-			r.addPeerInFlight(hash, -count)
-		}
-		delete(r.peers, peerID)
-	}
-	r.mu.Unlock()
-	r.onChange()
-}
-
-func (r *Registry) addPeerInFlight(hash uint64, delta int) {
-	r.peerInFlight[hash] += delta
-	if r.peerInFlight[hash] == 0 {
-		delete(r.peerInFlight, hash)
-	}
-}
-
-func (r *Registry) peersStale(now time.Time) bool {
-	for _, p := range r.peers {
-		if now.Sub(p.lastReceivedAt) > r.options.StaleAfter {
-			return true
-		}
-	}
-	return false
-}
-
 // States returns the states of all endpoints of a service, ordered by name.
 func (r *Registry) States(service string) []State {
 	return r.AppendStates(nil, service)
@@ -372,69 +287,6 @@
 	return dst
 }
 
-// ServesID reports whether an endpoint belongs to the service and has loaded a model or adapter with the id. An empty
-// id matches any endpoint of the service.
-func (r *Registry) ServesID(endpoint, service, id string) bool {
-	r.mu.RLock()
-	defer r.mu.RUnlock()
-	e := r.entries[endpoint]
-	if e == nil || e.declared.Service != service {
-		return false
-	}
-	if id == "" {
-		return true
-	}
-	return e.report != nil && slices.ContainsFunc(e.report.Artifacts, func(a engine.LoadedArtifact) bool {
-		return a.Name == id && a.State == engine.StateLoaded
-	})
-}
-
-// rebuildArtifactIndex rebuilds byArtifact from the reports of all endpoints.
-func (r *Registry) rebuildArtifactIndex() {
-	clear(r.byArtifact)
-	for _, list := range r.byService {
-		for _, e := range list {
-			r.addToArtifactIndex(e)
-		}
-	}
-}
-
-func (r *Registry) addToArtifactIndex(e *entry) {
-	for _, key := range e.loadedArtifacts() {
-		list := r.byArtifact[key]
-		index, _ := slices.BinarySearchFunc(list, e.declared.Name, func(other *entry, name string) int {
-			return strings.Compare(other.declared.Name, name)
-		})
-		r.byArtifact[key] = slices.Insert(list, index, e)
-	}
-}
-
-func (r *Registry) removeFromArtifactIndex(e *entry) {
-	for _, key := range e.loadedArtifacts() {
-		list := slices.DeleteFunc(r.byArtifact[key], func(other *entry) bool { return other == e })
-		if len(list) == 0 {
-			delete(r.byArtifact, key)
-			continue
-		}
-		r.byArtifact[key] = list
-	}
-}
-
-// loadedArtifacts returns each loaded artifact once, even if several versions are loaded.
-func (e *entry) loadedArtifacts() []artifactKey {
-	if e.report == nil {
-		return nil
-	}
-	var keys []artifactKey
-	for _, a := range e.report.Artifacts {
-		key := artifactKey{service: e.declared.Service, kind: a.Kind, name: a.Name}
-		if a.State == engine.StateLoaded && !slices.Contains(keys, key) {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
 func (r *Registry) state(e *entry, now time.Time, stale bool) State {
 	s := State{
 		Endpoint:            e.declared,
