--- a/pkg/endpoints/registry.go
+++ b/pkg/endpoints/registry.go
@@ -6,8 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
 	"github.com/cespare/xxhash/v2"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
