Keep counting failed polls when a peer reads the report of a new process

An instance of mulberrygladed could have used a report three seconds old or older where two are usual; no caller's failure is known.

Cause: a report of a new process, read by the successor and received from it, reset the failed polls that the first poller had counted by itself. It then no longer told its peers that it cannot read the endpoint, the successor stopped polling, and the report aged until the first poller had failed twice more and the next exchange had told so.

Ruled out: the poll budget (19 endpoints at 16 polls a second give gaps of 1.5 s at most). TestFailedPollsOutlastANewProcess fails before, in any order of events.

Why this fixes it: whether this instance reaches the endpoint does not depend on what another one read there; only an own poll that succeeds clears it.

--- a/pkg/endpoints/poll.go
+++ b/pkg/endpoints/poll.go
@@ -166,9 +166,10 @@
 	e.peakPrefillRate = max(e.peakPrefillRate*peakPrefillRateDecay, report.PrefillTokensPerSecond)
 }
 
-// resetProcessState discards the measurements of a process that was replaced.
+// resetProcessState discards the measurements of a process that was replaced. It keeps the results of this instance's
+// polls: another instance may have read the report of the new process while this one still cannot reach it.
 func (e *entry) resetProcessState() {
-	e.outlier = outlier{}
+	e.outlier = outlier{failedPolls: e.outlier.failedPolls, unreachable: e.outlier.unreachable}
 	e.limiter = limiter{}
 	e.betweenTokens = movingAverage{}
 	e.duration = movingAverage{}
--- a/pkg/endpoints/shared_test.go
+++ b/pkg/endpoints/shared_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -257,3 +258,30 @@
 		}
 	})
 }
+
+// Guards against an instance that stops telling its peers that it cannot read the reports of an endpoint once one of them
+// has read the report of a new process. The instance that polls in its place would stop, and reports would grow old.
+func TestFailedPollsOutlastANewProcess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const name = "e07"
+		m := startMesh(4)
+		defer m.stop()
+		m.exchangeReports(20)
+		poller := m.pollers(name, 10)[0]
+		m.reporters[poller].setUnreachable(name)
+		m.exchangeReports(15)
+		failing := func() bool {
+			hash := endpoints.HashName(name)
+			return slices.ContainsFunc(m.registries[poller].LocalReports(), func(r endpoints.SharedReport) bool {
+				return r.EndpointHash == hash && r.Failed
+			})
+		}
+		g.Expect(failing()).To(BeTrue())
+
+		m.registries[poller].SetReports("successor", []endpoints.SharedReport{{
+			EndpointHash: endpoints.HashName(name), Report: engine.Report{Incarnation: "2"}, PolledAt: time.Now(),
+		}})
+		g.Expect(failing()).To(BeTrue())
+	})
+}
