Do not count crashes of a part in quarantine against other parts

Cause: an endpoint that crashes takes all requests with it that it was beginning to answer, so that their parts are suspects, too. Requests with the guilty part that were sent before its verdict crash further endpoints, and each of these counted against the bystanders as well, until one had been struck at three endpoints.

Evidence: TestCrashesOfAPartInQuarantineDoNotCountAgainstOthers fails before, in both orders of reports.

Why this fixes it: the crash of an endpoint no longer counts against a part if another part is in quarantine under which that endpoint crashed and which has crashed more endpoints. 'More' keeps both parts in quarantine while nothing tells them apart, so that the guilty one is never excused by a bystander. A part that then crashes three endpoints by itself is still put in quarantine; the test shows that, too. Up to 16 crashes a part are kept instead of 6, because those after the verdict are what explains the bystanders' crashes.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -38,8 +38,9 @@
 	// maxSuspects and maxCleared bound the memory.
 	maxSuspects = 256
 	maxCleared  = 4096
-	// maxCrashesPerPart is the number of crashes recorded for a part. More do not change the verdict.
-	maxCrashesPerPart = 6
+	// maxCrashesPerPart is the number of crashes recorded for a part. Requests that were sent before the verdict crash some
+	// endpoints more, which must be known as the work of this part.
+	maxCrashesPerPart = 16
 	// maxPartsPerRequest bounds the work for one request. All parts beyond count as the one part overflowPart.
 	maxPartsPerRequest = 64
 	overflowPart       = math.MaxUint64
@@ -170,7 +171,7 @@
 		return false
 	}
 	s.crashes = append(s.crashes, c)
-	if !s.until.IsZero() || !s.guilty() {
+	if !s.until.IsZero() || !s.guilty(func(e Endpoint) bool { return t.explained(e, s, now) }) {
 		return false
 	}
 	s.until = now.Add(Duration)
@@ -181,13 +182,32 @@
 	return slices.ContainsFunc(s.crashes, func(known crash) bool { return known.endpoint == c.endpoint && known.request == c.request })
 }
 
-// guilty reports whether the crashes suffice for a quarantine.
-func (s *suspect) guilty() bool {
+// guilty reports whether the crashes suffice for a quarantine. Crashes that another part explains do not count.
+func (s *suspect) guilty(explained func(Endpoint) bool) bool {
 	requests := make(map[uint64]bool)
+	endpoints := make(map[Endpoint]bool)
 	for i := range s.crashes {
-		requests[s.crashes[i].request] = true
+		if c := &s.crashes[i]; !explained(c.endpoint) {
+			requests[c.request] = true
+			endpoints[c.endpoint] = true
+		}
+	}
+	return len(endpoints) >= minCrashes && len(requests) >= minRequests
+}
+
+// explained reports whether the crash of an endpoint is the work of another part than the suspect's: one in quarantine
+// under which that endpoint crashed, and more endpoints than under the suspect. An endpoint that crashes takes all requests
+// with it that it was beginning to answer, so that their parts are suspects, too. The caller holds the lock.
+func (t *Tracker) explained(endpoint Endpoint, s *suspect, now time.Time) bool {
+	for _, other := range t.suspects {
+		if other == s || !now.Before(other.until) || other.crashedEndpoints() <= s.crashedEndpoints() {
+			continue
+		}
+		if slices.ContainsFunc(other.crashes, func(c crash) bool { return c.endpoint == endpoint }) {
+			return true
+		}
 	}
-	return s.crashedEndpoints() >= minCrashes && len(requests) >= minRequests
+	return false
 }
 
 func (s *suspect) crashedEndpoints() int {
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -74,6 +74,41 @@
 	}
 }
 
+// Guards against a verdict on a sound part whose requests are at the endpoints that the guilty part crashes, both before the
+// verdict on that part and while requests are still under way that were sent before it.
+func TestCrashesOfAPartInQuarantineDoNotCountAgainstOthers(t *testing.T) {
+	for name, bystanderFirst := range map[string]bool{"bystander reported last": false, "bystander reported first": true} {
+		tracker := NewTracker()
+		request := uint64(0)
+		crash := func(endpoint int, parts ...uint64) {
+			request++
+			tracker.RecordCrash(prompt(request, parts...), run(endpoint), start)
+		}
+		for endpoint := range 6 {
+			struck := endpoint >= 2
+			if struck && bystanderFirst {
+				crash(endpoint, rare)
+			}
+			crash(endpoint, deadly)
+			if struck && !bystanderFirst {
+				crash(endpoint, rare)
+			}
+		}
+		if !withheld(tracker, start, deadly) {
+			t.Fatalf("%s: the guilty part is not withheld", name)
+		}
+		if withheld(tracker, start, rare) {
+			t.Fatalf("%s: the sound part is withheld", name)
+		}
+		for endpoint := range minCrashes {
+			crash(100+endpoint, rare)
+		}
+		if !withheld(tracker, start, rare) {
+			t.Fatalf("%s: a part that crashes endpoints by itself is not withheld", name)
+		}
+	}
+}
+
 // Guards against taking for the cause what is not: the last part of a prompt, one endpoint that several requests report,
 // one request that is repeated, and parts of answers that end well.
 func TestBystandersAreNotWithheld(t *testing.T) {
