Tell all instances where shared prompt parts are kept

Engines read 7.25 of 23.8 million prompt tokens again that another engine kept.

Cause: an instance knew only the prompt parts that it had sent itself, a seventieth of the traffic, and the random spread of choices among instances (up to three whole prompts) exceeded what a kept part saves.

The engines' own events (long polls) were not tried: at 90 engines each instance would hold 90 waiting calls, or pass them on to the others in just these messages.

What changes: regular messages carry the shared parts that their sender has sent since 1.5 intervals, as keys of four bytes grouped by endpoint. The spread of a choice is reduced by what an endpoint keeps, and for prompts with shared parts it depends on the part and the endpoint, so that instances that have not heard of each other send the same part to the same place. Endpoint keys move to pkg/fleet, so that a message is applied without hashing each id.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -15,6 +15,9 @@
 	// modelChangeRepeats is the number of intervals for which a change of an endpoint's models is sent again, because
 	// datagrams get lost.
 	modelChangeRepeats = 3
+	// sentPartRepeats is the number of intervals for which a prompt part is told. A lost one costs an engine's time to
+	// read it again, and is told anew with the next request that has it.
+	sentPartRepeats = 1.5
 )
 
 // compose adds this instance's state to a message.
@@ -43,6 +46,7 @@
 
 func (s *Server) composeRegular(m *exchange.Message, to exchange.Peer, info exchange.SendInfo, now time.Time) {
 	m.Work = exchange.PackWork(s.deps.Fleet.OwnWork(now))
+	m.Parts = exchange.PackParts(s.deps.Fleet.SentPartsSince(now.Add(-time.Duration(sentPartRepeats * float64(info.Interval)))))
 	if info.ToHolder {
 		m.Models, m.Adapters = s.demand.ownDemand(now)
 	}
@@ -122,5 +126,11 @@
 		s.log.Info("work of another instance cannot be decoded; the previous one stays in use", zap.String("from", m.Instance), zap.Error(err))
 		return
 	}
-	s.deps.Fleet.SetRemoteWork(m.Instance, work.Of, now)
+	s.deps.Fleet.SetRemoteWork(m.Instance, work, now)
+	parts, err := exchange.UnpackParts(m.Parts)
+	if err != nil {
+		s.log.Info("prompt parts of another instance cannot be decoded", zap.String("from", m.Instance), zap.Error(err))
+		return
+	}
+	s.deps.Fleet.RecordRemoteParts(parts)
 }
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -24,6 +24,8 @@
 	// Work is the sender's own work at the endpoints, encoded by PackWork. It is nil in early messages, which leave the
 	// previous work unchanged.
 	Work []byte `json:"w"`
+	// Parts are the prompt parts that the sender has recently sent to endpoints, encoded by PackParts.
+	Parts []byte `json:"c,omitempty"`
 	// Models and Adapters are sent to the holder only. Early messages list only the models and adapters for which
 	// requests are waiting, and leave the previous state of all others unchanged.
 	Models   []ModelDoc   `json:"m,omitempty"`
--- a/pkg/exchange/work_test.go
+++ b/pkg/exchange/work_test.go
@@ -25,7 +25,7 @@
 			rt.Fatalf("%d of %d endpoints: %v", len(got), len(work), err)
 		}
 		for id, want := range work {
-			if w, found := got.Of(id); !found || w != want {
+			if w, found := got[fleet.EndpointKeyOf(id)]; !found || w != want {
 				rt.Fatalf("%s has %+v, not %+v", id, w, want)
 			}
 		}
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -23,6 +23,7 @@
 			candidates = append(candidates, e)
 		}
 	}
+	demand.partKeys = partKeys(demand.Model, demand.Adapter, demand.Parts)
 	choice := Choose(candidates, demand, speed, distanceTo, now)
 	if choice.Candidates == 0 {
 		return choice, nil
@@ -40,7 +41,8 @@
 	e.own.PrefillTokens += call.prefillTokens
 	e.own.UrgentTokens += call.urgentTokens
 	e.sendRate.add(call.prefillTokens, now)
-	e.prompts.record(demand.Model, demand.Adapter, demand.Parts)
+	e.prompts.record(demand.partKeys)
+	r.sentParts.record(e.key, demand.partKeys, now)
 	return choice, call
 }
 
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -14,6 +14,8 @@
 	PromptTokens int
 	OutputTokens int
 	Parts        []PromptPart
+	// partKeys are the keys of Parts.
+	partKeys []PartKey
 	// TargetLatency is the time within which the first token has its full value; zero means that there is no limit.
 	TargetLatency time.Duration
 	// Late is set for requests that can no longer be answered in time. Engines read the prompts of late requests after
@@ -21,9 +23,8 @@
 	Late bool
 	// MaxPrefillShare bounds the fraction of an engine's time that is used to read prompts.
 	MaxPrefillShare float64
-	// Spread is the upper bound of a random amount added to the cost of each endpoint. It prevents many instances with
-	// equally outdated views from all choosing the same endpoint. Random returns numbers in [0, 1); nil means no
-	// spread.
+	// Spread is the upper bound of an amount added to the cost of each endpoint. It prevents many instances with equally
+	// outdated views from all choosing the same endpoint. Random returns numbers in [0, 1); nil means no spread.
 	Spread time.Duration
 	Random func() float64
 	// Exclude lists endpoints to which the request has already been sent.
@@ -154,7 +155,7 @@
 			return
 		}
 	}
-	keptTokens := e.prompts.keptTokens(demand.Model, demand.Adapter, demand.Parts)
+	keptTokens := e.prompts.keptTokens(demand.partKeys, demand.Parts)
 	work := e.Work(now)
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
 	if saturated(work, demand, speed) || demand.TargetLatency > 0 && expected+distanceTo(e.DataCentre).Latency > demand.TargetLatency {
@@ -170,9 +171,7 @@
 	if e.SlowFor > 0 {
 		cost += expected
 	}
-	if demand.Random != nil {
-		cost += time.Duration(demand.Random() * float64(demand.Spread))
-	}
+	cost += demand.spreadAt(e.key, keptTokens)
 	if cost >= choice.FirstToken {
 		if cost < choice.RunnerUpFirstToken {
 			choice.RunnerUp, choice.RunnerUpFirstToken = e.ID, cost
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -220,8 +220,8 @@
 func TestRemoteWorkExpires(t *testing.T) {
 	r := NewRegistry()
 	announce(r, "e1", HeldModel{Name: "m"})
-	r.SetRemoteWork("other", func(id string) (Work, bool) {
-		return Work{Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000}, id == "e1"
+	r.SetRemoteWork("other", map[EndpointKey]Work{
+		EndpointKeyOf("e1"): {Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000},
 	}, now)
 	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.Obstacle != Saturated {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -19,6 +19,7 @@
 // Endpoint is one endpoint with all recorded state. Its fields are guarded by the registry's lock.
 type Endpoint struct {
 	Announcement
+	key EndpointKey
 	// announcedModels are the models of the last announcement, without changes by orders.
 	announcedModels []HeldModel
 	own             Work
@@ -98,13 +99,36 @@
 type Registry struct {
 	mu        sync.Mutex
 	endpoints map[string]*Endpoint
+	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
+	sentParts sentPartLog
 	changed   chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
 func NewRegistry() *Registry {
-	return &Registry{endpoints: make(map[string]*Endpoint), loading: make(map[string]loadingModel), changed: make(chan struct{})}
+	return &Registry{
+		endpoints: make(map[string]*Endpoint),
+		byKey:     make(map[EndpointKey]*Endpoint),
+		loading:   make(map[string]loadingModel),
+		changed:   make(chan struct{}),
+	}
+}
+
+// insert adds an endpoint or replaces its previous lifetime. The caller holds the lock.
+func (r *Registry) insert(id string, e *Endpoint) {
+	e.key = EndpointKeyOf(id)
+	r.endpoints[id] = e
+	r.byKey[e.key] = e
+}
+
+// remove removes an endpoint. The caller holds the lock.
+func (r *Registry) remove(id string) {
+	e := r.endpoints[id]
+	delete(r.endpoints, id)
+	if e != nil && r.byKey[e.key] == e {
+		delete(r.byKey, e.key)
+	}
 }
 
 // Changed returns a channel that is closed at the next change of the endpoints or their work.
@@ -142,7 +166,7 @@
 	change := compare(existing, &a)
 	if existing == nil || change == Restarted {
 		existing = &Endpoint{remoteWork: make(map[string]remoteWork), prompts: newPromptCache()}
-		r.endpoints[a.ID] = existing
+		r.insert(a.ID, existing)
 	}
 	previousModels := existing.Models
 	existing.graceEndsAt = time.Time{}
@@ -195,7 +219,7 @@
 		}
 		return true
 	}
-	delete(r.endpoints, id)
+	r.remove(id)
 	r.signalChange()
 	return true
 }
@@ -221,7 +245,7 @@
 	for id, e := range r.endpoints {
 		if e.graceEnded(now) {
 			expired = append(expired, id)
-			delete(r.endpoints, id)
+			r.remove(id)
 		}
 	}
 	if len(expired) > 0 {
@@ -293,13 +317,12 @@
 	return work
 }
 
-// SetRemoteWork replaces another instance's work at all endpoints. workOf returns its work at one endpoint and whether
-// there is any.
-func (r *Registry) SetRemoteWork(instance string, workOf func(id string) (Work, bool), now time.Time) {
+// SetRemoteWork replaces another instance's work at all endpoints.
+func (r *Registry) SetRemoteWork(instance string, work map[EndpointKey]Work, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for id, e := range r.endpoints {
-		w, ok := workOf(id)
+	for _, e := range r.endpoints {
+		w, ok := work[e.key]
 		if !ok {
 			delete(e.remoteWork, instance)
 			continue
