Act on what endpoints say about themselves in their responses

Nothing read either: requests went on to an endpoint that had said that it leaves, until the store's entry said so, too, and to a busy one with each request of a client. A refusal that named no request counted as the refusal of the request that was under way: a client was told 'not run, try again' for what was running, and what must not be repeated was sent to a second endpoint.

Cause: the headers were not decoded, and only responses that name another request were dropped.

What changes: what a response says counts only if it names this request. Leaving is kept for that run of the endpoint, whatever the store, a relay or a list of another instance says then or later, also while the entry is gone and back; a new lifetime starts afresh. Instances that have heard it from the endpoint tell the others, with its lifetime and age; nobody passes on what it only heard of, so that the state ends. A Retry-After of a 503 keeps calls of this instance away: requests, repeats, continued streams, orders and report calls. At its end one probe goes out, others wait for it for a second at most. If all copies are busy, the client is refused at once with the least of their times. Other instances do not use this state: the endpoint speaks to one. A restarted instance assumes nothing.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,16 +96,12 @@
 	now := time.Now()
 	r.tried = append(r.tried, a.choice.ID)
 	clientLeft := r.ctx.Err() != nil
-	switch {
-	case errors.Is(err, engine.ErrNotSent):
+	if errors.Is(err, engine.ErrNotSent) {
 		a.call.End(failureResult(clientLeft, fleet.Unreachable), now)
 		r.log.Info("not sent", zap.String("endpoint", a.choice.ID), zap.Error(err))
 		return sendNotSent
-	case errors.Is(err, context.DeadlineExceeded):
-		a.call.End(failureResult(clientLeft, fleet.Failed), now)
-	default:
-		a.call.End(failureResult(clientLeft, fleet.Failed), now)
 	}
+	a.call.End(failureResult(clientLeft, fleet.Failed), now)
 	r.recordSend()
 	r.mayHaveRun = true
 	r.log.Info("send failed", zap.String("endpoint", a.choice.ID), zap.Error(err), zap.Duration("took", now.Sub(a.sentAt)))
@@ -122,20 +117,42 @@
 	return result
 }
 
+// decodeReply decodes the header of a response and records what the endpoint says about itself. A response that does not
+// name this request belongs to another one, so that it says nothing about this one: a faulty endpoint may send an earlier
+// refusal again on a connection that is in use for another request.
+func (r *clientRequest) decodeReply(a *attempt, resp *fasthttp.Response) Reply {
+	reply := r.server.deps.HeaderCodec.DecodeReply(&resp.Header)
+	if reply.ID != r.request.ID {
+		reply.NotRun = false
+		return reply
+	}
+	r.server.recordStatement(a.choice.ID, a.choice.Lifetime, reply.Statement)
+	return reply
+}
+
 // recordRefusal records that the endpoint did not run the request.
 func (r *clientRequest) recordRefusal(a *attempt, status int, reply *Reply) sendResult {
 	now := time.Now()
 	a.call.End(fleet.Neutral, now)
 	if status == fasthttp.StatusMisdirectedRequest {
-		r.server.deps.Fleet.Misdirected(a.choice.ID, reply.Endpoint, r.request.Model, r.request.Adapter, now)
+		r.server.deps.Fleet.Misdirected(a.choice.ID, reply.Statement.Endpoint, r.request.Model, r.request.Adapter, now)
 	}
 	r.tried = append(r.tried, a.choice.ID)
 	r.recordSend()
 	r.log.Info("endpoint refused: not run", zap.String("endpoint", a.choice.ID), zap.Int("status", status),
-		zap.String("answeredBy", reply.Endpoint))
+		zap.String("answeredBy", reply.Statement.Endpoint))
 	return sendNotRun
 }
 
+// retryAfterRefusal returns when the client should try again after an endpoint refused the request. It is the time for
+// which the endpoint wants no calls if no other one could have run the request.
+func (r *clientRequest) retryAfterRefusal(a *attempt) time.Duration {
+	if a.choice.Candidates > 1 {
+		return minRetryAfter
+	}
+	return max(r.server.deps.Fleet.CallsAllowedIn(a.choice.ID, a.choice.Lifetime, time.Now()), minRetryAfter)
+}
+
 // maxResponseBytes bounds a response that is buffered in memory until it is complete.
 const maxResponseBytes = 8 << 20
 
@@ -163,7 +180,7 @@
 			lastResponse = resp
 			continue
 		case sendNotRun:
-			reason = "endpoint refused"
+			reason, retryAfter = "endpoint refused", r.retryAfterRefusal(a)
 		case sendNotSent, sendUnknown:
 			reason = "endpoint failed"
 		}
@@ -194,7 +211,7 @@
 	if err != nil {
 		return r.handleSendError(a, err)
 	}
-	reply := r.server.deps.HeaderCodec.DecodeReply(&resp.Header)
+	reply := r.decodeReply(a, resp)
 	if reply.NotRun {
 		return r.recordRefusal(a, resp.StatusCode(), &reply)
 	}
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -66,7 +66,15 @@
 // obstacleTimes returns the expected time until the obstacle is removed, and the maximum time that the request may wait
 // for that.
 func (r *clientRequest) obstacleTimes(choice *fleet.Choice, demand *fleet.Demand, now time.Time) (expected, maxWait time.Duration) {
-	if choice.Obstacle != fleet.Saturated {
+	switch choice.Obstacle {
+	case fleet.Saturated:
+	case fleet.Busy:
+		if choice.AwaitsProbe {
+			return choice.CallsAllowedIn, r.deadline.Sub(now)
+		}
+		// The endpoints have said that they take no calls, so that waiting here is of no use.
+		return choice.CallsAllowedIn, 0
+	default:
 		return r.server.expectedWait(r.service, demand, choice.Obstacle), r.deadline.Sub(now)
 	}
 	if ready, loading := r.server.deps.Fleet.ReadyIn(r.request.Model, now); loading {
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -59,6 +59,7 @@
 	}
 	s.composeRelay(m, to, now)
 	s.composeQuarantine(m, now)
+	m.Leaving = s.leavingDocs(now)
 	m.Stale = s.storeView.stale(now)
 	if !m.Stale && s.sendsEndpointsTo(to, now) && s.stalePeers.endpointsDue(to.Instance, now) {
 		m.Revision = s.storeView.revision.Load()
@@ -103,6 +104,9 @@
 	if len(m.Endpoints) > 0 {
 		s.applyPeerEndpoints(m, now)
 	}
+	if len(m.Leaving) > 0 {
+		s.receiveLeaving(m, now)
+	}
 	if m.Quarantine != nil {
 		s.receiveQuarantine(m, now)
 	}
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -69,7 +69,7 @@
 			}
 			continue
 		case sendNotRun:
-			reason = "endpoint refused"
+			reason, retryAfter = "endpoint refused", r.retryAfterRefusal(a)
 		case sendNotSent, sendUnknown:
 			reason = "endpoint failed"
 		}
@@ -101,7 +101,7 @@
 	if err != nil {
 		return nil, r.handleSendError(a, err)
 	}
-	reply := r.server.deps.HeaderCodec.DecodeReply(&resp.Header)
+	reply := r.decodeReply(a, resp)
 	if resp.StatusCode() == fasthttp.StatusOK {
 		r.recordSend()
 		r.tried = append(r.tried, a.choice.ID)
@@ -170,7 +170,7 @@
 }
 
 func (r *clientRequest) recordFirstEvent(a *attempt) {
-	if a.call.Started() {
+	if a.call.Started(time.Now()) {
 		a.firstEventAt = time.Now()
 		took := a.firstEventAt.Sub(a.sentAt)
 		r.server.metrics.firstEventTime.RecordDuration(took)
--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -46,8 +46,8 @@
 	Signed bool
 	// NotRun is set if the endpoint states that it did not run the request.
 	NotRun bool
-	// Endpoint is the id of the endpoint that sent the response; empty if the response does not carry it.
-	Endpoint string
+	// Statement is what the endpoint says about itself.
+	Statement fleet.Statement
 }
 
 // HeaderCodec translates between the platform's headers and the types above.
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -43,10 +43,19 @@
 	Endpoints []EndpointDoc `json:"e,omitempty"`
 	// Relay is sent by an instance that watches the store for its data centre.
 	Relay *RelayDoc `json:"y,omitempty"`
+	// Leaving lists endpoints that have said to the sender that they leave, although the store may not say so yet.
+	Leaving []LeavingDoc `json:"q,omitempty"`
 	// Quarantine is sent while prompt parts are suspected of crashing endpoints.
 	Quarantine *quarantine.Report `json:"z,omitempty"`
 }
 
+// LeavingDoc is a run of an endpoint that has said that it leaves, and the time since.
+type LeavingDoc struct {
+	Endpoint string `json:"e"`
+	Lifetime int64  `json:"t"`
+	AgeMs    int64  `json:"a"`
+}
+
 // RelayDoc lists all changes in the store after one revision up to and including another.
 type RelayDoc struct {
 	After    int64 `json:"f"`
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -8,6 +8,7 @@
 	endpoint      *Endpoint
 	prefillTokens int
 	urgentTokens  int
+	probe         bool
 	started       bool
 	ended         bool
 }
@@ -34,6 +35,7 @@
 		endpoint:      e,
 		prefillTokens: max(demand.PromptTokens-choice.KeptTokens, 0),
 	}
+	call.probe = e.stated.beginProbe(now)
 	e.own.Waiting++
 	if !demand.Late {
 		call.urgentTokens = call.prefillTokens
@@ -48,13 +50,14 @@
 
 // Started records the first event or byte of the response. It returns false if one was recorded before or the call has
 // ended.
-func (c *Call) Started() bool {
+func (c *Call) Started(now time.Time) bool {
 	c.registry.mu.Lock()
 	defer c.registry.mu.Unlock()
 	if c.started || c.ended {
 		return false
 	}
 	c.started = true
+	c.endProbe(now)
 	c.endpoint.own.Waiting--
 	c.endpoint.own.PrefillTokens -= c.prefillTokens
 	c.endpoint.own.UrgentTokens -= c.urgentTokens
@@ -87,6 +90,7 @@
 		return
 	}
 	c.ended = true
+	c.endProbe(now)
 	if c.started {
 		c.endpoint.own.Running--
 	} else {
@@ -105,3 +109,11 @@
 	case Neutral:
 	}
 }
+
+// endProbe ends the probe of a busy endpoint if this call is one. The caller holds the registry's lock.
+func (c *Call) endProbe(now time.Time) {
+	if c.probe {
+		c.probe = false
+		c.endpoint.stated.endProbe(now)
+	}
+}
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -70,6 +70,8 @@
 	NotHeld
 	// AdapterNotHeld means that endpoints hold the model but none of them the adapter.
 	AdapterNotHeld
+	// Busy means that the endpoints that hold what the request needs want no calls for some time.
+	Busy
 	// Saturated means that endpoints hold what the request needs but have too much work.
 	Saturated
 	// None means that an endpoint was chosen.
@@ -85,6 +87,8 @@
 		return "model not loaded"
 	case AdapterNotHeld:
 		return "adapter not loaded"
+	case Busy:
+		return "endpoints busy"
 	case Saturated:
 		return "endpoints saturated"
 	default:
@@ -115,6 +119,10 @@
 	RunnerUpFirstToken time.Duration
 	// SoonestFirstToken is the lowest expected time among saturated endpoints.
 	SoonestFirstToken time.Duration
+	// CallsAllowedIn is the least time until a busy endpoint takes calls again. AwaitsProbe is set if that endpoint is
+	// being probed, so that it may take calls sooner.
+	CallsAllowedIn time.Duration
+	AwaitsProbe    bool
 	// Candidates counts the endpoints that could run the request.
 	Candidates int
 }
@@ -124,7 +132,7 @@
 
 // Choose returns the endpoint with the lowest cost. It is a pure function of its arguments.
 func Choose(endpoints []*Endpoint, demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time) Choice {
-	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64, SoonestFirstToken: math.MaxInt64}
+	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64, SoonestFirstToken: math.MaxInt64, CallsAllowedIn: noBusyEndpoint}
 	includeAvoided := false
 	for {
 		for _, e := range endpoints {
@@ -139,7 +147,13 @@
 }
 
 func evaluate(choice *Choice, e *Endpoint, demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time, includeAvoided bool) {
-	if e.Leaving || e.graceEnded(now) || excluded(e.ID, demand.Exclude) {
+	if e.Leaving || e.graceEnded(now) {
+		return
+	}
+	if excluded(e.ID, demand.Exclude) {
+		if e.Holds(demand.Model, demand.Adapter) {
+			choice.noteBusy(e, now)
+		}
 		return
 	}
 	if !includeAvoided && e.Health.Avoided(now) {
@@ -155,6 +169,9 @@
 			return
 		}
 	}
+	if choice.noteBusy(e, now) {
+		return
+	}
 	keptTokens := e.prompts.keptTokens(demand.partKeys, demand.Parts)
 	work := e.Work(now)
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
@@ -184,6 +201,19 @@
 	choice.Work, choice.KeptTokens = work, keptTokens
 }
 
+// noteBusy records an endpoint that wants no calls. It returns false if the endpoint takes calls.
+func (c *Choice) noteBusy(e *Endpoint, now time.Time) bool {
+	wait, probing := e.stated.callsAllowedIn(now)
+	if wait <= 0 {
+		return false
+	}
+	c.Obstacle = max(c.Obstacle, Busy)
+	if wait < c.CallsAllowedIn {
+		c.CallsAllowedIn, c.AwaitsProbe = wait, probing
+	}
+	return true
+}
+
 // saturated reports whether prompts already take more of the engine's time than allowed. While an engine reads prompts,
 // its running streams get few tokens, and long streams miss their deadline.
 func saturated(work Work, demand *Demand, speed EngineSpeed) bool {
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -35,8 +35,11 @@
 	Adapters []string
 }
 
-// Holds reports whether the model and, unless empty, the adapter are loaded.
+// Holds reports whether the model and, unless empty, the adapter are loaded. It returns true without a model.
 func (a *Announcement) Holds(model, adapter string) bool {
+	if model == "" {
+		return true
+	}
 	for i := range a.Models {
 		if a.Models[i].Name == model {
 			return adapter == "" || slices.Contains(a.Models[i].Adapters, adapter)
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -20,6 +20,11 @@
 type Endpoint struct {
 	Announcement
 	key EndpointKey
+	// announcedLeaving is set if the store's entry says that the endpoint leaves. Leaving is also set if the endpoint
+	// itself has said so.
+	announcedLeaving bool
+	// stated is what the endpoint has said in responses; nil if it has said nothing.
+	stated *stated
 	// announcedModels are the models of the last announcement, without changes by orders.
 	announcedModels []HeldModel
 	own             Work
@@ -101,6 +106,7 @@
 	endpoints map[string]*Endpoint
 	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
+	stated    map[endpointRun]*stated
 	sentParts sentPartLog
 	changed   chan struct{}
 }
@@ -111,6 +117,7 @@
 		endpoints: make(map[string]*Endpoint),
 		byKey:     make(map[EndpointKey]*Endpoint),
 		loading:   make(map[string]loadingModel),
+		stated:    make(map[endpointRun]*stated),
 		changed:   make(chan struct{}),
 	}
 }
@@ -163,6 +170,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	existing := r.endpoints[a.ID]
+	announcedLeaving := a.Leaving
+	said := r.stated[endpointRun{a.ID, a.Lifetime}]
+	a.Leaving = a.Leaving || said != nil && !said.leavingSince.IsZero()
 	change := compare(existing, &a)
 	if existing == nil || change == Restarted {
 		existing = &Endpoint{remoteWork: make(map[string]remoteWork), prompts: newPromptCache()}
@@ -170,6 +180,7 @@
 	}
 	previousModels := existing.Models
 	existing.graceEndsAt = time.Time{}
+	existing.announcedLeaving, existing.stated = announcedLeaving, said
 	existing.announcedModels = a.Models
 	if now.Before(existing.modelsTrustedUntil) {
 		// The entry may be older than the last change by this system's orders.
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -70,6 +70,8 @@
 	StoreWindow func() (time.Duration, float64)
 	// OnReportRead is called after this instance has read an endpoint's report.
 	OnReportRead func(id string, report Report)
+	// OnStatement is called with what an endpoint says about itself in its response to an order or in its report.
+	OnStatement func(id string, lifetime int64, statement fleet.Statement)
 	// ModelLeaving is called before a model is unloaded.
 	ModelLeaving func(id string, lifetime int64, model string)
 	// AdapterChanged is called when an adapter order has taken effect.
@@ -207,8 +209,10 @@
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
 		for _, e := range endpoints {
 			announced := e.AnnouncedModels()
+			busy := e.CallsAllowedIn(now) > 0
 			states = append(states, EndpointState{
 				Announcement: e.Announcement,
+				Busy:         busy,
 				Work:         e.Work(now),
 				AdapterUse:   uses,
 				announces:    func(model string) bool { return slices.Contains(announced, model) },
--- a/pkg/residency/engines.go
+++ b/pkg/residency/engines.go
@@ -55,8 +55,9 @@
 }
 
 // Engines sends orders to endpoints. An error that wraps engine.ErrNotSent means that the order has no effect. After
-// any other error the order may still take effect, possibly much later.
+// any other error the order may still take effect, possibly much later. The statement is that of the response, whatever
+// its status; it is empty if there was no response.
 type Engines interface {
-	Order(ctx context.Context, target Target, call OrderCall) (OrderReply, error)
-	Report(ctx context.Context, target Target) (Report, error)
+	Order(ctx context.Context, target Target, call OrderCall) (OrderReply, fleet.Statement, error)
+	Report(ctx context.Context, target Target) (Report, fleet.Statement, error)
 }
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -55,7 +55,7 @@
 // apply replaces the announced models by those of the ledger and adds the orders in progress.
 func (w *worker) apply(state *EndpointState, now time.Time) {
 	w.ledger.reconcile(state.announces, now)
-	state.Busy = w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
+	state.Busy = state.Busy || w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
 	if !w.ledger.known {
 		return
 	}
@@ -157,7 +157,7 @@
 	for range maxOrderAttempts {
 		afterOrders, ok := w.mayOrder(ctx, &order, token)
 		if !ok {
-			log.Info("order dropped: lease not held or endpoint state has changed")
+			log.Info("order dropped: lease not held, endpoint busy or its state has changed")
 			w.dropQueue()
 			return
 		}
@@ -187,11 +187,11 @@
 }
 
 // mayOrder returns the number of accepted orders that an order must carry. It returns false if this instance must not
-// give orders, or if the endpoint's state is unknown or has changed since the order was planned.
+// give orders, if the endpoint wants no calls, or if its state is unknown or has changed since the order was planned.
 func (w *worker) mayOrder(ctx context.Context, order *Order, token int64) (int64, bool) {
 	w.controller.recordOrder(w.target.ID, time.Now())
 	current, held := w.controller.options.Lease.Held()
-	if !held || current != token || ctx.Err() != nil {
+	if !held || current != token || ctx.Err() != nil || w.callsAllowedIn(time.Now()) > 0 {
 		return 0, false
 	}
 	w.controller.mu.Lock()
@@ -199,6 +199,11 @@
 	return w.ledger.ordersAccepted, w.ledger.known && w.ledger.reportsApplied == order.reportsApplied
 }
 
+// callsAllowedIn returns the time for which the endpoint wants no calls.
+func (w *worker) callsAllowedIn(now time.Time) time.Duration {
+	return w.controller.options.Fleet.CallsAllowedIn(w.target.ID, w.lifetime, now)
+}
+
 // handleReply processes an endpoint's reply to an order.
 func (w *worker) handleReply(ctx context.Context, order Order, reply OrderReply, log *zap.Logger) {
 	switch reply {
@@ -261,7 +266,7 @@
 func (w *worker) send(ctx context.Context, order Order, afterOrders, token int64) (OrderReply, error) {
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	return w.controller.options.Engines.Order(call, w.target, OrderCall{
+	reply, statement, err := w.controller.options.Engines.Order(call, w.target, OrderCall{
 		Verb:                   order.Verb,
 		Model:                  order.Model,
 		Adapter:                order.Adapter,
@@ -269,6 +274,8 @@
 		Holder:                 w.controller.options.Instance,
 		FencingToken:           token,
 	})
+	w.controller.options.OnStatement(w.target.ID, w.lifetime, statement)
+	return reply, err
 }
 
 // acceptedSince reads the endpoint's report into the ledger. It reports whether the endpoint has accepted more orders
@@ -280,9 +287,14 @@
 
 // readReport reads the endpoint's report into the ledger and passes it to Options.OnReportRead.
 func (w *worker) readReport(ctx context.Context) (Report, bool) {
+	if wait := w.callsAllowedIn(time.Now()); wait > 0 {
+		w.block(wait)
+		return Report{}, false
+	}
 	call, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	report, err := w.controller.options.Engines.Report(call, w.target)
+	report, statement, err := w.controller.options.Engines.Report(call, w.target)
+	w.controller.options.OnStatement(w.target.ID, w.lifetime, statement)
 	if err != nil {
 		w.controller.options.Log.Info("endpoint report not read", zap.String("endpoint", w.target.ID), zap.Error(err))
 		w.block(failurePause)
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -33,7 +33,7 @@
 
 var errLost = errors.New("connection lost")
 
-func (e *fakeEngine) Order(_ context.Context, _ Target, call OrderCall) (OrderReply, error) {
+func (e *fakeEngine) Order(_ context.Context, _ Target, call OrderCall) (OrderReply, fleet.Statement, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	lost := e.repliesToLose > 0
@@ -45,13 +45,13 @@
 	}
 	if lost && e.delayUnanswered {
 		e.delayedCalls = append(e.delayedCalls, call)
-		return 0, errLost
+		return 0, fleet.Statement{}, errLost
 	}
 	reply := e.receive(call)
 	if lost {
-		return 0, errLost
+		return 0, fleet.Statement{}, errLost
 	}
-	return reply, nil
+	return reply, fleet.Statement{}, nil
 }
 
 func (e *fakeEngine) receive(call OrderCall) OrderReply {
@@ -73,10 +73,10 @@
 	e.delayedCalls = nil
 }
 
-func (e *fakeEngine) Report(context.Context, Target) (Report, error) {
+func (e *fakeEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Models: e.models}, nil
+	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Models: e.models}, fleet.Statement{}, nil
 }
 
 type fakeLease struct {
@@ -102,6 +102,7 @@
 		Instance: "edge-1", Fleet: fleet.NewRegistry(), Lease: lease, Engines: engines,
 		Config: func() *routing.Config { return nil }, Log: zap.NewNop(),
 		OnReportRead:   func(string, Report) {},
+		OnStatement:    func(string, int64, fleet.Statement) {},
 		ModelLeaving:   func(string, int64, string) {},
 		AdapterChanged: func(string, int64, Order) {},
 	})
@@ -186,20 +187,56 @@
 	}
 }
 
+// busyEngine answers each call with a Retry-After header.
+type busyEngine struct {
+	fakeEngine
+	orders, reports int
+}
+
+func (e *busyEngine) Order(context.Context, Target, OrderCall) (OrderReply, fleet.Statement, error) {
+	e.orders++
+	return 0, fleet.Statement{RetryAfter: "9"}, errors.New("order returned unexpected status 503")
+}
+
+func (e *busyEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
+	e.reports++
+	return Report{Lifetime: 1}, fleet.Statement{}, nil
+}
+
+// Guards against orders, their repetitions and report calls to an endpoint that has asked for no calls.
+func TestBusyEndpointGetsNoOrdersOrReportCalls(t *testing.T) {
+	e := &busyEngine{}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	c.options.OnStatement = func(id string, lifetime int64, s fleet.Statement) {
+		if s.RetryAfter != "" {
+			c.options.Fleet.StatedBusy(id, lifetime, 9*time.Second, time.Now())
+		}
+	}
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m"}, Order{Endpoint: "e1", Verb: Load, Model: "n"})
+	if e.orders != 1 || e.reports != 1 {
+		t.Fatalf("%d orders and %d reports", e.orders, e.reports)
+	}
+	c.workers["e1"].ledger.known = false
+	runOrders(c)
+	if e.reports != 1 {
+		t.Fatalf("%d reports", e.reports)
+	}
+}
+
 // noReplyEngine loses every reply; the lease is lost with the first one.
 type noReplyEngine struct {
 	lease *fakeLease
 	calls int
 }
 
-func (e *noReplyEngine) Order(context.Context, Target, OrderCall) (OrderReply, error) {
+func (e *noReplyEngine) Order(context.Context, Target, OrderCall) (OrderReply, fleet.Statement, error) {
 	e.calls++
 	e.lease.lose()
-	return 0, errLost
+	return 0, fleet.Statement{}, errLost
 }
 
-func (e *noReplyEngine) Report(context.Context, Target) (Report, error) {
-	return Report{Lifetime: 1}, nil
+func (e *noReplyEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
+	return Report{Lifetime: 1}, fleet.Statement{}, nil
 }
 
 // Guards against treating the outcome of an order that was certainly not sent as unknown: such an order can be planned
@@ -215,13 +252,13 @@
 
 type unreachableEngine struct{ calls int }
 
-func (e *unreachableEngine) Order(context.Context, Target, OrderCall) (OrderReply, error) {
+func (e *unreachableEngine) Order(context.Context, Target, OrderCall) (OrderReply, fleet.Statement, error) {
 	e.calls++
-	return 0, errors.Wrap(engine.ErrNotSent, "connection refused")
+	return 0, fleet.Statement{}, errors.Wrap(engine.ErrNotSent, "connection refused")
 }
 
-func (e *unreachableEngine) Report(context.Context, Target) (Report, error) {
-	return Report{Lifetime: 1}, nil
+func (e *unreachableEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
+	return Report{Lifetime: 1}, fleet.Statement{}, nil
 }
 
 // Guards against sending orders while orders of the previous holder may still arrive, and against pausing again when a
