Log how each attempt ended and why another one follows or not

What was seen: a stock-read that failed left two 'routed' lines and one 'answered'. Nothing said that the first attempt was answered 500, nor which endpoint's answer the client got.

Cause: an error of an endpoint that may be repeated was kept without a line, and a kept response was delivered without its attempt.

What changes: 'attempt ended' has the endpoint, number, status, outcome and time of each attempt that did not answer the request, and 'again' or the reason against it. It is written when that is decided.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -99,6 +99,7 @@
 	if errors.Is(err, engine.ErrNotSent) {
 		a.call.End(failureResult(clientLeft, fleet.Unreachable), now)
 		r.log.Info("not sent", zap.String("endpoint", a.choice.ID), zap.Error(err))
+		r.endAttempt(a, 0, "not sent")
 		return sendNotSent
 	}
 	a.call.End(failureResult(clientLeft, fleet.Failed), now)
@@ -106,6 +107,7 @@
 	r.mayHaveRun = true
 	r.log.Info("send failed", zap.String("endpoint", a.choice.ID), zap.Error(err), zap.Duration("took", now.Sub(a.sentAt)))
 	r.recordCrash(a, err)
+	r.endAttempt(a, 0, "unknown")
 	return sendUnknown
 }
 
@@ -141,6 +143,7 @@
 	r.recordSend()
 	r.log.Info("endpoint refused: not run", zap.String("endpoint", a.choice.ID), zap.Int("status", status),
 		zap.String("answeredBy", reply.Statement.Endpoint))
+	r.endAttempt(a, status, "not run")
 	return sendNotRun
 }
 
@@ -161,6 +164,7 @@
 func (r *clientRequest) servePlain(closeAfter bool) bool {
 	// lastResponse is an endpoint's error response, delivered if no other endpoint gives a better one.
 	var lastResponse *fasthttp.Response
+	var lastAttempt *attempt
 	defer func() { releaseResponse(lastResponse) }()
 	reason, retryAfter := "no endpoint", minRetryAfter
 	for r.maySend(time.Now()) {
@@ -176,8 +180,9 @@
 				defer fasthttp.ReleaseResponse(resp)
 				return r.deliver(resp, a, closeAfter)
 			}
+			r.endAttempt(a, resp.StatusCode(), "error of the endpoint")
 			releaseResponse(lastResponse)
-			lastResponse = resp
+			lastResponse, lastAttempt = resp, a
 			continue
 		case sendNotRun:
 			reason, retryAfter = "endpoint refused", r.retryAfterRefusal(a)
@@ -187,7 +192,7 @@
 		fasthttp.ReleaseResponse(resp)
 	}
 	if lastResponse != nil && !r.clientLeft() {
-		return r.deliver(lastResponse, nil, closeAfter)
+		return r.deliver(lastResponse, lastAttempt, closeAfter)
 	}
 	return r.fail(reason, retryAfter, closeAfter)
 }
@@ -219,6 +224,7 @@
 	r.tried = append(r.tried, a.choice.ID)
 	r.mayHaveRun = true
 	if !r.checkResponse(a, &reply, resp) {
+		r.endAttempt(a, resp.StatusCode(), "invalid response")
 		return sendUnknown
 	}
 	a.call.End(callResult(resp), time.Now())
@@ -255,11 +261,8 @@
 		r.log.Info("response not written to the client", zap.Error(err))
 		return false
 	}
-	fields := []zap.Field{zap.Int("status", resp.StatusCode()), zap.Duration("after", time.Since(r.arrivedAt))}
-	if a != nil {
-		fields = append(fields, zap.String("endpoint", a.choice.ID))
-	}
-	r.log.Info("answered", fields...)
+	r.log.Info("answered", zap.String("endpoint", a.choice.ID), zap.Int("status", resp.StatusCode()),
+		zap.Duration("took", time.Since(a.sentAt)), zap.Duration("after", time.Since(r.arrivedAt)))
 	r.recordEnd(r.server.metrics.answered)
 	return !closeAfter
 }
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -33,6 +33,8 @@
 	// were unreachable.
 	sends int
 	tried []string
+	// endedAttempt has the log fields of an attempt that ended without an answer and is not logged yet.
+	endedAttempt []zap.Field
 	// obstacle is the reason why the most recent choice found no endpoint.
 	obstacle fleet.Obstacle
 	// loggedObstacle is the last obstacle for which a wait was logged. A request never waits for NoEndpoint.
@@ -196,21 +198,46 @@
 	return min(timeLeft, r.deadline.Sub(now))
 }
 
-// maySend reports whether the request may be sent now. For a repeated send it spends one repeat of the retry budget.
+// maySend reports whether the request may be sent now. For a repeated send it spends one repeat of the retry budget, and
+// logs how the previous attempt ended.
 func (r *clientRequest) maySend(now time.Time) bool {
+	reason := r.reasonNotToSend(now)
+	if r.endedAttempt != nil {
+		r.log.Info("attempt ended", append(r.endedAttempt, zap.Bool("again", reason == ""), zap.String("why", reason))...)
+		r.endedAttempt = nil
+	}
+	return reason == ""
+}
+
+// reasonNotToSend returns why the request must not be sent now, or an empty string if it may be sent. It spends one repeat
+// of the retry budget for a repeated send.
+func (r *clientRequest) reasonNotToSend(now time.Time) string {
 	switch {
-	case r.ctx.Err() != nil, r.sends >= r.route.MaxAttempts:
-		return false
+	case r.ctx.Err() != nil:
+		return "client left or instance stopping"
+	case r.sends >= r.route.MaxAttempts:
+		return "attempts of the route used up"
 	case r.mayHaveRun && !r.route.Repeatable():
-		return false
+		return "may have run and must not be repeated"
 	case !r.deadline.After(now.Add(minAttemptTime)):
-		return false
+		return "no time left"
 	case r.sends == 0:
-		return true
+		return ""
 	case r.server.quarantine.Suspected(r.request.Parts):
-		return false
+		return "prompt part suspected of crashing endpoints"
+	case !r.server.deps.Budget.Take(r.service.Name, now):
+		return "retry budget used up"
+	}
+	return ""
+}
+
+// endAttempt records how an attempt ended that did not answer the request, to be logged once it is known whether another
+// one follows. The status is zero if there was no response.
+func (r *clientRequest) endAttempt(a *attempt, status int, outcome string) {
+	r.endedAttempt = []zap.Field{
+		zap.String("endpoint", a.choice.ID), zap.Int("attempt", r.sends), zap.Int("status", status), zap.String("outcome", outcome),
+		zap.Duration("took", time.Since(a.sentAt)), zap.Duration("after", time.Since(r.arrivedAt)),
 	}
-	return r.server.deps.Budget.Take(r.service.Name, now)
 }
 
 // minAttemptTime is the minimum time in which a send can be of use. With less time until the deadline nothing is sent;
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -108,6 +108,7 @@
 		r.mayHaveRun = true
 		if !r.checkResponse(a, &reply, resp) {
 			body.Close()
+			r.endAttempt(a, resp.StatusCode(), "invalid response")
 			return nil, sendUnknown
 		}
 		return body, sendAnswered
@@ -132,6 +133,7 @@
 	r.tried = append(r.tried, a.choice.ID)
 	r.mayHaveRun = true
 	if !r.checkResponse(a, reply, resp) {
+		r.endAttempt(a, resp.StatusCode(), "invalid response")
 		return sendUnknown
 	}
 	resp.SetBodyRaw(content)
@@ -219,5 +221,6 @@
 	r.log.Info("stream broke off at the endpoint", zap.String("endpoint", a.choice.ID), zap.Error(err),
 		zap.Duration("took", time.Since(a.sentAt)))
 	r.recordCrash(a, err)
+	r.endAttempt(a, fasthttp.StatusOK, "broke off")
 	return streamBroken
 }
