Count what a prompt costs the streams beside it when choosing an endpoint

Cause: endpoints were compared by the time to the first token alone. An engine reads prompts in chunks between the steps of its batch; while it reads, a token takes some 30 to 50 ms in place of 5, so that an event of six tokens comes after 0.2 to 0.3 s, where the route allows 0.3 s. Long prompts went to engines with many streams as readily as to others.

What changes: the cost of an endpoint includes the delay of the streams that run there by this prompt, and that of this request's own tokens by the prompts that are being read there.

--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -47,6 +47,11 @@
 	return EngineSpeed{PrefillPerMs: 20, StepTime: 12 * time.Millisecond, FixedTime: 30 * time.Millisecond}
 }
 
+// prefillTime returns the time to read prompt tokens.
+func (s EngineSpeed) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
+}
+
 // Distance is the added cost of an endpoint in another data centre.
 type Distance struct {
 	// Latency is the added time to the first token.
@@ -188,7 +193,7 @@
 	if e.SlowFor > 0 {
 		cost += expected
 	}
-	cost += demand.spreadAt(e.key, keptTokens)
+	cost += interference(work, demand, keptTokens, speed) + demand.spreadAt(e.key, keptTokens)
 	if cost >= choice.FirstToken {
 		if cost < choice.RunnerUpFirstToken {
 			choice.RunnerUp, choice.RunnerUpFirstToken = e.ID, cost
