Learn the speed of each engine, by all instances together

Cause: one estimate of the prefill rate per service and instance, which moved by 2% with each first token. Where engines are twice as fast as the default, that takes 35 first tokens, seven seconds or more at the five prompts a second of an instance among 72, and that some engines are slower than others was never learned.

What changes: the mean logarithm of measured to nominal prefill time per endpoint, with that of its service as the prior; samples are bounded in their deviation, lose weight in 20 s, and are told to all instances once. Shared prompt parts are now told within the region only, where the choice uses them.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -134,7 +134,7 @@
 	if remaining, found := r.inQuarantine(r.arrivedAt); found {
 		return r.fail("prompt part in quarantine", remaining, closeAfter)
 	}
-	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.prefillRates.forService(r.service.Name), r.arrivedAt)
+	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.deps.Fleet.ServiceSpeed(r.service.Name, r.arrivedAt), r.arrivedAt)
 	if r.route.Kind == routing.Streaming {
 		return r.serveStream(closeAfter)
 	}
--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -301,7 +301,7 @@
 		at   time.Time
 		want string
 	}{{now, "e1"}, {now.Add(fleet.ReappearGrace), ""}} {
-		choice, _ := recipient.deps.Fleet.Reserve(&fleet.Demand{Service: "s"}, fleet.DefaultEngineSpeed(), recipient.distance, c.at)
+		choice, _ := recipient.deps.Fleet.Reserve(&fleet.Demand{Service: "s"}, recipient.distance, c.at)
 		if choice.ID != c.want {
 			t.Fatalf("chose %q %v after the removal, want %q", choice.ID, c.at.Sub(now), c.want)
 		}
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -49,14 +49,13 @@
 // reserve chooses an endpoint for a response in time, or else for a late one. A late response is worth more to the
 // client than a refusal and another attempt, and it only takes engine time that requests in time leave.
 func (r *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
-	speed := r.server.prefillRates.forService(r.service.Name)
-	choice, call := r.server.deps.Fleet.Reserve(demand, speed, r.server.distance, now)
+	choice, call := r.server.deps.Fleet.Reserve(demand, r.server.distance, now)
 	if choice.Obstacle != fleet.Saturated || demand.Late {
 		return choice, call
 	}
 	targetLatency := demand.TargetLatency
 	r.markLate(demand, now)
-	choice, call = r.server.deps.Fleet.Reserve(demand, speed, r.server.distance, now)
+	choice, call = r.server.deps.Fleet.Reserve(demand, r.server.distance, now)
 	if call == nil {
 		demand.Late, demand.TargetLatency, demand.MaxPrefillShare = false, targetLatency, prefillShare
 	}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -46,7 +46,11 @@
 
 func (s *Server) composeRegular(m *exchange.Message, to exchange.Peer, info exchange.SendInfo, now time.Time) {
 	m.Work = exchange.PackWork(s.deps.Fleet.OwnWork(now))
-	m.Parts = exchange.PackParts(s.deps.Fleet.SentPartsSince(now.Add(-time.Duration(sentPartRepeats * float64(info.Interval)))))
+	if to.SameRegion {
+		// Sending a prompt to another region costs more than reading a shared part again.
+		m.Parts = exchange.PackParts(s.deps.Fleet.SentPartsSince(now.Add(-time.Duration(sentPartRepeats * float64(info.Interval)))))
+	}
+	m.Slowness = exchange.PackSlowness(s.deps.Fleet.SlownessSince(now.Add(-info.Interval)))
 	if info.ToHolder {
 		m.Models, m.Adapters = s.demand.ownDemand(now)
 	}
@@ -137,4 +141,10 @@
 		return
 	}
 	s.deps.Fleet.RecordRemoteParts(parts)
+	slowness, err := exchange.UnpackSlowness(m.Slowness)
+	if err != nil {
+		s.log.Info("measurements of another instance cannot be decoded", zap.String("from", m.Instance), zap.Error(err))
+		return
+	}
+	s.deps.Fleet.AddRemoteSlowness(slowness, now)
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -68,8 +68,7 @@
 	storeView storeView
 	changeLog *storeChangeLog
 	// quarantine holds the prompt parts that crash endpoints.
-	quarantine   *quarantine.Tracker
-	prefillRates *prefillRateEstimator
+	quarantine *quarantine.Tracker
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
 	// stalePeers tracks the instances that cannot read the store.
@@ -97,7 +96,6 @@
 		metrics:        newMetrics(deps.Scope),
 		changeLog:      newStoreChangeLog(),
 		quarantine:     quarantine.NewTracker(),
-		prefillRates:   newPrefillRateEstimator(),
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
 		demand:         newDemandTracker(s.Region),
@@ -252,7 +250,7 @@
 	if ratio <= 1 {
 		return 0
 	}
-	prefillTime := float64(promptTokens) / s.prefillRates.forService(service).PrefillPerMs * float64(time.Millisecond)
+	prefillTime := float64(promptTokens) / s.deps.Fleet.ServiceSpeed(service, time.Now()).PrefillPerMs * float64(time.Millisecond)
 	return time.Duration(min(ratio, maxSpreadPrompts) * prefillTime)
 }
 
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -136,7 +136,7 @@
 		w.withdraw("e1", 1)
 		time.Sleep(time.Until(regainedAt.Add(fleet.ReappearGrace)))
 		demand := &fleet.Demand{Service: "s"}
-		if choice, _ := s.deps.Fleet.Reserve(demand, fleet.DefaultEngineSpeed(), s.distance, time.Now()); choice.ID != "" {
+		if choice, _ := s.deps.Fleet.Reserve(demand, s.distance, time.Now()); choice.ID != "" {
 			t.Fatalf("%s is used %v after the outage", choice.ID, time.Since(regainedAt))
 		}
 	})
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -176,7 +176,7 @@
 		a.firstEventAt = time.Now()
 		took := a.firstEventAt.Sub(a.sentAt)
 		r.server.metrics.firstEventTime.RecordDuration(took)
-		r.server.prefillRates.recordFirstToken(r.service.Name, a.choice.AtEndpoint, took-a.choice.Latency)
+		a.call.FirstToken(took-a.choice.Latency, a.firstEventAt)
 		r.log.Info("first event", zap.String("endpoint", a.choice.ID), zap.String("model", r.request.Model),
 			zap.Duration("took", took), zap.Duration("expected", a.choice.AtEndpoint))
 	}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -26,6 +26,8 @@
 	Work []byte `json:"w"`
 	// Parts are the prompt parts that the sender has recently sent to endpoints, encoded by PackParts.
 	Parts []byte `json:"c,omitempty"`
+	// Slowness is the sender's measurements of endpoints since its previous message, encoded by PackSlowness.
+	Slowness []byte `json:"u,omitempty"`
 	// Models and Adapters are sent to the holder only. Early messages list only the models and adapters for which
 	// requests are waiting, and leave the previous state of all others unchanged.
 	Models   []ModelDoc   `json:"m,omitempty"`
--- a/pkg/exchange/parts_test.go
+++ b/pkg/exchange/parts_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
@@ -24,6 +25,35 @@
 	})
 }
 
+// BenchmarkPartsAndSlowness measures packing and encoding of what regular messages carry for the choice of endpoints, and
+// reports the size: two shared parts and one measurement for each endpoint.
+func BenchmarkPartsAndSlowness(b *testing.B) {
+	for _, endpoints := range []int{10, 40, 160} {
+		b.Run(fmt.Sprintf("%d endpoints", endpoints), func(b *testing.B) {
+			var parts []fleet.SentPart
+			var samples []fleet.SlownessSamples
+			for e := range fleet.EndpointKey(endpoints) {
+				key := e * 0x9e3779b1
+				parts = append(parts, fleet.SentPart{Endpoint: key, Part: 1}, fleet.SentPart{Endpoint: key, Part: 2})
+				samples = append(samples, fleet.SlownessSamples{Endpoint: key, Count: 1, LogSum: -0.6})
+			}
+			size := 0
+			for b.Loop() {
+				data, err := Encode(&Message{Parts: PackParts(parts), Slowness: PackSlowness(samples)})
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			empty, err := Encode(&Message{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportMetric(float64(size-len(empty)), "bytes")
+		})
+	}
+}
+
 // Guards against a malformed datagram that takes a process down or its memory.
 func FuzzUnpackParts(f *testing.F) {
 	packed := PackParts([]fleet.SentPart{{Endpoint: 1, Part: 2}, {Endpoint: 1, Part: 3}, {Endpoint: 4, Part: 2}})
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -9,13 +9,18 @@
 	prefillTokens int
 	urgentTokens  int
 	probe         bool
-	started       bool
-	ended         bool
+	late          bool
+	// tokensAhead is the number of prompt tokens that the engine reads before the first token, and otherTime the rest of the
+	// expected time to it.
+	tokensAhead int
+	otherTime   time.Duration
+	started     bool
+	ended       bool
 }
 
 // Reserve chooses an endpoint and counts the request there in one step, so that concurrent choices take each other into
 // account. The call is nil if no endpoint was chosen.
-func (r *Registry) Reserve(demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time) (Choice, *Call) {
+func (r *Registry) Reserve(demand *Demand, distanceTo Distances, now time.Time) (Choice, *Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var candidates []*Endpoint
@@ -25,6 +30,7 @@
 		}
 	}
 	demand.partKeys = partKeys(demand.Model, demand.Adapter, demand.Parts)
+	speed := speedOf(r.serviceSlowness(demand.Service, now))
 	choice := Choose(candidates, demand, speed, distanceTo, now)
 	if choice.Candidates == 0 {
 		return choice, nil
@@ -35,6 +41,11 @@
 		endpoint:      e,
 		prefillTokens: max(demand.PromptTokens-choice.KeptTokens, 0),
 	}
+	if demand.Model != "" {
+		call.late = demand.Late
+		call.tokensAhead = tokensAhead(choice.Work, demand, choice.KeptTokens)
+		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed)
+	}
 	call.probe = e.stated.beginProbe(now)
 	e.own.Waiting++
 	if !demand.Late {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -31,27 +31,6 @@
 	Exclude []string
 }
 
-// EngineSpeed is the speed of a service's engines, measured from their responses.
-type EngineSpeed struct {
-	// PrefillPerMs is the number of prompt tokens read per millisecond.
-	PrefillPerMs float64
-	// StepTime is the time for one token of a running batch without prefill.
-	StepTime time.Duration
-	// FixedTime is the time to the first token in addition to reading the prompt.
-	FixedTime time.Duration
-}
-
-// DefaultEngineSpeed is used until responses have been measured. It is the speed of a current accelerator with a 70B
-// model.
-func DefaultEngineSpeed() EngineSpeed {
-	return EngineSpeed{PrefillPerMs: 20, StepTime: 12 * time.Millisecond, FixedTime: 30 * time.Millisecond}
-}
-
-// prefillTime returns the time to read prompt tokens.
-func (s EngineSpeed) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
-}
-
 // Distance is the added cost of an endpoint in another data centre.
 type Distance struct {
 	// Latency is the added time to the first token.
@@ -135,7 +114,8 @@
 // excessCallPenalty is added for each call beyond the engine's slots, so that full endpoints are chosen last.
 const excessCallPenalty = 50 * time.Millisecond
 
-// Choose returns the endpoint with the lowest cost. It is a pure function of its arguments.
+// Choose returns the endpoint with the lowest cost. It is a pure function of its arguments. speed is that of the service's
+// engines.
 func Choose(endpoints []*Endpoint, demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time) Choice {
 	choice := Choice{Obstacle: NoEndpoint, FirstToken: math.MaxInt64, RunnerUpFirstToken: math.MaxInt64, SoonestFirstToken: math.MaxInt64, CallsAllowedIn: noBusyEndpoint}
 	includeAvoided := false
@@ -179,6 +159,7 @@
 	}
 	keptTokens := e.prompts.keptTokens(demand.partKeys, demand.Parts)
 	work := e.Work(now)
+	speed = e.speed(speed, now)
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
 	if saturated(work, demand, speed) || demand.TargetLatency > 0 && expected+distanceTo(e.DataCentre).Latency > demand.TargetLatency {
 		choice.Obstacle = max(choice.Obstacle, Saturated)
@@ -242,17 +223,26 @@
 // ExpectedFirstToken estimates the time to the first token at an endpoint with this work. An engine reads waiting
 // prompts one after the other, in chunks between the steps of its batch. A plain service has no prompts.
 func ExpectedFirstToken(work Work, demand *Demand, keptTokens, slots int, speed EngineSpeed) time.Duration {
-	excess := max(work.Calls()+1-slots, 0)
 	if demand.Model == "" {
+		excess := max(work.Calls()+1-slots, 0)
 		return time.Duration(work.Calls())*time.Millisecond + time.Duration(excess)*excessCallPenalty
 	}
+	return speed.prefillTime(tokensAhead(work, demand, keptTokens)) + timeBesidePrefill(work, slots, speed)
+}
+
+// tokensAhead returns the number of prompt tokens that an engine reads before the request's first token.
+func tokensAhead(work Work, demand *Demand, keptTokens int) int {
 	queuedTokens := work.UrgentTokens
 	if demand.Late {
 		queuedTokens = work.PrefillTokens
 	}
-	tokens := queuedTokens + max(demand.PromptTokens-keptTokens, 0)
-	prefillTime := time.Duration(float64(tokens) / speed.PrefillPerMs * float64(time.Millisecond))
-	// While prompts are read, each chunk shares its step with the batch.
+	return queuedTokens + max(demand.PromptTokens-keptTokens, 0)
+}
+
+// timeBesidePrefill returns the part of the expected time to the first token that is not spent reading prompts. While
+// prompts are read, each chunk shares its step with the batch.
+func timeBesidePrefill(work Work, slots int, speed EngineSpeed) time.Duration {
+	excess := max(work.Calls()+1-slots, 0)
 	batchTime := time.Duration(work.Running) * speed.StepTime / 64
-	return prefillTime + batchTime + speed.FixedTime + time.Duration(excess)*excessCallPenalty
+	return batchTime + speed.FixedTime + time.Duration(excess)*excessCallPenalty
 }
--- a/pkg/fleet/cost_test.go
+++ b/pkg/fleet/cost_test.go
@@ -12,7 +12,7 @@
 		EndpointKeyOf("streams"): {Running: 30},
 		EndpointKeyOf("prompts"): {Waiting: 1, PrefillTokens: 1000, UrgentTokens: 1000},
 	}, now)
-	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.ID != "prompts" {
+	if choice, _ := r.Reserve(demandFor("m"), noDistance, now); choice.ID != "prompts" {
 		t.Fatalf("choice is %+v", choice)
 	}
 }
@@ -29,11 +29,11 @@
 	}, now)
 	d := demandFor("m")
 	d.PromptTokens, d.OutputTokens = 600, 300
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.ID != "streams" {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.ID != "streams" {
 		t.Fatalf("choice is %+v", choice)
 	}
 	d.OutputTokens = 10
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.ID != "prompts" {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.ID != "prompts" {
 		t.Fatalf("choice for a short response is %+v", choice)
 	}
 }
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -27,7 +27,7 @@
 	announce(r, "e2", HeldModel{Name: "m"})
 	admitted := 0
 	for range 40 {
-		choice, call := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now)
+		choice, call := r.Reserve(demandFor("m"), noDistance, now)
 		if call == nil {
 			if choice.Obstacle != Saturated {
 				t.Fatalf("obstacle is %v", choice.Obstacle)
@@ -52,11 +52,11 @@
 	late := demandFor("m")
 	late.Late, late.TargetLatency, late.MaxPrefillShare = true, 3*time.Second, 1
 	for range 6 {
-		if _, call := r.Reserve(late, DefaultEngineSpeed(), noDistance, now); call == nil {
+		if _, call := r.Reserve(late, noDistance, now); call == nil {
 			t.Fatal("late request refused by an idle endpoint")
 		}
 	}
-	choice, call := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now)
+	choice, call := r.Reserve(demandFor("m"), noDistance, now)
 	if call == nil || choice.FirstToken > 200*time.Millisecond {
 		t.Fatalf("choice is %+v", choice)
 	}
@@ -66,12 +66,12 @@
 func TestLargeRequestIsTreatedLikeASmallOne(t *testing.T) {
 	r := NewRegistry()
 	announce(r, "e1", HeldModel{Name: "m"})
-	if _, call := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); call == nil {
+	if _, call := r.Reserve(demandFor("m"), noDistance, now); call == nil {
 		t.Fatal("first request refused")
 	}
 	large := demandFor("m")
 	large.PromptTokens = 12_000
-	if _, call := r.Reserve(large, DefaultEngineSpeed(), noDistance, now); call == nil {
+	if _, call := r.Reserve(large, noDistance, now); call == nil {
 		t.Fatal("large request refused")
 	}
 }
@@ -94,12 +94,12 @@
 	} {
 		d := demandFor("m")
 		c.change(d)
-		if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.Obstacle != c.want {
+		if choice, _ := r.Reserve(d, noDistance, now); choice.Obstacle != c.want {
 			t.Errorf("%s: obstacle is %v, want %v", name, choice.Obstacle, c.want)
 		}
 	}
 	r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 1, Leaving: true}, now)
-	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.Obstacle != NoEndpoint {
+	if choice, _ := r.Reserve(demandFor("m"), noDistance, now); choice.Obstacle != NoEndpoint {
 		t.Errorf("leaving: obstacle is %v", choice.Obstacle)
 	}
 }
@@ -118,7 +118,7 @@
 	r.Announce(Announcement{ID: "far", Service: "llm", Address: "f:1", DataCentre: "far", Lifetime: 1, Slots: 64, Models: []HeldModel{{Name: "m"}}}, now)
 	var order []string
 	for range 6 {
-		choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), distance, now)
+		choice, _ := r.Reserve(demandFor("m"), distance, now)
 		order = append(order, choice.ID)
 	}
 	if order[0] != "near" || order[1] != "near" || order[5] != "far" {
@@ -132,19 +132,19 @@
 	r := NewRegistry()
 	announce(r, "bad", HeldModel{Name: "m"})
 	for range failuresToEject {
-		_, call := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now)
+		_, call := r.Reserve(demandFor("m"), noDistance, now)
 		call.End(Failed, now)
 	}
 	announce(r, "good", HeldModel{Name: "m"})
 	for range 3 {
-		choice, call := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now)
+		choice, call := r.Reserve(demandFor("m"), noDistance, now)
 		if choice.ID != "good" {
 			t.Fatalf("chose %q", choice.ID)
 		}
 		call.End(Succeeded, now)
 	}
 	r.Withdraw("good", now, now)
-	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.ID != "bad" {
+	if choice, _ := r.Reserve(demandFor("m"), noDistance, now); choice.ID != "bad" {
 		t.Fatalf("chose %q", choice.ID)
 	}
 }
@@ -175,7 +175,7 @@
 		at   time.Time
 		want string
 	}{{now.Add(ReappearGrace - 1), "gone"}, {now.Add(ReappearGrace), ""}} {
-		if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, c.at); choice.ID != c.want {
+		if choice, _ := r.Reserve(demandFor("m"), noDistance, c.at); choice.ID != c.want {
 			t.Fatalf("chose %q %v after the removal, want %q", choice.ID, c.at.Sub(now), c.want)
 		}
 	}
@@ -185,7 +185,7 @@
 func TestRestartUnderTheSameID(t *testing.T) {
 	r := NewRegistry()
 	announce(r, "e1", HeldModel{Name: "m"})
-	_, old := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now)
+	_, old := r.Reserve(demandFor("m"), noDistance, now)
 	change := r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 2, Slots: 64}, now)
 	if change != Restarted {
 		t.Fatalf("change is %v", change)
@@ -207,11 +207,11 @@
 	announce(r, "e1", HeldModel{Name: "m"})
 	d := demandFor("m")
 	d.Adapter = "a1"
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.Obstacle != None {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.Obstacle != None {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
 	}
 	r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 1, Slots: 64, Models: []HeldModel{{Name: "m"}}}, now.Add(announcementLag))
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.Obstacle != AdapterNotHeld {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.Obstacle != AdapterNotHeld {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
 	}
 }
@@ -223,10 +223,10 @@
 	r.SetRemoteWork("other", map[EndpointKey]Work{
 		EndpointKeyOf("e1"): {Waiting: 30, PrefillTokens: 60_000, UrgentTokens: 60_000},
 	}, now)
-	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now); choice.Obstacle != Saturated {
+	if choice, _ := r.Reserve(demandFor("m"), noDistance, now); choice.Obstacle != Saturated {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
 	}
-	if choice, _ := r.Reserve(demandFor("m"), DefaultEngineSpeed(), noDistance, now.Add(maxRemoteWorkAge)); choice.Obstacle != None {
+	if choice, _ := r.Reserve(demandFor("m"), noDistance, now.Add(maxRemoteWorkAge)); choice.Obstacle != None {
 		t.Fatalf("obstacle is %v", choice.Obstacle)
 	}
 }
@@ -238,17 +238,17 @@
 	announce(r, "e2", HeldModel{Name: "m"})
 	d := demandFor("m")
 	d.Parts = []PromptPart{{ID: 1, Tokens: 600}, {ID: 2, Tokens: 400}}
-	first, call := r.Reserve(d, DefaultEngineSpeed(), noDistance, now)
+	first, call := r.Reserve(d, noDistance, now)
 	call.End(Succeeded, now)
 	for range 3 {
-		again, call := r.Reserve(d, DefaultEngineSpeed(), noDistance, now)
+		again, call := r.Reserve(d, noDistance, now)
 		if again.ID != first.ID || again.KeptTokens != 1000 {
 			t.Fatalf("choice is %+v", again)
 		}
 		call.End(Succeeded, now)
 	}
 	d.Parts = []PromptPart{{ID: 9, Tokens: 600}, {ID: 2, Tokens: 400}}
-	if other, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); other.KeptTokens != 0 {
+	if other, _ := r.Reserve(d, noDistance, now); other.KeptTokens != 0 {
 		t.Fatalf("%d tokens count as kept", other.KeptTokens)
 	}
 }
--- a/pkg/fleet/prompts_test.go
+++ b/pkg/fleet/prompts_test.go
@@ -37,7 +37,7 @@
 			readAt[part] = make(map[string]bool)
 			for _, r := range registries {
 				session++
-				choice, call := r.Reserve(promptDemand(part, session, random), DefaultEngineSpeed(), noDistance, now)
+				choice, call := r.Reserve(promptDemand(part, session, random), noDistance, now)
 				if call == nil {
 					t.Fatalf("refused: %v", choice.Obstacle)
 				}
@@ -74,7 +74,7 @@
 	r := NewRegistry()
 	announce(r, "e1", HeldModel{Name: "m"})
 	for session := range uint64(3) {
-		if _, call := r.Reserve(promptDemand(7, 100+session, rand.New(rand.NewPCG(1, 2))), DefaultEngineSpeed(), noDistance, now); call == nil {
+		if _, call := r.Reserve(promptDemand(7, 100+session, rand.New(rand.NewPCG(1, 2))), noDistance, now); call == nil {
 			t.Fatal("refused")
 		}
 	}
@@ -93,11 +93,11 @@
 	announce(r, "e1", HeldModel{Name: "m"})
 	r.RecordRemoteParts([]SentPart{{EndpointKeyOf("e1"), partKeyOf("m", "", 7)}, {EndpointKeyOf("unknown"), 1}})
 	d := promptDemand(7, 100, rand.New(rand.NewPCG(1, 2)))
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.KeptTokens != 1400 {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.KeptTokens != 1400 {
 		t.Fatalf("%d tokens kept", choice.KeptTokens)
 	}
 	r.Announce(Announcement{ID: "e1", Service: "llm", Address: "e1:1", Lifetime: 2, Slots: 64, Models: []HeldModel{{Name: "m"}}}, now)
-	if choice, _ := r.Reserve(d, DefaultEngineSpeed(), noDistance, now); choice.KeptTokens != 0 {
+	if choice, _ := r.Reserve(d, noDistance, now); choice.KeptTokens != 0 {
 		t.Fatalf("%d tokens kept after a restart", choice.KeptTokens)
 	}
 }
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -29,6 +29,7 @@
 	announcedModels []HeldModel
 	own             Work
 	sendRate        sendRate
+	slowness        slowness
 	remoteWork      map[string]remoteWork
 	Health          Health
 	prompts         *promptCache
@@ -108,7 +109,10 @@
 	loading   map[string]loadingModel
 	stated    map[endpointRun]*stated
 	sentParts sentPartLog
-	changed   chan struct{}
+	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
+	slowness    map[string]*slowness
+	ownSlowness slownessLog
+	changed     chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
@@ -118,6 +122,7 @@
 		byKey:     make(map[EndpointKey]*Endpoint),
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
+		slowness:  make(map[string]*slowness),
 		changed:   make(chan struct{}),
 	}
 }
--- /dev/null
+++ b/pkg/fleet/speed.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"math"
+	"time"
+)
+
+// EngineSpeed is the speed of an engine, measured from its responses.
+type EngineSpeed struct {
+	// PrefillPerMs is the number of prompt tokens read per millisecond.
+	PrefillPerMs float64
+	// StepTime is the time for one token of a running batch without prefill.
+	StepTime time.Duration
+	// FixedTime is the time to the first token in addition to reading the prompt.
+	FixedTime time.Duration
+}
+
+// DefaultEngineSpeed is used until responses have been measured. It is the speed of a current accelerator with a 70B
+// model.
+func DefaultEngineSpeed() EngineSpeed {
+	return EngineSpeed{PrefillPerMs: 20, StepTime: 12 * time.Millisecond, FixedTime: 30 * time.Millisecond}
+}
+
+// prefillTime returns the time to read prompt tokens.
+func (s EngineSpeed) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / s.PrefillPerMs * float64(time.Millisecond))
+}
+
+const (
+	// minPrefillTime is the minimum expected prefill time for which a first token is used. Below it, other times
+	// dominate.
+	minPrefillTime = 50 * time.Millisecond
+	// maxDeviation bounds how far one sample is from the estimate, in natural logarithms, so that a few slow or stuck
+	// responses do not change it much. maxEarlyDeviation is the bound until earlySamples have been measured.
+	maxDeviation      = 0.3
+	maxEarlyDeviation = 0.5
+	earlySamples      = 10
+	// maxSlowness bounds the estimates: engines read prompts at most by this factor faster or slower than the default.
+	maxSlowness = 8.0
+	// slownessDecayTime is the time constant with which samples lose weight, so that an endpoint that gets no more calls
+	// because it was slow is tried again.
+	slownessDecayTime = 20 * time.Second
+	// maxEndpointWeight and maxServiceWeight bound the weight of earlier samples, in samples.
+	maxEndpointWeight = 30
+	maxServiceWeight  = 60
+	// servicePriorWeight and endpointPriorWeight are the weights of the default for a service, and of the service's
+	// estimate for one of its endpoints, in samples.
+	servicePriorWeight  = 1
+	endpointPriorWeight = 4
+)
+
+// slowness estimates the logarithm of an engine's prefill time relative to the default speed, as a mean of samples.
+type slowness struct {
+	logSum    float64
+	weight    float64
+	updatedAt time.Time
+}
+
+func (s *slowness) decay(now time.Time) float64 {
+	return math.Exp(-max(now.Sub(s.updatedAt), 0).Seconds() / slownessDecayTime.Seconds())
+}
+
+// estimate returns the mean of the samples and a prior of the given weight.
+func (s *slowness) estimate(prior, priorWeight float64, now time.Time) float64 {
+	factor := s.decay(now)
+	return (s.logSum*factor + prior*priorWeight) / (s.weight*factor + priorWeight)
+}
+
+// maxDeviation returns the bound on how far one more sample may be from the estimate.
+func (s *slowness) maxDeviation(now time.Time) float64 {
+	if s.weight*s.decay(now) < earlySamples {
+		return maxEarlyDeviation
+	}
+	return maxDeviation
+}
+
+// add adds samples with a sum. Earlier samples then weigh at most maxWeight.
+func (s *slowness) add(logSum, count, maxWeight float64, now time.Time) {
+	factor := s.decay(now)
+	if s.weight*factor > maxWeight {
+		factor = maxWeight / s.weight
+	}
+	s.logSum = s.logSum*factor + logSum
+	s.weight = s.weight*factor + count
+	s.updatedAt = now
+}
+
+// speedOf returns the speed that belongs to a slowness.
+func speedOf(logSlowness float64) EngineSpeed {
+	speed := DefaultEngineSpeed()
+	speed.PrefillPerMs /= min(max(math.Exp(logSlowness), 1/maxSlowness), maxSlowness)
+	return speed
+}
+
+// ServiceSpeed returns the estimated speed of a service's engines.
+func (r *Registry) ServiceSpeed(service string, now time.Time) EngineSpeed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return speedOf(r.serviceSlowness(service, now))
+}
+
+// serviceSlowness returns the estimate for a service. The caller holds the lock.
+func (r *Registry) serviceSlowness(service string, now time.Time) float64 {
+	s := r.slowness[service]
+	if s == nil {
+		return 0
+	}
+	return s.estimate(0, servicePriorWeight, now)
+}
+
+// speed returns the estimated speed of the endpoint's engine, given that of its service.
+func (e *Endpoint) speed(service EngineSpeed, now time.Time) EngineSpeed {
+	if e.slowness.weight == 0 {
+		return service
+	}
+	prior := math.Log(DefaultEngineSpeed().PrefillPerMs / service.PrefillPerMs)
+	return speedOf(e.slowness.estimate(prior, endpointPriorWeight, now))
+}
+
+// SlownessSamples are measurements of the first tokens of one endpoint.
+type SlownessSamples struct {
+	Endpoint EndpointKey
+	Count    int
+	// LogSum is the sum of the natural logarithms of the measured prefill times relative to the default speed.
+	LogSum float64
+}
+
+// MaxLogSlowness bounds each sample of SlownessSamples.
+var MaxLogSlowness = math.Log(maxSlowness) + maxEarlyDeviation
+
+// FirstToken records the time from the send to the first token, without the network. Late requests do not count, because
+// their prompts wait for prompts that arrive after them.
+func (c *Call) FirstToken(took time.Duration, now time.Time) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	if c.late || c.tokensAhead == 0 {
+		return
+	}
+	current := c.endpoint.speed(speedOf(c.registry.serviceSlowness(c.endpoint.Service, now)), now)
+	if current.prefillTime(c.tokensAhead) < minPrefillTime {
+		return
+	}
+	currentLog := math.Log(DefaultEngineSpeed().PrefillPerMs / current.PrefillPerMs)
+	prefill := max(took-c.otherTime, time.Millisecond)
+	sample := math.Log(float64(prefill) / float64(DefaultEngineSpeed().prefillTime(c.tokensAhead)))
+	deviation := c.endpoint.slowness.maxDeviation(now)
+	sample = min(max(sample, currentLog-deviation), currentLog+deviation)
+	c.registry.addSlowness(c.endpoint, sample, 1, now)
+	c.registry.ownSlowness.record(SlownessSamples{Endpoint: c.endpoint.key, Count: 1, LogSum: sample}, now)
+}
+
+// addSlowness adds samples of an endpoint to its estimate and to that of its service. The caller holds the lock.
+func (r *Registry) addSlowness(e *Endpoint, logSum float64, count int, now time.Time) {
+	e.slowness.add(logSum, float64(count), maxEndpointWeight, now)
+	s := r.slowness[e.Service]
+	if s == nil {
+		s = &slowness{}
+		r.slowness[e.Service] = s
+	}
+	s.add(logSum, float64(count), maxServiceWeight, now)
+}
+
+// AddRemoteSlowness adds the measurements of another instance. Those of unknown endpoints are ignored.
+func (r *Registry) AddRemoteSlowness(samples []SlownessSamples, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range samples {
+		if e := r.byKey[s.Endpoint]; e != nil && s.Count > 0 {
+			r.addSlowness(e, s.LogSum, s.Count, now)
+		}
+	}
+}
+
+// SlownessSince returns the measurements of this instance after a time, summed by endpoint.
+func (r *Registry) SlownessSince(t time.Time) []SlownessSamples {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownSlowness.since(t)
+}
+
+// slownessRetention is the age up to which measurements are told to other instances, and maxSlownessEntries their number.
+const (
+	slownessRetention  = 5 * time.Second
+	maxSlownessEntries = 1024
+)
+
+// slownessLog lists the recent measurements of this instance, the oldest first.
+type slownessLog struct {
+	entries []slownessEntry
+}
+
+type slownessEntry struct {
+	SlownessSamples
+	at time.Time
+}
+
+func (l *slownessLog) record(s SlownessSamples, now time.Time) {
+	expired := 0
+	for expired < len(l.entries) && now.Sub(l.entries[expired].at) >= slownessRetention {
+		expired++
+	}
+	l.entries = append(l.entries[expired:], slownessEntry{s, now})
+	l.entries = l.entries[max(len(l.entries)-maxSlownessEntries, 0):]
+}
+
+func (l *slownessLog) since(t time.Time) []SlownessSamples {
+	index := make(map[EndpointKey]int)
+	var samples []SlownessSamples
+	for i := range l.entries {
+		entry := &l.entries[i]
+		if !entry.at.After(t) {
+			continue
+		}
+		at, found := index[entry.Endpoint]
+		if !found {
+			at = len(samples)
+			index[entry.Endpoint] = at
+			samples = append(samples, SlownessSamples{Endpoint: entry.Endpoint})
+		}
+		samples[at].Count += entry.Count
+		samples[at].LogSum += entry.LogSum
+	}
+	return samples
+}
--- a/pkg/fleet/statement_test.go
+++ b/pkg/fleet/statement_test.go
@@ -8,7 +8,7 @@
 func reserve(r *Registry, at time.Time, exclude ...string) (Choice, *Call) {
 	d := demandFor("m")
 	d.Exclude = exclude
-	return r.Reserve(d, DefaultEngineSpeed(), noDistance, at)
+	return r.Reserve(d, noDistance, at)
 }
 
 // Guards against calls to a busy endpoint, and against many calls at once as soon as its time has passed.
