--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -54,8 +54,7 @@
 	e.own.PrefillTokens += call.prefillTokens
 	e.own.UrgentTokens += call.urgentTokens
 	e.sendRate.add(call.prefillTokens, now)
-	e.prompts.record(demand.partKeys)
-	r.sentParts.record(e.key, demand.partKeys, now)
+	r.recordSentParts(e, demand.partKeys, now)
 	return choice, call
 }
 
--- a/pkg/fleet/prompts.go
+++ b/pkg/fleet/prompts.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
 	"slices"
 	"time"
@@ -83,61 +84,27 @@
 	Part     PartKey
 }
 
-// maxSentParts bounds the recent parts that an instance tells others, and sentPartRetention their age. The retention
-// covers several intervals between messages, because datagrams get lost.
-const (
-	maxSentParts      = 1024
-	sentPartRetention = 10 * time.Second
-)
-
-// sentPartLog lists the shared prompt parts that this instance has sent recently, the oldest first.
-type sentPartLog struct {
-	entries []sentPartEntry
-}
-
-type sentPartEntry struct {
-	SentPart
-	at time.Time
+func compareSentParts(a, b SentPart) int {
+	return cmp.Or(cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Part, b.Part))
 }
 
-// record adds the parts of a prompt. It leaves out the last part, which belongs to one request or session only.
-func (l *sentPartLog) record(endpoint EndpointKey, keys []PartKey, now time.Time) {
-	expired := 0
-	for expired < len(l.entries) && now.Sub(l.entries[expired].at) >= sentPartRetention {
-		expired++
-	}
-	l.entries = l.entries[expired:]
+// recordSentParts records the parts of a prompt that is sent to an endpoint. The last part belongs to one request or session
+// only and is not told to other instances. The caller holds the lock.
+func (r *Registry) recordSentParts(e *Endpoint, keys []PartKey, now time.Time) {
+	e.prompts.record(keys)
 	for _, key := range keys[:max(len(keys)-1, 0)] {
-		l.entries = append(l.entries, sentPartEntry{SentPart{endpoint, key}, now})
-	}
-	l.entries = l.entries[max(len(l.entries)-maxSentParts, 0):]
-}
-
-// since returns the parts sent after a time, each once, grouped by endpoint.
-func (l *sentPartLog) since(t time.Time) []SentPart {
-	var parts []SentPart
-	for i := range l.entries {
-		if l.entries[i].at.After(t) {
-			parts = append(parts, l.entries[i].SentPart)
-		}
+		r.sentParts.record(now, SentPart{e.key, key})
 	}
-	slices.SortFunc(parts, compareSentParts)
-	return slices.Compact(parts)
 }
 
-func compareSentParts(a, b SentPart) int {
-	if a.Endpoint != b.Endpoint {
-		return int(int64(a.Endpoint) - int64(b.Endpoint))
-	}
-	return int(int64(a.Part) - int64(b.Part))
-}
-
-// SentPartsSince returns the prompt parts that this instance sent to endpoints after a time, grouped by endpoint. It
-// leaves out parts that belong to one request or session only.
+// SentPartsSince returns the prompt parts that this instance sent to endpoints after a time, each once, grouped by endpoint.
+// It leaves out parts that belong to one request or session only.
 func (r *Registry) SentPartsSince(t time.Time) []SentPart {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.sentParts.since(t)
+	parts := r.sentParts.since(t)
+	slices.SortFunc(parts, compareSentParts)
+	return slices.Compact(parts)
 }
 
 // RecordRemoteParts records prompt parts that another instance sent to endpoints. Parts of unknown endpoints are ignored.
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -108,10 +108,10 @@
 	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
 	stated    map[endpointRun]*stated
-	sentParts sentPartLog
+	sentParts recentLog[SentPart]
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
-	ownSlowness slownessLog
+	ownSlowness recentLog[SlownessSamples]
 	changed     chan struct{}
 }
 
--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -146,7 +146,7 @@
 	deviation := c.endpoint.slowness.maxDeviation(now)
 	sample = min(max(sample, currentLog-deviation), currentLog+deviation)
 	c.registry.addSlowness(c.endpoint, sample, 1, now)
-	c.registry.ownSlowness.record(SlownessSamples{Endpoint: c.endpoint.key, Count: 1, LogSum: sample}, now)
+	c.registry.ownSlowness.record(now, SlownessSamples{Endpoint: c.endpoint.key, Count: 1, LogSum: sample})
 }
 
 // addSlowness adds samples of an endpoint to its estimate and to that of its service. The caller holds the lock.
@@ -175,50 +175,17 @@
 func (r *Registry) SlownessSince(t time.Time) []SlownessSamples {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.ownSlowness.since(t)
-}
-
-// slownessRetention is the age up to which measurements are told to other instances, and maxSlownessEntries their number.
-const (
-	slownessRetention  = 5 * time.Second
-	maxSlownessEntries = 1024
-)
-
-// slownessLog lists the recent measurements of this instance, the oldest first.
-type slownessLog struct {
-	entries []slownessEntry
-}
-
-type slownessEntry struct {
-	SlownessSamples
-	at time.Time
-}
-
-func (l *slownessLog) record(s SlownessSamples, now time.Time) {
-	expired := 0
-	for expired < len(l.entries) && now.Sub(l.entries[expired].at) >= slownessRetention {
-		expired++
-	}
-	l.entries = append(l.entries[expired:], slownessEntry{s, now})
-	l.entries = l.entries[max(len(l.entries)-maxSlownessEntries, 0):]
-}
-
-func (l *slownessLog) since(t time.Time) []SlownessSamples {
 	index := make(map[EndpointKey]int)
-	var samples []SlownessSamples
-	for i := range l.entries {
-		entry := &l.entries[i]
-		if !entry.at.After(t) {
-			continue
-		}
-		at, found := index[entry.Endpoint]
+	var sums []SlownessSamples
+	for _, s := range r.ownSlowness.since(t) {
+		at, found := index[s.Endpoint]
 		if !found {
-			at = len(samples)
-			index[entry.Endpoint] = at
-			samples = append(samples, SlownessSamples{Endpoint: entry.Endpoint})
+			at = len(sums)
+			index[s.Endpoint] = at
+			sums = append(sums, SlownessSamples{Endpoint: s.Endpoint})
 		}
-		samples[at].Count += entry.Count
-		samples[at].LogSum += entry.LogSum
+		sums[at].Count += s.Count
+		sums[at].LogSum += s.LogSum
 	}
-	return samples
+	return sums
 }
