--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -188,10 +188,7 @@
 }
 
 // busyEngine answers each call with a Retry-After header.
-type busyEngine struct {
-	fakeEngine
-	orders, reports int
-}
+type busyEngine struct{ orders, reports int }
 
 func (e *busyEngine) Order(context.Context, Target, OrderCall) (OrderReply, fleet.Statement, error) {
 	e.orders++
