Relay only what the store says about leaving endpoints

Found by reading the change: relays passed what an endpoint had said to them on as part of its entry in the store. An instance that had heard it from the endpoint then took it for known everywhere and no longer told instances of other data centres.

TestLeavingOutlastsAnnouncements fails before. Decoding of work, prompt parts and measurements of a message is in three functions.

--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -94,6 +94,8 @@
 func (s *Server) receive(m *exchange.Message, now time.Time) {
 	if m.Work != nil {
 		s.receiveWork(m, now)
+		s.receiveParts(m)
+		s.receiveSlowness(m, now)
 	}
 	if m.Models != nil || m.Adapters != nil {
 		update := remoteDemand{region: s.instances.regionOf(m.Instance, s.settings().Regions), models: m.Models, adapters: m.Adapters, receivedAt: now}
@@ -135,12 +137,18 @@
 		return
 	}
 	s.deps.Fleet.SetRemoteWork(m.Instance, work, now)
+}
+
+func (s *Server) receiveParts(m *exchange.Message) {
 	parts, err := exchange.UnpackParts(m.Parts)
 	if err != nil {
 		s.log.Info("prompt parts of another instance cannot be decoded", zap.String("from", m.Instance), zap.Error(err))
 		return
 	}
 	s.deps.Fleet.RecordRemoteParts(parts)
+}
+
+func (s *Server) receiveSlowness(m *exchange.Message, now time.Time) {
 	slowness, err := exchange.UnpackSlowness(m.Slowness)
 	if err != nil {
 		s.log.Info("measurements of another instance cannot be decoded", zap.String("from", m.Instance), zap.Error(err))
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -281,14 +281,17 @@
 	return ids
 }
 
-// Announcements returns the announcements of a service's endpoints; an empty service means all.
+// Announcements returns the announcements of a service's endpoints; an empty service means all. They say that an endpoint
+// leaves only if its entry says so, whatever the endpoint has said in responses.
 func (r *Registry) Announcements(service string) []Announcement {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var all []Announcement
 	for _, e := range r.endpoints {
 		if service == "" || e.Service == service {
-			all = append(all, e.Announcement)
+			a := e.Announcement
+			a.Leaving = e.announcedLeaving
+			all = append(all, a)
 		}
 	}
 	return all
--- a/pkg/fleet/statement_test.go
+++ b/pkg/fleet/statement_test.go
@@ -88,6 +88,10 @@
 	if choice, _ := reserve(r, now); choice.Obstacle != NoEndpoint {
 		t.Fatalf("announced again: %+v", choice)
 	}
+	// Others would take it for what the store says, and no longer tell it themselves.
+	if r.Announcements("")[0].Leaving {
+		t.Fatal("passed on as part of the store's entry")
+	}
 	r.Withdraw("e1", time.Time{}, now)
 	announce(r, "e1", HeldModel{Name: "m"})
 	if choice, _ := reserve(r, now); choice.Obstacle != NoEndpoint {
