--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -48,6 +48,8 @@
 	Shed, Fail, Lose, Truncate, Extra, ExtraLate, Unframed float64
 	// ControlLate is ExtraLate for orders and reports.
 	ControlLate float64
+	// ControlLose: an order is carried out and gets no answer. ControlDelay: it gets none and is carried out seconds later.
+	ControlLose, ControlDelay float64
 }
 
 // World is what all stand-ins share.
@@ -268,7 +270,15 @@
 		return r.jsonAnswer(req, 200, r.report()), true
 	case req.URL.Path == "/mulberryglade/order":
 		time.Sleep(r.controlTime)
-		return r.jsonAnswer(req, r.order(req, body), nil), true
+		if r.world.chance(func(f *Faults) float64 { return f.ControlDelay }) {
+			r.orderLater(req, body)
+			return nil, false
+		}
+		answer := r.jsonAnswer(req, r.order(req, body), nil)
+		if r.world.chance(func(f *Faults) float64 { return f.ControlLose }) {
+			return nil, false
+		}
+		return answer, true
 	case req.URL.Path == "/health":
 		return r.jsonAnswer(req, 200, nil), true
 	}
@@ -313,22 +323,53 @@
 
 const weightsMb, modelMb, adapterSlots = 230000, 72700, 8
 
+// orderDoc is the body of an order.
+type orderDoc struct {
+	Operation, Model, Adapter, Holder string
+	Expected                          *int64
+	FenceToken                        int64
+}
+
 // order carries out an order.
 func (r *Replica) order(req *http.Request, body []byte) int {
-	var o struct {
-		Operation, Model, Adapter, Holder string
-		Expected                          *int64
-		FenceToken                        int64
-	}
+	var o orderDoc
 	status := http.StatusBadRequest
 	if json.Unmarshal(body, &o) == nil && o.Holder != "" {
 		status = r.carryOut(req.Header.Get("Target-Instance"), o.Operation, o.Model, o.Adapter, o.Expected)
 	}
+	r.recordOrder(&o, status)
+	return status
+}
+
+// recordOrder records the arrival of an order. The status is zero if it gets no answer.
+func (r *Replica) recordOrder(o *orderDoc, status int) {
 	r.world.mu.Lock()
 	defer r.world.mu.Unlock()
 	r.world.orders = append(r.world.orders, OrderSeen{At: time.Now(), Replica: r.id, Holder: o.Holder, Token: o.FenceToken,
 		Description: strings.Join([]string{o.Operation, o.Model, o.Adapter}, " "), Status: status})
-	return status
+}
+
+// orderLater carries out an order 2 to 12 seconds later, unless the replica has ended by then.
+func (r *Replica) orderLater(req *http.Request, body []byte) {
+	var o orderDoc
+	if json.Unmarshal(body, &o) != nil {
+		return
+	}
+	r.recordOrder(&o, 0)
+	r.mu.Lock()
+	born := r.born
+	r.mu.Unlock()
+	r.world.mu.Lock()
+	delay := time.Duration(2000+r.world.random.IntN(10000)) * time.Millisecond
+	r.world.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		r.mu.Lock()
+		same := r.born == born && !r.ended
+		r.mu.Unlock()
+		if same {
+			r.carryOut(req.Header.Get("Target-Instance"), o.Operation, o.Model, o.Adapter, o.Expected)
+		}
+	})
 }
 
 func (r *Replica) carryOut(target, operation, name, adapter string, expected *int64) int {
--- a/review/standin/soak.go
+++ b/review/standin/soak.go
@@ -68,6 +68,9 @@
 	if o.trouble {
 		w.mu.Lock()
 		w.faults = Faults{Shed: 0.05 * rng.Float64(), Fail: .05 * rng.Float64(), Lose: .08 * rng.Float64(), Truncate: .05 * rng.Float64(), Extra: .05 * rng.Float64(), ExtraLate: .1 * rng.Float64(), Unframed: .05 * rng.Float64()}
+		if rng.IntN(2) == 0 {
+			w.faults.ControlLose, w.faults.ControlDelay = 0.1*rng.Float64(), 0.2*rng.Float64()
+		}
 		w.mu.Unlock()
 	}
 	end := time.Now().Add(30 * time.Second)
@@ -75,7 +78,7 @@
 		time.Sleep(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
 		e := edges[rng.IntN(3)]
 		r := replicas[rng.IntN(len(replicas))]
-		switch rng.IntN(12) {
+		switch rng.IntN(14) {
 		case 0:
 			w.note("SIGTERM %s", e.name)
 			e.signal(syscall.SIGTERM)
@@ -116,6 +119,16 @@
 			r.crash()
 			time.Sleep(200 * time.Millisecond)
 			r.restart()
+		case 12, 13:
+			w.note("store loses answers")
+			w.store.mu.Lock()
+			w.store.lost, w.store.late = 0.35*rng.Float64(), 0.35*rng.Float64()
+			w.store.mu.Unlock()
+			time.AfterFunc(4500*time.Millisecond, func() {
+				w.store.mu.Lock()
+				w.store.lost, w.store.late = 0, 0
+				w.store.mu.Unlock()
+			})
 		case 11:
 			w.note("SIGHUP %s", e.name)
 			e.signal(syscall.SIGHUP)
@@ -150,7 +163,7 @@
 
 func randomRequest(c *Client, rng *rand.Rand) *Answer {
 	body := fmt.Sprintf("order %d", rng.Int())
-	llm := []string{"Model", fmt.Sprintf("m%d", rng.IntN(5)), "Token-Count", "800,40", "Prompt-Prefix", fmt.Sprintf("5c1e07a2:400,%x:400", rng.IntN(1000))}
+	llm := []string{"Model", fmt.Sprintf("m%d", []int{0, 0, 0, 1, 2, 3, 4, 5, 6, 7}[rng.IntN(10)]), "Token-Count", "800,40", "Prompt-Prefix", fmt.Sprintf("5c1e07a2:400,%x:400", rng.IntN(1000))}
 	if rng.IntN(3) == 0 {
 		llm[1] = fmt.Sprintf("m0/a%d", 1+rng.IntN(20))
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -1,7 +1,11 @@
 package main
 
 import (
+	"bytes"
+	"context"
 	"encoding/json"
+	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sort"
@@ -41,6 +45,8 @@
 	changed   chan struct{}
 	// down maps each machine that the store does not serve to what its calls get instead.
 	down map[string]string
+	// lost and late are the shares of writes that are carried out at once, or seconds later, and not answered.
+	lost, late float64
 }
 
 // Values of Store.down.
@@ -165,6 +171,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if s.losesAnswer(machine, r) {
+		<-r.Context().Done()
+		return
+	}
 	status, body := s.execute(machine, r)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -173,6 +183,28 @@
 	}
 }
 
+// losesAnswer carries out a write at once or later if its answer is to be lost.
+func (s *Store) losesAnswer(machine string, r *http.Request) bool {
+	if r.Method == http.MethodGet {
+		return false
+	}
+	s.mu.Lock()
+	chance, lost, late := rand.Float64(), s.lost, s.late
+	s.mu.Unlock()
+	switch {
+	case chance < lost:
+		s.execute(machine, r)
+	case chance < lost+late:
+		content, _ := io.ReadAll(r.Body)
+		copied := r.Clone(context.Background())
+		copied.Body = io.NopCloser(bytes.NewReader(content))
+		time.AfterFunc(time.Second+rand.N(5*time.Second), func() { s.execute(machine, copied) })
+	default:
+		return false
+	}
+	return true
+}
+
 func (s *Store) execute(machine string, r *http.Request) (int, any) {
 	path, id, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/mulberryglade/"), "/")
 	query := r.URL.Query()
