--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -127,12 +127,18 @@
 	Status  int
 }
 
+// plainSlots is the number of slots of a replica without models.
+const plainSlots = 6
+
 func startReplica(w *World, id, service, zone string, models ...string) *Replica {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
 	r := &Replica{world: w, id: id, service: service, zone: zone, slots: 64, workTime: 20 * time.Millisecond, listener: l,
 		born: time.Now().UnixMilli(), state: "ready", conns: map[net.Conn]bool{},
 		adapterRuns: map[string]int{}, unloading: map[string]bool{}}
+	if len(models) == 0 {
+		r.slots = plainSlots
+	}
 	for _, m := range models {
 		r.models = append(r.models, model{Name: m, Version: 1, Adapters: []string{}})
 	}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -149,6 +149,13 @@
 	s.remove(key)
 }
 
+// holds reports whether a key has a value.
+func (s *Store) holds(key string, value []byte) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return bytes.Equal(s.items[key].Value, value)
+}
+
 // compact drops the history.
 func (s *Store) compact() {
 	s.mu.Lock()
