--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 [ -x target/review-standin ] && [ -x target/mulberryglade-edged ] || { echo "cannot run: build first"; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin --scenario oddentry --trouble=$trouble --record "$here/record.txt"
+exec target/review-standin --scenario adapters --trouble=$trouble --record "$here/record.txt"
