--- a/review/standin/edge.go
+++ b/review/standin/edge.go
@@ -74,20 +74,20 @@
 func (e *Edge) start() {
 	log, err := os.OpenFile(e.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	must(err)
-	e.cmd = exec.Command(edgeProgram, "--settings", e.settingsPath)
-	e.cmd.Stdout, e.cmd.Stderr = log, log
-	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	must(e.cmd.Start())
+	cmd := exec.Command(edgeProgram, "--settings", e.settingsPath)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	must(cmd.Start())
 	startedMu.Lock()
-	started = append(started, e.cmd.Process)
+	started = append(started, cmd.Process)
 	startedMu.Unlock()
 	exited := make(chan struct{})
-	e.exited = exited
-	go func(cmd *exec.Cmd) {
+	e.cmd, e.exited = cmd, exited
+	go func() {
 		_ = cmd.Wait()
 		_ = log.Close()
 		close(exited)
-	}(e.cmd)
+	}()
 }
 
 func (e *Edge) signal(s syscall.Signal) { _ = e.cmd.Process.Signal(s) }
--- a/review/standin/latecopy.go
+++ b/review/standin/latecopy.go
@@ -11,7 +11,11 @@
 	"time"
 )
 
-func init() { scenarios["latecopy"] = playLateCopy }
+func init() {
+	scenarios["latecopy"] = func(o options) ([]string, string) { return playLateCopy(o, false) }
+	// The same, but each answer of a replica is sent a second time by chance, for the time and share of the site file.
+	scenarios["latecopies"] = func(o options) ([]string, string) { return playLateCopy(o, true) }
+}
 
 const (
 	// pairInterval is the time between two pairs of requests.
@@ -22,13 +26,16 @@
 	copyAfter = 6 * time.Second
 	// trafficTime is how long clients send requests.
 	trafficTime = 12 * time.Second
+	// lateShare and lateTime are the largest dose of extra late answers in the site file.
+	lateShare = 0.03
+	lateTime  = 5 * time.Second
 	// orderTime is the time that a replica takes to answer an order or a report.
 	orderTime = 5 * time.Millisecond
 )
 
 // playLateCopy plays a replica that sends one of its answers to orders a second time, late, at the point where the next
 // answer is expected.
-func playLateCopy(o options) ([]string, string) {
+func playLateCopy(o options, byChance bool) ([]string, string) {
 	w := &World{store: newStore(), random: rand.New(rand.NewPCG(o.seed, 1))}
 	w.store.Write("op/config", config(1, "order-desk", ""))
 	var replicas []*Replica
@@ -40,7 +47,13 @@
 	}
 	started := time.Now()
 	var once sync.Once
-	if o.trouble {
+	if o.trouble && byChance {
+		replicas[0].repeatBefore = func(*http.Request, []byte, []byte) bool {
+			at := time.Since(started) - warmUp - copyAfter
+			return at > 0 && at < lateTime && w.chance(func(*Faults) float64 { return lateShare })
+		}
+	}
+	if o.trouble && !byChance {
 		replicas[0].repeatBefore = func(req *http.Request, body, previous []byte) bool {
 			repeat := false
 			if time.Since(started) > warmUp+copyAfter && bytes.Contains(body, []byte("model_load")) && bytes.HasPrefix(previous, []byte("HTTP/1.1 200")) {
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -130,20 +130,30 @@
 // plainSlots is the number of slots of a replica without models.
 const plainSlots = 6
 
-func startReplica(w *World, id, service, zone string, models ...string) *Replica {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	r := &Replica{world: w, id: id, service: service, zone: zone, slots: 64, workTime: 20 * time.Millisecond, listener: l,
-		born: time.Now().UnixMilli(), state: "ready", conns: map[net.Conn]bool{},
-		adapterRuns: map[string]int{}, unloading: map[string]bool{}}
+func newReplica(w *World, id, service, zone string, models ...string) *Replica {
+	r := &Replica{world: w, id: id, service: service, zone: zone, slots: 64, workTime: 20 * time.Millisecond, state: "ready",
+		conns: map[net.Conn]bool{}, adapterRuns: map[string]int{}, unloading: map[string]bool{}}
 	if len(models) == 0 {
 		r.slots = plainSlots
 	}
 	for _, m := range models {
 		r.models = append(r.models, model{Name: m, Version: 1, Adapters: []string{}})
 	}
+	return r
+}
+
+// listenAt starts the replica at an address and writes its entry.
+func (r *Replica) listenAt(address string) {
+	l, err := net.Listen("tcp", address)
+	must(err)
+	r.listener, r.born = l, time.Now().UnixMilli()
 	go r.accept(l)
 	r.announce()
+}
+
+func startReplica(w *World, id, service, zone string, models ...string) *Replica {
+	r := newReplica(w, id, service, zone, models...)
+	r.listenAt("127.0.0.1:0")
 	return r
 }
 
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -156,6 +156,13 @@
 	return bytes.Equal(s.items[key].Value, value)
 }
 
+// text returns the value of a key.
+func (s *Store) text(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.items[key].Value)
+}
+
 // compact drops the history.
 func (s *Store) compact() {
 	s.mu.Lock()
