--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -125,6 +125,8 @@
 	At      time.Time
 	Attempt string
 	Status  int
+	// busyUntil is the end of the time for which the replica wants nothing, if it said so in its answer.
+	busyUntil time.Time
 }
 
 // plainSlots is the number of slots of a replica without models.
@@ -495,10 +497,10 @@
 	r.models = models
 }
 
-func (r *Replica) arrived(attempt string, status int) {
+func (r *Replica) arrived(attempt string, status int, busyUntil time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), Attempt: attempt, Status: status})
+	r.arrivals = append(r.arrivals, Arrival{At: time.Now(), Attempt: attempt, Status: status, busyUntil: busyUntil})
 }
 
 // serveClient serves a client's request.
@@ -519,14 +521,14 @@
 	}
 	r.mu.Unlock()
 	if wait > 0 {
-		r.arrived(attempt, http.StatusServiceUnavailable)
+		r.arrived(attempt, http.StatusServiceUnavailable, time.Now().Add(wait))
 		return r.frame(attempt, http.StatusServiceUnavailable, "", nil, fmt.Sprintf("Not-Executed: 1\r\nRetry-After: %.3f\r\n", wait.Seconds())), true
 	}
 	if full || r.world.chance(func(f *Faults) float64 { return f.Shed }) {
 		if !full {
 			r.release(req.Header.Get("Model"))
 		}
-		r.arrived(attempt, http.StatusServiceUnavailable)
+		r.arrived(attempt, http.StatusServiceUnavailable, time.Time{})
 		return r.frame(attempt, http.StatusServiceUnavailable, "", nil, "Not-Executed: 1\r\n"), true
 	}
 	defer r.release(req.Header.Get("Model"))
@@ -568,7 +570,7 @@
 }
 
 func (r *Replica) beginRun(attempt string, req *http.Request, body []byte) *Run {
-	r.arrived(attempt, http.StatusOK)
+	r.arrived(attempt, http.StatusOK, time.Time{})
 	r.world.mu.Lock()
 	defer r.world.mu.Unlock()
 	run := &Run{Attempt: attempt, Replica: r.id, Service: r.service, Start: time.Now(), Header: req.Header,
