Do not load into the slot of an adapter whose unload waits

The unload before the ninth load had been answered 202, since a stream used the adapter, and the placing instance counted it as done at once. The log shows both orders a millisecond apart, under one token, with the right number of accepted orders, which rules out a miscount and a second holder.

An accepted unload now marks the adapter as being unloaded; it keeps its slot until a report after the same orders no longer lists it, and the orders queued behind it are dropped. Plans take slots from adapters that no request uses, which instances count and tell each other, and unload one in use only if all are, one at a time per endpoint. A report with the same number of orders, which was ignored, corrects the ledger's contents.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -135,6 +135,8 @@
 		return r.fail("prompt part in quarantine", remaining, closeAfter)
 	}
 	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.deps.Fleet.ServiceSpeed(r.service.Name, r.arrivedAt), r.arrivedAt)
+	endUse := r.server.demand.beginUse(r.service.Name, &r.request, r.arrivedAt)
+	defer func() { endUse(time.Now()) }()
 	if r.route.Kind == routing.Streaming {
 		return r.serveStream(closeAfter)
 	}
--- a/pkg/edge/demand.go
+++ b/pkg/edge/demand.go
@@ -84,6 +84,16 @@
 type adapterStats struct {
 	lastUse time.Time
 	waiting int
+	// requests counts the requests in progress.
+	requests int
+}
+
+// idleFor returns the time since the last use; an adapter is in use until the last request for it has ended.
+func (s *adapterStats) idleFor(now time.Time) time.Duration {
+	if s.requests > 0 {
+		return 0
+	}
+	return now.Sub(s.lastUse)
 }
 
 // remoteDemand is the demand that another instance reported last.
@@ -158,11 +168,23 @@
 	stats.requestRate.add(1, now)
 	stats.shortTermLoad.add(engineSeconds(r, speed), now)
 	stats.longTermLoad.add(engineSeconds(r, speed), now)
-	if r.Adapter != "" {
-		key := adapterKey{modelKey{service, r.Model}, r.Adapter}
-		t.adapterStatsOf(key).lastUse = now
-		t.lastAdapterUse[key] = now
+}
+
+// beginUse counts a request as using its adapter until done is called. Requests without an adapter are ignored.
+func (t *demandTracker) beginUse(service string, r *Request, now time.Time) (done func(now time.Time)) {
+	if r.Adapter == "" {
+		return func(time.Time) {}
 	}
+	key := adapterKey{modelKey{service, r.Model}, r.Adapter}
+	use := func(requests int, now time.Time) {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		stats := t.adapterStatsOf(key)
+		stats.requests += requests
+		stats.lastUse, t.lastAdapterUse[key] = now, now
+	}
+	use(1, now)
+	return func(now time.Time) { use(-1, now) }
 }
 
 // engineSeconds returns the estimated engine time of a request.
@@ -259,7 +281,7 @@
 	}
 	var adapters []exchange.AdapterDoc
 	for key, stats := range t.adapters {
-		idle := now.Sub(stats.lastUse)
+		idle := stats.idleFor(now)
 		if idle > adapterRetention && stats.waiting == 0 {
 			delete(t.adapters, key)
 			continue
@@ -268,7 +290,8 @@
 			continue
 		}
 		adapters = append(adapters, exchange.AdapterDoc{
-			Service: key.service, Model: key.model, Adapter: key.adapter, Waiting: stats.waiting, IdleMs: idle.Milliseconds(),
+			Service: key.service, Model: key.model, Adapter: key.adapter, Waiting: stats.waiting, Requests: stats.requests,
+			IdleMs: idle.Milliseconds(),
 		})
 	}
 	return models, adapters
@@ -373,14 +396,38 @@
 }
 
 // AdapterUse implements residency.DemandSource.
-func (t *demandTracker) AdapterUse(service string) map[string]time.Time {
+func (t *demandTracker) AdapterUse(service string, now time.Time) map[residency.AdapterKey]residency.AdapterUse {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	use := make(map[string]time.Time)
+	uses := make(map[residency.AdapterKey]residency.AdapterUse)
 	for key, lastUse := range t.lastAdapterUse {
 		if key.service == service {
-			use[key.model+"/"+key.adapter] = lastUse
+			uses[residency.AdapterKey{Model: key.model, Adapter: key.adapter}] = residency.AdapterUse{LastUse: lastUse}
+		}
+	}
+	addRequests := func(model, adapter string, requests int) {
+		if requests == 0 {
+			return
+		}
+		key := residency.AdapterKey{Model: model, Adapter: adapter}
+		use := uses[key]
+		use.Requests += requests
+		uses[key] = use
+	}
+	for key, stats := range t.adapters {
+		if key.service == service {
+			addRequests(key.model, key.adapter, stats.requests)
+		}
+	}
+	for _, r := range t.remoteDemand {
+		if now.Sub(r.receivedAt) > remoteDemandMaxAge {
+			continue
+		}
+		for i := range r.adapters {
+			if a := &r.adapters[i]; a.Service == service {
+				addRequests(a.Model, a.Adapter, a.Requests)
+			}
 		}
 	}
-	return use
+	return uses
 }
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -167,6 +167,8 @@
 	Model   string `json:"m"`
 	Adapter string `json:"a"`
 	Waiting int    `json:"w,omitempty"`
+	// Requests counts the requests in progress that use the adapter.
+	Requests int `json:"n,omitempty"`
 	// IdleMs is the time since the last use.
 	IdleMs int64 `json:"i,omitempty"`
 }
--- a/pkg/residency/adapters.go
+++ b/pkg/residency/adapters.go
@@ -9,7 +9,9 @@
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 )
 
-// planAdapters plans loads of the adapters that requests wait for, those with the most waiting requests first.
+// planAdapters plans loads of the adapters that requests wait for, those with the most waiting requests first. Slots are
+// taken from adapters that no request uses. Only if requests use all adapters of an endpoint, one is unloaded under them:
+// the endpoint takes no further requests for it, and the next adapter is loaded once its last request has ended.
 func (p *planner) planAdapters() {
 	demands := slices.Clone(p.input.Adapters)
 	slices.SortFunc(demands, func(a, b AdapterDemand) int { return cmp.Compare(b.Waiting, a.Waiting) })
@@ -18,26 +20,56 @@
 		if e == nil {
 			continue
 		}
-		if e.AdapterCount() >= p.input.Engine.AdapterSlots {
-			victim, ok := leastRecentlyUsedAdapter(e)
-			if !ok {
-				continue
-			}
-			model, adapter := victim[0], victim[1]
-			e.Models = withoutAdapter(e.Models, model, adapter)
-			p.orders = append(p.orders, Order{
-				Endpoint: e.ID, Verb: Unload, Model: model, Adapter: adapter, Reason: "room for an adapter",
-			})
+		if e.AdapterCount() < p.input.Engine.AdapterSlots {
+			p.loadAdapter(e, demand)
+			continue
 		}
-		e.adaptersOrdered++
-		e.Models = withAdapter(e.Models, demand.Model, demand.Adapter)
-		p.orders = append(p.orders, Order{
-			Endpoint: e.ID, Verb: Load, Model: demand.Model, Adapter: demand.Adapter, Expected: adapterLoadTime,
-			Reason: "requests wait for the adapter",
-		})
+		if idle, found := e.leastRecentlyUsedAdapter(e.isIdle); found {
+			p.unloadAdapter(e, idle)
+			e.Models = withoutAdapter(e.Models, idle.Model, idle.Adapter)
+			p.loadAdapter(e, demand)
+			continue
+		}
+		p.unloadAdapterInUse(e)
+	}
+}
+
+func (p *planner) loadAdapter(e *EndpointState, demand AdapterDemand) {
+	e.adaptersOrdered++
+	e.Models = withAdapter(e.Models, demand.Model, demand.Adapter)
+	p.orders = append(p.orders, Order{
+		Endpoint: e.ID, Verb: Load, Model: demand.Model, Adapter: demand.Adapter, Expected: adapterLoadTime,
+		Reason: "requests wait for the adapter",
+	})
+}
+
+func (p *planner) unloadAdapter(e *EndpointState, key AdapterKey) {
+	p.orders = append(p.orders, Order{
+		Endpoint: e.ID, Verb: Unload, Model: key.Model, Adapter: key.Adapter, Reason: "room for an adapter",
+	})
+}
+
+// unloadAdapterInUse makes room at an endpoint whose adapters are all in use. One unload at a time waits there: an adapter
+// that is being unloaded serves no new requests, so that each further one would cost more requests than it helps.
+func (p *planner) unloadAdapterInUse(e *EndpointState) {
+	if len(e.UnloadingAdapters) > 0 {
+		return
+	}
+	anyAdapter := func(AdapterKey) bool { return true }
+	if victim, found := e.leastRecentlyUsedAdapter(anyAdapter); found {
+		e.UnloadingAdapters = []AdapterKey{victim}
+		p.unloadAdapter(e, victim)
 	}
 }
 
+// Scores by which endpoints that could load an adapter are compared, beside their work.
+const (
+	// scoreWithoutFreeSlot is added if an idle adapter must be unloaded first.
+	scoreWithoutFreeSlot = 1
+	// scoreWithoutIdleSlot is added if requests use all adapters.
+	scoreWithoutIdleSlot = 3
+)
+
 // endpointForAdapter returns the endpoint that should load an adapter. It returns nil if no endpoint can load it now or
 // one already holds it.
 func (p *planner) endpointForAdapter(demand AdapterDemand) *EndpointState {
@@ -51,13 +83,13 @@
 		if !e.HoldsModel(demand.Model) || slices.Contains(e.ChangingModels, demand.Model) {
 			continue
 		}
+		if slices.Contains(e.UnloadingAdapters, AdapterKey{Model: demand.Model, Adapter: demand.Adapter}) {
+			continue
+		}
 		if e.Holds(demand.Model, demand.Adapter) {
 			return nil
 		}
-		score := float64(e.Work.PrefillTokens)/20000 + float64(e.Work.Running)/100
-		if e.AdapterCount() >= p.input.Engine.AdapterSlots {
-			score++
-		}
+		score := float64(e.Work.PrefillTokens)/20000 + float64(e.Work.Running)/100 + p.slotScore(e)
 		if score < bestScore {
 			best, bestScore = e, score
 		}
@@ -65,16 +97,35 @@
 	return best
 }
 
-// leastRecentlyUsedAdapter returns the model and the name of the least recently used adapter at the endpoint.
-func leastRecentlyUsedAdapter(e *EndpointState) ([2]string, bool) {
-	var oldest [2]string
+// slotScore returns the part of an endpoint's score that depends on its adapter slots.
+func (p *planner) slotScore(e *EndpointState) float64 {
+	if e.AdapterCount() < p.input.Engine.AdapterSlots {
+		return 0
+	}
+	if _, found := e.leastRecentlyUsedAdapter(e.isIdle); found {
+		return scoreWithoutFreeSlot
+	}
+	return scoreWithoutIdleSlot
+}
+
+// isIdle reports whether no request uses an adapter and it is not being unloaded.
+func (e *EndpointState) isIdle(key AdapterKey) bool {
+	return e.AdapterUse[key].Requests == 0 && !slices.Contains(e.UnloadingAdapters, key)
+}
+
+// leastRecentlyUsedAdapter returns the least recently used adapter at the endpoint among those that may be chosen.
+func (e *EndpointState) leastRecentlyUsedAdapter(mayChoose func(AdapterKey) bool) (AdapterKey, bool) {
+	var oldest AdapterKey
 	var oldestUse time.Time
 	found := false
 	for _, m := range e.Models {
 		for _, adapter := range m.Adapters {
-			use := e.AdapterUse[m.Name+"/"+adapter]
-			if !found || use.Before(oldestUse) {
-				oldest, oldestUse, found = [2]string{m.Name, adapter}, use, true
+			key := AdapterKey{Model: m.Name, Adapter: adapter}
+			if !mayChoose(key) {
+				continue
+			}
+			if use := e.AdapterUse[key].LastUse; !found || use.Before(oldestUse) {
+				oldest, oldestUse, found = key, use, true
 			}
 		}
 	}
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -42,8 +42,8 @@
 	ModelDemand(service string, now time.Time) map[string]ModelDemand
 	// AdapterDemand returns the adapters that requests of a service wait for.
 	AdapterDemand(service string, now time.Time) []AdapterDemand
-	// AdapterUse returns the time of the last use of each adapter, keyed by MODEL/ADAPTER.
-	AdapterUse(service string) map[string]time.Time
+	// AdapterUse returns the use of each adapter.
+	AdapterUse(service string, now time.Time) map[AdapterKey]AdapterUse
 }
 
 // Options are the dependencies and settings of a Controller.
@@ -74,7 +74,7 @@
 	OnStatement func(id string, lifetime int64, statement fleet.Statement)
 	// ModelLeaving is called before a model is unloaded.
 	ModelLeaving func(id string, lifetime int64, model string)
-	// AdapterChanged is called when an adapter order has taken effect.
+	// AdapterChanged is called when an adapter has been loaded, or takes no further requests because of an unload.
 	AdapterChanged func(id string, lifetime int64, order Order)
 }
 
@@ -204,7 +204,7 @@
 
 // endpointStates combines the endpoints' announcements with the orders in progress.
 func (c *Controller) endpointStates(service *routing.Service, scope orderScope, now time.Time) []EndpointState {
-	uses := c.options.Demands.AdapterUse(service.Name)
+	uses := c.options.Demands.AdapterUse(service.Name, now)
 	var states []EndpointState
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
 		for _, e := range endpoints {
--- a/pkg/residency/handover_test.go
+++ b/pkg/residency/handover_test.go
@@ -144,6 +144,6 @@
 
 type noDemands struct{}
 
-func (noDemands) ModelDemand(string, time.Time) map[string]ModelDemand { return nil }
-func (noDemands) AdapterDemand(string, time.Time) []AdapterDemand      { return nil }
-func (noDemands) AdapterUse(string) map[string]time.Time               { return nil }
+func (noDemands) ModelDemand(string, time.Time) map[string]ModelDemand   { return nil }
+func (noDemands) AdapterDemand(string, time.Time) []AdapterDemand        { return nil }
+func (noDemands) AdapterUse(string, time.Time) map[AdapterKey]AdapterUse { return nil }
--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -22,6 +22,8 @@
 	version  int
 	state    residentState
 	adapters []string
+	// unloading lists those of the adapters whose unload waits for requests that use them. They occupy their slots.
+	unloading []string
 	// readyAt is the expected end of a load.
 	readyAt time.Time
 	// deadline is when a load or unload counts as overdue if the endpoint has not announced its effect.
@@ -42,24 +44,37 @@
 	models         []resident
 	// busyUntil is set when a report showed an order in progress that this ledger did not record.
 	busyUntil time.Time
+	// unloadAcceptedAt is when the last unload of an adapter was accepted that waits for requests; unloadCheckAt is when
+	// the report is read to see whether it has ended.
+	unloadAcceptedAt time.Time
+	unloadCheckAt    time.Time
 }
 
 // busyReportInterval is the time until a report that showed an order in progress is read again.
 const busyReportInterval = 500 * time.Millisecond
 
+// unloadCheckDivisor divides the time for which an unload has waited. The quotient is the time until the report is read
+// again, if it exceeds busyReportInterval: a stream that goes on for minutes does not cost two reports a second.
+const unloadCheckDivisor = 4
+
 // applyReport replaces the ledger by a report unless the report is older. Reports lag by some hundred milliseconds, but
 // the contents of a report and its number of orders are consistent.
 func (l *ledger) applyReport(report *Report, now time.Time) {
-	if l.known && report.OrdersAccepted <= l.ordersAccepted || report.OrdersAccepted < l.ordersAccepted {
-		return
+	switch {
+	case report.OrdersAccepted < l.ordersAccepted:
+	case l.known && report.OrdersAccepted == l.ordersAccepted:
+		l.applyReportOfSameOrders(report, now)
+	default:
+		l.replace(report, now)
 	}
+}
+
+// replace replaces the ledger by a report.
+func (l *ledger) replace(report *Report, now time.Time) {
 	l.known = true
 	l.reportsApplied++
 	l.ordersAccepted = report.OrdersAccepted
-	l.models = nil
-	for _, m := range report.Models {
-		l.models = append(l.models, resident{name: m.Name, version: m.Version, adapters: slices.Clone(m.Adapters)})
-	}
+	l.models = residentsOf(report)
 	l.busyUntil = time.Time{}
 	if report.Busy || report.PendingAdapters > 0 {
 		// The report does not list what an order in progress adds, so no order can be planned from it.
@@ -68,6 +83,60 @@
 	}
 }
 
+func residentsOf(report *Report) []resident {
+	var models []resident
+	for _, m := range report.Models {
+		models = append(models, resident{name: m.Name, version: m.Version, adapters: slices.Clone(m.Adapters)})
+	}
+	return models
+}
+
+// applyReportOfSameOrders corrects a known ledger by a report after the same orders. It shows which unloads of adapters
+// have ended, and a ledger that lists other contents than the endpoint is wrong although its number of orders is right.
+func (l *ledger) applyReportOfSameOrders(report *Report, now time.Time) {
+	l.unloadCheckAt = now.Add(max(busyReportInterval, now.Sub(l.unloadAcceptedAt)/unloadCheckDivisor))
+	if l.changesModels() || report.PendingAdapters > 0 {
+		// The report does not list what is being loaded.
+		return
+	}
+	if report.Busy {
+		l.busyUntil = now.Add(busyReportInterval)
+	}
+	models := residentsOf(report)
+	for i := range models {
+		if r := l.find(models[i].name); r != nil {
+			models[i].keepUnloading(r.unloading)
+		}
+	}
+	if !slices.EqualFunc(l.models, models, sameContents) {
+		// Queued orders were planned on other contents.
+		l.reportsApplied++
+	}
+	l.models = models
+}
+
+// keepUnloading marks adapters as being unloaded that the endpoint still holds.
+func (r *resident) keepUnloading(unloading []string) {
+	for _, adapter := range unloading {
+		if slices.Contains(r.adapters, adapter) {
+			r.unloading = append(r.unloading, adapter)
+		}
+	}
+}
+
+// sameContents reports whether two residents are the same model with the same adapters, in any order.
+func sameContents(a, b resident) bool {
+	if a.name != b.name || a.version != b.version || len(a.adapters) != len(b.adapters) {
+		return false
+	}
+	for _, adapter := range a.adapters {
+		if !slices.Contains(b.adapters, adapter) {
+			return false
+		}
+	}
+	return true
+}
+
 // recordAccepted records an order that the endpoint has accepted.
 func (l *ledger) recordAccepted(order *Order, now time.Time) {
 	l.ordersAccepted++
@@ -90,12 +159,34 @@
 	if r == nil {
 		return
 	}
-	r.adapters = slices.DeleteFunc(r.adapters, func(a string) bool { return a == order.Adapter })
+	isAdapter := func(a string) bool { return a == order.Adapter }
+	r.adapters = slices.DeleteFunc(r.adapters, isAdapter)
+	r.unloading = slices.DeleteFunc(r.unloading, isAdapter)
 	if order.Verb == Load {
 		r.adapters = append(r.adapters, order.Adapter)
 	}
 }
 
+// recordUnloadWaiting records an accepted unload of an adapter that waits for the requests that use the adapter.
+func (l *ledger) recordUnloadWaiting(order *Order, now time.Time) {
+	l.ordersAccepted++
+	l.unloadAcceptedAt, l.unloadCheckAt = now, now.Add(busyReportInterval)
+	if r := l.find(order.Model); r != nil && slices.Contains(r.adapters, order.Adapter) && !slices.Contains(r.unloading, order.Adapter) {
+		r.unloading = append(r.unloading, order.Adapter)
+	}
+}
+
+// unloadingAdapters returns the adapters whose unload waits for requests that use them.
+func (l *ledger) unloadingAdapters() []AdapterKey {
+	var keys []AdapterKey
+	for i := range l.models {
+		for _, adapter := range l.models[i].unloading {
+			keys = append(keys, AdapterKey{Model: l.models[i].name, Adapter: adapter})
+		}
+	}
+	return keys
+}
+
 func (l *ledger) find(model string) *resident {
 	for i := range l.models {
 		if l.models[i].name == model {
@@ -125,8 +216,21 @@
 
 // busy reports whether a model order is in progress or the ledger is unknown.
 func (l *ledger) busy(now time.Time) bool {
-	changing := slices.ContainsFunc(l.models, func(r resident) bool { return r.state != stateHeld })
-	return !l.known || changing || now.Before(l.busyUntil)
+	return !l.known || l.changesModels() || now.Before(l.busyUntil)
+}
+
+// changesModels reports whether a model is being loaded or unloaded.
+func (l *ledger) changesModels() bool {
+	return slices.ContainsFunc(l.models, func(r resident) bool { return r.state != stateHeld })
+}
+
+// needsReport reports whether the endpoint's report must be read: to know what the endpoint holds, or to see whether the
+// unload of an adapter has ended.
+func (l *ledger) needsReport(now time.Time) bool {
+	if !l.known {
+		return !now.Before(l.busyUntil)
+	}
+	return len(l.unloadingAdapters()) > 0 && !now.Before(l.unloadCheckAt)
 }
 
 // heldModels returns the models that occupy memory.
--- a/pkg/residency/ledger_test.go
+++ b/pkg/residency/ledger_test.go
@@ -90,3 +90,34 @@
 		t.Fatal("the ledger stays known, so that the endpoint's report is not read")
 	}
 }
+
+// Guards against a ledger that has the right number of orders and the wrong contents for good.
+func TestReportAfterTheSameOrdersCorrectsTheContents(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "m", Adapters: []string{"a1"}})
+	applied := l.reportsApplied
+	l.applyReport(&Report{OrdersAccepted: 4, Models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1", "a2"}}}}, start)
+	if held := l.heldModels(); len(held[0].Adapters) != 2 || l.reportsApplied == applied {
+		t.Fatalf("ledger is %+v", l)
+	}
+	// A report that does not list what is on its way shows less than the endpoint holds.
+	l.applyReport(&Report{OrdersAccepted: 4, PendingAdapters: 1, Models: []fleet.HeldModel{{Name: "m"}}}, start)
+	if held := l.heldModels(); len(held[0].Adapters) != 2 {
+		t.Fatalf("ledger is %+v", l)
+	}
+}
+
+// Guards against two reports a second for as long as one stream keeps an adapter from being unloaded.
+func TestReportsAreReadMoreRarelyTheLongerAnUnloadWaits(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "m", Adapters: []string{"a1"}})
+	l.recordUnloadWaiting(&Order{Verb: Unload, Model: "m", Adapter: "a1"}, start)
+	reports := 0
+	for now := start; now.Before(start.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if l.needsReport(now) {
+			reports++
+			l.applyReport(&Report{OrdersAccepted: 5, Models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}, now)
+		}
+	}
+	if reports < 4 || reports > 24 {
+		t.Fatalf("%d reports in a minute", reports)
+	}
+}
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -47,6 +47,9 @@
 	// Busy is set while an order is in progress or the state is unknown. Engines carry out one order at a time, and
 	// refuse adapter orders too while they load or unload a model.
 	Busy bool
+	// UnloadingAdapters lists adapters whose unload waits for requests that use them. They occupy slots and serve no
+	// further requests.
+	UnloadingAdapters []AdapterKey
 	// ChangingModels lists models that are being loaded or unloaded. They occupy memory and serve no requests.
 	ChangingModels []string
 	// ModelToLoad is the model for which an unload frees memory; it counts as held until it is loaded.
@@ -55,8 +58,22 @@
 	announces func(model string) bool
 	// adaptersOrdered counts the adapter loads that this plan orders.
 	adaptersOrdered int
-	// AdapterUse is the time of the last use of each held adapter, keyed by MODEL/ADAPTER.
-	AdapterUse map[string]time.Time
+	// AdapterUse is the use of each adapter by clients' requests.
+	AdapterUse map[AdapterKey]AdapterUse
+}
+
+// AdapterKey names an adapter of a model.
+type AdapterKey struct {
+	Model   string
+	Adapter string
+}
+
+// AdapterUse is the use of an adapter by the requests of all instances, at any endpoint.
+type AdapterUse struct {
+	// LastUse is when a request that uses the adapter last arrived or ended.
+	LastUse time.Time
+	// Requests counts the requests in progress.
+	Requests int
 }
 
 // ModelDemand is the client demand for a model at all instances.
--- a/pkg/residency/plan_test.go
+++ b/pkg/residency/plan_test.go
@@ -168,13 +168,12 @@
 // Guards against loading more adapters than an engine has slots, and against unloading a recently used one.
 func TestLeastRecentlyUsedAdapterIsUnloaded(t *testing.T) {
 	e := endpointWith("e1", "m00")
-	use := map[string]time.Time{}
+	e.AdapterUse = make(map[AdapterKey]AdapterUse)
 	for i := range 8 {
 		name := fmt.Sprintf("a%d", i)
 		e.Models[0].Adapters = append(e.Models[0].Adapters, name)
-		use["m00/"+name] = start.Add(time.Duration(10-i) * time.Second)
+		e.AdapterUse[AdapterKey{"m00", name}] = AdapterUse{LastUse: start.Add(time.Duration(10-i) * time.Second)}
 	}
-	e.AdapterUse = use
 	in := &Input{
 		Engine: testEngine(1), Endpoints: []EndpointState{e},
 		Adapters: []AdapterDemand{{Model: "m00", Adapter: "a20", Waiting: 1}},
@@ -185,6 +184,53 @@
 	}
 }
 
+// fullEndpoint returns an endpoint whose eight adapter slots are taken. Requests use the first of the adapters.
+func fullEndpoint(inUse int) EndpointState {
+	e := endpointWith("e1", "m00")
+	e.AdapterUse = make(map[AdapterKey]AdapterUse)
+	for i := range 8 {
+		name := fmt.Sprintf("a%d", i)
+		e.Models[0].Adapters = append(e.Models[0].Adapters, name)
+		use := AdapterUse{LastUse: start.Add(time.Duration(i) * time.Second)}
+		if i < inUse {
+			use.Requests = 1
+		}
+		e.AdapterUse[AdapterKey{"m00", name}] = use
+	}
+	return e
+}
+
+// Guards against unloading an adapter that requests use while another one is idle: its slot stays occupied until they
+// have ended.
+func TestIdleAdapterIsUnloadedBeforeOneInUse(t *testing.T) {
+	in := &Input{
+		Engine: testEngine(1), Endpoints: []EndpointState{fullEndpoint(7)},
+		Adapters: []AdapterDemand{{Model: "m00", Adapter: "a20", Waiting: 1}},
+	}
+	orders := Plan(in)
+	if len(orders) != 2 || orders[0].Verb != Unload || orders[0].Adapter != "a7" || orders[1].Adapter != "a20" {
+		t.Fatalf("orders are %+v", orders)
+	}
+}
+
+// Guards against a load into a slot whose adapter is in use, and against one more unload for a demand that already waits
+// for a slot.
+func TestNoAdapterIsLoadedIntoASlotInUse(t *testing.T) {
+	in := &Input{
+		Engine: testEngine(1), Endpoints: []EndpointState{fullEndpoint(8)},
+		Adapters: []AdapterDemand{{Model: "m00", Adapter: "a20", Waiting: 1}},
+	}
+	orders := Plan(in)
+	if len(orders) != 1 || orders[0].Verb != Unload || orders[0].Adapter != "a0" {
+		t.Fatalf("orders are %+v", orders)
+	}
+	in.Endpoints = []EndpointState{fullEndpoint(8)}
+	in.Endpoints[0].UnloadingAdapters = []AdapterKey{{"m00", "a0"}}
+	if orders := Plan(in); len(orders) != 0 {
+		t.Fatalf("orders are %+v while an unload waits", orders)
+	}
+}
+
 // Guards, over arbitrary states, against orders that exceed an engine's memory or adapter slots, orders for a busy or
 // leaving endpoint, and two model orders for one endpoint.
 func TestPlanKeepsTheLimits(t *testing.T) {
@@ -202,6 +248,7 @@
 			e.Busy = rapid.Bool().Draw(t, "busy")
 			e.Leaving = rapid.Bool().Draw(t, "leaving")
 			e.OnDisk = rapid.SliceOf(rapid.SampledFrom(names)).Draw(t, "disk")
+			drawAdapters(t, &e, engine.AdapterSlots)
 			in.Endpoints = append(in.Endpoints, e)
 		}
 		for _, name := range names {
@@ -221,6 +268,22 @@
 	})
 }
 
+// drawAdapters gives the endpoint adapters, some of them in use or being unloaded.
+func drawAdapters(t *rapid.T, e *EndpointState, slots int) {
+	e.AdapterUse = make(map[AdapterKey]AdapterUse)
+	for i := range e.Models {
+		drawn := rapid.SliceOfNDistinct(rapid.StringMatching(`a[0-9]`), 0, slots-e.AdapterCount(), rapid.ID[string]).Draw(t, "adapters")
+		e.Models[i].Adapters = drawn
+		for _, adapter := range drawn {
+			key := AdapterKey{e.Models[i].Name, adapter}
+			e.AdapterUse[key] = AdapterUse{Requests: rapid.IntRange(0, 1).Draw(t, "requests")}
+			if rapid.Bool().Draw(t, "unloading") {
+				e.UnloadingAdapters = append(e.UnloadingAdapters, key)
+			}
+		}
+	}
+}
+
 func checkOrders(t *rapid.T, engine *routing.Engine, before map[string]EndpointState, orders []Order) {
 	modelOrders := make(map[string]int)
 	adapters := make(map[string]int)
@@ -230,12 +293,16 @@
 			t.Fatalf("order for a leaving endpoint: %+v", o)
 		}
 		if o.Adapter != "" {
-			if o.Verb == Load {
+			key := AdapterKey{o.Model, o.Adapter}
+			switch {
+			case o.Verb == Load:
 				adapters[o.Endpoint]++
-			} else {
+			case slices.Contains(e.UnloadingAdapters, key):
+				t.Fatalf("second unload of an adapter: %+v", o)
+			case e.AdapterUse[key].Requests == 0:
 				adapters[o.Endpoint]--
 			}
-			if adapters[o.Endpoint] > engine.AdapterSlots {
+			if e.AdapterCount()+adapters[o.Endpoint] > engine.AdapterSlots {
 				t.Fatalf("too many adapters at %s", o.Endpoint)
 			}
 			continue
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -60,6 +60,7 @@
 		return
 	}
 	state.Models = w.ledger.heldModels()
+	state.UnloadingAdapters = w.ledger.unloadingAdapters()
 	state.ChangingModels = nil
 	if w.modelToLoad != "" && (now.After(w.modelToLoadUntil) || w.ledger.find(w.modelToLoad) != nil) {
 		w.modelToLoad = ""
@@ -79,14 +80,14 @@
 	}
 }
 
-// needsReport reports whether the endpoint's report must be read before orders can be planned.
+// needsReport reports whether the endpoint's report is due. The controller's lock is held.
 func (w *worker) needsReport(now time.Time) bool {
-	return !w.ledger.known && !w.running && !now.Before(w.ledger.busyUntil) && !now.Before(w.blockedUntil)
+	return !w.running && w.ledger.needsReport(now) && !now.Before(w.blockedUntil)
 }
 
 // run carries out queued orders until the queue is empty.
 func (w *worker) run(ctx context.Context, token int64) {
-	if !w.ledgerKnown() {
+	if w.reportDue() {
 		w.readReport(ctx)
 	}
 	for {
@@ -98,10 +99,10 @@
 	}
 }
 
-func (w *worker) ledgerKnown() bool {
+func (w *worker) reportDue() bool {
 	w.controller.mu.Lock()
 	defer w.controller.mu.Unlock()
-	return w.ledger.known
+	return !w.ledger.known || w.ledger.needsReport(time.Now())
 }
 
 func (w *worker) nextOrder() (Order, bool) {
@@ -241,18 +242,26 @@
 	w.controller.options.AdapterChanged(w.target.ID, w.lifetime, order)
 }
 
-// handleAccepted records an accepted order and waits until an adapter is loaded.
+// handleAccepted records an accepted order, which the endpoint has not carried out yet, and waits until an adapter is
+// loaded.
 func (w *worker) handleAccepted(ctx context.Context, order Order, log *zap.Logger) {
+	unloadsAdapter := order.Adapter != "" && order.Verb == Unload
 	w.controller.mu.Lock()
 	now := time.Now()
-	w.ledger.recordAccepted(&order, now)
+	if unloadsAdapter {
+		// The orders that follow in the queue need the slot, which stays occupied until the adapter's requests have ended.
+		w.ledger.recordUnloadWaiting(&order, now)
+		w.dropQueueLocked()
+	} else {
+		w.ledger.recordAccepted(&order, now)
+	}
 	if order.Adapter == "" {
 		w.modelToUnload = ""
 	}
 	ordersAccepted := w.ledger.ordersAccepted
 	w.controller.mu.Unlock()
 	log.Info("order accepted", zap.Int64("orders", ordersAccepted), zap.Duration("expected", order.Expected),
-		zap.Strings("held", order.Held), zap.Float64("gain", order.Gain))
+		zap.Strings("held", order.Held), zap.Float64("gain", order.Gain), zap.Bool("waitsForRequests", unloadsAdapter))
 	if order.Adapter == "" {
 		return
 	}
@@ -307,9 +316,14 @@
 	}
 	w.controller.mu.Lock()
 	w.ledger.applyReport(&report, time.Now())
+	unloading := w.ledger.unloadingAdapters()
 	w.controller.mu.Unlock()
 	report.Lifetime = w.lifetime
 	w.controller.options.OnReportRead(w.target.ID, report)
+	for _, key := range unloading {
+		// The report and the endpoint's entry list the adapter until its unload has ended.
+		w.controller.options.AdapterChanged(w.target.ID, w.lifetime, Order{Verb: Unload, Model: key.Model, Adapter: key.Adapter})
+	}
 	return report, true
 }
 
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -29,6 +29,8 @@
 	// onReplyLost is called whenever an order gets no reply; models are the models in the engine's report.
 	onReplyLost func()
 	models      []fleet.HeldModel
+	// waitingUnloads is set if requests use all adapters: an unload is accepted and waits for them.
+	waitingUnloads bool
 }
 
 var errLost = errors.New("connection lost")
@@ -60,6 +62,9 @@
 	}
 	e.ordersAccepted++
 	e.acceptedCalls = append(e.acceptedCalls, call)
+	if call.Verb == Unload && call.Adapter != "" && !e.waitingUnloads {
+		return AlreadyHolds
+	}
 	return Accepted
 }
 
@@ -121,6 +126,48 @@
 	tasks.Wait()
 }
 
+// adapterSwap returns the orders that replace adapter a1 of a model by a2.
+func adapterSwap() []Order {
+	return []Order{
+		{Endpoint: "e1", Verb: Unload, Model: "m", Adapter: "a1"},
+		{Endpoint: "e1", Verb: Load, Model: "m", Adapter: "a2"},
+	}
+}
+
+// Guards against loading into the slot of an adapter whose unload waits for the requests that use it: the endpoint would
+// hold one adapter more than it has slots for, and crash.
+func TestAdapterIsNotLoadedWhileTheUnloadBeforeItWaits(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 1 || e.acceptedCalls[0].Verb != Unload {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	c.workers["e1"].apply(&state, time.Now())
+	if state.AdapterCount() != 1 || len(state.UnloadingAdapters) != 1 {
+		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
+	}
+}
+
+// Guards against a slot that stays reserved after the requests have ended that an unload waited for.
+func TestSlotIsFreeOnceTheReportNoLongerListsTheAdapter(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, adapterSwap()...)
+	w := c.workers["e1"]
+	if w.needsReport(time.Now()) || !w.needsReport(time.Now().Add(busyReportInterval)) {
+		t.Fatal("the report is not read after the usual interval")
+	}
+	e.models = []fleet.HeldModel{{Name: "m"}}
+	w.readReport(context.Background())
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	w.apply(&state, time.Now())
+	if state.AdapterCount() != 0 || len(state.UnloadingAdapters) != 0 || w.needsReport(time.Now().Add(time.Minute)) {
+		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
+	}
+}
+
 // Guards against carrying out an order twice after its reply was lost.
 func TestOrderWithALostReplyIsCarriedOutOnce(t *testing.T) {
 	e := &fakeEngine{repliesToLose: 1}
