Replace a ledger that counts more orders than the endpoint

Requests for an adapter were refused for the rest of a holder's term once its ledger counted an order that the endpoint did not: an unload of an adapter that is already being unloaded, or is gone, gets 200 like one that was carried out, but does not advance the number of orders. The next order is refused as conflicting, and the report, with a lower number, was ignored as old, for good.

TestLedgerRecoversFromAnUnloadThatDidNotCount fails without the change ("a ledger that disagrees with the endpoint is trusted").

--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -137,6 +137,13 @@
 	return true
 }
 
+// distrust makes the ledger accept the next report, whatever its number of orders, and wait for it until the report no
+// longer lags behind this moment.
+func (l *ledger) distrust(now time.Time) {
+	l.known, l.ordersAccepted = false, 0
+	l.busyUntil = now.Add(busyReportInterval)
+}
+
 // recordAccepted records an order that the endpoint has accepted.
 func (l *ledger) recordAccepted(order *Order, now time.Time) {
 	l.ordersAccepted++
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -214,9 +214,7 @@
 		w.handleAlreadyHolds(order, log)
 	case Conflicting:
 		log.Info("order refused: conflict")
-		w.dropQueue()
-		w.readReport(ctx)
-		w.block(conflictPause)
+		w.handleConflict(ctx)
 	default:
 		log.Warn("order refused", zap.Int("reply", int(reply)))
 		w.invalidateLedger()
@@ -224,6 +222,20 @@
 	}
 }
 
+// handleConflict reads the report after an order was refused because of another order or another number of orders. A
+// ledger that still counts more orders than the endpoint is not trusted: an unload that the endpoint had nothing to do
+// for gets the same reply as one that it carried out, but does not count.
+func (w *worker) handleConflict(ctx context.Context) {
+	w.dropQueue()
+	report, ok := w.readReport(ctx)
+	w.block(conflictPause)
+	w.controller.mu.Lock()
+	defer w.controller.mu.Unlock()
+	if ok && report.OrdersAccepted < w.ledger.ordersAccepted {
+		w.ledger.distrust(time.Now())
+	}
+}
+
 // handleAlreadyHolds processes a reply that leaves no order in progress. Unloading an adapter completes immediately and
 // counts as an accepted order. Loading an adapter or model that is already there does not count.
 func (w *worker) handleAlreadyHolds(order Order, log *zap.Logger) {
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -31,6 +31,8 @@
 	models      []fleet.HeldModel
 	// waitingUnloads is set if requests use all adapters: an unload is accepted and waits for them.
 	waitingUnloads bool
+	// alreadyDone is set if the engine has nothing to do for any unload: it says so and does not count the order.
+	alreadyDone bool
 }
 
 var errLost = errors.New("connection lost")
@@ -60,6 +62,9 @@
 	if call.ExpectedOrdersAccepted != e.ordersAccepted {
 		return Conflicting
 	}
+	if call.Verb == Unload && e.alreadyDone {
+		return AlreadyHolds
+	}
 	e.ordersAccepted++
 	e.acceptedCalls = append(e.acceptedCalls, call)
 	if call.Verb == Unload && call.Adapter != "" && !e.waitingUnloads {
@@ -168,6 +173,25 @@
 	}
 }
 
+// Guards against a ledger that counts an order which the endpoint did not count, and then never agrees with it again: an
+// unload of an adapter that is already being unloaded gets the reply of one that was carried out.
+func TestLedgerRecoversFromAnUnloadThatDidNotCount(t *testing.T) {
+	e := &fakeEngine{alreadyDone: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 0 {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	w := c.workers["e1"]
+	if w.ledger.known {
+		t.Fatal("a ledger that disagrees with the endpoint is trusted")
+	}
+	w.readReport(context.Background())
+	if held := w.ledger.heldModels(); !w.ledger.known || w.ledger.ordersAccepted != 0 || len(held[0].Adapters) != 1 {
+		t.Fatalf("ledger is %+v", w.ledger)
+	}
+}
+
 // Guards against carrying out an order twice after its reply was lost.
 func TestOrderWithALostReplyIsCarriedOutOnce(t *testing.T) {
 	e := &fakeEngine{repliesToLose: 1}
