Break a stream off where what follows is not its next event

The instance took everything up to an empty line for an event and the end of any 200 for the end of the stream; that ids increase was never checked. Now each event must have an id above all before it, also over endpoints and above the client's Last-Event-Id, and fields by name; an event named error is the endpoint's failure. Anything else breaks the endpoint's stream off there, so that another one may go on, or the client sees it broken. A response without events completes a stream only if the client itself asked what follows its last event.

One step of TestEventBufferYieldsWholeEvents passed an event without an id on.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
@@ -26,12 +27,35 @@
 		{"ta: x\n", "", "", true},
 		{"\nid: 2\ndata: y\n\nid: 3", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n", "2", true},
 		{"\r\ndata: z\r\n\r\n", "id: 3\r\ndata: z\r\n\r\n", "3", false},
-		{"data: no id\n\n", "data: no id\n\n", "3", false},
+		{": no event\n\n", ": no event\n\n", "3", false},
 		{"", "", "3", false},
 	}
 	for i, s := range steps {
-		if got := string(b.Add([]byte(s.add))); got != s.want || b.LastID != s.id || b.Partial() != s.partial {
-			t.Errorf("step %d: got %q, last id %q, partial %v", i, got, b.LastID, b.Partial())
+		got, err := b.Add([]byte(s.add))
+		if err != nil || string(got) != s.want || b.LastID() != s.id || b.Partial() != s.partial {
+			t.Errorf("step %d: got %q, last id %q, partial %v, %v", i, got, b.LastID(), b.Partial(), err)
+		}
+	}
+}
+
+// Guards against passing on what is no next event of the stream, also in the same read as events that are.
+func TestEventBufferRejectsWhatIsNoNextEvent(t *testing.T) {
+	for text, want := range map[string]error{
+		"data: no id\n\n":                       errNotAnEvent,
+		"id: x\ndata: y\n\n":                    errNotAnEvent,
+		"id: 99999999999999999999\ndata: y\n\n": errNotAnEvent,
+		"HTTP/1.1 500 Error\r\nid: 3\r\n\r\n":   errNotAnEvent,
+		"Content-Length: 0\r\n\r\n":             errNotAnEvent,
+		"id: 2\ndata: y\n\n":                    errEventOrder,
+		"id: -3\ndata: y\n\n":                   errEventOrder,
+		"event: error\ndata: y\n\n":             errErrorEvent,
+		"id: 3\nevent:error\n\n":                errErrorEvent,
+	} {
+		var b eventBuffer
+		before := "id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+		got, err := b.Add([]byte(before + text + "id: 3\ndata: z\n\n"))
+		if !errors.Is(err, want) || string(got) != before {
+			t.Errorf("%q: got %q, %v", text, got, err)
 		}
 	}
 }
@@ -365,11 +389,15 @@
 		var events strings.Builder
 		for rest := stream; rest != ""; {
 			n := min(size, len(rest))
-			events.Write(b.Add([]byte(rest[:n])))
+			complete, err := b.Add([]byte(rest[:n]))
+			if err != nil {
+				t.Fatalf("reads of %d bytes: %v", size, err)
+			}
+			events.Write(complete)
 			rest = rest[n:]
 		}
-		if events.String() != strings.TrimSuffix(stream, "rest") || b.LastID != "3" || !b.Partial() {
-			t.Errorf("reads of %d bytes: events %q, last id %q", size, events.String(), b.LastID)
+		if events.String() != strings.TrimSuffix(stream, "rest") || b.LastID() != "3" || !b.Partial() {
+			t.Errorf("reads of %d bytes: events %q, last id %q", size, events.String(), b.LastID())
 		}
 	}
 }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -39,6 +39,9 @@
 // closed.
 func (r *clientRequest) serveStream(closeAfter bool) bool {
 	state := &streamState{}
+	if r.route.Repeatable() {
+		state.events.ContinueAfter(r.request.LastEventID)
+	}
 	reason, retryAfter := "no endpoint", minRetryAfter
 	for r.maySend(time.Now()) {
 		a, wait := r.chooseEndpoint()
@@ -94,7 +97,7 @@
 	if state.started {
 		r.server.metrics.resumed.Inc(1)
 	}
-	out := r.buildForwardRequest(a, state.events.LastID)
+	out := r.buildForwardRequest(a, state.events.LastID())
 	defer fasthttp.ReleaseRequest(out)
 	resp.Header.SetNoDefaultContentType(true)
 	body, err := r.server.deps.Pool.Open(r.ctx, "http://"+a.choice.Address, r.deadline, out, resp)
@@ -150,7 +153,8 @@
 		if n > 0 {
 			r.recordFirstEvent(a)
 		}
-		if events := state.events.Add(state.buffer[:n]); len(events) > 0 {
+		events, invalid := state.events.Add(state.buffer[:n])
+		if len(events) > 0 {
 			if failure := r.forwardEvents(resp, events, state, closeAfter); failure != nil {
 				a.call.End(fleet.Neutral, time.Now())
 				r.log.Info("client left", zap.Error(failure), zap.Duration("after", time.Since(r.arrivedAt)))
@@ -158,19 +162,32 @@
 				return streamClientLeft
 			}
 		}
-		if state.events.Oversized() {
-			return r.handleBrokenStream(a, errEventTooLarge)
+		if invalid == nil && state.events.Oversized() {
+			invalid = errEventTooLarge
+		}
+		if invalid != nil {
+			return r.handleBrokenStream(a, invalid)
 		}
 		if err == nil {
 			continue
 		}
-		if errors.Is(err, io.EOF) && !state.events.Partial() {
-			return r.completeStream(a, resp, state, closeAfter)
+		if !errors.Is(err, io.EOF) || state.events.Partial() {
+			return r.handleBrokenStream(a, err)
+		}
+		if !r.mayBeComplete(state) {
+			return r.handleBrokenStream(a, errNoEvents)
 		}
-		return r.handleBrokenStream(a, err)
+		return r.completeStream(a, resp, state, closeAfter)
 	}
 }
 
+// mayBeComplete reports whether the stream may be whole at the end of an endpoint's response. A response without events
+// completes it only if the client itself asked for what follows its last event, which may be nothing. Where another
+// endpoint has broken off, it would make a cut stream look whole.
+func (r *clientRequest) mayBeComplete(state *streamState) bool {
+	return state.events.Returned() > 0 || !state.started && r.request.LastEventID != ""
+}
+
 func (r *clientRequest) recordFirstEvent(a *attempt) {
 	if a.call.Started(time.Now()) {
 		a.firstEventAt = time.Now()
@@ -205,7 +222,7 @@
 		return streamClientLeft
 	}
 	r.recordEnd(r.server.metrics.answered)
-	r.log.Info("stream complete", zap.String("endpoint", a.choice.ID), zap.String("lastEvent", state.events.LastID),
+	r.log.Info("stream complete", zap.String("endpoint", a.choice.ID), zap.String("lastEvent", state.events.LastID()),
 		zap.Duration("after", time.Since(r.arrivedAt)))
 	return streamComplete
 }
