Do not send what may outlast a stopping instance

A request is now sent during a drain only if its deadline is not later than the drain's end. Any other one is refused as not run at once, without Retry-After, since another instance can take it; waiting ones are refused when the stop begins. What is sent therefore ends, by its answer or its own time-out, while the instance still runs.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -43,6 +43,8 @@
 	holderNotified bool
 	// quarantinedPart is the prompt part because of which the request is not sent; zero if there is none.
 	quarantinedPart uint64
+	// outlastsInstance is set if the request is not sent because this instance stops before the request's deadline.
+	outlastsInstance bool
 	// mayHaveRun is set once an endpoint may have begun to run the request.
 	mayHaveRun bool
 }
@@ -255,8 +257,12 @@
 		r.recordEnd(r.server.metrics.clientsLeft)
 		return false
 	}
-	if r.quarantinedPart != 0 {
+	switch {
+	case r.quarantinedPart != 0:
 		reason = "prompt part in quarantine"
+	case r.outlastsInstance:
+		// Another instance can take the request at once.
+		reason, retryAfter = "instance stops before the deadline", 0
 	}
 	if !r.mayHaveRun {
 		return r.refuse(retryAfter, reason, closeAfter)
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -21,12 +21,15 @@
 var errStopping = errors.New("instance is stopping")
 
 // drain finishes the requests in flight. The instance stops being ready at once, but accepts requests until the load
-// balancer has noticed. Requests that arrive after that, or still wait for an endpoint then, are refused as not run.
+// balancer has noticed. Requests that arrive after that, or still wait for an endpoint then, are refused as not run, and
+// from the beginning those whose deadline is later than the end of the drain: once sent, they might be cut off.
 func (s *Server) drain(stopServing func(cause error)) {
 	started := time.Now()
+	deadline := started.Add(s.settings().Bounds.shutdownTime() - exitMargin)
+	s.drainDeadline.Store(&deadline)
 	s.draining.Store(true)
+	close(s.drainStarted)
 	s.log.Info("stopping", zap.Int64("active", s.activeRequests.Load()))
-	deadline := started.Add(s.settings().Bounds.shutdownTime() - exitMargin)
 	for time.Since(started) < loadBalancerDelay && time.Now().Before(deadline) {
 		time.Sleep(drainPollInterval)
 	}
@@ -53,6 +56,12 @@
 	}
 }
 
+// mayFinish reports whether a request with a deadline certainly ends before this instance does.
+func (s *Server) mayFinish(deadline time.Time) bool {
+	drainDeadline := s.drainDeadline.Load()
+	return drainDeadline == nil || !deadline.After(*drainDeadline)
+}
+
 func (s *Server) isRefusing() bool {
 	select {
 	case <-s.refusing:
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -15,6 +15,10 @@
 	for {
 		changed := r.server.deps.Fleet.Changed()
 		now := time.Now()
+		if !r.server.mayFinish(r.deadline) {
+			r.outlastsInstance = true
+			return nil, 0
+		}
 		if remaining, found := r.inQuarantine(now); found {
 			return nil, remaining
 		}
@@ -109,7 +113,7 @@
 	lateWaitingShare = 0.8
 )
 
-// waitForChange waits until the fleet changes. It returns false if maxWait has passed, the request has ended or the
+// waitForChange waits until the fleet changes or the instance begins to drain. It returns false if maxWait has passed, the request has ended or the
 // instance refuses requests.
 func (r *clientRequest) waitForChange(changed <-chan struct{}, maxWait time.Duration) bool {
 	if r.obstacle == fleet.NotHeld || r.obstacle == fleet.AdapterNotHeld {
@@ -122,9 +126,15 @@
 	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
+	drainStarted := r.server.drainStarted
+	if r.server.draining.Load() {
+		drainStarted = nil
+	}
 	select {
 	case <-changed:
 		return true
+	case <-drainStarted:
+		return true
 	case <-timer.C:
 		return false
 	case <-r.ctx.Done():
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -63,6 +63,10 @@
 	// placement sends placement orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
+	// drainStarted is closed when a stopping instance begins to drain, after drainDeadline is set, at which the requests
+	// in flight are cut off.
+	drainStarted  chan struct{}
+	drainDeadline atomic.Pointer[time.Time]
 	// viewMu makes a change of the endpoints atomic with the change of the revision up to which they are known.
 	viewMu    sync.Mutex
 	storeView storeView
@@ -100,6 +104,7 @@
 		instances:      newInstanceRegistry(),
 		demand:         newDemandTracker(s.Region),
 		conns:          make(map[*clientConn]struct{}),
+		drainStarted:   make(chan struct{}),
 		refusing:       make(chan struct{}),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
