Bound the memory of all buffered responses together

All responses of a process share one budget now, a fifth of its memory. The first 16 KB of a body are free, so that small answers never wait. A body of known length reserves all of it at once, so that no two bodies wait for each other half read; one of unknown length fails if its buffer can't grow.

--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -36,6 +36,10 @@
 	// memoryLimitFraction is the soft memory limit of the Go runtime as a fraction of the process's memory limit. Near
 	// the soft limit, the garbage collector runs more often.
 	memoryLimitFraction = 0.7
+	// bodyMemoryFraction is the fraction of the memory limit that the responses of endpoints may occupy while they are
+	// buffered, defaultBodyMemory their share without a memory limit.
+	bodyMemoryFraction = 0.2
+	defaultBodyMemory  = 64 << 20
 	// metricsFlushInterval is the interval between two flushes of the counters. Metrics are read every few seconds.
 	metricsFlushInterval = 5 * time.Second
 	// connectionIdleTimeout is the time for which idle connections to endpoints are kept. A shorter keep-alive timeout
@@ -89,6 +93,7 @@
 	defer controlPool.Close()
 	requestPool := httpconn.NewPool(httpconn.Options{
 		Accept: platform.AcceptsResponse, AllowCloseDelimited: true, IdleTimeout: connectionIdleTimeout,
+		Memory: httpconn.NewMemoryBudget(bodyMemory(settings)),
 	})
 	defer requestPool.Close()
 	metrics := telemetry.NewMetrics(metricsFlushInterval)
@@ -120,6 +125,14 @@
 	return 0
 }
 
+// bodyMemory returns the number of bytes that endpoints' responses may occupy while they are buffered.
+func bodyMemory(settings edge.Settings) int64 {
+	if settings.MemoryMB <= 0 {
+		return defaultBodyMemory
+	}
+	return int64(float64(settings.MemoryMB<<20) * bodyMemoryFraction)
+}
+
 // reload applies the settings file. If the file is invalid, the current settings stay in effect.
 func reload(server *edge.Server, path string, log *zap.Logger) {
 	settings, findings := edge.LoadSettings(path)
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -45,6 +45,9 @@
 	// engineDialTimeout bounds connecting to an endpoint, so that an unreachable endpoint does not use up the time to
 	// first token.
 	engineDialTimeout = 200 * time.Millisecond
+	// bodyMemory bounds the memory of endpoints' responses while they are buffered, over all pools, in bytes. It holds
+	// several responses of the largest size.
+	bodyMemory = 128 << 20
 )
 
 func (d *Daemon) build() error {
@@ -98,7 +101,9 @@
 	if err != nil {
 		return err
 	}
-	connections := httpconn.Options{TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress()}
+	connections := httpconn.Options{
+		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: httpconn.NewMemoryBudget(bodyMemory),
+	}
 	d.engineClient = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.servicePool = httpconn.NewPool(connections)
 	d.serviceLoads = plainhttp.NewReporter(connections)
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -212,7 +212,7 @@
 	out := r.buildForwardRequest(a, "")
 	defer fasthttp.ReleaseRequest(out)
 	resp.Header.SetNoDefaultContentType(true)
-	err := r.server.deps.Pool.Do(r.ctx, "http://"+a.choice.Address, r.deadline, out, resp, maxResponseBytes)
+	err := r.server.deps.Pool.DoReserving(r.ctx, "http://"+a.choice.Address, r.deadline, out, resp, maxResponseBytes, r.memory)
 	if err != nil {
 		return r.handleSendError(a, err)
 	}
--- a/pkg/edge/events.go
+++ b/pkg/edge/events.go
@@ -28,6 +28,8 @@
 // it without parts of two events being joined. Text that is no event is never passed on.
 type eventBuffer struct {
 	pending []byte
+	// reserved is the size of the buffer at the last call of Growth.
+	reserved int
 	// lastID is the id of the last returned event, or that of the event after which the client asked to continue; zero
 	// if there is none.
 	lastID int64
@@ -137,6 +139,17 @@
 	return b.returned
 }
 
+// unreservedEventBytes is the size up to which the buffer needs no memory from the budget for responses.
+const unreservedEventBytes = 16 << 10
+
+// Growth returns by how much the buffer has grown beyond unreservedEventBytes since the last call.
+func (b *eventBuffer) Growth() int {
+	size := max(cap(b.pending), unreservedEventBytes)
+	growth := size - max(b.reserved, unreservedEventBytes)
+	b.reserved = size
+	return growth
+}
+
 // Oversized reports whether the incomplete event in the buffer exceeds maxEventBytes.
 func (b *eventBuffer) Oversized() bool {
 	return len(b.pending) > maxEventBytes
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -8,7 +8,6 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 )
@@ -121,11 +120,8 @@
 
 // readErrorResponse reads the body of a response that is not a stream, and ends the call.
 func (r *clientRequest) readErrorResponse(a *attempt, body *httpconn.Body, resp *fasthttp.Response, reply *Reply) sendResult {
-	content, err := io.ReadAll(io.LimitReader(body, maxResponseBytes+1))
+	content, err := httpconn.ReadAll(body, maxResponseBytes, r.memory)
 	body.Close()
-	if err == nil && len(content) > maxResponseBytes {
-		err = errors.Wrapf(engine.ErrTruncated, "body exceeds %d bytes", maxResponseBytes)
-	}
 	if reply.NotRun {
 		return r.recordRefusal(a, resp.StatusCode(), reply)
 	}
@@ -154,6 +150,9 @@
 			r.recordFirstEvent(a)
 		}
 		events, invalid := state.events.Add(state.buffer[:n])
+		if growth := state.events.Growth(); invalid == nil && growth > 0 && !r.memory.TryGrow(growth) {
+			invalid = errEventTooLarge
+		}
 		if len(events) > 0 {
 			if failure := r.forwardEvents(resp, events, state, closeAfter); failure != nil {
 				a.call.End(fleet.Neutral, time.Now())
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -175,11 +175,16 @@
 // engine.ErrTruncated if the body ended early, has no length or exceeds maxBytes; context.Canceled or
 // context.DeadlineExceeded if the context or the deadline ended after bytes were written.
 func (c *Conn) Do(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
+	return c.doReserving(ctx, deadline, req, resp, maxBytes, nil)
+}
+
+// doReserving is like Do and reserves the memory of the body.
+func (c *Conn) doReserving(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
 	stopCancelWatch, err := c.send(ctx, deadline, req, resp)
 	if err != nil {
 		return err
 	}
-	err = c.readBody(ctx, resp, maxBytes)
+	err = c.readBody(ctx, deadline, resp, maxBytes, memory)
 	if !stopCancelWatch() {
 		c.unusable = true
 	}
@@ -314,7 +319,7 @@
 		if resp.Header.ContentLength() == contentLengthIdentity {
 			return errors.New("response to another request has no length and cannot be skipped")
 		}
-		if err := resp.ReadBody(c.reader, maxMismatchedBodyBytes); err != nil {
+		if err := c.skipBody(resp); err != nil {
 			return err
 		}
 		resp.Reset()
@@ -322,6 +327,18 @@
 	return errors.New("too many responses to other requests")
 }
 
+// skipBody reads and drops the body of a response to another request.
+func (c *Conn) skipBody(resp *fasthttp.Response) error {
+	body, err := c.bodyReader(resp)
+	if err != nil {
+		return err
+	}
+	if _, err := io.CopyN(io.Discard, body, maxMismatchedBodyBytes); !errors.Is(err, io.EOF) {
+		return errors.CombineErrors(err, errors.New("response to another request is too large"))
+	}
+	return nil
+}
+
 // maxMismatchedBodyBytes bounds the body of a dropped response.
 const maxMismatchedBodyBytes = 1 << 20
 
@@ -357,23 +374,17 @@
 	return resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
 }
 
-func (c *Conn) readBody(ctx context.Context, resp *fasthttp.Response, maxBytes int) error {
+// readBody reads the complete body of a response.
+func (c *Conn) readBody(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
 	if resp.ConnectionClose() {
 		c.unusable = true
 	}
 	if hasNoBody(resp) {
 		return nil
 	}
-	length := resp.Header.ContentLength()
-	if length == contentLengthIdentity {
-		c.unusable = true
-		return c.readCloseDelimited(ctx, resp, maxBytes)
-	}
-	err := resp.ReadBody(c.reader, maxBytes)
-	if err == nil && length == -1 {
-		err = resp.Header.ReadTrailer(c.reader)
-	}
+	content, err := c.readContent(ctx, deadline, resp, maxBytes, memory)
 	if err == nil {
+		resp.SetBodyRaw(content)
 		return nil
 	}
 	c.unusable = true
@@ -383,24 +394,19 @@
 	return errors.Wrapf(engine.ErrTruncated, "%v", err)
 }
 
-// readCloseDelimited reads a body that is delimited by the close of the connection. After a reset the body is
-// incomplete.
-func (c *Conn) readCloseDelimited(ctx context.Context, resp *fasthttp.Response, maxBytes int) error {
-	if !c.allowCloseDelimited {
-		return errors.Wrapf(engine.ErrTruncated, "%v", errCloseDelimited)
+func (c *Conn) readContent(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *Reservation) ([]byte, error) {
+	length := resp.Header.ContentLength()
+	if length > maxBytes {
+		return nil, errors.Newf("body exceeds %d bytes", maxBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(c.reader, int64(maxBytes)+1))
-	switch {
-	case err == nil && len(body) <= maxBytes:
-		resp.SetBodyRaw(body)
-		return nil
-	case err == nil:
-		return errors.Wrapf(engine.ErrTruncated, "body exceeds %d bytes", maxBytes)
+	body, err := c.bodyReader(resp)
+	if err != nil {
+		return nil, err
 	}
-	if contextErr := c.contextError(ctx); contextErr != nil {
-		return contextErr
+	if length >= 0 {
+		return readKnownLength(ctx, deadline, body, length, memory)
 	}
-	return errors.Wrapf(engine.ErrTruncated, "%v", err)
+	return ReadAll(body, maxBytes, memory)
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of the body. Errors: engine.ErrConnectionLost,
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -28,6 +28,8 @@
 	Accept AcceptFunc
 	// AllowCloseDelimited allows bodies without a length that end with an orderly close of the connection.
 	AllowCloseDelimited bool
+	// Memory bounds the memory of the bodies that are being buffered, over all pools that share it; nil means no bound.
+	Memory *MemoryBudget
 }
 
 const (
@@ -97,15 +99,27 @@
 // Do sends the request on an idle or a new connection and reads the complete response. A zero deadline means no
 // deadline. Errors: as Conn.Do.
 func (p *Pool) Do(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
+	memory := p.Reserve()
+	defer memory.Release()
+	return p.DoReserving(ctx, baseURL, deadline, req, resp, maxBytes, memory)
+}
+
+// DoReserving is like Do for a body that is kept longer than the call. The caller releases its memory.
+func (p *Pool) DoReserving(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
 	conn, err := p.acquire(ctx, baseURL, deadline)
 	if err != nil {
 		return err
 	}
-	err = conn.Do(ctx, deadline, req, resp, maxBytes)
+	err = conn.doReserving(ctx, deadline, req, resp, maxBytes, memory)
 	p.release(conn)
 	return err
 }
 
+// Reserve returns an empty reservation in the pool's memory budget.
+func (p *Pool) Reserve() *Reservation {
+	return p.options.Memory.Reserve()
+}
+
 // DoOnNewConn is like Do on a new connection that is closed afterwards. It is for calls that must not be repeated: an
 // endpoint may close an idle connection while a call is written to it, and the outcome of that call is unknown, while a
 // new connection that fails shows that nothing was sent.
@@ -115,7 +129,9 @@
 		return err
 	}
 	defer conn.Close()
-	return conn.Do(ctx, deadline, req, resp, maxBytes)
+	memory := p.Reserve()
+	defer memory.Release()
+	return conn.doReserving(ctx, deadline, req, resp, maxBytes, memory)
 }
 
 // Open sends the request on an idle or a new connection and returns after the response header; the body can be read
