--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -178,6 +178,10 @@
 	announcedLeaving := a.Leaving
 	said := r.stated[endpointRun{a.ID, a.Lifetime}]
 	a.Leaving = a.Leaving || said != nil && !said.leavingSince.IsZero()
+	if a.Models == nil && existing != nil && existing.Lifetime == a.Lifetime {
+		// An entry without a list of models says nothing about them.
+		a.Models = existing.announcedModels
+	}
 	change := compare(existing, &a)
 	if existing == nil || change == Restarted {
 		existing = &Endpoint{remoteWork: make(map[string]remoteWork), prompts: newPromptCache()}
