Let a reply of the store take as long as its bytes arrive

The log shows eight of nine instances cut off 2.0 s after they began to read a configuration of 1,863 routes over one link, and reading it again from the first byte. watchTimeout bounded the whole watch, so that it took a slow connection for an unresponsive one.

Bytes that arrive after a cancellation do not extend the deadline again.

--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -35,8 +35,9 @@
 	// Entries change many times a second and each call has a price, so that watches are spaced. The remaining time is
 	// for a lost call and for the latency of the links.
 	watchIntervalShare = 0.4
-	// watchTimeout bounds one watch, so that an unresponsive connection is noticed.
-	watchTimeout = 2 * time.Second
+	// watchTimeout bounds one watch with its reply, which may be long. The store's client notices an unresponsive connection
+	// earlier.
+	watchTimeout = 10 * time.Second
 	// storeRetryDelay is the delay between attempts while the store does not respond.
 	storeRetryDelay = 300 * time.Millisecond
 )
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -14,6 +14,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -50,6 +51,8 @@
 	unusable            bool
 	accept              AcceptFunc
 	allowCloseDelimited bool
+	// progress extends the deadline of the next call.
+	progress Progress
 }
 
 // AcceptFunc reports whether a response belongs to the request that was sent. If not, the response is dropped and the
@@ -65,15 +68,61 @@
 	net.Conn
 	written  atomic.Int64
 	timedOut atomic.Bool
+
+	mu sync.Mutex
+	// progress extends the deadline with each byte that is read; its zero value does not.
+	progress Progress
+	// cancelled is set once the context of the call has ended. From then on the deadline must not be extended.
+	cancelled bool
+}
+
+// Progress is the time that a response may take as long as its bytes arrive.
+type Progress struct {
+	// Idle is the time without any byte after which the call is given up; zero means that bytes do not extend the deadline.
+	Idle time.Duration
+	// End is when the call is given up in any case.
+	End time.Time
 }
 
 // Read implements net.Conn.
 func (c *countingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.recordTimeout(err)
+	if n > 0 {
+		c.extendDeadline()
+	}
 	return n, err
 }
 
+// begin sets the deadline of a call and how it is extended.
+func (c *countingConn) begin(deadline time.Time, progress Progress) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.progress, c.cancelled = progress, false
+	return c.SetDeadline(deadline)
+}
+
+// cancel ends reads and writes in progress by a deadline in the past, without a race on closing the connection.
+func (c *countingConn) cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelled = true
+	_ = c.SetDeadline(time.Unix(1, 0))
+}
+
+func (c *countingConn) extendDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.progress.Idle <= 0 || c.cancelled {
+		return
+	}
+	deadline := time.Now().Add(c.progress.Idle)
+	if deadline.After(c.progress.End) {
+		deadline = c.progress.End
+	}
+	_ = c.SetDeadline(deadline)
+}
+
 func (c *countingConn) recordTimeout(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.timedOut.Store(true)
@@ -260,12 +309,11 @@
 		return nil, notSent(err)
 	}
 	writtenBefore := c.raw.written.Load()
-	if err := c.raw.SetDeadline(deadline); err != nil {
+	if err := c.raw.begin(deadline, c.progress); err != nil {
 		c.unusable = true
 		return nil, notSent(err)
 	}
-	// On cancellation, a deadline in the past ends reads and writes in progress, without a race on closing the connection.
-	stopCancelWatch := context.AfterFunc(ctx, func() { _ = c.raw.SetDeadline(time.Unix(1, 0)) })
+	stopCancelWatch := context.AfterFunc(ctx, c.raw.cancel)
 	err := c.writeAndReadHeader(req, resp)
 	if err == nil {
 		return stopCancelWatch, nil
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -115,6 +115,22 @@
 	return err
 }
 
+// DoProgressing is like Do for a response that may be long on a slow link. The deadline is that of its first byte; from then
+// on, the call goes on as long as the progress allows.
+func (p *Pool) DoProgressing(ctx context.Context, baseURL string, deadline time.Time, progress Progress, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
+	conn, err := p.acquire(ctx, baseURL, deadline)
+	if err != nil {
+		return err
+	}
+	memory := p.Reserve()
+	defer memory.Release()
+	conn.progress = progress
+	err = conn.doReserving(ctx, deadline, req, resp, maxBytes, memory)
+	conn.progress = Progress{}
+	p.release(conn)
+	return err
+}
+
 // Reserve returns an empty reservation in the pool's memory budget.
 func (p *Pool) Reserve() *Reservation {
 	return p.options.Memory.Reserve()
