Move salted digests of keys to a package of their own

API keys of workspaces need the same digests as the bearer keys of members. pkg/config cannot be imported by pkg/routing without the whole model of declarations, so the digest, its salt and its comparison in constant time move to pkg/keydigest, and pkg/config uses them from there. The format of stored digests is unchanged.

--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"strings"
+
+	"github.com/mulberryglade/mulberryglade/pkg/keydigest"
 )
 
 const (
@@ -65,8 +67,8 @@
 		if len(k.Prefix) != KeyPrefixLength {
 			e.reportUnquoted([]any{"keys", i, "prefix"}, "must be the first %d characters of the key", KeyPrefixLength)
 		}
-		if salt, err := base64.StdEncoding.DecodeString(k.Salt); err != nil || len(salt) < saltBytes {
-			e.reportUnquoted([]any{"keys", i, "salt"}, "must be base64 of at least %d bytes", saltBytes)
+		if salt, err := base64.StdEncoding.DecodeString(k.Salt); err != nil || len(salt) < keydigest.SaltBytes {
+			e.reportUnquoted([]any{"keys", i, "salt"}, "must be base64 of at least %d bytes", keydigest.SaltBytes)
 		}
 		if hash, err := base64.StdEncoding.DecodeString(k.Hash); err != nil || len(hash) != sha256Bytes {
 			e.reportUnquoted([]any{"keys", i, "hash"}, "must be base64 of the %d bytes of a SHA-256 sum", sha256Bytes)
--- a/pkg/config/keys.go
+++ b/pkg/config/keys.go
@@ -1,22 +1,18 @@
 package config
 
 import (
-	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
-)
 
-const (
-	saltBytes = 16
-	// MinKeyLength is the minimum number of characters of a bearer key. A shorter key would have too few secret characters
-	// beside its prefix, which is stored in clear.
-	MinKeyLength = 24
+	"github.com/mulberryglade/mulberryglade/pkg/keydigest"
 )
 
+// MinKeyLength is the minimum number of characters of a bearer key. A shorter key would have too few secret characters
+// beside its prefix, which is stored in clear.
+const MinKeyLength = 24
+
 // ErrKeyTooShort means that a bearer key has fewer than MinKeyLength characters.
 var ErrKeyTooShort = errors.Newf("a key needs at least %d characters", MinKeyLength)
 
@@ -25,13 +21,12 @@
 	if utf8.RuneCountInString(key) < MinKeyLength {
 		return KeyHash{}, ErrKeyTooShort
 	}
-	salt := make([]byte, saltBytes)
-	_, _ = rand.Read(salt) // crypto/rand.Read never returns an error.
-	sum := saltedSum(salt, key)
+	salt := keydigest.NewSalt()
+	sum := keydigest.Sum(salt, key)
 	return KeyHash{
 		Prefix: keyPrefix(key),
 		Salt:   base64.StdEncoding.EncodeToString(salt),
-		Hash:   base64.StdEncoding.EncodeToString(sum),
+		Hash:   base64.StdEncoding.EncodeToString(sum[:]),
 	}, nil
 }
 
@@ -55,14 +50,8 @@
 	if err != nil {
 		return false
 	}
-	return subtle.ConstantTimeCompare(saltedSum(salt, key), expected) == 1
-}
-
-func saltedSum(salt []byte, key string) []byte {
-	h := sha256.New()
-	h.Write(salt)
-	h.Write([]byte(key))
-	return h.Sum(nil)
+	sum := keydigest.Sum(salt, key)
+	return sum.Equal(expected)
 }
 
 func keyPrefix(key string) string {
