Look up workspaces by API key

A configuration may have workspaces, whose requests are recognized by API keys. routing.KeyIndex keeps salted digests only, routing.Table.CheckKey decides from the configuration in force alone whether a request may run and for which workspace. Keys that are repeated in a request identify nobody. An index without keys still asks for them, so that a configuration all of whose workspaces have mistakes is not open to everybody.

Digests are grouped by their first bytes under a random salt of the process and compared in constant time, and an unknown key is compared with, too.

--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"strings"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/findings"
 )
 
 // Kind states how the requests of a route are answered and whether the system may repeat them. For Streaming that
@@ -28,6 +30,12 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   ClientLimits
+	// Workspaces lists the workspaces, Keys has their API keys. Keys is nil if the configuration has no workspaces; then
+	// no request needs a key.
+	Workspaces []*Workspace
+	Keys       *KeyIndex
+	// Findings are the mistakes in parts of the configuration that are left out of it.
+	Findings findings.List
 }
 
 // Route maps a host and a path prefix to services.
@@ -46,7 +54,9 @@
 	MaxAttempts int
 	// Resumable streams may be continued at another endpoint.
 	Resumable bool
-	Targets   []Target
+	// Public routes need no API key.
+	Public  bool
+	Targets []Target
 }
 
 // Repeatable reports whether a request of the route may run more than once.
