Decode API keys and stated tokens, forward workspaces

Headers with the API key, the workspace and the numbers of tokens are translated in both directions. edge.Request gets the key, a mark for several keys, and the sum of the stated tokens with a mark whether there are any: the existing counts take a number that is too large as unknown, which a quota would count as nothing, so the sum takes it as the largest number. With workspaces, the client's key and workspace are removed from what is forwarded, after the headers that Connection lists, and the system's workspace is set. Without workspaces both headers are forwarded as before.

--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -21,9 +21,16 @@
 	// OutputTokens is the maximum number of generated tokens, ExpectedOutput the client's estimate; zero means unknown.
 	OutputTokens   int
 	ExpectedOutput int
-	Parts          []fleet.PromptPart
+	// StatedTokens is the sum of the prompt and output tokens that the client states. HasStatedTokens is unset if it
+	// states none.
+	StatedTokens    int
+	HasStatedTokens bool
+	Parts           []fleet.PromptPart
 	// LastEventID is the last event that the client has received; empty for a new stream.
 	LastEventID string
+	// Key is the API key; it must not be logged. KeyRepeated is set if the request has several.
+	Key         string
+	KeyRepeated bool
 }
 
 // Forwarding has the values that an instance adds to the header of a forwarded request.
@@ -36,6 +43,11 @@
 	LastEventID string
 	// Priority is the rank in the engine's queue, 0 first; a negative value keeps the engine's default.
 	Priority int
+	// UsesKeys is set if the configuration has workspaces. The client's API key and the name of a workspace that it
+	// sent are then removed.
+	UsesKeys bool
+	// Workspace is the name of the request's workspace; empty if it has none.
+	Workspace string
 }
 
 // Reply is the decoded header of an endpoint's response.
