Write refusals on connections in use again

A client that had been answered on a connection and sent a request there that the instance refuses by itself (404, or 503 while it stops or has no configuration) found the connection closed without a response, if the deadline of the earlier request had passed by more than a second. Only requests with a route set the write deadline of the connection, so that the earlier one still applied. handle sets one at once; requests with a route still replace it.

The spec was seen to fail with an unexpected EOF before the change and passes with -race after it.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -65,6 +65,8 @@
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	arrivedAt := time.Now()
+	// The deadline of an earlier request on the connection may have passed.
+	c.setWriteDeadline(arrivedAt.Add(defaultRequestTimeout))
 	request := s.deps.HeaderCodec.DecodeRequest(&httpRequest.Header)
 	log := s.log.With(zap.String("request", request.ID))
 	closeAfter := s.draining.Load() || httpRequest.Header.ConnectionClose()
