Let the exchange carry quota messages and send single messages at once

Quota requests and answers go to one instance and cannot wait for the next regular message. The message gets one optional field, which builds that do not know it ignore. Sends are ordered by a lock, since a recipient drops a message that was overtaken by another one of the same sender.

--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -101,9 +101,11 @@
 
 // Exchange sends this instance's messages to its peers and receives theirs.
 type Exchange struct {
-	options  Options
-	conn     net.PacketConn
-	started  int64
+	options Options
+	conn    net.PacketConn
+	started int64
+	// sendMu orders messages: a recipient drops one that overtakes another.
+	sendMu   sync.Mutex
 	sequence int64
 	// demandSignal, updateSignal and crashSignal request early messages with ReasonWaitingDemand, ReasonUpdate and
 	// ReasonCrash.
@@ -275,9 +277,16 @@
 }
 
 func (e *Exchange) sendTo(peer Peer, info SendInfo) error {
+	return e.Send(peer, func(m *Message) { e.options.Compose(m, peer, info) })
+}
+
+// Send sends one message to a peer at once. The function compose adds the state; it must not call Send.
+func (e *Exchange) Send(peer Peer, compose func(m *Message)) error {
+	e.sendMu.Lock()
+	defer e.sendMu.Unlock()
 	e.sequence++
 	m := Message{Instance: e.options.Instance, Started: e.started, Sequence: e.sequence}
-	e.options.Compose(&m, peer, info)
+	compose(&m)
 	data, err := Encode(&m)
 	if err != nil {
 		return err
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -47,6 +47,9 @@
 	Relay *RelayDoc `json:"y,omitempty"`
 	// Leaving lists endpoints that have said to the sender that they leave, although the store may not say so yet.
 	Leaving []LeavingDoc `json:"q,omitempty"`
+	// Quota is a request or an answer between an instance and the coordinator of quotas, encoded by quota.Message. It is
+	// the only state of its message.
+	Quota []byte `json:"k,omitempty"`
 	// Quarantine is sent while prompt parts are suspected of crashing endpoints.
 	Quarantine *quarantine.Report `json:"z,omitempty"`
 }
