Reject requests over the quota of their workspace with 429

A request of a workspace with a quota is charged before it waits for an endpoint; one over the quota gets 429 with the time at which it fits. The charge returns if no endpoint ran the request. A request that waited past the end of its charge is charged again, so that requests of several seconds cannot arrive at endpoints at once.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/quota"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
 
@@ -26,9 +27,11 @@
 	table       *routing.Table
 	route       *routing.Route
 	service     *routing.Service
-	arrivedAt   time.Time
-	deadline    time.Time
-	log         *zap.Logger
+	// workspace is nil if the request has none.
+	workspace *routing.Workspace
+	arrivedAt time.Time
+	deadline  time.Time
+	log       *zap.Logger
 	// memory is what the endpoints' responses to this request occupy.
 	memory *httpconn.Reservation
 
@@ -50,6 +53,10 @@
 	outlastsInstance bool
 	// mayHaveRun is set once an endpoint may have begun to run the request.
 	mayHaveRun bool
+	// charge is what was taken from the quota of the workspace. overQuota is set if the request is not sent because it
+	// exceeds the quota.
+	charge    quota.Charge
+	overQuota bool
 }
 
 // handle serves one request. It returns false when the connection must be closed.
@@ -141,6 +148,10 @@
 	if remaining, found := r.inQuarantine(r.arrivedAt); found {
 		return r.fail("prompt part in quarantine", remaining, closeAfter)
 	}
+	if retryAfter, ok := r.takeQuota(); !ok {
+		return r.fail(overQuotaReason, retryAfter, closeAfter)
+	}
+	defer r.refundQuota()
 	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.deps.Fleet.ServiceSpeed(r.service.Name, r.arrivedAt), r.arrivedAt)
 	endUse := r.server.demand.beginUse(r.service.Name, &r.request, r.arrivedAt)
 	defer func() { endUse(time.Now()) }()
@@ -265,6 +276,8 @@
 	switch {
 	case r.quarantinedPart != 0:
 		reason = "prompt part in quarantine"
+	case r.overQuota:
+		reason = overQuotaReason
 	case r.outlastsInstance:
 		// Another instance can take the request at once.
 		reason, retryAfter = "instance stops before the deadline", 0
@@ -313,5 +326,5 @@
 		zap.String("adapter", r.request.Adapter), zap.String("reason", reason), zap.Stringer("obstacle", r.obstacle),
 		zap.Int64("configuration", r.table.Config.Version), zap.Duration("retryAfter", retryAfter),
 		zap.Strings("tried", r.tried), zap.Duration("after", time.Since(r.arrivedAt)))
-	return r.server.respond(r.conn, r.log, ownResponse{status: fasthttp.StatusServiceUnavailable, retryAfter: retryAfter, closeAfter: closeAfter})
+	return r.server.respond(r.conn, r.log, ownResponse{status: r.refusalStatus(), retryAfter: retryAfter, closeAfter: closeAfter})
 }
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -25,6 +25,10 @@
 		demand := r.fleetDemand(now)
 		choice, call := r.reserve(demand, now)
 		if call != nil {
+			if retryAfter, ok := r.renewQuota(); !ok {
+				call.End(fleet.Neutral, time.Now())
+				return nil, retryAfter
+			}
 			r.logChoice(&choice)
 			return &attempt{choice: choice, call: call, late: demand.Late}, 0
 		}
--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
@@ -253,11 +254,13 @@
 func (r *registrar) run(ctx context.Context) {
 	defer r.withdraw()
 	for ctx.Err() == nil {
+		sentAt := timing.SinceBoot()
 		if err := r.renew(ctx); err != nil {
 			r.server.log.Debug("registration not renewed", zap.Error(err))
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
+		r.server.quota.confirmRegistration(sentAt)
 		sleep(ctx, registrationRenewalInterval)
 	}
 }
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -113,6 +113,9 @@
 	if len(m.Leaving) > 0 {
 		s.receiveLeaving(m, now)
 	}
+	if m.Quota != nil {
+		s.quota.receive(m)
+	}
 	if m.Quarantine != nil {
 		s.receiveQuarantine(m, now)
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -73,6 +73,7 @@
 	changeLog *storeChangeLog
 	// quarantine holds the prompt parts that crash endpoints.
 	quarantine *quarantine.Tracker
+	quota      *quotaService
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
 	// stalePeers tracks the instances that cannot read the store.
@@ -125,6 +126,7 @@
 		Log: log,
 	})
 	server.placement = server.newController()
+	server.quota = newQuotaService(server, deps.Scope)
 	var err error
 	server.exchange, err = exchange.Listen(exchange.Options{
 		Instance: s.InstanceID,
@@ -338,6 +340,7 @@
 	tasks.Go(func() { _ = s.lease.Run(ctx) })
 	tasks.Go(func() { s.placement.Run(ctx) })
 	tasks.Go(func() { s.exchange.Run(background) })
+	tasks.Go(func() { s.quota.run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
 	<-ctx.Done()
 	s.drain(stopServing)
--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -21,7 +21,11 @@
 	// OutputTokens is the maximum number of generated tokens, ExpectedOutput the client's estimate; zero means unknown.
 	OutputTokens   int
 	ExpectedOutput int
-	Parts          []fleet.PromptPart
+	// StatedTokens is the sum of the prompt and output tokens that the client states. HasStatedTokens is unset if it
+	// states none.
+	StatedTokens    int
+	HasStatedTokens bool
+	Parts           []fleet.PromptPart
 	// LastEventID is the last event that the client has received; empty for a new stream.
 	LastEventID string
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -28,6 +28,8 @@
 	Routes   []Route
 	Services map[string]*Service
 	Limits   ClientLimits
+	// Workspaces lists the workspaces.
+	Workspaces []*Workspace
 }
 
 // Route maps a host and a path prefix to services.
