--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -35,6 +35,12 @@
 	// memory is what the endpoints' responses to this request occupy.
 	memory *httpconn.Reservation
 
+	// keyCheck is the result of the last check of the API key, by the configuration checkedTable. workspaceChanged is set
+	// if the key belongs to another workspace there.
+	keyCheck         routing.KeyCheck
+	checkedTable     *routing.Table
+	workspaceChanged bool
+
 	// sends counts the sends that may have reached an endpoint. tried lists the endpoints of these sends and those that
 	// were unreachable.
 	sends int
@@ -64,6 +70,8 @@
 	s.activeRequests.Add(1)
 	defer s.activeRequests.Add(-1)
 	arrivedAt := time.Now()
+	// The deadline of an earlier request on the connection may have passed.
+	c.setWriteDeadline(arrivedAt.Add(defaultRequestTimeout))
 	request := s.deps.HeaderCodec.DecodeRequest(&httpRequest.Header)
 	log := s.log.With(zap.String("request", request.ID))
 	closeAfter := s.draining.Load() || httpRequest.Header.ConnectionClose()
@@ -98,6 +106,9 @@
 	}
 	defer r.memory.Release()
 	c.setWriteDeadline(r.deadline)
+	if allowed, keepOpen := r.checkKey(closeAfter); !allowed {
+		return keepOpen
+	}
 	return r.serve(closeAfter)
 }
 
@@ -274,6 +285,14 @@
 		return false
 	}
 	switch {
+	case !r.keyCheck.Allowed():
+		if !r.mayHaveRun {
+			r.recordEnd(r.server.metrics.refused)
+			return r.refuseKey(closeAfter)
+		}
+		reason = "API key removed"
+	case r.workspaceChanged:
+		reason, retryAfter = "workspace of the API key changed", minRetryAfter
 	case r.quarantinedPart != 0:
 		reason = "prompt part in quarantine"
 	case r.overQuota:
