--- /dev/null
+++ b/pkg/edge/quota_test.go
@@ -0,0 +1,90 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/internal/timing"
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/quota"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+)
+
+func newQuotaTestRequest(t *testing.T) *clientRequest {
+	t.Helper()
+	s, err := New(Settings{InstanceID: "edge-1", ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &routing.Workspace{Name: "w", Quota: routing.Quota{Unit: routing.CountTokens, RatePerSecond: 1000, Burst: 1000}}
+	s.table.Store(routing.NewTable(&routing.Config{Version: 1, Workspaces: []*routing.Workspace{w}}))
+	return &clientRequest{
+		server: s, ctx: context.Background(), workspace: w, log: zap.NewNop(), deadline: time.Now().Add(time.Minute), route: &routing.Route{},
+		request: Request{StatedTokens: 500, HasStatedTokens: true},
+	}
+}
+
+// Guards against sending a request long after it was charged, so that requests of many seconds arrive at endpoints at once,
+// and against charging one again that is within the time or may have run.
+func TestChargeIsRenewedBeforeALateSend(t *testing.T) {
+	now := timing.SinceBoot()
+	for name, c := range map[string]struct {
+		charge     quota.Charge
+		mayHaveRun bool
+		sent       bool
+	}{
+		"within the time": {quota.Charge{Cost: 500, Expires: now + time.Hour}, false, true},
+		"expired":         {quota.Charge{Cost: 500, Expires: now}, false, false},
+		"may have run":    {quota.Charge{Cost: 500, Expires: now}, true, true},
+		"no charge":       {quota.Charge{}, false, true},
+	} {
+		r := newQuotaTestRequest(t)
+		r.charge, r.mayHaveRun = c.charge, c.mayHaveRun
+		retryAfter, ok := r.renewQuota()
+		if ok != c.sent {
+			t.Errorf("%s: sent %v", name, ok)
+		}
+		if !ok && (retryAfter <= 0 || r.refusalStatus() != fasthttp.StatusTooManyRequests || r.charge.Cost != 0) {
+			t.Errorf("%s: retry after %v, status %d, charge %+v", name, retryAfter, r.refusalStatus(), r.charge)
+		}
+	}
+}
+
+// Guards against a charge that is kept although no endpoint ran the request, and against returning one of a request that
+// may have run.
+func TestChargeIsReturnedIfNothingRan(t *testing.T) {
+	for _, mayHaveRun := range []bool{false, true} {
+		r := newQuotaTestRequest(t)
+		key := quota.KeyOf("w")
+		// Creates the state of the workspace.
+		r.server.quota.take(r.ctx, key, 500, 0, 0, false)
+		r.charge = quota.Charge{Workspace: key, Cost: 500, Expires: timing.SinceBoot() + time.Hour}
+		r.mayHaveRun = mayHaveRun
+		r.refundQuota()
+		if d := r.server.quota.take(r.ctx, key, 500, 0, 0, false); d.Admitted == mayHaveRun {
+			t.Errorf("may have run %v: the next request is decided as %+v", mayHaveRun, d)
+		}
+	}
+}
+
+// Guards against a request that is held until its deadline because nobody answers.
+func TestUnansweredRequestIsRejectedSoon(t *testing.T) {
+	r := newQuotaTestRequest(t)
+	r.server.instances.put("edge-2", exchange.InstanceDoc{Exchange: "127.0.0.1:9", MemoryMB: 500})
+	r.server.quota.poll(timing.SinceBoot())
+	started := time.Now()
+	retryAfter, ok := r.takeQuota()
+	if ok || retryAfter <= 0 {
+		t.Fatalf("admitted %v, retry after %v", ok, retryAfter)
+	}
+	if took := time.Since(started); took < minQuotaWait || took > 10*time.Second {
+		t.Fatalf("rejected after %v", took)
+	}
+	if len(r.server.quota.waiting) != 0 {
+		t.Fatal("the request still waits")
+	}
+}
