--- a/pkg/quota/protocol_test.go
+++ b/pkg/quota/protocol_test.go
@@ -252,3 +252,23 @@
 		_, _ = Decode(rapid.SliceOf(rapid.Byte()).Draw(t, "noise"))
 	})
 }
+
+// Guards against usage of other instances that is missing or does not end, which fair queueing would rely on.
+func TestUsageIsReported(t *testing.T) {
+	account, pool, now := pair(100000, 100000)
+	for range 100 {
+		account.Admit(testWorkspace, 2000, time.Second, now)
+		exchangeAll(account, pool, now)
+		now += 100 * time.Millisecond
+	}
+	if usage := account.Usage()[testWorkspace]; usage < 15000 || usage > 25000 {
+		t.Fatalf("usage is %v of 20000 per second", usage)
+	}
+	for range 200 {
+		now += 100 * time.Millisecond
+		exchangeAll(account, pool, now)
+	}
+	if usage := account.Usage()[testWorkspace]; usage > 1000 {
+		t.Fatalf("usage is %v after 20 s without requests", usage)
+	}
+}
