--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -331,25 +331,11 @@
 	})
 }
 
-// Guards against a coordinator that answers too late for its credits to be of use, and is asked on and on.
+// Guards against a coordinator that answers too late for its credits to be of use, and is asked on and on by the others or
+// by itself.
 func TestSlowCoordinatorIsReplaced(t *testing.T) {
 	s, _ := running(t, 63, 8)
-	slow := s.first()
-	quick := s.delay
-	s.delay = func(from, to *node) (time.Duration, bool) {
-		d, ok := quick(from, to)
-		if from == slow {
-			d += 700 * time.Millisecond
-		}
-		return d, ok
-	}
-	// The clients of the slow instance itself are not measured: no answer reaches it in time either.
-	s.share = func(n *node, _ int) float64 {
-		if n == slow {
-			return 0
-		}
-		return 1 / float64(len(s.nodes)-1)
-	}
+	s.slowCoordinator = s.first()
 	// The slow instance asks itself until it notices that nobody lends to it. The buckets of the new coordinator begin
 	// empty and fill in 2 s at usual demand.
 	s.runUntil(s.now + 9*time.Second)
@@ -357,6 +343,11 @@
 	s.runUntil(s.now + 10*time.Second)
 	s.checkBound()
 	s.checkRejected(0.005)
+	for _, n := range s.nodes {
+		if n.account.Coordinator() == s.slowCoordinator.name {
+			t.Errorf("%s asks the slow instance", n.name)
+		}
+	}
 }
 
 // Guards against a workspace whose burst is smaller than a request, or zero: no request would ever fit.
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -38,6 +38,8 @@
 	names  []string
 	// delay returns how long a message takes, and whether it arrives at all.
 	delay func(from, to *node) (time.Duration, bool)
+	// slowCoordinator answers late.
+	slowCoordinator *node
 	// duplicates is the probability that a message arrives twice.
 	duplicates float64
 	// rate is the cost that clients demand of a workspace per second, share the part of them at an instance.
@@ -299,6 +301,9 @@
 	}
 	for range copies {
 		if delay, arrives := s.delay(from, to); arrives {
+			if from == s.slowCoordinator && e.Message.Answer != nil {
+				delay += 700 * time.Millisecond
+			}
 			// A message that arrives while the recipient is frozen waits in its socket.
 			s.onNode(to, s.now+delay, func() { s.receive(to, from, e.Message) })
 		}
