Keep instances as quota members while registrations lapse

If the store drops registrations during an outage, every instance would have its own portion only, until all have registered again up to 8 s later; a 63rd of a small quota covers no request. Instances now stay members, with their addresses, for 30 s. Messages to an instance that has ended are lost, and it is found silent as before. The new test fails without the grace.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -26,13 +26,20 @@
 	pool    *quota.Pool
 	// table is the configuration that account and pool use.
 	table *routing.Table
-	// membersAt is when the account last got the registered instances.
+	// members are the registered instances and those that were until recently. The account last got them at membersAt.
+	members   map[string]quotaMember
 	membersAt time.Duration
 	// waiting maps the waiters of the account to the requests.
 	waiting     map[int64]chan quota.Decision
 	coordinator string
 }
 
+// quotaMember is the entry of an instance, and when it was last registered.
+type quotaMember struct {
+	doc    exchange.InstanceDoc
+	seenAt time.Duration
+}
+
 // quotaMetrics count requests of workspaces with a quota.
 type quotaMetrics struct {
 	admitted, rejected, unanswered, renewed, refunded tally.Counter
@@ -69,12 +76,17 @@
 	return &quotaService{
 		server: s, metrics: newQuotaMetrics(scope), wake: make(chan struct{}, 1),
 		account: quota.NewAccount(s.settings().InstanceID, epoch), pool: quota.NewPool(epoch),
-		membersAt: -membersInterval, waiting: make(map[int64]chan quota.Decision),
+		members: make(map[string]quotaMember), membersAt: -membersInterval, waiting: make(map[int64]chan quota.Decision),
 	}
 }
 
-// membersInterval is the time between two updates of the registered instances. Registrations last much longer.
-const membersInterval = 250 * time.Millisecond
+const (
+	// membersInterval is the time between two updates of the registered instances. Registrations last much longer.
+	membersInterval = 250 * time.Millisecond
+	// memberGrace is how long instances stay members after their registration. Registrations lapse during an outage of
+	// the store, and are renewed within 8 s afterwards. Messages to an instance that has ended are only lost.
+	memberGrace = 30 * time.Second
+)
 
 // run sends this instance's requests until the context ends.
 func (q *quotaService) run(ctx context.Context) {
@@ -123,10 +135,22 @@
 	}
 	if now-q.membersAt >= membersInterval {
 		q.membersAt = now
-		q.account.SetMembers(q.server.instances.quotaMembers(), now)
+		q.server.instances.recordMembers(q.members, now)
+		members := make([]quota.Member, 0, len(q.members))
+		for name, member := range q.members {
+			members = append(members, quota.Member{Name: name, MemoryMB: member.doc.MemoryMB})
+		}
+		q.account.SetMembers(members, now)
 	}
 }
 
+// addressOf returns the address of a member's exchange socket; empty if it is none.
+func (q *quotaService) addressOf(name string) string {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.members[name].doc.Exchange
+}
+
 func limitsOf(config *routing.Config) quota.Limits {
 	limits := quota.Limits{Version: config.Version, Of: make(map[quota.Key]quota.Limit)}
 	for _, w := range config.Workspaces {
@@ -137,15 +161,18 @@
 	return limits
 }
 
-// quotaMembers returns the registered instances.
-func (r *instanceRegistry) quotaMembers() []quota.Member {
+// recordMembers updates members to the registered instances and those that were within memberGrace.
+func (r *instanceRegistry) recordMembers(members map[string]quotaMember, now time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	members := make([]quota.Member, 0, len(r.instances))
 	for name, doc := range r.instances {
-		members = append(members, quota.Member{Name: name, MemoryMB: doc.MemoryMB})
+		members[name] = quotaMember{doc: doc, seenAt: now}
+	}
+	for name, member := range members {
+		if now-member.seenAt >= memberGrace {
+			delete(members, name)
+		}
 	}
-	return members
 }
 
 // recordCoordinator logs a change of the coordinator. The caller holds the lock.
@@ -167,14 +194,14 @@
 		q.handle(own, &e.Message)
 		return
 	}
-	doc, found := q.server.instances.entries([]string{e.To})[e.To]
-	if !found {
+	address := q.addressOf(e.To)
+	if address == "" {
 		return
 	}
 	data := e.Message.Encode()
 	q.metrics.messages.Inc(1)
 	q.metrics.bytes.Inc(int64(len(data)))
-	peer := exchange.Peer{Instance: e.To, Address: doc.Exchange}
+	peer := exchange.Peer{Instance: e.To, Address: address}
 	if err := q.server.exchange.Send(peer, func(m *exchange.Message) { m.Quota = data }); err != nil {
 		q.server.log.Debug("quota message not sent", zap.String("peer", e.To), zap.Error(err))
 	}
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -88,3 +88,23 @@
 		t.Fatal("the request still waits")
 	}
 }
+
+// Guards against instances that no longer reach each other while the store has dropped their registrations: those lapse
+// during an outage, and each instance would have its own portion only until all have registered again.
+func TestLapsedRegistrationsStayMembersForAWhile(t *testing.T) {
+	s := newQuotaTestRequest(t).server
+	s.instances.put("edge-2", exchange.InstanceDoc{Exchange: "127.0.0.1:9", MemoryMB: 500})
+	s.quota.update(0)
+	s.instances.remove("edge-2")
+	asks := func(at time.Duration) bool {
+		s.quota.update(at)
+		out, _ := s.quota.account.Poll(at)
+		return len(out) > 0 && out[0].To == "edge-2" && s.quota.addressOf("edge-2") == "127.0.0.1:9"
+	}
+	if !asks(memberGrace - time.Second) {
+		t.Fatal("an instance whose registration lapsed is not asked")
+	}
+	if asks(memberGrace) {
+		t.Fatal("an instance is asked long after its registration lapsed")
+	}
+}
