Let requests wait for a quota answer until it counts as missing

An instance asks at most every 0.15 s with 63 instances, and the answer from the other region takes another 40 ms.

A request now waits until the answer counts as missing (the time to the next message plus 0.25 s), at most half of the time that its client has left, and the messages of waiting requests go out after 75 ms in place of 151 ms.

TestUnansweredRequestIsRejectedSoon fails before (rejected after 0.15 s). go test ./pkg/quota ./pkg/edge -run 'Quota|Charge|Unanswered' passes.

--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -248,8 +248,8 @@
 	q.account.ConfirmRegistration(sentAt)
 }
 
-// take decides on a request, and waits for the coordinator's answer for at most maxWait. Again is set if the request had a
-// charge that expired.
+// take decides on a request, and waits for the coordinator's answer until it counts as missing, for at most maxWait. Again is
+// set if the request had a charge that expired.
 func (q *quotaService) take(ctx context.Context, key quota.Key, cost float64, patience, maxWait time.Duration, again bool) quota.Decision {
 	now := timing.SinceBoot()
 	q.mu.Lock()
@@ -265,6 +265,7 @@
 	}
 	waiter := make(chan quota.Decision, 1)
 	q.waiting[d.Waiter] = waiter
+	maxWait = min(maxWait, q.account.AnswerTime())
 	q.mu.Unlock()
 	q.wakeUp()
 	started := time.Now()
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -71,7 +71,11 @@
 	}
 }
 
-// Guards against a request that is held until its deadline because nobody answers.
+// answerTimeOfTwo is the time after which a request of one of two instances counts as not answered.
+const answerTimeOfTwo = 300 * time.Millisecond
+
+// Guards against a request that is held until its deadline because nobody answers, and against one that is rejected while
+// the answer of a coordinator in another region is on its way.
 func TestUnansweredRequestIsRejectedSoon(t *testing.T) {
 	r := newQuotaTestRequest(t)
 	r.server.instances.put("edge-2", exchange.InstanceDoc{Exchange: "127.0.0.1:9", MemoryMB: 500})
@@ -81,7 +85,7 @@
 	if ok || retryAfter <= 0 {
 		t.Fatalf("admitted %v, retry after %v", ok, retryAfter)
 	}
-	if took := time.Since(started); took < minQuotaWait || took > 10*time.Second {
+	if took := time.Since(started); took < answerTimeOfTwo || took > 10*time.Second {
 		t.Fatalf("rejected after %v", took)
 	}
 	if len(r.server.quota.waiting) != 0 {
--- a/pkg/edge/quotarequest.go
+++ b/pkg/edge/quotarequest.go
@@ -14,11 +14,10 @@
 const overQuotaReason = "over the quota of the workspace"
 
 const (
-	// quotaWaitShare is the fraction of the target latency that a request may wait for the coordinator's answer, within
-	// minQuotaWait and maxQuotaWait. An answer takes up to 0.35 s in large deployments.
-	quotaWaitShare = 0.2
-	minQuotaWait   = 150 * time.Millisecond
-	maxQuotaWait   = 400 * time.Millisecond
+	// maxQuotaWaitShare is the fraction of the time until the deadline that a request may wait for the coordinator's answer.
+	// Within it, a request waits until the answer counts as missing: to be rejected although it is within the quota costs
+	// the client more than that wait.
+	maxQuotaWaitShare = 0.5
 	// patienceDivisor divides the time that a client has left: it honours a Retry-After up to a third of that.
 	patienceDivisor = 3
 )
@@ -49,7 +48,7 @@
 	w := r.workspace
 	cost := w.Quota.Cost(r.request.StatedTokens, r.request.HasStatedTokens)
 	left := time.Until(r.deadline)
-	maxWait := min(max(time.Duration(float64(r.route.TargetLatency)*quotaWaitShare), minQuotaWait), maxQuotaWait, left)
+	maxWait := time.Duration(float64(left) * maxQuotaWaitShare)
 	d := r.server.quota.take(r.ctx, quota.KeyOf(w.Name), cost, left/patienceDivisor, maxWait, again)
 	r.charge = d.Charge
 	if d.Admitted {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -81,10 +81,10 @@
 	maxCosts = 32
 )
 
-// The intervals grow with the number of instances, so that the coordinator gets no more than about 400 requests for
+// The intervals grow with the number of instances, so that the coordinator gets no more than about 840 requests for
 // credit and 180 renewals per second at 63 instances, and 1,300 and 650 at 390.
 func requestGap(instances int) time.Duration {
-	return min(max(time.Duration(instances)*2400*time.Microsecond, 50*time.Millisecond), 300*time.Millisecond)
+	return min(max(time.Duration(instances)*1200*time.Microsecond, 50*time.Millisecond), 300*time.Millisecond)
 }
 
 func renewalInterval(instances int) time.Duration {
@@ -232,6 +232,12 @@
 	return max(a.Counted(), a.heard)
 }
 
+// AnswerTime is the time within which a request that waits is decided if the coordinator answers: it waits for the next
+// message that asks for credit, and for its answer.
+func (a *Account) AnswerTime() time.Duration {
+	return requestGap(a.instances()) + answerTimeout
+}
+
 // Coordinator returns the instance that is asked for credit; empty if none has answered.
 func (a *Account) Coordinator() string {
 	if a.coordinator.epoch == 0 {
