fleet: estimate an engine's speed from samples as measured

Cause: each instance cut off a sample at 0.5 in the logarithm from its own estimate before it used and sent it. While no instance knew the engine, the samples of all of them were cut off at the same wrong value, and kept their weight until others replaced them.

Change: samples are kept and sent as measured. The estimate is the median of the last 30, moved by the mean deviation from it, with each deviation bounded as before. Stuck responses still count for no more than the bound, and a service's mean takes the bounded samples.

--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -29,7 +29,7 @@
 	announcedModels []HeldModel
 	own             Work
 	sendRate        sendRate
-	slowness        slowness
+	slowness        endpointSlowness
 	remoteWork      map[string]remoteWork
 	Health          Health
 	prompts         *promptCache
--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -30,8 +32,8 @@
 	// minPrefillTime is the minimum expected prefill time for which a first token is used. Below it, other times
 	// dominate.
 	minPrefillTime = 50 * time.Millisecond
-	// maxDeviation bounds how far one sample is from the estimate, in natural logarithms, so that a few slow or stuck
-	// responses do not change it much. maxEarlyDeviation is the bound until earlySamples have been measured.
+	// maxDeviation bounds how far one sample counts from the median, in natural logarithms, so that a few slow or stuck
+	// responses do not change the estimate much. maxEarlyDeviation is the bound until earlySamples have been measured.
 	maxDeviation      = 0.3
 	maxEarlyDeviation = 0.5
 	earlySamples      = 10
@@ -66,14 +68,6 @@
 	return (s.logSum*factor + prior*priorWeight) / (s.weight*factor + priorWeight)
 }
 
-// maxDeviation returns the bound on how far one more sample may be from the estimate.
-func (s *slowness) maxDeviation(now time.Time) float64 {
-	if s.weight*s.decay(now) < earlySamples {
-		return maxEarlyDeviation
-	}
-	return maxDeviation
-}
-
 // add adds samples with a sum. Earlier samples then weigh at most maxWeight.
 func (s *slowness) add(logSum, count, maxWeight float64, now time.Time) {
 	factor := s.decay(now)
@@ -85,6 +79,73 @@
 	s.updatedAt = now
 }
 
+// endpointSlowness estimates the slowness of one engine from its most recent samples. It keeps them as measured: a sample
+// that is cut off when it arrives is cut off at the estimate of that time, which may be far from the engine's speed until
+// enough samples have arrived, and many instances measure an engine before any of them knows it.
+type endpointSlowness struct {
+	slowness
+	// samples is a ring of at most maxEndpointWeight entries, next the index of the oldest one once it is full.
+	samples []slownessSample
+	next    int
+}
+
+// slownessSample is the mean of some measurements.
+type slownessSample struct {
+	value  float64
+	weight float64
+	at     time.Time
+}
+
+// add adds a mean of samples, and estimates the mean of all anew: their median, moved by their mean deviation from it,
+// where no deviation counts for more than a bound. prior counts in the median, so that the first samples do not change
+// the estimate much if they are far from it. It returns the added sample as bounded.
+func (s *endpointSlowness) add(value, weight, prior float64, now time.Time) float64 {
+	sample := slownessSample{value, min(weight, maxEndpointWeight), now}
+	if len(s.samples) < maxEndpointWeight {
+		s.samples = append(s.samples, sample)
+	} else {
+		s.samples[s.next] = sample
+		s.next = (s.next + 1) % maxEndpointWeight
+	}
+	var buffer [maxEndpointWeight + 1]slownessSample
+	weighted, sum := buffer[:0], 0.0
+	for _, other := range s.samples {
+		other.weight *= math.Exp(-max(now.Sub(other.at), 0).Seconds() / slownessDecayTime.Seconds())
+		weighted = append(weighted, other)
+		sum += other.weight
+	}
+	deviation := maxDeviation
+	if sum < earlySamples {
+		deviation = maxEarlyDeviation
+	}
+	withPrior := append(weighted, slownessSample{value: prior, weight: endpointPriorWeight})
+	median := weightedMedian(withPrior)
+	bounded := func(value float64) float64 { return min(max(value, median-deviation), median+deviation) }
+	// The mean does not contain the prior: whoever asks for the estimate adds the prior of that time.
+	boundedSum := -bounded(prior) * endpointPriorWeight
+	for _, other := range withPrior {
+		boundedSum += bounded(other.value) * other.weight
+	}
+	s.weight, s.updatedAt = min(sum, maxEndpointWeight), now
+	s.logSum = boundedSum / sum * s.weight
+	return bounded(value)
+}
+
+// weightedMedian returns the weighted median of samples. It sorts them.
+func weightedMedian(samples []slownessSample) float64 {
+	slices.SortFunc(samples, func(a, b slownessSample) int { return cmp.Compare(a.value, b.value) })
+	remaining := 0.0
+	for _, s := range samples {
+		remaining += s.weight / 2
+	}
+	for _, s := range samples {
+		if remaining -= s.weight; remaining <= 0 {
+			return s.value
+		}
+	}
+	return samples[len(samples)-1].value
+}
+
 // speedOf returns the speed that belongs to a slowness.
 func speedOf(logSlowness float64) EngineSpeed {
 	speed := DefaultEngineSpeed()
@@ -140,24 +201,22 @@
 	if current.prefillTime(c.tokensAhead) < minPrefillTime {
 		return
 	}
-	currentLog := math.Log(DefaultEngineSpeed().PrefillPerMs / current.PrefillPerMs)
 	prefill := max(took-c.otherTime, time.Millisecond)
 	sample := math.Log(float64(prefill) / float64(DefaultEngineSpeed().prefillTime(c.tokensAhead)))
-	deviation := c.endpoint.slowness.maxDeviation(now)
-	sample = min(max(sample, currentLog-deviation), currentLog+deviation)
+	sample = min(max(sample, -MaxLogSlowness), MaxLogSlowness)
 	c.registry.addSlowness(c.endpoint, sample, 1, now)
 	c.registry.ownSlowness.record(now, SlownessSamples{Endpoint: c.endpoint.key, Count: 1, LogSum: sample})
 }
 
 // addSlowness adds samples of an endpoint to its estimate and to that of its service. The caller holds the lock.
 func (r *Registry) addSlowness(e *Endpoint, logSum float64, count int, now time.Time) {
-	e.slowness.add(logSum, float64(count), maxEndpointWeight, now)
+	bounded := e.slowness.add(logSum/float64(count), float64(count), r.serviceSlowness(e.Service, now), now)
 	s := r.slowness[e.Service]
 	if s == nil {
 		s = &slowness{}
 		r.slowness[e.Service] = s
 	}
-	s.add(logSum, float64(count), maxServiceWeight, now)
+	s.add(bounded*float64(count), float64(count), maxServiceWeight, now)
 }
 
 // AddRemoteSlowness adds the measurements of another instance. Those of unknown endpoints are ignored.
