fleet: use the load and the time of work that endpoints state

What was seen: with 140 engines, 5,773 of 37,484 arrivals were rejected by full endpoints, and prompts went to engines whose machine was slow at the moment as readily as to others.

Cause: the header Server-Load was not read. An instance knows the calls of others only from messages that are up to two seconds old, and the speed of an engine only as a mean over some 20 s.

Change: once an endpoint has stated the fourth number, it scales the expected time, with a weight that falls with its age: near the latest statement for 0.3 s, then its mean, after some seconds the usual time. Measured first tokens are divided by it, so that it does not count twice. From rejections a service learns at how many calls its endpoints are full; an engine that is expected to be full gets no call. Endpoints with three numbers are chosen as before.

Result: the tests of pkg/fleet, pkg/limit, pkg/exchange and pkg/edge pass, and the decoding in platform (-ginkgo.focus DecodeReply). The new tests of pkg/fleet and pkg/edge fail without the use of the loads and without the message.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -401,3 +401,42 @@
 		}
 	}
 }
+
+// Guards against instances that each know the load of an endpoint only from the few responses that they got from it: of 63
+// instances, each gets a sixty-third of them. Load pattern: the machine of an engine becomes slow for a few seconds.
+func TestStatedLoadReachesOtherInstances(t *testing.T) {
+	now := time.Now()
+	var servers []*Server
+	for _, id := range []string{"edge-1", "edge-2"} {
+		s, err := New(Settings{InstanceID: id, ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, endpoint := range []string{"e1", "e2"} {
+			s.deps.Fleet.Announce(fleet.Announcement{
+				ID: endpoint, Service: "llm", Address: endpoint + ":1", Lifetime: 1, Slots: 48, Models: []fleet.HeldModel{{Name: "m"}},
+			}, now)
+		}
+		servers = append(servers, s)
+	}
+	servers[0].recordStatement("e1", 1, fleet.Statement{Load: fleet.StatedLoad{Running: 40, Slots: 48, WorkPercent: 500}})
+	m := &exchange.Message{Instance: "edge-1"}
+	servers[0].compose(m, exchange.Peer{Instance: "edge-2", SameRegion: true}, exchange.SendInfo{Reason: exchange.ReasonRegular, Interval: time.Minute})
+	data, err := exchange.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err = exchange.Decode(data); err != nil {
+		t.Fatal(err)
+	}
+	servers[1].receive(m, now)
+	demand := &fleet.Demand{Service: "llm", Model: "m", PromptTokens: 2000, TargetLatency: 2 * time.Second, MaxPrefillShare: 0.95}
+	noDistance := func(string) fleet.Distance { return fleet.Distance{} }
+	for range 3 {
+		choice, call := servers[1].deps.Fleet.Reserve(demand, noDistance, time.Now())
+		if call == nil || choice.ID != "e2" {
+			t.Fatalf("choice is %+v", choice)
+		}
+		call.End(fleet.Succeeded, now)
+	}
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -51,6 +51,7 @@
 		m.Parts = exchange.PackParts(s.deps.Fleet.SentPartsSince(now.Add(-time.Duration(sentPartRepeats * float64(info.Interval)))))
 	}
 	m.Slowness = exchange.PackSlowness(s.deps.Fleet.SlownessSince(now.Add(-info.Interval)))
+	m.Loads = exchange.PackLoads(s.deps.Fleet.LoadsSince(now.Add(-info.Interval), now))
 	if info.ToHolder {
 		m.Models, m.Adapters = s.demand.ownDemand(now)
 	}
@@ -96,6 +97,7 @@
 		s.receiveWork(m, now)
 		s.receiveParts(m)
 		s.receiveSlowness(m, now)
+		s.receiveLoads(m, now)
 	}
 	if m.Models != nil || m.Adapters != nil {
 		update := remoteDemand{region: s.instances.regionOf(m.Instance, s.settings().Regions), models: m.Models, adapters: m.Adapters, receivedAt: now}
@@ -156,3 +158,12 @@
 	}
 	s.deps.Fleet.AddRemoteSlowness(slowness, now)
 }
+
+func (s *Server) receiveLoads(m *exchange.Message, now time.Time) {
+	loads, err := exchange.UnpackLoads(m.Loads)
+	if err != nil {
+		s.log.Info("loads of another instance cannot be decoded", zap.String("from", m.Instance), zap.Error(err))
+		return
+	}
+	s.deps.Fleet.AddRemoteLoads(loads, now)
+}
--- a/pkg/edge/statements.go
+++ b/pkg/edge/statements.go
@@ -20,6 +20,9 @@
 	if statement.Leaving && s.deps.Fleet.StatedLeaving(id, lifetime, now) {
 		s.logLeaving(id, lifetime, 0, "")
 	}
+	if statement.Load.Slots > 0 {
+		s.deps.Fleet.StatedLoad(id, lifetime, statement.Load, now)
+	}
 	if statement.RetryAfter == "" {
 		return
 	}
--- /dev/null
+++ b/pkg/exchange/loads.go
@@ -0,0 +1,60 @@
+package exchange
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+)
+
+const (
+	// loadAgeUnit and loadPercentUnit are the units of the age and of the time of work in packed loads, chosen so that each
+	// usually takes one byte.
+	loadAgeUnit     = 10 * time.Millisecond
+	loadPercentUnit = 4
+	// maxLoadAge bounds the age of a packed load; older ones are of no use.
+	maxLoadAge = time.Minute
+	// maxPackedLoad bounds the other integers of packed loads.
+	maxPackedLoad = 1 << 16
+)
+
+// PackLoads encodes what endpoints have stated: for each its key, followed by the age, the number of calls and the time of
+// work as variable-length integers.
+func PackLoads(samples []fleet.LoadSample) []byte {
+	var packed []byte
+	for _, s := range samples {
+		packed = binary.BigEndian.AppendUint32(packed, uint32(s.Endpoint))
+		packed = binary.AppendUvarint(packed, uint64(min(max(s.Age, 0), maxLoadAge)/loadAgeUnit))
+		packed = binary.AppendUvarint(packed, uint64(min(max(s.Calls, 0), maxPackedLoad)))
+		packed = binary.AppendUvarint(packed, uint64(min(max(s.WorkPercent/loadPercentUnit, 1), maxPackedLoad)))
+	}
+	return packed
+}
+
+// UnpackLoads decodes what PackLoads encoded.
+func UnpackLoads(packed []byte) ([]fleet.LoadSample, error) {
+	var samples []fleet.LoadSample
+	for len(packed) > 0 {
+		if len(packed) < endpointKeyBytes {
+			return nil, errors.New("packed loads end within an endpoint key")
+		}
+		s := fleet.LoadSample{Endpoint: fleet.EndpointKey(binary.BigEndian.Uint32(packed))}
+		packed = packed[endpointKeyBytes:]
+		var values [3]int
+		for i := range values {
+			value, length := binary.Uvarint(packed)
+			if length <= 0 || value > maxPackedLoad {
+				return nil, errors.Newf("packed loads have an invalid integer after %d endpoints", len(samples))
+			}
+			values[i], packed = int(value), packed[length:]
+		}
+		if values[2] == 0 || time.Duration(values[0])*loadAgeUnit > maxLoadAge {
+			return nil, errors.Newf("packed loads have an invalid value after %d endpoints", len(samples))
+		}
+		s.Age, s.Calls, s.WorkPercent = time.Duration(values[0])*loadAgeUnit, values[1], values[2]*loadPercentUnit
+		samples = append(samples, s)
+	}
+	return samples, nil
+}
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -28,6 +28,8 @@
 	Parts []byte `json:"c,omitempty"`
 	// Slowness is the sender's measurements of endpoints since its previous message, encoded by PackSlowness.
 	Slowness []byte `json:"u,omitempty"`
+	// Loads are the loads that endpoints have stated to the sender since its previous message, encoded by PackLoads.
+	Loads []byte `json:"ld,omitempty"`
 	// Models and Adapters are sent to the holder only. Early messages list only the models and adapters for which
 	// requests are waiting, and leave the previous state of all others unchanged.
 	Models   []ModelDoc   `json:"m,omitempty"`
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -44,7 +44,7 @@
 	if demand.Model != "" {
 		call.late = demand.Late
 		call.tokensAhead = tokensAhead(choice.Work, demand, choice.KeptTokens)
-		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed)
+		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed.slowed(e.load.workFactor(now)))
 	}
 	call.probe = e.stated.beginProbe(now)
 	e.own.Waiting++
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -159,9 +159,9 @@
 	}
 	keptTokens := e.prompts.keptTokens(demand.partKeys, demand.Parts)
 	work := e.Work(now)
-	speed = e.speed(speed, now)
+	speed = e.speed(speed, now).slowed(e.load.workFactor(now))
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
-	if saturated(work, demand, speed) || demand.TargetLatency > 0 && expected+distanceTo(e.DataCentre).Latency > demand.TargetLatency {
+	if e.full(work, now) || saturated(work, demand, speed) || demand.TargetLatency > 0 && expected+distanceTo(e.DataCentre).Latency > demand.TargetLatency {
 		choice.Obstacle = max(choice.Obstacle, Saturated)
 		choice.SoonestFirstToken = min(choice.SoonestFirstToken, expected)
 		return
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/limit"
 )
 
 const (
@@ -30,9 +32,11 @@
 	own             Work
 	sendRate        sendRate
 	slowness        endpointSlowness
-	remoteWork      map[string]remoteWork
-	Health          Health
-	prompts         *promptCache
+	// load is what the endpoint has stated of its load; nil if the choice is to ignore that.
+	load       *endpointLoad
+	remoteWork map[string]remoteWork
+	Health     Health
+	prompts    *promptCache
 	// RemovalAt is when a leaving endpoint is removed; zero means unknown.
 	RemovalAt time.Time
 	// graceEndsAt is when an endpoint that was withdrawn with grace is removed; zero for all others.
@@ -112,7 +116,9 @@
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
 	ownSlowness recentLog[SlownessSamples]
-	changed     chan struct{}
+	// capacity is known for services with stated loads.
+	capacity map[string]*limit.Capacity
+	changed  chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
@@ -123,6 +129,7 @@
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
 		slowness:  make(map[string]*slowness),
+		capacity:  make(map[string]*limit.Capacity),
 		changed:   make(chan struct{}),
 	}
 }
--- a/pkg/fleet/statement.go
+++ b/pkg/fleet/statement.go
@@ -14,6 +14,8 @@
 	// RetryAfter is the Retry-After header of a busy endpoint, which wants no calls from this instance for that time; empty
 	// if the endpoint is not busy or does not say.
 	RetryAfter string
+	// Load is the load that the endpoint states.
+	Load StatedLoad
 }
 
 const (
