fleet: learn the speed and the concurrency limit of plain endpoints

What was seen: a plain call counted as 1 ms per call in progress and 50 ms per call beyond the slots, whatever the endpoint's speed.

Cause: no latency of a plain endpoint was measured, and calls of 15 ms have ended long before other instances hear of them, so that their counts say little.

Change: pkg/limit learns the latency with few calls and the number of calls up to which it does not rise (additive increase, multiplicative decrease). The cost of an endpoint is its service time times the stated factor, and the square of the crowding beyond its limit. The choice among plain endpoints is random, with a probability in inverse proportion to the third power of that cost, so that instances with the same view do not all choose one endpoint. A call that no endpoint can answer before its deadline is rejected at once. Without samples, estimates return to those of the service, so that an endpoint is tried again. This applies to services of which an endpoint has stated a fourth number.

The new tests fail without the learned choice.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -227,7 +227,12 @@
 		r.endAttempt(a, resp.StatusCode(), "invalid response")
 		return sendUnknown
 	}
-	a.call.End(callResult(resp), time.Now())
+	now := time.Now()
+	if callResult(resp) == fleet.Succeeded {
+		a.call.Responded(now.Sub(a.sentAt)-a.choice.Latency, now)
+		r.server.recordLimitChanges(now)
+	}
+	a.call.End(callResult(resp), now)
 	if resp.StatusCode() < fasthttp.StatusMultipleChoices {
 		r.recordAnswered()
 	}
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -159,11 +159,13 @@
 		OutputTokens: cmp.Or(r.request.ExpectedOutput, r.request.OutputTokens),
 		Parts:        r.request.Parts,
 		Exclude:      r.tried,
+		TimeLeft:     r.deadline.Sub(now),
+		Random:       rand.Float64,
 	}
 	if r.service.Engine == nil {
 		return demand
 	}
-	demand.Spread, demand.Random = r.server.spread(r.service.Name, demand.PromptTokens), rand.Float64
+	demand.Spread = r.server.spread(r.service.Name, demand.PromptTokens)
 	demand.TargetLatency, demand.MaxPrefillShare = r.timeToTarget(now), prefillShare
 	if demand.TargetLatency < minAttemptTime {
 		r.markLate(demand, now)
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -31,7 +31,12 @@
 	firstEventTime tally.Histogram
 	storeOutages   tally.Counter
 	// quarantines counts prompt parts put in quarantine.
-	quarantines     tally.Counter
+	quarantines tally.Counter
+	// limitsLowered and limitsRaised count changes of learned limits of endpoints' concurrent calls, limitsInEffect the
+	// endpoints whose limit was below their slots at the last change.
+	limitsLowered   tally.Counter
+	limitsRaised    tally.Counter
+	limitsInEffect  tally.Gauge
 	configVersion   tally.Gauge
 	usableEndpoints tally.Gauge
 }
@@ -43,6 +48,9 @@
 	requests := func(end string) tally.Counter {
 		return scope.Tagged(map[string]string{"end": end}).Counter("requests")
 	}
+	limitChanges := func(direction string) tally.Counter {
+		return scope.Tagged(map[string]string{"direction": direction}).Counter("endpoint_limit_changes")
+	}
 	return &metrics{
 		answered:        requests("answered"),
 		refused:         requests("refused"),
@@ -56,6 +64,9 @@
 		firstEventTime:  scope.Histogram("first_event_seconds", latencyBuckets),
 		storeOutages:    scope.Counter("store_lost"),
 		quarantines:     scope.Counter("quarantined_prompt_parts"),
+		limitsLowered:   limitChanges("lowered"),
+		limitsRaised:    limitChanges("raised"),
+		limitsInEffect:  scope.Gauge("limited_endpoints"),
 		configVersion:   scope.Gauge("configuration_version"),
 		usableEndpoints: scope.Gauge("usable_endpoints"),
 	}
--- a/pkg/edge/statements.go
+++ b/pkg/edge/statements.go
@@ -36,6 +36,27 @@
 	}
 }
 
+// recordLimitChanges logs the changes of learned limits and updates their metrics. There is at most one change per endpoint
+// and second.
+func (s *Server) recordLimitChanges(now time.Time) {
+	changes, limited := s.deps.Fleet.TakeLimitChanges(now)
+	if len(changes) == 0 {
+		return
+	}
+	s.metrics.limitsInEffect.Update(float64(limited))
+	for i := range changes {
+		c := &changes[i]
+		if c.After < c.Before {
+			s.metrics.limitsLowered.Inc(1)
+		} else {
+			s.metrics.limitsRaised.Inc(1)
+		}
+		s.log.Info("endpoint's learned limit changed", zap.String("endpoint", c.Endpoint), zap.Int("before", c.Before), zap.Int("after", c.After),
+			zap.Int("slots", c.Slots), zap.Stringer("reason", c.Reason), zap.Int("calls", c.Calls), zap.Duration("latency", c.Latency),
+			zap.Int("workPercent", c.WorkPercent))
+	}
+}
+
 // logLeaving logs that an endpoint has said that it leaves, to the instance named by from or, if that is empty, to this
 // one.
 func (s *Server) logLeaving(id string, lifetime int64, age time.Duration, from string) {
--- a/pkg/exchange/loads.go
+++ b/pkg/exchange/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,10 +19,15 @@
 	maxLoadAge = time.Minute
 	// maxPackedLoad bounds the other integers of packed loads.
 	maxPackedLoad = 1 << 16
+	// latencySteps is the number of steps per natural logarithm in packed latencies, and minPackedLatency the least one.
+	latencySteps     = 12
+	minPackedLatency = 100 * time.Microsecond
+	// maxPackedLatency is the packed value of some two minutes, beyond any deadline.
+	maxPackedLatency = 170
 )
 
-// PackLoads encodes what endpoints have stated: for each its key, followed by the age, the number of calls and the time of
-// work as variable-length integers.
+// PackLoads encodes what endpoints have stated: for each its key, followed by the age, the number of calls, the time of
+// work and the latency as variable-length integers. The latency is packed as a logarithm, zero if it is not known.
 func PackLoads(samples []fleet.LoadSample) []byte {
 	var packed []byte
 	for _, s := range samples {
@@ -29,6 +35,11 @@
 		packed = binary.AppendUvarint(packed, uint64(min(max(s.Age, 0), maxLoadAge)/loadAgeUnit))
 		packed = binary.AppendUvarint(packed, uint64(min(max(s.Calls, 0), maxPackedLoad)))
 		packed = binary.AppendUvarint(packed, uint64(min(max(s.WorkPercent/loadPercentUnit, 1), maxPackedLoad)))
+		latency := 0
+		if s.Latency > 0 {
+			latency = min(1+int(math.Round(latencySteps*math.Log(max(float64(s.Latency)/float64(minPackedLatency), 1)))), maxPackedLatency)
+		}
+		packed = binary.AppendUvarint(packed, uint64(latency))
 	}
 	return packed
 }
@@ -42,7 +53,7 @@
 		}
 		s := fleet.LoadSample{Endpoint: fleet.EndpointKey(binary.BigEndian.Uint32(packed))}
 		packed = packed[endpointKeyBytes:]
-		var values [3]int
+		var values [4]int
 		for i := range values {
 			value, length := binary.Uvarint(packed)
 			if length <= 0 || value > maxPackedLoad {
@@ -50,10 +61,13 @@
 			}
 			values[i], packed = int(value), packed[length:]
 		}
-		if values[2] == 0 || time.Duration(values[0])*loadAgeUnit > maxLoadAge {
+		if values[2] == 0 || values[3] > maxPackedLatency || time.Duration(values[0])*loadAgeUnit > maxLoadAge {
 			return nil, errors.Newf("packed loads have an invalid value after %d endpoints", len(samples))
 		}
 		s.Age, s.Calls, s.WorkPercent = time.Duration(values[0])*loadAgeUnit, values[1], values[2]*loadPercentUnit
+		if values[3] > 0 {
+			s.Latency = time.Duration(float64(minPackedLatency) * math.Exp(float64(values[3]-1)/latencySteps))
+		}
 		samples = append(samples, s)
 	}
 	return samples, nil
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -9,6 +9,7 @@
 	prefillTokens int
 	urgentTokens  int
 	probe         bool
+	plain         bool
 	late          bool
 	// tokensAhead is the number of prompt tokens that the engine reads before the first token, and otherTime the rest of the
 	// expected time to it.
@@ -31,6 +32,7 @@
 	}
 	demand.partKeys = partKeys(demand.Model, demand.Adapter, demand.Parts)
 	speed := speedOf(r.serviceSlowness(demand.Service, now))
+	demand.serviceLatency = r.serviceLatency(demand.Service, now)
 	choice := Choose(candidates, demand, speed, distanceTo, now)
 	if choice.Candidates == 0 {
 		return choice, nil
@@ -39,6 +41,7 @@
 	call := &Call{
 		registry:      r,
 		endpoint:      e,
+		plain:         demand.Model == "",
 		prefillTokens: max(demand.PromptTokens-choice.KeptTokens, 0),
 	}
 	if demand.Model != "" {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -16,6 +16,10 @@
 	Parts        []PromptPart
 	// partKeys are the keys of Parts.
 	partKeys []PartKey
+	// serviceLatency is the expected time of a call at the endpoints of a plain service, as the logarithm of seconds.
+	serviceLatency float64
+	// TimeLeft is the time until the deadline; zero means unknown. Only endpoints with stated loads are compared with it.
+	TimeLeft time.Duration
 	// TargetLatency is the time within which the first token has its full value; zero means that there is no limit.
 	TargetLatency time.Duration
 	// Late is set for requests that can no longer be answered in time. Engines read the prompts of late requests after
@@ -161,7 +165,13 @@
 	work := e.Work(now)
 	speed = e.speed(speed, now).slowed(e.load.workFactor(now))
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
-	if e.full(work, now) || saturated(work, demand, speed) || demand.TargetLatency > 0 && expected+distanceTo(e.DataCentre).Latency > demand.TargetLatency {
+	learned := demand.Model == "" && e.load != nil
+	if learned {
+		expected = e.expectedPlain(demand.serviceLatency, now)
+	}
+	total := expected + distanceTo(e.DataCentre).Latency
+	tooLate := demand.TargetLatency > 0 && total > demand.TargetLatency || e.load != nil && demand.TimeLeft > 0 && total > demand.TimeLeft
+	if tooLate || !learned && e.full(work, now) || saturated(work, demand, speed) {
 		choice.Obstacle = max(choice.Obstacle, Saturated)
 		choice.SoonestFirstToken = min(choice.SoonestFirstToken, expected)
 		return
@@ -175,6 +185,9 @@
 		cost += expected
 	}
 	cost += interference(work, demand, keptTokens, speed) + demand.spreadAt(e.key, keptTokens)
+	if learned {
+		cost = demand.spreadCost(cost)
+	}
 	if cost >= choice.FirstToken {
 		if cost < choice.RunnerUpFirstToken {
 			choice.RunnerUp, choice.RunnerUpFirstToken = e.ID, cost
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -29,10 +29,18 @@
 	recentCalls = time.Second
 	// maxWorkFactor bounds the factor by which work is expected to be slower or faster than usual.
 	maxWorkFactor = 20.0
+	// usualServiceTime is the expected time of a plain call until responses have been measured.
+	usualServiceTime = 15 * time.Millisecond
+	// limitReportInterval is the minimum time between two reported changes of an endpoint's limit, and maxLimitChanges the
+	// number of changes that are kept until they are taken.
+	limitReportInterval = time.Second
+	maxLimitChanges     = 32
+	// spreadExponent is the power of the cost with which the probability of a plain endpoint falls.
+	spreadExponent = 3
 )
 
-// endpointLoad is what is known of an endpoint's load from its statements. It exists once the endpoint has stated a
-// WorkPercent; until then the choice of an endpoint uses no stated loads.
+// endpointLoad is what is known of an endpoint's load from its statements. It exists once an endpoint of the service has
+// stated a WorkPercent; until then the choice of an endpoint uses no stated loads.
 type endpointLoad struct {
 	// logFactor follows the logarithm of WorkPercent/100, calls the number of running and waiting requests.
 	logFactor limit.Track
@@ -45,6 +53,11 @@
 	// ownSample is the latest statement to this instance, to be told to others.
 	ownSample LoadSample
 	ownAt     time.Time
+	// concurrency is learned from the latencies of a plain endpoint. reportedLimit is the limit of the last LimitChange,
+	// reportedAt its time.
+	concurrency   limit.Concurrency
+	reportedLimit int
+	reportedAt    time.Time
 }
 
 // LoadSample is a statement of an endpoint, as one instance tells it to others.
@@ -55,6 +68,20 @@
 	// Calls is the number of running and waiting requests.
 	Calls       int
 	WorkPercent int
+	// Latency is the time of the response of a plain endpoint, without the network; zero for engines and if it is not known.
+	Latency time.Duration
+}
+
+// LimitChange is a change of the learned limit of an endpoint's concurrent calls.
+type LimitChange struct {
+	Endpoint      string
+	Before, After int
+	Slots         int
+	Reason        limit.Reason
+	// Calls, Latency and WorkPercent are those of the last response that led to it.
+	Calls       int
+	Latency     time.Duration
+	WorkPercent int
 }
 
 // StatedLoad records the load that a run of an endpoint states in a response to this instance.
@@ -77,20 +104,27 @@
 	}
 }
 
-// statedLoad returns the record of an endpoint's load, and creates it if necessary. The caller holds the lock.
+// statedLoad returns the record of an endpoint's load. The first statement of a WorkPercent by an endpoint of a service
+// creates the records of all its endpoints, because the costs of those with and without one cannot be compared. The caller
+// holds the lock.
 func (r *Registry) statedLoad(e *Endpoint) *endpointLoad {
-	if e.load != nil {
-		return e.load
-	}
-	capacity := r.capacity[e.Service]
-	if capacity == nil {
-		capacity = &limit.Capacity{}
-		r.capacity[e.Service] = capacity
+	if r.capacity[e.Service] == nil {
+		r.capacity[e.Service] = &limit.Capacity{}
+		for _, other := range r.endpoints {
+			r.expectStatedLoad(other)
+		}
 	}
-	e.load = &endpointLoad{capacity: capacity}
 	return e.load
 }
 
+// expectStatedLoad creates the record of an endpoint's load if endpoints of its service state a WorkPercent. The caller holds
+// the lock.
+func (r *Registry) expectStatedLoad(e *Endpoint) {
+	if capacity := r.capacity[e.Service]; capacity != nil && e.load == nil {
+		e.load = &endpointLoad{capacity: capacity}
+	}
+}
+
 func (l *endpointLoad) add(s *LoadSample, ownCalls int, at time.Time) {
 	bounded := min(max(float64(s.WorkPercent)/100, 1/maxWorkFactor), maxWorkFactor)
 	l.logFactor.Add(math.Log(bounded), at)
@@ -125,10 +159,105 @@
 	if e.load == nil {
 		return false
 	}
-	calls, limited := e.load.capacity.Calls(cmp.Or(e.load.slots, e.Slots))
+	calls, limited := e.load.capacity.Calls(e.load.slotsOf(e))
 	return limited && e.load.expectedCalls(work, e.own.Calls(), now)+1 > calls
 }
 
+// Responded records the time from the send to the whole response of a plain service, without the network. The endpoint's
+// load must have been recorded before.
+func (c *Call) Responded(took time.Duration, now time.Time) {
+	c.registry.mu.Lock()
+	defer c.registry.mu.Unlock()
+	l := c.endpoint.load
+	if !c.plain || l == nil || l.ownAt.IsZero() {
+		return
+	}
+	l.ownSample.Latency = max(took, time.Microsecond)
+	c.registry.addLatency(c.endpoint, &l.ownSample, now)
+}
+
+// addLatency adds the latency of a sample to the estimates of an endpoint and its service. The caller holds the lock.
+func (r *Registry) addLatency(e *Endpoint, s *LoadSample, at time.Time) {
+	l := e.load
+	logLatency := math.Log(s.Latency.Seconds()) - math.Log(float64(s.WorkPercent)/100)
+	service := r.latency[e.Service]
+	if service == nil {
+		service = &limit.Track{}
+		r.latency[e.Service] = service
+	}
+	service.Add(logLatency, at)
+	reason := l.concurrency.Add(logLatency, s.Calls, l.slotsOf(e), at)
+	after := int(math.Round(l.concurrency.Limit(l.slotsOf(e), at)))
+	before := cmp.Or(l.reportedLimit, l.slotsOf(e))
+	if reason == limit.Unchanged || after == before || at.Sub(l.reportedAt) < limitReportInterval || len(r.limitChanges) >= maxLimitChanges {
+		return
+	}
+	l.reportedLimit, l.reportedAt = after, at
+	r.limitChanges = append(r.limitChanges, LimitChange{
+		Endpoint: e.ID, Before: before, After: after, Slots: l.slotsOf(e), Reason: reason, Calls: s.Calls, Latency: s.Latency,
+		WorkPercent: s.WorkPercent,
+	})
+}
+
+// serviceLatency returns the expected time of a call at the endpoints of a plain service, as the logarithm of seconds. The
+// caller holds the lock.
+func (r *Registry) serviceLatency(service string, now time.Time) float64 {
+	usual := math.Log(usualServiceTime.Seconds())
+	if track := r.latency[service]; track != nil {
+		return track.Mean(usual, now)
+	}
+	return usual
+}
+
+// TakeLimitChanges returns the changes of learned limits since the last call, and how many endpoints have a limit below
+// their slots.
+func (r *Registry) TakeLimitChanges(now time.Time) (changes []LimitChange, limited int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	changes, r.limitChanges = r.limitChanges, nil
+	if len(changes) == 0 {
+		return nil, 0
+	}
+	for _, e := range r.endpoints {
+		if e.load != nil && e.load.concurrency.Limit(e.load.slotsOf(e), now) < float64(e.load.slotsOf(e))-0.5 {
+			limited++
+		}
+	}
+	return changes, limited
+}
+
+// slotsOf returns the number of slots that the endpoint states, or else that of its entry.
+func (l *endpointLoad) slotsOf(e *Endpoint) int {
+	return max(cmp.Or(l.slots, e.Slots), 1)
+}
+
+// expectedPlain returns the expected time of one more call at a plain endpoint. Its calls are so short that only the mean of
+// their number is known, except for this instance's own.
+//
+// Load pattern: endpoints of one service that differ in speed, and some that become slow long before their slots are in use.
+// Up to the learned limit a call takes the service time; beyond it, each call delays all others.
+func (e *Endpoint) expectedPlain(serviceLatency float64, now time.Time) time.Duration {
+	l := e.load
+	serviceTime := math.Exp(l.concurrency.LogLatency(serviceLatency, now)) * l.workFactor(now)
+	recent := time.Duration(serviceTime * float64(time.Second))
+	calls := max(l.calls.Predict(0, recent, now), float64(e.own.Calls()))
+	crowding := max((calls+1)/l.concurrency.Limit(l.slotsOf(e), now), 1)
+	return time.Duration(serviceTime * crowding * crowding * float64(time.Second))
+}
+
+// spreadCost returns the cost of a plain endpoint for the comparison of endpoints. It is random, so that the lowest cost is
+// that of each endpoint with a probability in inverse proportion to a power of its cost: instances that have the same view
+// then do not all send to the fastest endpoint, and a slow one is tried now and then.
+func (d *Demand) spreadCost(cost time.Duration) time.Duration {
+	if d.Random == nil {
+		return cost
+	}
+	// The least of exponentially distributed numbers with different rates is that of each rate with a probability in
+	// proportion to it.
+	exponential := -math.Log(1 - d.Random())
+	return time.Duration(float64(cost) * math.Pow(exponential, 1.0/spreadExponent))
+}
+
 // slowed returns the speed of an engine on whose machine work takes longer by a factor.
 func (s EngineSpeed) slowed(factor float64) EngineSpeed {
 	if factor == 1 {
@@ -143,8 +272,8 @@
 // maxToldLoads bounds the endpoints whose loads one message tells.
 const maxToldLoads = 8
 
-// LoadsSince returns the latest statements to this instance after a time, of at most maxToldLoads endpoints: first those
-// whose load differs most from an idle endpoint with the usual speed.
+// LoadsSince returns the latest statements to this instance after a time, of at most maxToldLoads endpoints: first
+// plain ones, whose limits the instances learn together, then those whose load differs most from an idle endpoint with the usual speed.
 func (r *Registry) LoadsSince(t, now time.Time) []LoadSample {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,8 +289,12 @@
 		}
 		sample := l.ownSample
 		sample.Age = now.Sub(l.ownAt)
-		fullness := float64(sample.Calls) / float64(max(l.slots, e.Slots, 1))
-		told = append(told, ranked{sample, math.Abs(math.Log(max(float64(sample.WorkPercent), 1)/100)) + fullness})
+		fullness := float64(sample.Calls) / float64(l.slotsOf(e))
+		rank := math.Abs(math.Log(float64(sample.WorkPercent)/100)) + fullness
+		if sample.Latency > 0 {
+			rank = math.MaxFloat64
+		}
+		told = append(told, ranked{sample, rank})
 	}
 	slices.SortFunc(told, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	var samples []LoadSample
@@ -176,8 +309,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range samples {
-		if e := r.byKey[samples[i].Endpoint]; e != nil {
-			r.statedLoad(e).add(&samples[i], e.own.Calls(), now.Add(-samples[i].Age))
+		e := r.byKey[samples[i].Endpoint]
+		if e == nil || samples[i].WorkPercent <= 0 {
+			continue
+		}
+		at := now.Add(-samples[i].Age)
+		r.statedLoad(e).add(&samples[i], e.own.Calls(), at)
+		if samples[i].Latency > 0 {
+			r.addLatency(e, &samples[i], at)
 		}
 	}
 }
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math/rand/v2"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -110,3 +112,75 @@
 		t.Fatalf("passed on %+v", got)
 	}
 }
+
+// Guards against a changed choice among plain endpoints in deployments whose endpoints state three numbers or none.
+func TestPlainChoiceWithoutTimeOfWorkIsAsBefore(t *testing.T) {
+	// The distances differ, so that no two endpoints have the same cost.
+	distance := func(dataCentre string) Distance {
+		return Distance{Latency: map[string]time.Duration{"e2": 300, "e3": 700}[dataCentre] * time.Microsecond}
+	}
+	var got [2][]Choice
+	for i := range got {
+		random := rand.New(rand.NewPCG(1, 2))
+		r := NewRegistry()
+		for _, id := range []string{"e1", "e2", "e3"} {
+			r.Announce(Announcement{ID: id, Service: "plain", Address: id, DataCentre: id, Lifetime: 1, Slots: 2}, now)
+			r.SetRemoteWork("other", map[EndpointKey]Work{EndpointKeyOf("e2"): {Running: 1}, EndpointKeyOf("e3"): {Running: 3}}, now)
+		}
+		for range 8 {
+			d := &Demand{Service: "plain", TimeLeft: time.Millisecond}
+			if i == 1 {
+				d.Random = random.Float64
+			}
+			choice, call := r.Reserve(d, distance, now)
+			if i == 1 {
+				r.StatedLoad(choice.ID, 1, StatedLoad{Running: 9, Slots: 2, Rejected: true}, now)
+				call.Responded(time.Second, now)
+			}
+			got[i] = append(got[i], choice)
+		}
+	}
+	if !reflect.DeepEqual(got[0], got[1]) {
+		t.Fatalf("chosen %+v\nbefore %+v", got[1], got[0])
+	}
+	if got[0][0].ID != "e1" || got[0][0].FirstToken != 0 {
+		t.Fatalf("first choice is %+v", got[0][0])
+	}
+}
+
+// Guards against a plain endpoint that is never used again because it was slow, and against a call that is held although no
+// endpoint can answer it before its deadline.
+func TestSlowPlainEndpointIsTriedAgain(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(Announcement{ID: "e1", Service: "plain", Address: "e1", Lifetime: 1, Slots: 6}, now)
+	d := &Demand{Service: "plain", TimeLeft: 2 * time.Second}
+	for i := range 10 {
+		at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+		_, call := r.Reserve(d, noDistance, at)
+		if call == nil {
+			break
+		}
+		r.StatedLoad("e1", 1, StatedLoad{Running: 1, Slots: 6, WorkPercent: 100}, at)
+		call.Responded(3*time.Second, at)
+		call.End(Succeeded, at)
+	}
+	at := now.Add(time.Second)
+	choice, call := r.Reserve(d, noDistance, at)
+	if call != nil || choice.Obstacle != Saturated || choice.SoonestFirstToken < 2*time.Second {
+		t.Fatalf("choice is %+v", choice)
+	}
+	if choice, call = r.Reserve(d, noDistance, at.Add(10*time.Second)); call == nil {
+		t.Fatalf("ten seconds later: %+v", choice)
+	}
+}
+
+// Guards against many instances that all send to an endpoint which has just started, because its time is not yet measured.
+func TestNewEndpointIsNotTakenForTheFastest(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(Announcement{ID: "e1", Service: "plain", Address: "e1", Lifetime: 1, Slots: 6}, now)
+	r.StatedLoad("e1", 1, StatedLoad{Slots: 6, WorkPercent: 60}, now)
+	r.Announce(Announcement{ID: "e2", Service: "plain", Address: "e2", Lifetime: 1, Slots: 6}, now)
+	if choice, _ := r.Reserve(&Demand{Service: "plain"}, noDistance, now); choice.ID != "e1" {
+		t.Fatalf("chose %q at %v", choice.ID, choice.FirstToken)
+	}
+}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -116,9 +116,12 @@
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
 	ownSlowness recentLog[SlownessSamples]
-	// capacity is known for services with stated loads.
-	capacity map[string]*limit.Capacity
-	changed  chan struct{}
+	// capacity is known for services with stated loads, latency, a logarithm of seconds, for plain ones of them.
+	// limitChanges are the changes of learned limits that have not been taken.
+	capacity     map[string]*limit.Capacity
+	latency      map[string]*limit.Track
+	limitChanges []LimitChange
+	changed      chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
@@ -130,6 +133,7 @@
 		stated:    make(map[endpointRun]*stated),
 		slowness:  make(map[string]*slowness),
 		capacity:  make(map[string]*limit.Capacity),
+		latency:   make(map[string]*limit.Track),
 		changed:   make(chan struct{}),
 	}
 }
@@ -203,6 +207,7 @@
 		a.Models = existing.Models
 	}
 	existing.Announcement = a
+	r.expectStatedLoad(existing)
 	existing.RemovalAt = time.Time{}
 	if a.RemovalIn > 0 {
 		existing.RemovalAt = now.Add(a.RemovalIn)
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 )
@@ -50,3 +51,52 @@
 		t.Fatalf("limit of %v calls", calls)
 	}
 }
+
+// respond adds responses to calls at an endpoint that is slow beyond knee calls, one every 10 ms.
+func respond(c *Concurrency, random *rand.Rand, from time.Time, seconds, knee int) time.Time {
+	const slots = 12
+	for range seconds * 100 {
+		from = from.Add(10 * time.Millisecond)
+		calls := 1 + random.IntN(max(int(c.Limit(slots, from)*1.2), 2))
+		latency := 15 * math.Max(1, float64(calls)/float64(knee)) * (0.7 + 0.6*random.Float64())
+		c.Add(math.Log(latency/1000), calls, slots, from)
+	}
+	return from
+}
+
+// Guards against filling an endpoint that is slow long before its slots are in use, against a limit that does not return
+// within seconds, and against taking a chance deviation for either.
+func TestConcurrencyFollowsWhereAnEndpointBecomesSlow(t *testing.T) {
+	var c Concurrency
+	random := rand.New(rand.NewPCG(1, 2))
+	at := respond(&c, random, start, 5, 12)
+	if got := c.Limit(12, at); got < 10 {
+		t.Fatalf("limit %.1f of an endpoint that is never slow", got)
+	}
+	at = respond(&c, random, at, 5, 4)
+	if got := c.Limit(12, at); got < 3 || got > 8 {
+		t.Fatalf("limit %.1f of an endpoint that is slow beyond 4 calls", got)
+	}
+	at = respond(&c, random, at, 8, 12)
+	if got := c.Limit(12, at); got < 9 {
+		t.Fatalf("limit %.1f after the endpoint has become fast", got)
+	}
+}
+
+// Guards against an endpoint that gets few calls for ever because it was slow: without responses its estimates return to the
+// number of slots and to the latency of the service.
+func TestConcurrencyIsForgotten(t *testing.T) {
+	var c Concurrency
+	at := respond(&c, rand.New(rand.NewPCG(1, 2)), start, 10, 2)
+	if got := c.Limit(12, at); got > 6 {
+		t.Fatalf("limit %.1f", got)
+	}
+	at = at.Add(30 * time.Second)
+	if got := c.Limit(12, at); got < 11 {
+		t.Fatalf("limit %.1f after half a minute", got)
+	}
+	prior := math.Log(0.004)
+	if got := c.LogLatency(prior, at); math.Abs(got-prior) > 0.1 {
+		t.Fatalf("latency %.4f s", math.Exp(got))
+	}
+}
--- a/pkg/limit/track.go
+++ b/pkg/limit/track.go
@@ -47,6 +47,14 @@
 	return prior + decay(age, forgetTime)*(t.mean-prior+decay(age, recent)*(t.latest-t.mean))
 }
 
+// Mean returns the mean, and without further samples more and more the prior.
+func (t *Track) Mean(prior float64, now time.Time) float64 {
+	if t.at.IsZero() {
+		return prior
+	}
+	return prior + decay(now.Sub(t.at), forgetTime)*(t.mean-prior)
+}
+
 // Latest returns the latest sample and its time, which is zero if there is none.
 func (t *Track) Latest() (value float64, at time.Time) {
 	return t.latest, t.at
