fleet: count overdue plain calls, and spread by limits

What was seen, in simulated time: when an endpoint became slow, calls went there until its responses arrived late; when one had just become idle, most of 300 calls per second went there until the instances heard of it.

Change: an endpoint is expected to take at least as long as the oldest call of this instance that is still in progress there. The probability of a plain endpoint is proportional to its learned limit, falls with the square of the cost, in place of the third power, and cost grows in proportion to crowding. The latency of a service is measured without the part that crowding causes, and up to two calls within the limit count as few, so that a low limit does not rest on the latencies of an overloaded endpoint. The random draw is made once per request and no longer depends on the order of the endpoints, so that the comparison repeats exactly.

Tests of pkg/limit, pkg/fleet and pkg/edge pass.

--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Call is one request at an endpoint. It counts as work of the endpoint from Reserve to End.
 type Call struct {
@@ -10,7 +13,9 @@
 	urgentTokens  int
 	probe         bool
 	plain         bool
-	late          bool
+	// sentAt is the time of a plain call to an endpoint with stated loads; zero for others.
+	sentAt time.Time
+	late   bool
 	// tokensAhead is the number of prompt tokens that the engine reads before the first token, and otherTime the rest of the
 	// expected time to it.
 	tokensAhead int
@@ -32,6 +37,9 @@
 	}
 	demand.partKeys = partKeys(demand.Model, demand.Adapter, demand.Parts)
 	speed := speedOf(r.serviceSlowness(demand.Service, now))
+	if demand.Model == "" && demand.Random != nil {
+		demand.draw = PartKey(demand.Random() * math.MaxUint32)
+	}
 	demand.serviceLatency = r.serviceLatency(demand.Service, now)
 	choice := Choose(candidates, demand, speed, distanceTo, now)
 	if choice.Candidates == 0 {
@@ -49,6 +57,10 @@
 		call.tokensAhead = tokensAhead(choice.Work, demand, choice.KeptTokens)
 		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed.slowed(e.load.workFactor(now)))
 	}
+	if call.plain && e.load != nil {
+		call.sentAt = now
+		e.load.ownSent = append(e.load.ownSent, now)
+	}
 	call.probe = e.stated.beginProbe(now)
 	e.own.Waiting++
 	if !demand.Late {
@@ -104,6 +116,7 @@
 	}
 	c.ended = true
 	c.endProbe(now)
+	c.endpoint.load.endOwn(c.sentAt)
 	if c.started {
 		c.endpoint.own.Running--
 	} else {
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -18,6 +18,8 @@
 	partKeys []PartKey
 	// serviceLatency is the expected time of a call at the endpoints of a plain service, as the logarithm of seconds.
 	serviceLatency float64
+	// draw is drawn from Random once for the choice among plain endpoints, which then does not depend on their order.
+	draw PartKey
 	// TimeLeft is the time until the deadline; zero means unknown. Only endpoints with stated loads are compared with it.
 	TimeLeft time.Duration
 	// TargetLatency is the time within which the first token has its full value; zero means that there is no limit.
@@ -167,7 +169,7 @@
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
 	learned := demand.Model == "" && e.load != nil
 	if learned {
-		expected = e.expectedPlain(demand.serviceLatency, now)
+		expected = e.expectedPlain(demand, now)
 	}
 	total := expected + distanceTo(e.DataCentre).Latency
 	tooLate := demand.TargetLatency > 0 && total > demand.TargetLatency || e.load != nil && demand.TimeLeft > 0 && total > demand.TimeLeft
@@ -186,7 +188,7 @@
 	}
 	cost += interference(work, demand, keptTokens, speed) + demand.spreadAt(e.key, keptTokens)
 	if learned {
-		cost = demand.spreadCost(cost)
+		cost = demand.spreadCost(cost, e, now)
 	}
 	if cost >= choice.FirstToken {
 		if cost < choice.RunnerUpFirstToken {
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -36,7 +36,7 @@
 	limitReportInterval = time.Second
 	maxLimitChanges     = 32
 	// spreadExponent is the power of the cost with which the probability of a plain endpoint falls.
-	spreadExponent = 3
+	spreadExponent = 2
 )
 
 // endpointLoad is what is known of an endpoint's load from its statements. It exists once an endpoint of the service has
@@ -55,7 +55,9 @@
 	ownAt     time.Time
 	// concurrency is learned from the latencies of a plain endpoint. reportedLimit is the limit of the last LimitChange,
 	// reportedAt its time.
-	concurrency   limit.Concurrency
+	concurrency limit.Concurrency
+	// ownSent are the times of this instance's calls in progress at a plain endpoint, the earliest first.
+	ownSent       []time.Time
 	reportedLimit int
 	reportedAt    time.Time
 }
@@ -176,6 +178,16 @@
 	c.registry.addLatency(c.endpoint, &l.ownSample, now)
 }
 
+// endOwn removes a plain call of this instance that was sent at a time.
+func (l *endpointLoad) endOwn(sentAt time.Time) {
+	if l == nil || sentAt.IsZero() {
+		return
+	}
+	if i := slices.Index(l.ownSent, sentAt); i >= 0 {
+		l.ownSent = slices.Delete(l.ownSent, i, i+1)
+	}
+}
+
 // addLatency adds the latency of a sample to the estimates of an endpoint and its service. The caller holds the lock.
 func (r *Registry) addLatency(e *Endpoint, s *LoadSample, at time.Time) {
 	l := e.load
@@ -185,8 +197,8 @@
 		service = &limit.Track{}
 		r.latency[e.Service] = service
 	}
-	service.Add(logLatency, at)
-	reason := l.concurrency.Add(logLatency, s.Calls, l.slotsOf(e), at)
+	service.Add(l.concurrency.Uncrowded(logLatency, s.Calls, l.slotsOf(e), at), at)
+	reason := l.concurrency.Add(logLatency, r.serviceLatency(e.Service, at), s.Calls, l.slotsOf(e), at)
 	after := int(math.Round(l.concurrency.Limit(l.slotsOf(e), at)))
 	before := cmp.Or(l.reportedLimit, l.slotsOf(e))
 	if reason == limit.Unchanged || after == before || at.Sub(l.reportedAt) < limitReportInterval || len(r.limitChanges) >= maxLimitChanges {
@@ -236,25 +248,30 @@
 //
 // Load pattern: endpoints of one service that differ in speed, and some that become slow long before their slots are in use.
 // Up to the learned limit a call takes the service time; beyond it, each call delays all others.
-func (e *Endpoint) expectedPlain(serviceLatency float64, now time.Time) time.Duration {
+func (e *Endpoint) expectedPlain(demand *Demand, now time.Time) time.Duration {
 	l := e.load
-	serviceTime := math.Exp(l.concurrency.LogLatency(serviceLatency, now)) * l.workFactor(now)
+	serviceTime := math.Exp(l.concurrency.LogLatency(demand.serviceLatency, now)) * l.workFactor(now)
 	recent := time.Duration(serviceTime * float64(time.Second))
 	calls := max(l.calls.Predict(0, recent, now), float64(e.own.Calls()))
 	crowding := max((calls+1)/l.concurrency.Limit(l.slotsOf(e), now), 1)
-	return time.Duration(serviceTime * crowding * crowding * float64(time.Second))
+	expected := time.Duration(serviceTime * crowding * float64(time.Second))
+	if len(l.ownSent) > 0 {
+		expected = max(expected, now.Sub(l.ownSent[0]))
+	}
+	return expected
 }
 
 // spreadCost returns the cost of a plain endpoint for the comparison of endpoints. It is random, so that the lowest cost is
-// that of each endpoint with a probability in inverse proportion to a power of its cost: instances that have the same view
-// then do not all send to the fastest endpoint, and a slow one is tried now and then.
-func (d *Demand) spreadCost(cost time.Duration) time.Duration {
+// that of each endpoint with a probability in proportion to its limit of concurrent calls, and in inverse proportion to a power
+// of its cost: instances that have the same view then do not all send to the fastest endpoint or to one that has just become
+// idle, and a slow one is tried now and then.
+func (d *Demand) spreadCost(cost time.Duration, e *Endpoint, now time.Time) time.Duration {
 	if d.Random == nil {
 		return cost
 	}
 	// The least of exponentially distributed numbers with different rates is that of each rate with a probability in
 	// proportion to it.
-	exponential := -math.Log(1 - d.Random())
+	exponential := -math.Log(1-rendezvousFraction(d.draw, e.key)) / e.load.concurrency.Limit(e.load.slotsOf(e), now)
 	return time.Duration(float64(cost) * math.Pow(exponential, 1.0/spreadExponent))
 }
 
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -184,3 +184,21 @@
 		t.Fatalf("chose %q at %v", choice.ID, choice.FirstToken)
 	}
 }
+
+// Guards against more calls to an endpoint that has just become slow: a call that is late says so before its response does.
+func TestOverdueCallRaisesTheExpectedTime(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(Announcement{ID: "e1", Service: "plain", Address: "e1", Lifetime: 1, Slots: 6}, now)
+	r.StatedLoad("e1", 1, StatedLoad{Slots: 6, WorkPercent: 100}, now)
+	_, overdue := r.Reserve(&Demand{Service: "plain"}, noDistance, now)
+	at := now.Add(300 * time.Millisecond)
+	choice, second := r.Reserve(&Demand{Service: "plain"}, noDistance, at)
+	if choice.AtEndpoint < 300*time.Millisecond {
+		t.Fatalf("expected %v", choice.AtEndpoint)
+	}
+	second.End(Succeeded, at)
+	overdue.End(Succeeded, at)
+	if choice, _ = r.Reserve(&Demand{Service: "plain"}, noDistance, at); choice.AtEndpoint > 50*time.Millisecond {
+		t.Fatalf("expected %v after the response", choice.AtEndpoint)
+	}
+}
--- a/pkg/limit/concurrency.go
+++ b/pkg/limit/concurrency.go
@@ -37,8 +37,10 @@
 }
 
 const (
-	// fewCallsShare is the share of the limit up to which the calls are few.
+	// fewCallsShare is the share of the limit up to which the calls are few. Up to fewCalls within the limit always are:
+	// an endpoint with a low limit seldom has one call only.
 	fewCallsShare = 1.0 / 3
+	fewCalls      = 2
 	// tolerated and slow are the factors of the latency up to which it counts as alike, and from which it lowers the limit.
 	tolerated = 1.2
 	slow      = 1.5
@@ -69,8 +71,13 @@
 	return c.latency.Mean(prior, now)
 }
 
-// Add adds the latency of a response while the endpoint had a number of calls.
-func (c *Concurrency) Add(logLatency float64, calls, slots int, at time.Time) Reason {
+// Uncrowded returns the part of a latency that is not caused by calls beyond the limit.
+func (c *Concurrency) Uncrowded(logLatency float64, calls, slots int, at time.Time) float64 {
+	return logLatency - math.Log(max(float64(calls)/c.Limit(slots, at), 1))
+}
+
+// Add adds the latency of a response while the endpoint had a number of calls. The prior is as for LogLatency.
+func (c *Concurrency) Add(logLatency, prior float64, calls, slots int, at time.Time) Reason {
 	limit := c.Limit(slots, at)
 	if c.limit == 0 || at.After(c.relaxedAt) {
 		c.limit, c.relaxedAt = limit, at
@@ -80,9 +87,9 @@
 		c.latency.Add(logLatency, at)
 		return Unchanged
 	}
-	expected := c.latency.Mean(logLatency, at)
+	expected := c.latency.Mean(prior, at)
 	excess := min(max(logLatency-expected, -maxDeviation), maxDeviation)
-	if float64(calls) <= max(limit*fewCallsShare, 1) {
+	if float64(calls) <= max(limit*fewCallsShare, min(limit, fewCalls)) {
 		c.latency.Add(expected+excess, at)
 		return Unchanged
 	}
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -59,7 +59,7 @@
 		from = from.Add(10 * time.Millisecond)
 		calls := 1 + random.IntN(max(int(c.Limit(slots, from)*1.2), 2))
 		latency := 15 * math.Max(1, float64(calls)/float64(knee)) * (0.7 + 0.6*random.Float64())
-		c.Add(math.Log(latency/1000), calls, slots, from)
+		c.Add(math.Log(latency/1000), math.Log(0.015), calls, slots, from)
 	}
 	return from
 }
