fleet: avoid an engine for a moment after it rejected a call

What was seen: 5,773 of 37,484 arrivals were rejected by full endpoints. An engine has memory for some 2,400 tokens per slot, and requests cost 1,500 to 4,000, so that it is full with slots left; such rejections were not used.

Change: for one second after a rejection, an engine that states a time of work gets no call unless it has fewer calls than then. A response with as many calls ends that. Messages tell rejections in the bit beside the number of calls, at no additional size.

Result: tests of pkg/fleet and pkg/exchange pass; the new test fails without the check.

--- a/pkg/exchange/loads.go
+++ b/pkg/exchange/loads.go
@@ -26,14 +26,18 @@
 	maxPackedLatency = 170
 )
 
-// PackLoads encodes what endpoints have stated: for each its key, followed by the age, the number of calls, the time of
+// PackLoads encodes what endpoints have stated: for each its key, followed by the age, twice the number of calls, plus one if the endpoint rejected one, the time of
 // work and the latency as variable-length integers. The latency is packed as a logarithm, zero if it is not known.
 func PackLoads(samples []fleet.LoadSample) []byte {
 	var packed []byte
 	for _, s := range samples {
 		packed = binary.BigEndian.AppendUint32(packed, uint32(s.Endpoint))
 		packed = binary.AppendUvarint(packed, uint64(min(max(s.Age, 0), maxLoadAge)/loadAgeUnit))
-		packed = binary.AppendUvarint(packed, uint64(min(max(s.Calls, 0), maxPackedLoad)))
+		calls := uint64(2 * min(max(s.Calls, 0), maxPackedLoad/2-1))
+		if s.Rejected {
+			calls++
+		}
+		packed = binary.AppendUvarint(packed, calls)
 		packed = binary.AppendUvarint(packed, uint64(min(max(s.WorkPercent/loadPercentUnit, 1), maxPackedLoad)))
 		latency := 0
 		if s.Latency > 0 {
@@ -64,7 +68,8 @@
 		if values[2] == 0 || values[3] > maxPackedLatency || time.Duration(values[0])*loadAgeUnit > maxLoadAge {
 			return nil, errors.Newf("packed loads have an invalid value after %d endpoints", len(samples))
 		}
-		s.Age, s.Calls, s.WorkPercent = time.Duration(values[0])*loadAgeUnit, values[1], values[2]*loadPercentUnit
+		s.Age, s.Calls, s.WorkPercent = time.Duration(values[0])*loadAgeUnit, values[1]/2, values[2]*loadPercentUnit
+		s.Rejected = values[1]%2 == 1
 		if values[3] > 0 {
 			s.Latency = time.Duration(float64(minPackedLatency) * math.Exp(float64(values[3]-1)/latencySteps))
 		}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -29,6 +29,8 @@
 	recentCalls = time.Second
 	// maxWorkFactor bounds the factor by which work is expected to be slower or faster than usual.
 	maxWorkFactor = 20.0
+	// rejectionTime is the time for which an endpoint that rejected a call gets none, unless it has fewer calls than then.
+	rejectionTime = time.Second
 	// usualServiceTime is the expected time of a plain call until responses have been measured.
 	usualServiceTime = 15 * time.Millisecond
 	// limitReportInterval is the minimum time between two reported changes of an endpoint's limit, and maxLimitChanges the
@@ -50,6 +52,9 @@
 	capacity *limit.Capacity
 	// ownCallsThen is the number of this instance's calls at the time of the latest statement.
 	ownCallsThen int
+	// rejectedCalls is the number of calls that the endpoint stated in its latest rejection, rejectedAt the time of that.
+	rejectedCalls int
+	rejectedAt    time.Time
 	// ownSample is the latest statement to this instance, to be told to others.
 	ownSample LoadSample
 	ownAt     time.Time
@@ -70,6 +75,8 @@
 	// Calls is the number of running and waiting requests.
 	Calls       int
 	WorkPercent int
+	// Rejected is set if the endpoint rejected a call.
+	Rejected bool
 	// Latency is the time of the response of a plain endpoint, without the network; zero for engines and if it is not known.
 	Latency time.Duration
 }
@@ -97,7 +104,7 @@
 	l := r.statedLoad(e)
 	l.slots = load.Slots
 	calls := load.Running + load.Waiting
-	l.ownAt, l.ownSample = now, LoadSample{Endpoint: e.key, Calls: calls, WorkPercent: cmp.Or(load.WorkPercent, 100)}
+	l.ownAt, l.ownSample = now, LoadSample{Endpoint: e.key, Calls: calls, WorkPercent: cmp.Or(load.WorkPercent, 100), Rejected: load.Rejected}
 	l.add(&l.ownSample, e.own.Calls(), now)
 	if load.Rejected {
 		l.capacity.Rejected(calls, load.Slots)
@@ -131,6 +138,12 @@
 	bounded := min(max(float64(s.WorkPercent)/100, 1/maxWorkFactor), maxWorkFactor)
 	l.logFactor.Add(math.Log(bounded), at)
 	l.calls.Add(float64(s.Calls), at)
+	switch {
+	case s.Rejected && at.After(l.rejectedAt):
+		l.rejectedCalls, l.rejectedAt = s.Calls, at
+	case !s.Rejected && s.Calls >= l.rejectedCalls && at.After(l.rejectedAt):
+		l.rejectedAt = time.Time{}
+	}
 	if _, latest := l.calls.Latest(); latest.Equal(at) {
 		l.ownCallsThen = ownCalls
 	}
@@ -157,12 +170,18 @@
 //
 // Load pattern: demand above what the engines with a model can run. Each instance knows its own calls at once and those of
 // others after some seconds, so that more calls arrive at an engine than it accepts.
+//
+// Rejections with slots left, for instance because an engine's memory is in use, count for a moment only.
 func (e *Endpoint) full(work Work, now time.Time) bool {
 	if e.load == nil {
 		return false
 	}
+	expected := e.load.expectedCalls(work, e.own.Calls(), now)
+	if now.Sub(e.load.rejectedAt) < rejectionTime && expected+1 > float64(e.load.rejectedCalls) {
+		return true
+	}
 	calls, limited := e.load.capacity.Calls(e.load.slotsOf(e))
-	return limited && e.load.expectedCalls(work, e.own.Calls(), now)+1 > calls
+	return limited && expected+1 > calls
 }
 
 // Responded records the time from the send to the whole response of a plain service, without the network. The endpoint's
@@ -290,7 +309,7 @@
 const maxToldLoads = 8
 
 // LoadsSince returns the latest statements to this instance after a time, of at most maxToldLoads endpoints: first
-// plain ones, whose limits the instances learn together, then those whose load differs most from an idle endpoint with the usual speed.
+// plain ones, whose limits the instances learn together, and those that rejected a call, then those whose load differs most from an idle endpoint with the usual speed.
 func (r *Registry) LoadsSince(t, now time.Time) []LoadSample {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -308,7 +327,7 @@
 		sample.Age = now.Sub(l.ownAt)
 		fullness := float64(sample.Calls) / float64(l.slotsOf(e))
 		rank := math.Abs(math.Log(float64(sample.WorkPercent)/100)) + fullness
-		if sample.Latency > 0 {
+		if sample.Latency > 0 || sample.Rejected {
 			rank = math.MaxFloat64
 		}
 		told = append(told, ranked{sample, rank})
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -202,3 +202,22 @@
 		t.Fatalf("expected %v after the response", choice.AtEndpoint)
 	}
 }
+
+// Guards against calls to an engine that rejects them although it has slots left, because its memory is in use, and against
+// an engine that gets none after it has room again.
+func TestRejectionWithSlotsLeftCountsForAMoment(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	stateLoad(r, "e1", 30, 100, true, now)
+	if choice, call := r.Reserve(demandFor("m"), noDistance, now); call != nil || choice.Obstacle != Saturated {
+		t.Fatalf("right after the rejection: %+v", choice)
+	}
+	if choice, call := r.Reserve(demandFor("m"), noDistance, now.Add(rejectionTime)); call == nil {
+		t.Fatalf("a moment later: %+v", choice)
+	}
+	stateLoad(r, "e1", 30, 100, true, now.Add(2*time.Second))
+	stateLoad(r, "e1", 20, 100, false, now.Add(2100*time.Millisecond))
+	if choice, call := r.Reserve(demandFor("m"), noDistance, now.Add(2100*time.Millisecond)); call == nil {
+		t.Fatalf("after calls have ended: %+v", choice)
+	}
+}
