fleet: expect late requests to wait for prompts that arrive later

What was seen: 5,234 requests were held to their deadline without an answer.

Cause: engines read the prompts of late requests after all others, but the expected time of a late request was that of the prompts that wait now. Where urgent prompts take most of an engine's time, those that arrive later delay it several times as long.

Change: with stated loads, the expected time of a late request grows with the share of the engine's time that urgent prompts take, so that it goes to another engine or is rejected at once. The stated time of work is averaged over the time that a prompt takes: it changes many times a second, and a prompt of seconds sees its mean.

Result: tests of pkg/limit, pkg/fleet and pkg/edge pass; the two new tests fail without the change. A test shows that nothing changes without stated loads.

--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -55,7 +55,7 @@
 	if demand.Model != "" {
 		call.late = demand.Late
 		call.tokensAhead = tokensAhead(choice.Work, demand, choice.KeptTokens)
-		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed.slowed(e.load.workFactor(now)))
+		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, e.speedNow(speed, call.tokensAhead, now))
 	}
 	if call.plain && e.load != nil {
 		call.sentAt = now
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -165,11 +165,14 @@
 	}
 	keptTokens := e.prompts.keptTokens(demand.partKeys, demand.Parts)
 	work := e.Work(now)
-	speed = e.speed(speed, now).slowed(e.load.workFactor(now))
+	speed = e.speedNow(e.speed(speed, now), tokensAhead(work, demand, keptTokens), now)
 	expected := ExpectedFirstToken(work, demand, keptTokens, e.Slots, speed)
 	learned := demand.Model == "" && e.load != nil
-	if learned {
+	switch {
+	case learned:
 		expected = e.expectedPlain(demand, now)
+	case e.load != nil:
+		expected += timeOvertaken(work, demand, keptTokens, speed)
 	}
 	total := expected + distanceTo(e.DataCentre).Latency
 	tooLate := demand.TargetLatency > 0 && total > demand.TargetLatency || e.load != nil && demand.TimeLeft > 0 && total > demand.TimeLeft
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -31,6 +31,8 @@
 	maxWorkFactor = 20.0
 	// rejectionTime is the time for which an endpoint that rejected a call gets none, unless it has fewer calls than then.
 	rejectionTime = time.Second
+	// maxOvertakingShare bounds the share of an engine's time that is expected to go to prompts before those of late requests.
+	maxOvertakingShare = 0.9
 	// usualServiceTime is the expected time of a plain call until responses have been measured.
 	usualServiceTime = 15 * time.Millisecond
 	// limitReportInterval is the minimum time between two reported changes of an endpoint's limit, and maxLimitChanges the
@@ -149,12 +151,32 @@
 	}
 }
 
-// workFactor returns the expected time of work relative to the usual time.
-func (l *endpointLoad) workFactor(now time.Time) float64 {
+// workFactor returns the expected time of work relative to the usual time, as a mean over work that begins now and takes some
+// time.
+func (l *endpointLoad) workFactor(duration time.Duration, now time.Time) float64 {
 	if l == nil {
 		return 1
 	}
-	return math.Exp(l.logFactor.Predict(0, recentFactor, now))
+	return math.Exp(l.logFactor.Predict(0, recentFactor, duration, now))
+}
+
+// speedNow returns the expected speed of the endpoint's engine while it reads a number of tokens from now on, given its usual
+// speed.
+func (e *Endpoint) speedNow(usual EngineSpeed, tokens int, now time.Time) EngineSpeed {
+	return usual.slowed(e.load.workFactor(usual.prefillTime(tokens), now))
+}
+
+// timeOvertaken returns the time for which a late request waits for prompts that have not arrived yet: an engine reads them
+// before those of late requests.
+//
+// Load pattern: demand near what the engines can read, with late requests that are held until their deadline.
+func timeOvertaken(work Work, demand *Demand, keptTokens int, speed EngineSpeed) time.Duration {
+	if !demand.Late || work.PrefillTokens <= 0 {
+		return 0
+	}
+	share := float64(work.PrefillRate) / (speed.PrefillPerMs * 1000) * float64(work.UrgentTokens) / float64(work.PrefillTokens)
+	share = min(share, maxOvertakingShare)
+	return time.Duration(float64(speed.prefillTime(tokensAhead(work, demand, keptTokens))) * share / (1 - share))
 }
 
 // expectedCalls returns the expected number of calls at an engine: the stated one and this instance's calls since then, and
@@ -269,9 +291,10 @@
 // Up to the learned limit a call takes the service time; beyond it, each call delays all others.
 func (e *Endpoint) expectedPlain(demand *Demand, now time.Time) time.Duration {
 	l := e.load
-	serviceTime := math.Exp(l.concurrency.LogLatency(demand.serviceLatency, now)) * l.workFactor(now)
+	serviceTime := math.Exp(l.concurrency.LogLatency(demand.serviceLatency, now))
+	serviceTime *= l.workFactor(time.Duration(serviceTime*float64(time.Second)), now)
 	recent := time.Duration(serviceTime * float64(time.Second))
-	calls := max(l.calls.Predict(0, recent, now), float64(e.own.Calls()))
+	calls := max(l.calls.Predict(0, recent, 0, now), float64(e.own.Calls()))
 	crowding := max((calls+1)/l.concurrency.Limit(l.slotsOf(e), now), 1)
 	expected := time.Duration(serviceTime * crowding * float64(time.Second))
 	if len(l.ownSent) > 0 {
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -105,8 +105,8 @@
 	}
 	to.AddRemoteLoads(append(told, LoadSample{Endpoint: 1, WorkPercent: 100}), at)
 	here, there := from.endpoints["e1"].load, to.endpoints["e1"].load
-	if here.workFactor(at) != there.workFactor(at) || there.workFactor(at) < 3.5 {
-		t.Fatalf("factor %.2f, there %.2f", here.workFactor(at), there.workFactor(at))
+	if here.workFactor(0, at) != there.workFactor(0, at) || there.workFactor(0, at) < 3.5 {
+		t.Fatalf("factor %.2f, there %.2f", here.workFactor(0, at), there.workFactor(0, at))
 	}
 	if got := to.LoadsSince(now.Add(-time.Second), at); len(got) != 0 {
 		t.Fatalf("passed on %+v", got)
@@ -221,3 +221,38 @@
 		t.Fatalf("after calls have ended: %+v", choice)
 	}
 }
+
+// Guards against late requests that are held to their deadline without an answer: 5,234 requests were. Engines read the
+// prompts of late requests after all others, also after those that arrive later.
+func TestLateRequestsWaitForPromptsThatArriveLater(t *testing.T) {
+	for _, stated := range []bool{false, true} {
+		r := NewRegistry()
+		announce(r, "e1", HeldModel{Name: "m"})
+		if stated {
+			stateLoad(r, "e1", 10, 100, false, now)
+		}
+		r.SetRemoteWork("other", map[EndpointKey]Work{
+			EndpointKeyOf("e1"): {Waiting: 5, PrefillTokens: 10_000, UrgentTokens: 8000, PrefillRate: 16_000},
+		}, now)
+		late := demandFor("m")
+		late.Late, late.TargetLatency, late.MaxPrefillShare = true, 1200*time.Millisecond, 0.85
+		if choice, call := r.Reserve(late, noDistance, now); (call == nil) != stated {
+			t.Errorf("load stated: %v, choice is %+v", stated, choice)
+		}
+	}
+}
+
+// Guards against taking the time of work at one moment for that of a prompt which takes seconds.
+func TestFactorOfLongPromptIsItsMean(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	at := now
+	for i := range 100 {
+		at = at.Add(100 * time.Millisecond)
+		stateLoad(r, "e1", 1, []int{400, 25}[i%2], false, at)
+	}
+	l := r.endpoints["e1"].load
+	if short, long := l.workFactor(time.Millisecond, at), l.workFactor(5*time.Second, at); short > 0.3 || long < 0.75 || long > 1.2 {
+		t.Fatalf("factor %.2f for a short prompt, %.2f for a long one", short, long)
+	}
+}
--- a/pkg/fleet/speed.go
+++ b/pkg/fleet/speed.go
@@ -204,7 +204,7 @@
 	prefill := max(took-c.otherTime, time.Millisecond)
 	sample := math.Log(float64(prefill) / float64(DefaultEngineSpeed().prefillTime(c.tokensAhead)))
 	// What the endpoint has stated of its machine counts separately.
-	sample -= math.Log(c.endpoint.load.workFactor(now))
+	sample -= math.Log(c.endpoint.load.workFactor(took, now))
 	sample = min(max(sample, -MaxLogSlowness), MaxLogSlowness)
 	c.registry.addSlowness(c.endpoint, sample, 1, now)
 	c.registry.ownSlowness.record(now, SlownessSamples{Endpoint: c.endpoint.key, Count: 1, LogSum: sample})
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -21,7 +21,7 @@
 		after    time.Duration
 		want, by float64
 	}{{0, 1, 0.01}, {time.Second, 0.42, 0.1}, {time.Minute, 0, 0.01}} {
-		if got := track.Predict(0, 300*time.Millisecond, end.Add(c.after)); math.Abs(got-c.want) > c.by {
+		if got := track.Predict(0, 300*time.Millisecond, 0, end.Add(c.after)); math.Abs(got-c.want) > c.by {
 			t.Errorf("%v after the last sample: %.2f, want %.2f", c.after, got, c.want)
 		}
 	}
--- a/pkg/limit/track.go
+++ b/pkg/limit/track.go
@@ -37,14 +37,18 @@
 	}
 }
 
-// Predict returns the expected value: near the latest sample for about recent after it, then the mean, and in the end the
-// prior.
-func (t *Track) Predict(prior float64, recent time.Duration, now time.Time) float64 {
+// Predict returns the expected mean over the time from now to a horizon: near the latest sample for about recent after it,
+// then the mean of the samples, and in the end the prior.
+func (t *Track) Predict(prior float64, recent, horizon time.Duration, now time.Time) float64 {
 	if t.at.IsZero() {
 		return prior
 	}
 	age := now.Sub(t.at)
-	return prior + decay(age, forgetTime)*(t.mean-prior+decay(age, recent)*(t.latest-t.mean))
+	weight := decay(age, recent)
+	if horizon > 0 {
+		weight *= recent.Seconds() / horizon.Seconds() * (1 - decay(horizon, recent))
+	}
+	return prior + decay(age, forgetTime)*(t.mean-prior+weight*(t.latest-t.mean))
 }
 
 // Mean returns the mean, and without further samples more and more the prior.
