edge: bound and log what is told and learned of endpoints' loads

Change: the number of loads in a message falls with the interval, which grows with the number of instances, and messages to other regions tell only the loads of plain endpoints and of those that rejected a call: at most 3.5 KB/s of loads within the region with 390 instances. A test plays the responses of an endpoint that becomes slow with more calls and finds the log line of the learned limit.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
@@ -440,3 +441,45 @@
 		call.End(fleet.Succeeded, now)
 	}
 }
+
+// Guards against messages that take more than a sixth of the 22 KB/s that control may use, with 63 and with 390 instances in
+// two regions: each load takes at most nine bytes, or twelve as text.
+func TestToldLoadsStayWithinTheirBudget(t *testing.T) {
+	for instances, interval := range map[int]time.Duration{63: 62 * 200 * time.Millisecond / 15, 390: 2 * time.Second} {
+		perSecond := float64(instances/2) / interval.Seconds()
+		if bytes := perSecond * 12 * float64(toldLoads(interval)); bytes > 22_000.0/6 {
+			t.Errorf("%.0f bytes a second with %d instances", bytes, instances)
+		}
+	}
+	if few := toldLoads(200 * time.Millisecond); few != 8 {
+		t.Errorf("%d loads with few instances", few)
+	}
+}
+
+// Guards against a learned limit that an operator cannot see, and against a line for each of the responses that change it.
+// Load pattern: a plain endpoint takes ten times as long with five calls as with one.
+func TestChangesOfLearnedLimitsAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	s, err := New(Settings{InstanceID: "edge-1", ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.New(core))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	s.deps.Fleet.Announce(fleet.Announcement{ID: "e1", Service: "plain", Address: "e1:1", Lifetime: 1, Slots: 6}, now)
+	for i := range 200 {
+		sample := fleet.LoadSample{Endpoint: fleet.EndpointKeyOf("e1"), Calls: 1, WorkPercent: 100, Latency: 15 * time.Millisecond}
+		if i%2 == 1 {
+			sample.Calls, sample.Latency = 5, 150*time.Millisecond
+		}
+		m := &exchange.Message{Instance: "edge-2", Loads: exchange.PackLoads([]fleet.LoadSample{sample})}
+		s.receiveLoads(m, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	lines := logs.FilterMessage("endpoint's learned limit changed").All()
+	if len(lines) < 1 || len(lines) > 3 {
+		t.Fatalf("%d lines in two seconds", len(lines))
+	}
+	fields := lines[0].ContextMap()
+	if fields["endpoint"] != "e1" || fields["before"] != int64(6) || fields["after"].(int64) > 5 || fields["reason"] != "slower with more calls" {
+		t.Fatalf("fields are %v", fields)
+	}
+}
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -18,6 +18,12 @@
 	// sentPartRepeats is the number of intervals for which a prompt part is told. A lost one costs an engine's time to
 	// read it again, and is told anew with the next request that has it.
 	sentPartRepeats = 1.5
+	// maxToldLoads and minToldLoads bound the endpoints whose loads one message tells. Between them the number is
+	// toldLoadsTime by the interval: with 63 instances, seven within the region take up to 3.1 KB/s of the 22 KB/s that
+	// control may use; with 390 instances, three take up to 3.5 KB/s.
+	maxToldLoads  = 8
+	minToldLoads  = 2
+	toldLoadsTime = 6 * time.Second
 )
 
 // compose adds this instance's state to a message.
@@ -51,7 +57,7 @@
 		m.Parts = exchange.PackParts(s.deps.Fleet.SentPartsSince(now.Add(-time.Duration(sentPartRepeats * float64(info.Interval)))))
 	}
 	m.Slowness = exchange.PackSlowness(s.deps.Fleet.SlownessSince(now.Add(-info.Interval)))
-	m.Loads = exchange.PackLoads(s.deps.Fleet.LoadsSince(now.Add(-info.Interval), now))
+	m.Loads = exchange.PackLoads(s.deps.Fleet.LoadsSince(now.Add(-info.Interval), now, toldLoads(info.Interval), !to.SameRegion))
 	if info.ToHolder {
 		m.Models, m.Adapters = s.demand.ownDemand(now)
 	}
@@ -72,6 +78,12 @@
 	}
 }
 
+// toldLoads returns the number of endpoints whose stated loads one message tells, in up to twelve bytes each. The interval
+// grows with the number of instances, and with more instances each of them gets fewer of an endpoint's responses.
+func toldLoads(interval time.Duration) int {
+	return min(max(int(toldLoadsTime/interval), minToldLoads), maxToldLoads)
+}
+
 // heldDocs returns, for each endpoint whose models were changed by orders since a time, the models that it holds.
 func (s *Server) heldDocs(since time.Time) []exchange.HeldDoc {
 	var docs []exchange.HeldDoc
--- a/pkg/fleet/compare_test.go
+++ b/pkg/fleet/compare_test.go
@@ -208,7 +208,7 @@
 	exchange = func() {
 		at := now.Add(c.since)
 		for i, from := range c.instances {
-			work, loads := make(map[EndpointKey]Work), from.LoadsSince(at.Add(-interval), at)
+			work, loads := make(map[EndpointKey]Work), from.LoadsSince(at.Add(-interval), at, 7, false)
 			for id, w := range from.OwnWork(at) {
 				work[EndpointKeyOf(id)] = w
 			}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -328,12 +328,10 @@
 	return s
 }
 
-// maxToldLoads bounds the endpoints whose loads one message tells.
-const maxToldLoads = 8
-
-// LoadsSince returns the latest statements to this instance after a time, of at most maxToldLoads endpoints: first
-// plain ones, whose limits the instances learn together, and those that rejected a call, then those whose load differs most from an idle endpoint with the usual speed.
-func (r *Registry) LoadsSince(t, now time.Time) []LoadSample {
+// LoadsSince returns the latest statements to this instance after a time, of at most a number of endpoints: first plain ones,
+// whose limits the instances learn together, and those that rejected a call, then those whose load differs most from an
+// idle endpoint with the usual speed. If essential is set, it returns the former only.
+func (r *Registry) LoadsSince(t, now time.Time, count int, essential bool) []LoadSample {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	type ranked struct {
@@ -352,12 +350,14 @@
 		rank := math.Abs(math.Log(float64(sample.WorkPercent)/100)) + fullness
 		if sample.Latency > 0 || sample.Rejected {
 			rank = math.MaxFloat64
+		} else if essential {
+			continue
 		}
 		told = append(told, ranked{sample, rank})
 	}
 	slices.SortFunc(told, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
 	var samples []LoadSample
-	for _, one := range told[:min(len(told), maxToldLoads)] {
+	for _, one := range told[:min(len(told), count)] {
 		samples = append(samples, one.sample)
 	}
 	return samples
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -85,7 +85,7 @@
 	if choice, call := r.Reserve(demandFor("m"), noDistance, now); call == nil || r.endpoints["e1"].load != nil {
 		t.Fatalf("choice is %+v", choice)
 	}
-	if told := r.LoadsSince(now.Add(-time.Second), now); len(told) != 0 {
+	if told := r.LoadsSince(now.Add(-time.Second), now, 8, false); len(told) != 0 {
 		t.Fatalf("told %+v", told)
 	}
 }
@@ -98,9 +98,9 @@
 	}
 	stateLoad(from, "e1", 12, 400, false, now)
 	at := now.Add(200 * time.Millisecond)
-	told := from.LoadsSince(now.Add(-time.Second), at)
+	told := from.LoadsSince(now.Add(-time.Second), at, 8, false)
 	want := LoadSample{Endpoint: EndpointKeyOf("e1"), Age: 200 * time.Millisecond, Calls: 12, WorkPercent: 400}
-	if len(told) != 1 || told[0] != want || len(from.LoadsSince(now, at)) != 0 {
+	if len(told) != 1 || told[0] != want || len(from.LoadsSince(now, at, 8, false)) != 0 {
 		t.Fatalf("told %+v", told)
 	}
 	to.AddRemoteLoads(append(told, LoadSample{Endpoint: 1, WorkPercent: 100}), at)
@@ -108,7 +108,7 @@
 	if here.workFactor(0, at) != there.workFactor(0, at) || there.workFactor(0, at) < 3.5 {
 		t.Fatalf("factor %.2f, there %.2f", here.workFactor(0, at), there.workFactor(0, at))
 	}
-	if got := to.LoadsSince(now.Add(-time.Second), at); len(got) != 0 {
+	if got := to.LoadsSince(now.Add(-time.Second), at, 8, false); len(got) != 0 {
 		t.Fatalf("passed on %+v", got)
 	}
 }
