--- a/pkg/fleet/compare_test.go
+++ b/pkg/fleet/compare_test.go
@@ -162,7 +162,11 @@
 	}
 	r, sent := c.instances[instance], now.Add(c.since)
 	demand := &Demand{Service: "llm", TimeLeft: 2 * time.Second, Random: c.random.Float64}
-	choice, call := r.Reserve(demand, noDistance, sent)
+	// Equal costs would go by the order of a map.
+	distance := func(dataCentre string) Distance {
+		return Distance{Latency: time.Duration((int(dataCentre[1]-'0')+instance)%len(calls)) * time.Microsecond}
+	}
+	choice, call := r.Reserve(demand, distance, sent)
 	if call == nil {
 		return -1, nil
 	}
@@ -189,7 +193,7 @@
 		c.outstanding[i] = make([]int, len(c.endpoints))
 		r := NewRegistry()
 		for id := range c.endpoints {
-			r.Announce(Announcement{ID: fmt.Sprintf("e%d", id), Service: "llm", Address: "a", Lifetime: 1, Slots: compareSlots}, now)
+			r.Announce(Announcement{ID: fmt.Sprintf("e%d", id), Service: "llm", Address: "a", DataCentre: fmt.Sprintf("z%d", id), Lifetime: 1, Slots: compareSlots}, now)
 		}
 		c.instances = append(c.instances, r)
 	}
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -355,7 +355,9 @@
 		}
 		told = append(told, ranked{sample, rank})
 	}
-	slices.SortFunc(told, func(a, b ranked) int { return cmp.Compare(b.rank, a.rank) })
+	slices.SortFunc(told, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.sample.Endpoint, b.sample.Endpoint))
+	})
 	var samples []LoadSample
 	for _, one := range told[:min(len(told), count)] {
 		samples = append(samples, one.sample)
