fleet: a rejected call makes no room at the engine

What callers saw: the call after a rejection could go to the same full engine at once.

Cause: the rejected call counted among this instance's calls when the engine stated its load, so that its end looked like a free slot.

Change: it is left out of the number that later calls are compared with.

Result: the new test fails without the change; pkg/fleet passes.

--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -107,7 +107,12 @@
 	l.slots = load.Slots
 	calls := load.Running + load.Waiting
 	l.ownAt, l.ownSample = now, LoadSample{Endpoint: e.key, Calls: calls, WorkPercent: cmp.Or(load.WorkPercent, 100), Rejected: load.Rejected}
-	l.add(&l.ownSample, e.own.Calls(), now)
+	ownCalls := e.own.Calls()
+	if load.Rejected {
+		// The rejected call is still counted here, but not by the endpoint.
+		ownCalls = max(ownCalls-1, 0)
+	}
+	l.add(&l.ownSample, ownCalls, now)
 	if load.Rejected {
 		l.capacity.Rejected(calls, load.Slots)
 	} else {
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -256,3 +256,17 @@
 		t.Fatalf("factor %.2f for a short prompt, %.2f for a long one", short, long)
 	}
 }
+
+// Guards against sending the next call to an engine that has just rejected one: the rejected call is not among those that
+// the engine states, and its end makes no room there.
+func TestRejectedCallMakesNoRoom(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "e1", HeldModel{Name: "m"})
+	stateLoad(r, "e1", 48, 100, false, now)
+	_, rejected := r.Reserve(demandFor("m"), noDistance, now)
+	stateLoad(r, "e1", 48, 100, true, now)
+	rejected.End(Neutral, now)
+	if choice, call := r.Reserve(demandFor("m"), noDistance, now); call != nil {
+		t.Fatalf("choice is %+v", choice)
+	}
+}
