fleet: report the capacity of engines, and forget it in time

What could happen: one rejection for another reason while an engine's slots were in use limited all engines of the service for the life of the process, although they let calls wait. An operator saw neither that limit nor, after it had returned to the slots, the right number of limited endpoints.

Change: the capacity counts for a minute after the last rejection that confirms it, so that each instance asks again about once a minute. Its changes are logged and counted like those of learned limits, with their reason. The gauge of limited endpoints is updated after each watch.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -230,7 +230,7 @@
 	now := time.Now()
 	if callResult(resp) == fleet.Succeeded {
 		a.call.Responded(now.Sub(a.sentAt)-a.choice.Latency, now)
-		r.server.recordLimitChanges(now)
+		r.server.recordLimitChanges()
 	}
 	a.call.End(callResult(resp), now)
 	if resp.StatusCode() < fasthttp.StatusMultipleChoices {
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -33,7 +33,7 @@
 	// quarantines counts prompt parts put in quarantine.
 	quarantines tally.Counter
 	// limitsLowered and limitsRaised count changes of learned limits of endpoints' concurrent calls, limitsInEffect the
-	// endpoints whose limit was below their slots at the last change.
+	// plain endpoints whose limit is below their slots.
 	limitsLowered   tally.Counter
 	limitsRaised    tally.Counter
 	limitsInEffect  tally.Gauge
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -178,5 +178,5 @@
 		return
 	}
 	s.deps.Fleet.AddRemoteLoads(loads, now)
-	s.recordLimitChanges(now)
+	s.recordLimitChanges()
 }
--- a/pkg/edge/statements.go
+++ b/pkg/edge/statements.go
@@ -22,6 +22,7 @@
 	}
 	if statement.Load.Slots > 0 {
 		s.deps.Fleet.StatedLoad(id, lifetime, statement.Load, now)
+		s.recordLimitChanges()
 	}
 	if statement.RetryAfter == "" {
 		return
@@ -36,17 +37,12 @@
 	}
 }
 
-// recordLimitChanges logs the changes of learned limits and updates their metrics. There is at most one change per endpoint
-// and second.
-func (s *Server) recordLimitChanges(now time.Time) {
-	changes, limited := s.deps.Fleet.TakeLimitChanges(now)
-	if len(changes) == 0 {
-		return
-	}
-	s.metrics.limitsInEffect.Update(float64(limited))
+// recordLimitChanges logs and counts the changes of learned limits. There is at most one change per endpoint and second.
+func (s *Server) recordLimitChanges() {
+	changes := s.deps.Fleet.TakeLimitChanges()
 	for i := range changes {
 		c := &changes[i]
-		if c.After < c.Before {
+		if c.Before == 0 || c.After < c.Before {
 			s.metrics.limitsLowered.Inc(1)
 		} else {
 			s.metrics.limitsRaised.Inc(1)
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -84,6 +84,7 @@
 	w.expireEndpoints()
 	w.server.limitIdleConnections()
 	w.server.metrics.usableEndpoints.Update(float64(w.server.deps.Fleet.Usable()))
+	w.server.metrics.limitsInEffect.Update(float64(w.server.deps.Fleet.LimitedEndpoints(time.Now())))
 }
 
 // waitForNextWatch waits until the next watch is due: after the watch interval, or later while the messages of relays
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -83,9 +83,11 @@
 	Latency time.Duration
 }
 
-// LimitChange is a change of the learned limit of an endpoint's concurrent calls.
+// LimitChange is a change of the learned limit of an endpoint's concurrent calls or, where an endpoint rejected a call or
+// accepted more than the limit, of the limit of all endpoints of its service.
 type LimitChange struct {
-	Endpoint      string
+	Endpoint string
+	// Before is zero if there was no limit.
 	Before, After int
 	Slots         int
 	Reason        limit.Reason
@@ -113,11 +115,19 @@
 		ownCalls = max(ownCalls-1, 0)
 	}
 	l.add(&l.ownSample, ownCalls, now)
-	if load.Rejected {
-		l.capacity.Rejected(calls, load.Slots)
-	} else {
-		l.capacity.Accepted(calls, load.Slots)
+	before, limited := l.capacity.Calls(load.Slots, now)
+	if !limited {
+		before = 0
+	}
+	reason := limit.Unchanged
+	switch {
+	case load.Rejected && l.capacity.Rejected(calls, load.Slots, now):
+		reason = limit.RejectedWhenFull
+	case !load.Rejected && l.capacity.Accepted(calls, load.Slots, now):
+		reason = limit.AcceptedMoreCalls
 	}
+	after, _ := l.capacity.Calls(load.Slots, now)
+	r.reportLimit(e, &l.ownSample, reason, int(math.Round(before)), int(math.Round(after)), now)
 }
 
 // statedLoad returns the record of an endpoint's load. The first statement of a WorkPercent by an endpoint of a service
@@ -207,7 +217,7 @@
 	if now.Sub(e.load.rejectedAt) < rejectionTime && expected+1 > float64(e.load.rejectedCalls) {
 		return true
 	}
-	calls, limited := e.load.capacity.Calls(e.load.slotsOf(e))
+	calls, limited := e.load.capacity.Calls(e.load.slotsOf(e), now)
 	return limited && expected+1 > calls
 }
 
@@ -246,15 +256,24 @@
 	service.Add(l.concurrency.Uncrowded(logLatency, s.Calls, l.slotsOf(e), at), at)
 	reason := l.concurrency.Add(logLatency, r.serviceLatency(e.Service, at), s.Calls, l.slotsOf(e), at)
 	after := int(math.Round(l.concurrency.Limit(l.slotsOf(e), at)))
-	before := cmp.Or(l.reportedLimit, l.slotsOf(e))
+	if r.reportLimit(e, s, reason, cmp.Or(l.reportedLimit, l.slotsOf(e)), after, at) {
+		l.reportedLimit = after
+	}
+}
+
+// reportLimit keeps a change of a limit for TakeLimitChanges, unless one of the same endpoint was kept a moment ago. The caller
+// holds the lock.
+func (r *Registry) reportLimit(e *Endpoint, s *LoadSample, reason limit.Reason, before, after int, at time.Time) bool {
+	l := e.load
 	if reason == limit.Unchanged || after == before || at.Sub(l.reportedAt) < limitReportInterval || len(r.limitChanges) >= maxLimitChanges {
-		return
+		return false
 	}
-	l.reportedLimit, l.reportedAt = after, at
+	l.reportedAt = at
 	r.limitChanges = append(r.limitChanges, LimitChange{
 		Endpoint: e.ID, Before: before, After: after, Slots: l.slotsOf(e), Reason: reason, Calls: s.Calls, Latency: s.Latency,
 		WorkPercent: s.WorkPercent,
 	})
+	return true
 }
 
 // serviceLatency returns the expected time of a call at the endpoints of a plain service, as the logarithm of seconds. The
@@ -267,21 +286,26 @@
 	return usual
 }
 
-// TakeLimitChanges returns the changes of learned limits since the last call, and how many endpoints have a limit below
-// their slots.
-func (r *Registry) TakeLimitChanges(now time.Time) (changes []LimitChange, limited int) {
+// TakeLimitChanges returns the changes of learned limits since the last call.
+func (r *Registry) TakeLimitChanges() []LimitChange {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	changes, r.limitChanges = r.limitChanges, nil
-	if len(changes) == 0 {
-		return nil, 0
-	}
+	changes := r.limitChanges
+	r.limitChanges = nil
+	return changes
+}
+
+// LimitedEndpoints returns the number of plain endpoints whose learned limit is below their slots.
+func (r *Registry) LimitedEndpoints(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limited := 0
 	for _, e := range r.endpoints {
-		if e.load != nil && e.load.concurrency.Limit(e.load.slotsOf(e), now) < float64(e.load.slotsOf(e))-0.5 {
+		if e.load != nil && math.Round(e.load.concurrency.Limit(e.load.slotsOf(e), now)) < float64(e.load.slotsOf(e)) {
 			limited++
 		}
 	}
-	return changes, limited
+	return limited
 }
 
 // slotsOf returns the number of slots that the endpoint states, or else that of its entry.
--- a/pkg/fleet/load_test.go
+++ b/pkg/fleet/load_test.go
@@ -5,6 +5,8 @@
 	"reflect"
 	"testing"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/limit"
 )
 
 // stateLoad records that an endpoint states a load of 48 slots.
@@ -66,6 +68,10 @@
 	announce(r, "e2", HeldModel{Name: "m"})
 	stateLoad(r, "e2", 47, 100, false, now)
 	stateLoad(r, "e1", 48, 100, true, now)
+	changes := r.TakeLimitChanges()
+	if len(changes) != 1 || changes[0].Reason != limit.RejectedWhenFull || changes[0].Before != 0 || changes[0].After != 48 {
+		t.Fatalf("reported changes are %+v", changes)
+	}
 	for _, want := range []string{"e2", ""} {
 		if choice, _ := r.Reserve(demandFor("m"), noDistance, now); choice.ID != want || want == "" && choice.Obstacle != Saturated {
 			t.Fatalf("chose %q, obstacle %v, want %q", choice.ID, choice.Obstacle, want)
--- a/pkg/limit/concurrency.go
+++ b/pkg/limit/concurrency.go
@@ -29,11 +29,14 @@
 	SlowerWithMoreCalls
 	// AsFastWithMoreCalls raises the limit.
 	AsFastWithMoreCalls
+	// RejectedWhenFull and AcceptedMoreCalls change the capacity of a service's endpoints.
+	RejectedWhenFull
+	AcceptedMoreCalls
 )
 
 // String returns the reason for logs.
 func (r Reason) String() string {
-	return [...]string{"unchanged", "slower with more calls", "as fast with more calls"}[r]
+	return [...]string{"unchanged", "slower with more calls", "as fast with more calls", "rejected when full", "accepted more calls"}[r]
 }
 
 const (
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -36,20 +36,27 @@
 // and against one that stays too low after a chance rejection.
 func TestCapacityIsLearnedFromRejections(t *testing.T) {
 	var c Capacity
-	c.Accepted(70, 48)
-	c.Rejected(10, 48)
-	if calls, limited := c.Calls(48); limited {
+	if c.Accepted(70, 48, start) || c.Rejected(10, 48, start) {
+		t.Fatal("changed by a rejection with slots left")
+	}
+	if calls, limited := c.Calls(48, start); limited {
 		t.Fatalf("limit of %v calls", calls)
 	}
-	c.Rejected(60, 48)
-	c.Rejected(47, 48)
-	if calls, limited := c.Calls(96); !limited || calls != 94 {
+	if !c.Rejected(60, 48, start) || !c.Rejected(47, 48, start) || c.Rejected(48, 48, start) {
+		t.Fatal("only rejections with fewer calls than before change the limit")
+	}
+	if calls, limited := c.Calls(96, start); !limited || calls != 94 {
 		t.Fatalf("limit of %v calls", calls)
 	}
-	c.Accepted(56, 48)
-	if calls, _ := c.Calls(48); calls != 56 {
+	if !c.Accepted(56, 48, start) || c.Accepted(50, 48, start) {
+		t.Fatal("only more calls than the limit raise it")
+	}
+	if calls, _ := c.Calls(48, start); calls != 56 {
 		t.Fatalf("limit of %v calls", calls)
 	}
+	if calls, limited := c.Calls(48, start.Add(capacityTime)); limited {
+		t.Fatalf("limit of %v calls a minute after the last rejection", calls)
+	}
 }
 
 // respond adds responses to calls at an endpoint that is slow beyond knee calls, one every 10 ms.
