exchange: keep measurements at the bound valid

What could happen: six first tokens of a stalled engine within one interval made the receivers drop all measurements of the message.

Cause: the sum was rounded up beyond the bound that the receiver checks. Since samples are sent as measured, values at the bound are common.

Change: the packed sum is bounded by what the receiver accepts.

Result: the new test fails without the change from six samples on; pkg/exchange passes.

--- a/pkg/exchange/slowness.go
+++ b/pkg/exchange/slowness.go
@@ -23,7 +23,9 @@
 	for _, s := range samples {
 		packed = binary.BigEndian.AppendUint32(packed, uint32(s.Endpoint))
 		packed = binary.AppendUvarint(packed, uint64(min(s.Count, maxPackedSamples)))
-		packed = binary.AppendVarint(packed, int64(math.Round(s.LogSum*slownessScale)))
+		// A sum that is rounded up beyond the bound would be invalid.
+		bound := math.Floor(float64(min(s.Count, maxPackedSamples)) * fleet.MaxLogSlowness * slownessScale)
+		packed = binary.AppendVarint(packed, int64(min(max(math.Round(s.LogSum*slownessScale), -bound), bound)))
 	}
 	return packed
 }
--- a/pkg/exchange/slowness_test.go
+++ b/pkg/exchange/slowness_test.go
@@ -30,6 +30,18 @@
 	})
 }
 
+// Guards against dropping all measurements of a message because those of an endpoint which has stalled are at the bound.
+func TestPackedSlownessAtTheBound(t *testing.T) {
+	for count := 1; count <= 64; count++ {
+		for _, value := range []float64{fleet.MaxLogSlowness, -fleet.MaxLogSlowness} {
+			packed := PackSlowness([]fleet.SlownessSamples{{Endpoint: 1, Count: count, LogSum: value * float64(count)}})
+			if got, err := UnpackSlowness(packed); err != nil || len(got) != 1 {
+				t.Errorf("%d samples of %.3f: %v", count, value, err)
+			}
+		}
+	}
+}
+
 // Guards against a malformed datagram that takes a process down, or makes an engine look infinitely fast or slow.
 func FuzzUnpackSlowness(f *testing.F) {
 	packed := PackSlowness([]fleet.SlownessSamples{{Endpoint: 1, Count: 3, LogSum: -1.5}, {Endpoint: 9, Count: 1, LogSum: 0.7}})
