fleet: overdue plain calls reject none

What could happen: with one call without an answer at each endpoint of a plain service, an instance rejected all its calls although the endpoints answered others.

Change: the time of an overdue call raises the cost of its endpoint but does not count as the time that a further call will take.

--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -191,6 +191,7 @@
 	}
 	cost += interference(work, demand, keptTokens, speed) + demand.spreadAt(e.key, keptTokens)
 	if learned {
+		cost += e.load.overdue(expected, now)
 		cost = demand.spreadCost(cost, e, now)
 	}
 	if cost >= choice.FirstToken {
--- a/pkg/fleet/load.go
+++ b/pkg/fleet/load.go
@@ -325,11 +325,18 @@
 	recent := time.Duration(serviceTime * float64(time.Second))
 	calls := max(l.calls.Predict(0, recent, 0, now), float64(e.own.Calls()))
 	crowding := max((calls+1)/l.concurrency.Limit(l.slotsOf(e), now), 1)
-	expected := time.Duration(serviceTime * crowding * float64(time.Second))
-	if len(l.ownSent) > 0 {
-		expected = max(expected, now.Sub(l.ownSent[0]))
+	return time.Duration(serviceTime * crowding * float64(time.Second))
+}
+
+// overdue returns by how much longer than expected this instance's oldest call at a plain endpoint has taken so far. It counts
+// in the comparison of endpoints only: a call without an answer does not show that others get none.
+//
+// Load pattern: an endpoint that becomes slow in a moment, whose responses say so late.
+func (l *endpointLoad) overdue(expected time.Duration, now time.Time) time.Duration {
+	if len(l.ownSent) == 0 {
+		return 0
 	}
-	return expected
+	return max(now.Sub(l.ownSent[0])-expected, 0)
 }
 
 // spreadCost returns the cost of a plain endpoint for the comparison of endpoints. It is random, so that the lowest cost is
