--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
@@ -401,3 +402,84 @@
 		}
 	}
 }
+
+// Guards against instances that each know the load of an endpoint only from the few responses that they got from it: of 63
+// instances, each gets a sixty-third of them. Load pattern: the machine of an engine becomes slow for a few seconds.
+func TestStatedLoadReachesOtherInstances(t *testing.T) {
+	now := time.Now()
+	var servers []*Server
+	for _, id := range []string{"edge-1", "edge-2"} {
+		s, err := New(Settings{InstanceID: id, ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, endpoint := range []string{"e1", "e2"} {
+			s.deps.Fleet.Announce(fleet.Announcement{
+				ID: endpoint, Service: "llm", Address: endpoint + ":1", Lifetime: 1, Slots: 48, Models: []fleet.HeldModel{{Name: "m"}},
+			}, now)
+		}
+		servers = append(servers, s)
+	}
+	servers[0].recordStatement("e1", 1, fleet.Statement{Load: fleet.StatedLoad{Running: 40, Slots: 48, WorkPercent: 500}})
+	m := &exchange.Message{Instance: "edge-1"}
+	servers[0].compose(m, exchange.Peer{Instance: "edge-2", SameRegion: true}, exchange.SendInfo{Reason: exchange.ReasonRegular, Interval: time.Minute})
+	data, err := exchange.Encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m, err = exchange.Decode(data); err != nil {
+		t.Fatal(err)
+	}
+	servers[1].receive(m, now)
+	demand := &fleet.Demand{Service: "llm", Model: "m", PromptTokens: 2000, TargetLatency: 2 * time.Second, MaxPrefillShare: 0.95}
+	noDistance := func(string) fleet.Distance { return fleet.Distance{} }
+	for range 3 {
+		choice, call := servers[1].deps.Fleet.Reserve(demand, noDistance, time.Now())
+		if call == nil || choice.ID != "e2" {
+			t.Fatalf("choice is %+v", choice)
+		}
+		call.End(fleet.Succeeded, now)
+	}
+}
+
+// Guards against messages that take more than a sixth of the 22 KB/s that control may use, with 63 and with 390 instances in
+// two regions: each load takes at most nine bytes, or twelve as text.
+func TestToldLoadsStayWithinTheirBudget(t *testing.T) {
+	for instances, interval := range map[int]time.Duration{63: 62 * 200 * time.Millisecond / 15, 390: 2 * time.Second} {
+		perSecond := float64(instances/2) / interval.Seconds()
+		if bytes := perSecond * 12 * float64(toldLoads(interval)); bytes > 22_000.0/6 {
+			t.Errorf("%.0f bytes a second with %d instances", bytes, instances)
+		}
+	}
+	if few := toldLoads(200 * time.Millisecond); few != 8 {
+		t.Errorf("%d loads with few instances", few)
+	}
+}
+
+// Guards against a learned limit that an operator cannot see, and against a line for each of the responses that change it.
+// Load pattern: a plain endpoint takes ten times as long with five calls as with one.
+func TestChangesOfLearnedLimitsAreLogged(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	s, err := New(Settings{InstanceID: "edge-1", ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.New(core))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(1000, 0)
+	s.deps.Fleet.Announce(fleet.Announcement{ID: "e1", Service: "plain", Address: "e1:1", Lifetime: 1, Slots: 6}, now)
+	for i := range 200 {
+		sample := fleet.LoadSample{Endpoint: fleet.EndpointKeyOf("e1"), Calls: 1, WorkPercent: 100, Latency: 15 * time.Millisecond}
+		if i%2 == 1 {
+			sample.Calls, sample.Latency = 5, 150*time.Millisecond
+		}
+		m := &exchange.Message{Instance: "edge-2", Loads: exchange.PackLoads([]fleet.LoadSample{sample})}
+		s.receiveLoads(m, now.Add(time.Duration(i)*10*time.Millisecond))
+	}
+	lines := logs.FilterMessage("endpoint's learned limit changed").All()
+	if len(lines) < 1 || len(lines) > 3 {
+		t.Fatalf("%d lines in two seconds", len(lines))
+	}
+	fields := lines[0].ContextMap()
+	if fields["endpoint"] != "e1" || fields["before"] != int64(6) || fields["after"].(int64) > 5 || fields["reason"] != "slower with more calls" {
+		t.Fatalf("fields are %v", fields)
+	}
+}
--- a/pkg/edge/statements.go
+++ b/pkg/edge/statements.go
@@ -20,6 +20,10 @@
 	if statement.Leaving && s.deps.Fleet.StatedLeaving(id, lifetime, now) {
 		s.logLeaving(id, lifetime, 0, "")
 	}
+	if statement.Load.Slots > 0 {
+		s.deps.Fleet.StatedLoad(id, lifetime, statement.Load, now)
+		s.recordLimitChanges()
+	}
 	if statement.RetryAfter == "" {
 		return
 	}
@@ -33,6 +37,22 @@
 	}
 }
 
+// recordLimitChanges logs and counts the changes of learned limits. There is at most one change per endpoint and second.
+func (s *Server) recordLimitChanges() {
+	changes := s.deps.Fleet.TakeLimitChanges()
+	for i := range changes {
+		c := &changes[i]
+		if c.Before == 0 || c.After < c.Before {
+			s.metrics.limitsLowered.Inc(1)
+		} else {
+			s.metrics.limitsRaised.Inc(1)
+		}
+		s.log.Info("endpoint's learned limit changed", zap.String("endpoint", c.Endpoint), zap.Int("before", c.Before), zap.Int("after", c.After),
+			zap.Int("slots", c.Slots), zap.Stringer("reason", c.Reason), zap.Int("calls", c.Calls), zap.Duration("latency", c.Latency),
+			zap.Int("workPercent", c.WorkPercent))
+	}
+}
+
 // logLeaving logs that an endpoint has said that it leaves, to the instance named by from or, if that is empty, to this
 // one.
 func (s *Server) logLeaving(id string, lifetime int64, age time.Duration, from string) {
--- a/pkg/fleet/call.go
+++ b/pkg/fleet/call.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Call is one request at an endpoint. It counts as work of the endpoint from Reserve to End.
 type Call struct {
@@ -9,7 +12,10 @@
 	prefillTokens int
 	urgentTokens  int
 	probe         bool
-	late          bool
+	plain         bool
+	// sentAt is the time of a plain call to an endpoint with stated loads; zero for others.
+	sentAt time.Time
+	late   bool
 	// tokensAhead is the number of prompt tokens that the engine reads before the first token, and otherTime the rest of the
 	// expected time to it.
 	tokensAhead int
@@ -31,6 +37,10 @@
 	}
 	demand.partKeys = partKeys(demand.Model, demand.Adapter, demand.Parts)
 	speed := speedOf(r.serviceSlowness(demand.Service, now))
+	if demand.Model == "" && demand.Random != nil {
+		demand.draw = PartKey(demand.Random() * math.MaxUint32)
+	}
+	demand.serviceLatency = r.serviceLatency(demand.Service, now)
 	choice := Choose(candidates, demand, speed, distanceTo, now)
 	if choice.Candidates == 0 {
 		return choice, nil
@@ -39,12 +49,17 @@
 	call := &Call{
 		registry:      r,
 		endpoint:      e,
+		plain:         demand.Model == "",
 		prefillTokens: max(demand.PromptTokens-choice.KeptTokens, 0),
 	}
 	if demand.Model != "" {
 		call.late = demand.Late
 		call.tokensAhead = tokensAhead(choice.Work, demand, choice.KeptTokens)
-		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, speed)
+		call.otherTime = timeBesidePrefill(choice.Work, e.Slots, e.speedNow(speed, call.tokensAhead, now))
+	}
+	if call.plain && e.load != nil {
+		call.sentAt = now
+		e.load.ownSent = append(e.load.ownSent, now)
 	}
 	call.probe = e.stated.beginProbe(now)
 	e.own.Waiting++
@@ -101,6 +116,7 @@
 	}
 	c.ended = true
 	c.endProbe(now)
+	c.endpoint.load.endOwn(c.sentAt)
 	if c.started {
 		c.endpoint.own.Running--
 	} else {
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/pkg/limit"
 )
 
 const (
@@ -29,10 +31,12 @@
 	announcedModels []HeldModel
 	own             Work
 	sendRate        sendRate
-	slowness        slowness
-	remoteWork      map[string]remoteWork
-	Health          Health
-	prompts         *promptCache
+	slowness        endpointSlowness
+	// load is what the endpoint has stated of its load; nil if the choice is to ignore that.
+	load       *endpointLoad
+	remoteWork map[string]remoteWork
+	Health     Health
+	prompts    *promptCache
 	// RemovalAt is when a leaving endpoint is removed; zero means unknown.
 	RemovalAt time.Time
 	// graceEndsAt is when an endpoint that was withdrawn with grace is removed; zero for all others.
@@ -112,7 +116,12 @@
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
 	ownSlowness recentLog[SlownessSamples]
-	changed     chan struct{}
+	// capacity is known for services with stated loads, latency, a logarithm of seconds, for plain ones of them.
+	// limitChanges are the changes of learned limits that have not been taken.
+	capacity     map[string]*limit.Capacity
+	latency      map[string]*limit.Track
+	limitChanges []LimitChange
+	changed      chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
@@ -123,6 +132,8 @@
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
 		slowness:  make(map[string]*slowness),
+		capacity:  make(map[string]*limit.Capacity),
+		latency:   make(map[string]*limit.Track),
 		changed:   make(chan struct{}),
 	}
 }
@@ -196,6 +207,7 @@
 		a.Models = existing.Models
 	}
 	existing.Announcement = a
+	r.expectStatedLoad(existing)
 	existing.RemovalAt = time.Time{}
 	if a.RemovalIn > 0 {
 		existing.RemovalAt = now.Add(a.RemovalIn)
