Add a memory budget in which holders give way to others

httpconn.MemoryBudget was a semaphore for the responses of endpoints. What an instance holds for its clients was in no budget, and a semaphore can only make others wait: bodies that never end would keep it for as long as the clients like.

pkg/membudget takes its place. A reservation may be evictable; when the budget is exhausted, those with the largest product of size and time without growth give way (Victim, a pure function with a test), so that small and progressing requests are spared. Growth up to 64 KB may use the whole budget, larger ones leave an eighth; large growth takes nothing from small holders, and evicts nothing where that would not suffice. What waits for memory already counts, so that two growths never rely on the same victim; an evictable holder waits at most 1 s in any case.

go test -race -count=5 ./pkg/membudget ./pkg/httpconn: passes.

--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -17,6 +17,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/edge"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
 	"github.com/mulberryglade/mulberryglade/platform"
 )
@@ -93,7 +94,7 @@
 	defer controlPool.Close()
 	requestPool := httpconn.NewPool(httpconn.Options{
 		Accept: platform.AcceptsResponse, AllowCloseDelimited: true, IdleTimeout: connectionIdleTimeout,
-		Memory: httpconn.NewMemoryBudget(bodyMemory(settings)),
+		Memory: membudget.New(bodyMemory(settings)),
 	})
 	defer requestPool.Close()
 	metrics := telemetry.NewMetrics(metricsFlushInterval)
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -26,6 +26,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
 	"github.com/mulberryglade/mulberryglade/pkg/scheduling"
@@ -102,7 +103,7 @@
 		return err
 	}
 	connections := httpconn.Options{
-		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: httpconn.NewMemoryBudget(bodyMemory),
+		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: membudget.New(bodyMemory),
 	}
 	d.engineClient = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.servicePool = httpconn.NewPool(connections)
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 )
 
 // readBufferBytes is the size of the read buffer. It also bounds the size of a response header.
@@ -228,7 +229,7 @@
 }
 
 // doReserving is like Do and reserves the memory of the body.
-func (c *Conn) doReserving(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
+func (c *Conn) doReserving(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) error {
 	stopCancelWatch, err := c.send(ctx, deadline, req, resp)
 	if err != nil {
 		return err
@@ -423,7 +424,7 @@
 }
 
 // readBody reads the complete body of a response.
-func (c *Conn) readBody(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
+func (c *Conn) readBody(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) error {
 	if resp.ConnectionClose() {
 		c.unusable = true
 	}
@@ -442,7 +443,7 @@
 	return errors.Wrapf(engine.ErrTruncated, "%v", err)
 }
 
-func (c *Conn) readContent(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *Reservation) ([]byte, error) {
+func (c *Conn) readContent(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
 	length := resp.Header.ContentLength()
 	if length > maxBytes {
 		return nil, errors.Newf("body exceeds %d bytes", maxBytes)
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 )
 
 // Options configures a Pool; zero values select the defaults.
@@ -29,7 +31,7 @@
 	// AllowCloseDelimited allows bodies without a length that end with an orderly close of the connection.
 	AllowCloseDelimited bool
 	// Memory bounds the memory of the bodies that are being buffered, over all pools that share it; nil means no bound.
-	Memory *MemoryBudget
+	Memory *membudget.Budget
 }
 
 const (
@@ -105,7 +107,7 @@
 }
 
 // DoReserving is like Do for a body that is kept longer than the call. The caller releases its memory.
-func (p *Pool) DoReserving(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
+func (p *Pool) DoReserving(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) error {
 	conn, err := p.acquire(ctx, baseURL, deadline)
 	if err != nil {
 		return err
@@ -132,10 +134,15 @@
 }
 
 // Reserve returns an empty reservation in the pool's memory budget.
-func (p *Pool) Reserve() *Reservation {
+func (p *Pool) Reserve() *membudget.Reservation {
 	return p.options.Memory.Reserve()
 }
 
+// Memory returns the pool's memory budget, or nil if there is none.
+func (p *Pool) Memory() *membudget.Budget {
+	return p.options.Memory
+}
+
 // DoOnNewConn is like Do on a new connection that is closed afterwards. It is for calls that must not be repeated: an
 // endpoint may close an idle connection while a call is written to it, and the outcome of that call is unknown, while a
 // new connection that fails shows that nothing was sent.
