Bound memory, connections and time of clients at entry instances

Clients outside the limits made a process run out of memory: it read whole bodies with nothing that counted them in all, and fasthttp's pooled buffers kept what they had grown to. Connections were not counted either, each held 20 KB of buffers, and a refusal to a client that does not read blocked for ever, without a deadline.

pkg/clientconn now owns the connection. Heads, bodies and what a request occupies while it is handled are reserved in the budget that responses use. A body is kept in blocks of up to 64 KB that are taken as its bytes arrive, are never copied to larger ones and go back when the request ends. When the budget is exhausted, the body that gives way gets 503 with Retry-After; it was sent to no endpoint. A body must bring 1 KB/s over 15 s in place of its whole length within 30 s, so that a slow link is not cut off any more; a head that takes longer than headerTimeoutMs or a body below that rate gets 408 in place of a closed connection. A response of which no byte is accepted for 15 s ends its request, also own refusals. Idle connections and those whose request is being handled hold no read buffer.

The number of connections is bounded by the new setting maxFds (or the limit of the system) and the memory. At the bound, a new connection takes the place of one that waits to be closed, has never brought a request, or has been idle longest (VictimFor); if there is none, it gets 503. A connection that is to be closed is read for longer (8 MB or 5 s while bytes arrive, was 0.5 s), so that a client that sends its whole body first does not lose the refusal to a reset. A body over the announced limit is refused before "100 Continue".

--- /dev/null
+++ b/pkg/clientconn/admission.go
@@ -0,0 +1,131 @@
+package clientconn
+
+import (
+	"sync"
+	"time"
+)
+
+// Phase is what a connection is doing.
+type Phase int
+
+const (
+	// Idle means that no byte of a next request has arrived.
+	Idle Phase = iota
+	// ReadingHead and ReadingBody mean that a part of a request has arrived.
+	ReadingHead
+	ReadingBody
+	// Busy means that a request is being handled.
+	Busy
+	// Closing means that the last response was written and the connection only waits for the client to close it.
+	Closing
+)
+
+// State is what decides whether a connection gives way to a new one.
+type State struct {
+	Phase Phase
+	// Served is set once the connection has brought a complete request.
+	Served bool
+	// Age is the time since the phase began.
+	Age time.Duration
+}
+
+// rank orders connections for closing, the first ones highest. Zero means that the connection is kept: a request that has
+// arrived or whose body is on its way is subject to the memory budget and to the minimum rate instead.
+func (s State) rank() int {
+	switch {
+	case s.Phase == Closing:
+		return 4
+	case s.Phase == Idle && !s.Served:
+		return 3
+	case s.Phase == ReadingHead && !s.Served:
+		return 2
+	case s.Phase == Idle:
+		return 1
+	}
+	return 0
+}
+
+// VictimFor returns the index of the connection that is closed so that a new one can be accepted, or -1 if there is none:
+// connections that only wait to be closed, then those that have never brought a request, then those that wait for the
+// next one. Within a group, the one that has waited longest is chosen.
+//
+// The load that it addresses is connections without end next to the reused connections of sound clients.
+func VictimFor(states []State) int {
+	victim := -1
+	for i, s := range states {
+		if s.rank() == 0 {
+			continue
+		}
+		if victim < 0 || s.rank() > states[victim].rank() || s.rank() == states[victim].rank() && s.Age > states[victim].Age {
+			victim = i
+		}
+	}
+	return victim
+}
+
+// Group bounds the number of open connections. It is safe for concurrent use.
+type Group struct {
+	mu    sync.Mutex
+	conns map[*Conn]struct{}
+}
+
+// NewGroup returns an empty group.
+func NewGroup() *Group {
+	return &Group{conns: make(map[*Conn]struct{})}
+}
+
+// Admit adds a connection. If there are limit connections already, it closes one that gives way. It returns false if
+// there is none, and whether a connection was closed.
+func (g *Group) Admit(c *Conn, limit int) (admitted, closedOne bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) >= limit {
+		victim := g.victimLocked()
+		if victim == nil {
+			return false, false
+		}
+		delete(g.conns, victim)
+		closedOne = true
+	}
+	g.conns[c] = struct{}{}
+	return true, closedOne
+}
+
+// victimLocked closes the connection that gives way and returns it. A connection whose phase changes meanwhile is
+// passed over.
+func (g *Group) victimLocked() *Conn {
+	now := time.Now()
+	all := make([]*Conn, 0, len(g.conns))
+	states := make([]State, 0, len(g.conns))
+	for c := range g.conns {
+		all, states = append(all, c), append(states, c.state(now))
+	}
+	for {
+		i := VictimFor(states)
+		if i < 0 {
+			return nil
+		}
+		if all[i].closeInPhase(states[i].Phase) {
+			return all[i]
+		}
+		states[i].Phase = Busy
+	}
+}
+
+// Remove removes a connection that has ended.
+func (g *Group) Remove(c *Conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
+
+// All returns the open connections.
+func (g *Group) All() []*Conn {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	all := make([]*Conn, 0, len(g.conns))
+	for c := range g.conns {
+		all = append(all, c)
+	}
+	return all
+}
--- /dev/null
+++ b/pkg/clientconn/body.go
@@ -0,0 +1,207 @@
+package clientconn
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// minBlockBytes and firstBlockBytes are the sizes of the first block of a body of unknown and known length, blockBytes
+	// that of all further ones. Blocks of blockBytes are pooled.
+	minBlockBytes   = 4 << 10
+	firstBlockBytes = 16 << 10
+	blockBytes      = 64 << 10
+)
+
+var blocks = sync.Pool{New: func() any { return new([blockBytes]byte) }}
+
+// Body is the body of a request in blocks. They are allocated as the body arrives, never copied to larger ones, and
+// returned when the request ends.
+type Body struct {
+	blocks [][]byte
+	size   int
+}
+
+// Size returns the length of the body.
+func (b *Body) Size() int {
+	return b.size
+}
+
+// SetOn sets the body of a request that is forwarded. The request must be written before the body is released.
+func (b *Body) SetOn(req *fasthttp.Request) {
+	switch len(b.blocks) {
+	case 0:
+		req.SetBodyRaw(nil)
+	case 1:
+		req.SetBodyRaw(b.blocks[0])
+	default:
+		req.SetBodyStream(&bodyReader{body: b}, b.size)
+	}
+}
+
+func (b *Body) release() {
+	for _, block := range b.blocks {
+		if cap(block) == blockBytes {
+			blocks.Put((*[blockBytes]byte)(block[:blockBytes]))
+		}
+	}
+	b.blocks, b.size = nil, 0
+}
+
+// bodyReader reads a body once. fasthttp prefers its WriteTo.
+type bodyReader struct {
+	body   *Body
+	block  int
+	offset int
+}
+
+// Read implements io.Reader.
+func (r *bodyReader) Read(p []byte) (int, error) {
+	for r.block < len(r.body.blocks) {
+		if n := copy(p, r.body.blocks[r.block][r.offset:]); n > 0 {
+			r.offset += n
+			return n, nil
+		}
+		r.block, r.offset = r.block+1, 0
+	}
+	return 0, io.EOF
+}
+
+// SupportsBodyWriteTo implements fasthttp.BodyWriterTo.
+func (r *bodyReader) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo implements io.WriterTo.
+func (r *bodyReader) WriteTo(w io.Writer) (int64, error) {
+	total := int64(0)
+	for ; r.block < len(r.body.blocks); r.block, r.offset = r.block+1, 0 {
+		n, err := w.Write(r.body.blocks[r.block][r.offset:])
+		total += int64(n)
+		if err != nil {
+			return total, err
+		}
+	}
+	return total, nil
+}
+
+// nextBlockBytes returns the size of the next block of a body that has size bytes so far. length is negative if it is
+// unknown.
+func nextBlockBytes(size, length int) int {
+	switch {
+	case length >= 0 && size == 0:
+		return min(length, firstBlockBytes)
+	case length >= 0 && length-size < blockBytes/2:
+		return length - size
+	case size == 0:
+		return minBlockBytes
+	case length < 0 && size < blockBytes:
+		return firstBlockBytes
+	}
+	return blockBytes
+}
+
+func newBlock(size int) []byte {
+	if size == blockBytes {
+		return blocks.Get().(*[blockBytes]byte)[:0]
+	}
+	return make([]byte, 0, size)
+}
+
+// readBody reads the body of a request, whose head has been read, into the connection's blocks.
+func (c *Conn) readBody(ctx context.Context, req *fasthttp.Request, length int, limits Limits) error {
+	if length >= 0 {
+		if length == 0 {
+			return nil
+		}
+		return c.readBlocks(ctx, c.reader, length, limits)
+	}
+	// Without a length, only the framing is left to fasthttp, which reads no byte of a chunked body in advance.
+	if err := req.ContinueReadBodyStream(c.reader, limits.MaxBodyBytes, false); err != nil {
+		return err
+	}
+	if !req.IsBodyStream() {
+		return nil
+	}
+	if err := c.readBlocks(ctx, req.BodyStream(), length, limits); err != nil {
+		return err
+	}
+	if c.body.size == 0 {
+		req.Header.SetContentLength(0)
+	}
+	return nil
+}
+
+// readBlocks reads a body of the given length, or up to the end if it is negative.
+func (c *Conn) readBlocks(ctx context.Context, from io.Reader, length int, limits Limits) error {
+	progress := c.beginProgress(limits)
+	body := &c.body
+	for length < 0 || body.size < length {
+		last := len(body.blocks) - 1
+		if last < 0 || len(body.blocks[last]) == cap(body.blocks[last]) {
+			size := nextBlockBytes(body.size, length)
+			if err := c.memory.Grow(ctx, time.Time{}, size); err != nil {
+				return err
+			}
+			body.blocks = append(body.blocks, newBlock(size))
+			last++
+		}
+		block := body.blocks[last]
+		free := block[len(block):cap(block)]
+		if length >= 0 {
+			free = free[:min(len(free), length-body.size)]
+		}
+		n, err := from.Read(free)
+		body.blocks[last] = block[:len(block)+n]
+		body.size += n
+		if body.size > limits.MaxBodyBytes {
+			return fasthttp.ErrBodyTooLarge
+		}
+		if errors.Is(err, io.EOF) {
+			if length >= 0 && body.size < length {
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		progress.add(n)
+	}
+	return nil
+}
+
+// progress moves the deadline of a body as its bytes arrive: each period must bring a minimum, or the end of the body.
+type progress struct {
+	conn   *Conn
+	period time.Duration
+	need   int
+	got    int
+	began  time.Time
+}
+
+func (c *Conn) beginProgress(limits Limits) *progress {
+	need := int(float64(limits.MinBytesPerSecond) * limits.StallTimeout.Seconds())
+	c.setReadDeadline(limits.StallTimeout)
+	return &progress{conn: c, period: limits.StallTimeout, need: max(need, 1), began: time.Now()}
+}
+
+// minPeriodShare is the part of a period before which the deadline is not moved, so that a fast body costs few calls.
+const minPeriodShare = 8
+
+func (p *progress) add(n int) {
+	p.got += n
+	if p.got < p.need {
+		return
+	}
+	now := time.Now()
+	if now.Sub(p.began) < p.period/minPeriodShare {
+		p.got = p.need
+		return
+	}
+	p.got, p.began = 0, now
+	p.conn.setReadDeadline(p.period)
+}
--- a/pkg/edge/accept.go
+++ b/pkg/edge/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 )
 
@@ -26,9 +27,12 @@
 			continue
 		}
 		client := s.newClientConn(conn)
-		s.track(client)
+		if !s.admit(client) {
+			client.refuseConnection()
+			continue
+		}
 		connections.Go(func() {
-			defer s.untrack(client)
+			defer s.conns.Remove(client.Conn)
 			client.serve(ctx)
 		})
 	}
@@ -37,30 +41,31 @@
 // acceptRetryDelay is the delay after a failed accept, for example when file descriptors have run out.
 const acceptRetryDelay = 50 * time.Millisecond
 
-func (s *Server) track(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.conns[c] = struct{}{}
-}
-
-func (s *Server) untrack(c *clientConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
+// admit counts a connection. At the limit it closes another one that gives way, or refuses the new one.
+func (s *Server) admit(c *clientConn) bool {
+	settings := s.settings()
+	admitted, closedOne := s.conns.Admit(c.Conn, connectionLimit(descriptorLimit(settings), settings.MemoryMB))
+	if closedOne || !admitted {
+		s.clientLimits.record(limitConnections, zap.Bool("refused", !admitted))
+	}
+	return admitted
 }
 
-func (s *Server) connections() []*clientConn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	all := make([]*clientConn, 0, len(s.conns))
-	for c := range s.conns {
-		all = append(all, c)
+// refuseConnection responds that the instance has too many connections, and closes the connection. It does not wait for the
+// client.
+func (c *clientConn) refuseConnection() {
+	defer c.Close()
+	c.LimitWrites(time.Now().Add(refuseTimeout))
+	if c.writeOwnResponse(ownResponse{status: fasthttp.StatusServiceUnavailable, retryAfter: memoryRetryAfter, closeAfter: true}) == nil {
+		c.EndRequest(false, 0)
 	}
-	return all
 }
 
+// refuseTimeout bounds the response to a refused connection, whose socket buffer is empty.
+const refuseTimeout = 10 * time.Millisecond
+
 func (s *Server) closeConnections() {
-	for _, c := range s.connections() {
-		c.close()
+	for _, c := range s.conns.All() {
+		c.Close()
 	}
 }
--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -60,7 +60,7 @@
 	out := fasthttp.AcquireRequest()
 	r.httpRequest.Header.CopyTo(&out.Header)
 	out.Header.SetNoDefaultContentType(true)
-	out.SetBodyRaw(r.httpRequest.Body())
+	r.conn.Body().SetOn(out)
 	a.sentAt = time.Now()
 	r.server.deps.HeaderCodec.EncodeForward(&out.Header, Forwarding{
 		Remaining:   r.deadline.Sub(a.sentAt),
--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
-	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
 
@@ -29,8 +29,8 @@
 	arrivedAt   time.Time
 	deadline    time.Time
 	log         *zap.Logger
-	// memory is what the endpoints' responses to this request occupy.
-	memory *httpconn.Reservation
+	// memory is what this request and the endpoints' responses to it occupy.
+	memory *membudget.Reservation
 
 	// sends counts the sends that may have reached an endpoint. tried lists the endpoints of these sends and those that
 	// were unreachable.
@@ -87,9 +87,8 @@
 		arrivedAt:   arrivedAt,
 		deadline:    arrivedAt.Add(requestTimeout(request.Remaining, route.Timeout)),
 		log:         log,
-		memory:      s.deps.Pool.Reserve(),
+		memory:      c.Memory(),
 	}
-	defer r.memory.Release()
 	c.setWriteDeadline(r.deadline)
 	return r.serve(closeAfter)
 }
--- a/pkg/edge/drain.go
+++ b/pkg/edge/drain.go
@@ -46,8 +46,8 @@
 // waitUntilInactive closes idle connections until no request is handled or the deadline has passed.
 func (s *Server) waitUntilInactive(deadline time.Time) {
 	for time.Now().Before(deadline) {
-		for _, c := range s.connections() {
-			c.closeIfIdle()
+		for _, c := range s.conns.All() {
+			c.CloseIfIdle()
 		}
 		if s.activeRequests.Load() == 0 {
 			return
--- a/pkg/edge/response.go
+++ b/pkg/edge/response.go
@@ -28,10 +28,10 @@
 	if response.closeAfter {
 		header.SetConnectionClose()
 	}
-	if _, err := c.writer.Write(header.Header()); err != nil {
+	if _, err := c.Writer().Write(header.Header()); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Flush()
 }
 
 // hopByHopHeaders are response headers that only concern the connection to the endpoint.
@@ -55,20 +55,20 @@
 	if !resp.SkipBody {
 		resp.Header.SetContentLength(len(resp.Body()))
 	}
-	if err := resp.Write(c.writer); err != nil {
+	if err := resp.Write(c.Writer()); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Flush()
 }
 
 // writeStreamHeader writes the header of a chunked response.
 func (c *clientConn) writeStreamHeader(h *fasthttp.ResponseHeader, closeAfter bool) error {
 	prepareResponseHeader(h, closeAfter)
 	h.SetContentLength(-1)
-	if _, err := c.writer.Write(h.Header()); err != nil {
+	if _, err := c.Writer().Write(h.Header()); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Flush()
 }
 
 // writeChunk writes and flushes one chunk. Empty data is skipped, because an empty chunk ends the response.
@@ -76,22 +76,22 @@
 	if len(data) == 0 {
 		return nil
 	}
-	if _, err := c.writer.WriteString(strconv.FormatInt(int64(len(data)), 16) + "\r\n"); err != nil {
+	if _, err := c.Writer().WriteString(strconv.FormatInt(int64(len(data)), 16) + "\r\n"); err != nil {
 		return err
 	}
-	if _, err := c.writer.Write(data); err != nil {
+	if _, err := c.Writer().Write(data); err != nil {
 		return err
 	}
-	if _, err := c.writer.WriteString("\r\n"); err != nil {
+	if _, err := c.Writer().WriteString("\r\n"); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Flush()
 }
 
 // writeLastChunk ends a chunked response.
 func (c *clientConn) writeLastChunk() error {
-	if _, err := c.writer.WriteString("0\r\n\r\n"); err != nil {
+	if _, err := c.Writer().WriteString("0\r\n\r\n"); err != nil {
 		return err
 	}
-	return c.writer.Flush()
+	return c.Flush()
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/pkg/clientconn"
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
@@ -56,6 +57,8 @@
 	// configuredAt is when the first configuration came into force; nil before that.
 	configuredAt atomic.Pointer[time.Time]
 	metrics      *metrics
+	conns        *clientconn.Group
+	clientLimits *clientLimits
 	instances    *instanceRegistry
 	demand       *demandTracker
 	exchange     *exchange.Exchange
@@ -81,7 +84,6 @@
 	refusing chan struct{}
 
 	mu     sync.Mutex
-	conns  map[*clientConn]struct{}
 	random *rand.Rand
 	// controlListeners runs the listeners for readiness checks and metrics.
 	controlListeners conc.WaitGroup
@@ -103,7 +105,8 @@
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
 		demand:         newDemandTracker(s.Region),
-		conns:          make(map[*clientConn]struct{}),
+		conns:          clientconn.NewGroup(),
+		clientLimits:   newClientLimits(deps.Scope, log),
 		drainStarted:   make(chan struct{}),
 		refusing:       make(chan struct{}),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -28,7 +28,9 @@
 	// Regions maps each data centre to its region.
 	Regions map[string]string `json:"regions"`
 	// MemoryMB is the memory that the process may use.
-	MemoryMB int    `json:"memoryMb"`
+	MemoryMB int `json:"memoryMb"`
+	// MaxFDs is the number of file descriptors that the process may use; zero means what the operating system allows.
+	MaxFDs   int    `json:"maxFds,omitempty"`
 	LogLevel string `json:"logLevel,omitempty"`
 	Bounds   Bounds `json:"bounds"`
 }
@@ -113,6 +115,9 @@
 			found.Addf(path, field.pointer, field.value, "must be IP:PORT")
 		}
 	}
+	if s.MaxFDs < 0 {
+		found.Addf(path, "/maxFds", "", "must not be negative")
+	}
 	s.Bounds.check(path, found)
 }
 
