Bound what endpoints hold of an instance's requests, and idle connections

An endpoint crashes if the requests that it holds exceed its memory, and nothing bounded what one instance sends it. The bodies in flight to one endpoint are now at most endpointBodyMb (16, four times the largest body; new setting). A request that does not fit is tried at another endpoint, and refused as not run if there is none.

Idle connections to endpoints were bounded per endpoint only, so that 32 of each could use up the descriptors. Clients that do not read a response are counted and logged as limit unread_response.

--- a/pkg/edge/attempt.go
+++ b/pkg/edge/attempt.go
@@ -159,6 +159,31 @@
 // maxResponseBytes bounds a response that is buffered in memory until it is complete.
 const maxResponseBytes = 8 << 20
 
+// defaultEndpointBodyMB bounds the bodies that one endpoint holds for this instance, in megabytes. It is four times the
+// largest body.
+const defaultEndpointBodyMB = 16
+
+// endpointHoldsEnough is the reason why a request was not sent to any endpoint.
+const endpointHoldsEnough = "endpoints hold enough bytes of requests"
+
+// holdAt counts the body as held by the endpoint. If that has too many bytes already, it ends the call without sending the
+// request, so that another endpoint is tried.
+func (r *clientRequest) holdAt(a *attempt) bool {
+	size := r.conn.Body().Size()
+	if r.server.endpointBytes.TryTake(a.choice.ID, size) {
+		return true
+	}
+	a.call.End(fleet.Neutral, time.Now())
+	r.tried = append(r.tried, a.choice.ID)
+	r.server.clientLimits.record(limitEndpoint, zap.String("endpoint", a.choice.ID), zap.Int("bytes", size))
+	return false
+}
+
+// releaseAt ends what holdAt has counted.
+func (r *clientRequest) releaseAt(a *attempt) {
+	r.server.endpointBytes.Return(a.choice.ID, r.conn.Body().Size())
+}
+
 // servePlain serves a request whose response is forwarded once it is complete. It returns false when the connection
 // must be closed.
 func (r *clientRequest) servePlain(closeAfter bool) bool {
@@ -173,8 +198,14 @@
 			retryAfter = wait
 			break
 		}
+		if !r.holdAt(a) {
+			reason = endpointHoldsEnough
+			continue
+		}
 		resp := fasthttp.AcquireResponse()
-		switch r.sendPlain(a, resp) {
+		sent := r.sendPlain(a, resp)
+		r.releaseAt(a)
+		switch sent {
 		case sendAnswered:
 			if !r.retryMayHelp(resp) {
 				defer fasthttp.ReleaseResponse(resp)
--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -55,7 +55,9 @@
 }
 
 func (s *Server) newClientConn(conn net.Conn) *clientConn {
-	return &clientConn{server: s, Conn: clientconn.New(conn, s.deps.Pool.Memory())}
+	c := &clientConn{server: s, Conn: clientconn.New(conn, s.deps.Pool.Memory())}
+	c.OnUnread = func() { s.clientLimits.record(limitUnread) }
+	return c
 }
 
 // serve serves the requests of the connection until it ends.
--- a/pkg/edge/clientlimits.go
+++ b/pkg/edge/clientlimits.go
@@ -83,6 +83,11 @@
 	return max(limit, minConnections)
 }
 
+// idleConnectionLimit returns the number of idle connections to all endpoints for the given number of descriptors.
+func idleConnectionLimit(fds int) int {
+	return int(float64(fds-reservedFDs) * idleFDShare)
+}
+
 // descriptorLimit returns the number of descriptors that the process may use: that of the settings, but no more than the
 // operating system allows.
 func descriptorLimit(settings *Settings) int {
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -23,6 +24,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/quarantine"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
@@ -59,10 +61,12 @@
 	metrics      *metrics
 	conns        *clientconn.Group
 	clientLimits *clientLimits
-	instances    *instanceRegistry
-	demand       *demandTracker
-	exchange     *exchange.Exchange
-	lease        *lease.Holder
+	// endpointBytes counts the bytes of bodies that endpoints hold for this instance.
+	endpointBytes *membudget.Keyed
+	instances     *instanceRegistry
+	demand        *demandTracker
+	exchange      *exchange.Exchange
+	lease         *lease.Holder
 	// placement sends placement orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
@@ -107,6 +111,7 @@
 		demand:         newDemandTracker(s.Region),
 		conns:          clientconn.NewGroup(),
 		clientLimits:   newClientLimits(deps.Scope, log),
+		endpointBytes:  membudget.NewKeyed(cmp.Or(s.EndpointBodyMB, defaultEndpointBodyMB) << 20),
 		drainStarted:   make(chan struct{}),
 		refusing:       make(chan struct{}),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -302,6 +307,7 @@
 		}
 	}
 	s.deps.Pool.LimitIdle(limit)
+	s.deps.Pool.LimitIdleTotal(idleConnectionLimit(descriptorLimit(s.settings())))
 }
 
 // maxIdleConnections bounds the idle connections to an endpoint.
@@ -329,6 +335,7 @@
 	}
 	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
 		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
+	s.deps.Pool.LimitIdleTotal(idleConnectionLimit(descriptorLimit(settings)))
 	background, stopBackground := context.WithCancel(context.Background())
 	serving, stopServing := context.WithCancelCause(context.Background())
 	var tasks conc.WaitGroup
--- a/pkg/edge/settings.go
+++ b/pkg/edge/settings.go
@@ -30,9 +30,11 @@
 	// MemoryMB is the memory that the process may use.
 	MemoryMB int `json:"memoryMb"`
 	// MaxFDs is the number of file descriptors that the process may use; zero means what the operating system allows.
-	MaxFDs   int    `json:"maxFds,omitempty"`
-	LogLevel string `json:"logLevel,omitempty"`
-	Bounds   Bounds `json:"bounds"`
+	MaxFDs int `json:"maxFds,omitempty"`
+	// EndpointBodyMB bounds the bodies of requests that one endpoint holds for this instance; zero means 16.
+	EndpointBodyMB int    `json:"endpointBodyMb,omitempty"`
+	LogLevel       string `json:"logLevel,omitempty"`
+	Bounds         Bounds `json:"bounds"`
 }
 
 // Bounds are the limits that the deployment requires.
@@ -115,8 +117,13 @@
 			found.Addf(path, field.pointer, field.value, "must be IP:PORT")
 		}
 	}
-	if s.MaxFDs < 0 {
-		found.Addf(path, "/maxFds", "", "must not be negative")
+	for _, field := range []struct {
+		pointer string
+		value   int
+	}{{"/maxFds", s.MaxFDs}, {"/endpointBodyMb", s.EndpointBodyMB}} {
+		if field.value < 0 {
+			found.Addf(path, field.pointer, "", "must not be negative")
+		}
 	}
 	s.Bounds.check(path, found)
 }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -48,11 +48,16 @@
 			retryAfter = wait
 			break
 		}
+		if !r.holdAt(a) {
+			reason = endpointHoldsEnough
+			continue
+		}
 		resp := fasthttp.AcquireResponse()
 		body, sent := r.openStream(a, resp, state)
 		switch sent {
 		case sendAnswered:
 			if body == nil {
+				r.releaseAt(a)
 				defer fasthttp.ReleaseResponse(resp)
 				if state.started {
 					return r.abort("the endpoint refused to continue the stream")
@@ -60,6 +65,7 @@
 				return r.deliver(resp, a, closeAfter)
 			}
 			result := r.forwardStream(a, body, resp, state, closeAfter)
+			r.releaseAt(a)
 			fasthttp.ReleaseResponse(resp)
 			switch result {
 			case streamComplete:
@@ -75,6 +81,7 @@
 		case sendNotSent, sendUnknown:
 			reason = "endpoint failed"
 		}
+		r.releaseAt(a)
 		fasthttp.ReleaseResponse(resp)
 	}
 	if state.started {
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -42,8 +42,10 @@
 
 // Pool keeps idle connections per endpoint. It is safe for concurrent use.
 type Pool struct {
-	options              Options
-	maxIdle              atomic.Int64
+	options Options
+	maxIdle atomic.Int64
+	// maxIdleTotal bounds the idle connections to all endpoints; zero means no bound.
+	maxIdleTotal         atomic.Int64
 	unsolicitedResponses atomic.Int64
 	stop                 chan struct{}
 	reaper               conc.WaitGroup
@@ -51,6 +53,8 @@
 	mu     sync.Mutex
 	closed bool
 	idle   map[string][]*Conn
+	// idleTotal is the number of connections in idle.
+	idleTotal int
 }
 
 // NewPool returns an empty pool, which must be closed.
@@ -75,6 +79,11 @@
 	p.maxIdle.Store(int64(max(perAddress, 1)))
 }
 
+// LimitIdleTotal sets the bound on idle connections to all endpoints together, which is at least one.
+func (p *Pool) LimitIdleTotal(total int) {
+	p.maxIdleTotal.Store(int64(max(total, 1)))
+}
+
 // Close closes idle connections. Connections in use are closed when they are released.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -217,10 +226,12 @@
 	conn := conns[len(conns)-1]
 	if time.Since(conn.idleSince) >= p.idleTimeout(conn) {
 		closeAll(conns)
+		p.idleTotal -= len(conns)
 		delete(p.idle, baseURL)
 		return nil
 	}
 	p.idle[baseURL] = conns[:len(conns)-1]
+	p.idleTotal--
 	return conn
 }
 
@@ -249,10 +260,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[conn.baseURL]
-	if p.closed || int64(len(conns)) >= p.maxIdle.Load() {
+	maxTotal := p.maxIdleTotal.Load()
+	if p.closed || int64(len(conns)) >= p.maxIdle.Load() || maxTotal > 0 && int64(p.idleTotal) >= maxTotal {
 		conn.Close()
 		return
 	}
+	p.idleTotal++
 	p.idle[conn.baseURL] = append(conns, conn)
 }
 
@@ -278,6 +291,7 @@
 			expired++
 		}
 		closeAll(conns[:expired])
+		p.idleTotal -= expired
 		if expired == len(conns) {
 			delete(p.idle, baseURL)
 			continue
