--- /dev/null
+++ b/pkg/daemon/clients_test.go
@@ -0,0 +1,295 @@
+package daemon_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// The settings of the process that the crowds meet. Its resident memory must stay below crowdMemoryMB and its open
+// descriptors at or below crowdMaxFDs, which are the limits in its settings.
+const (
+	crowdMemoryMB     = 128
+	crowdMaxFDs       = 600
+	crowdMaxBodyBytes = 1 << 20
+)
+
+// Bodies of crowdBodyBytes from crowdSenders clients take more than the memory of the process. crowdConnections is the
+// number of clients that cost a connection only, more than the process has descriptors for.
+const (
+	crowdSenders     = 150
+	crowdBodyBytes   = 900 << 10
+	crowdConnections = 1500
+)
+
+// buildDaemon builds mulberrygladed once and returns the path of the program.
+var buildDaemon = sync.OnceValue(func() string {
+	folder, err := os.MkdirTemp("", "gladed")
+	Expect(err).NotTo(HaveOccurred())
+	path := filepath.Join(folder, "mulberrygladed")
+	output, err := exec.Command("go", "build", "-o", path, "../../cmd/mulberrygladed").CombinedOutput()
+	Expect(err).NotTo(HaveOccurred(), string(output))
+	return path
+})
+
+var _ = AfterSuite(func() { _ = os.RemoveAll(filepath.Dir(buildDaemon())) })
+
+// daemonProcess is the program mulberrygladed as a process of its own.
+type daemonProcess struct {
+	caller, admin string
+	cmd           *exec.Cmd
+}
+
+func freeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+// startCrowdedDaemon starts the program with the settings of the crowds, one engine and one plain service.
+func startCrowdedDaemon() *daemonProcess {
+	env := newTestEnv(testEnvOptions{preloaded: true})
+	// A connection of an earlier crowd may take a free address before the process listens on it.
+	for range 5 {
+		if p := tryStartDaemon(env); p != nil {
+			return p
+		}
+	}
+	Fail("the process does not start")
+	return nil
+}
+
+func tryStartDaemon(env *testEnv) *daemonProcess {
+	p := &daemonProcess{caller: freeAddress(), admin: freeAddress()}
+	s := env.bed.Settings("a-1", dcA, "127.0.0.1")
+	s.CallerAddress, s.AdminAddress, s.PeerAddress = p.caller, p.admin, freeAddress()
+	s.Shutdown.GraceMs = 0
+	s.Limits.BodyBytes = crowdMaxBodyBytes
+	text, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	text = bytes.Replace(text, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"memoryMb":%d,"maxFds":%d,`, crowdMemoryMB, crowdMaxFDs), 1)
+	path := filepath.Join(GinkgoT().TempDir(), "settings.json")
+	Expect(os.WriteFile(path, text, 0o600)).To(Succeed())
+	p.cmd = exec.Command(buildDaemon(), "--settings", path)
+	Expect(p.cmd.Start()).To(Succeed())
+	ended := make(chan struct{})
+	go func() {
+		_ = p.cmd.Wait()
+		close(ended)
+	}()
+	DeferCleanup(func() {
+		_ = p.cmd.Process.Signal(syscall.SIGTERM)
+		// The crowd's connections need not be waited for.
+		select {
+		case <-ended:
+		case <-time.After(time.Second):
+			_ = p.cmd.Process.Kill()
+			<-ended
+		}
+	})
+	for begin := time.Now(); time.Since(begin) < 40*time.Second; time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-ended:
+			return nil
+		default:
+		}
+		if status, err := p.ordinary(); err == nil && status == http.StatusOK {
+			return p
+		}
+	}
+	Fail("the process does not become ready")
+	return nil
+}
+
+// ordinary sends one ordinary request to the plain service and returns the status.
+func (p *daemonProcess) ordinary() (int, error) {
+	request, err := http.NewRequest(http.MethodGet, "http://"+p.caller+"/v1/services/order-desk/", nil)
+	Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+memberKey)
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	_ = response.Body.Close()
+	return response.StatusCode, nil
+}
+
+// peakMemoryMB returns the largest resident memory of the process so far.
+func (p *daemonProcess) peakMemoryMB() int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	Expect(found).To(BeTrue())
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	Expect(err).NotTo(HaveOccurred())
+	return kilobytes / 1024
+}
+
+// descriptors returns the number of open descriptors of the process.
+func (p *daemonProcess) descriptors() int {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	Expect(err).NotTo(HaveOccurred())
+	return len(entries)
+}
+
+// meets sends a crowd of n clients, which keep their connections open, and requires that the process lives within its
+// bounds and answers an ordinary request meanwhile.
+func (p *daemonProcess) meets(n int, act func(conn net.Conn)) {
+	GinkgoHelper()
+	// patience bounds one write: an instance may leave bytes unread. round bounds the part of all clients.
+	const patience, round = 5 * time.Second, 40 * time.Second
+	end := time.Now().Add(round)
+	var mu sync.Mutex
+	var conns []net.Conn
+	var clients sync.WaitGroup
+	var working atomic.Int64
+	DeferCleanup(func() {
+		mu.Lock()
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+		mu.Unlock()
+		clients.Wait()
+	})
+	for range n {
+		working.Add(1)
+		clients.Go(func() {
+			defer working.Add(-1)
+			conn, err := net.DialTimeout("tcp", p.caller, patience)
+			if err != nil {
+				// The client does its part on a connection that takes no bytes.
+				conn, _ = net.Pipe()
+				_ = conn.Close()
+			}
+			mu.Lock()
+			conns = append(conns, conn)
+			mu.Unlock()
+			act(&patientConn{Conn: conn, patience: patience, end: end})
+		})
+	}
+	descriptors := 0
+	peak, since, begin := 0, time.Now(), time.Now()
+	// Bytes that the crowd has written may not have been read yet: the peak must have settled.
+	for working.Load() > 0 || time.Since(since) < time.Second && time.Since(begin) < 2*round {
+		descriptors = max(descriptors, p.descriptors())
+		if now := p.peakMemoryMB(); now > peak {
+			peak, since = now, time.Now()
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	status, err := p.ordinary()
+	peak = max(peak, p.peakMemoryMB())
+	AddReportEntry("peak MB", peak)
+	AddReportEntry("descriptors", descriptors)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(status).To(Equal(http.StatusOK))
+	Expect(peak).To(BeNumerically("<", crowdMemoryMB))
+	Expect(descriptors).To(BeNumerically("<=", crowdMaxFDs))
+}
+
+// patientConn bounds each write by patience, and all of them by end.
+type patientConn struct {
+	net.Conn
+	patience time.Duration
+	end      time.Time
+}
+
+// Write implements net.Conn.
+func (c *patientConn) Write(p []byte) (int, error) {
+	deadline := time.Now().Add(c.patience)
+	if c.end.Before(deadline) {
+		deadline = c.end
+	}
+	_ = c.SetWriteDeadline(deadline)
+	return c.Conn.Write(p)
+}
+
+// sendAll returns what a client does that sends all of this and then stays silent.
+func sendAll(head string, body []byte) func(conn net.Conn) {
+	return func(conn net.Conn) {
+		if _, err := conn.Write([]byte(head)); err != nil {
+			return
+		}
+		for rest := body; len(rest) > 0; {
+			n := min(64<<10, len(rest))
+			if _, err := conn.Write(rest[:n]); err != nil {
+				return
+			}
+			rest = rest[n:]
+		}
+	}
+}
+
+// chunkedBody returns the chunks of a body, without its end.
+func chunkedBody(chunk, total int) []byte {
+	one := strconv.FormatInt(int64(chunk), 16) + "\r\n" + strings.Repeat("x", chunk) + "\r\n"
+	return bytes.Repeat([]byte(one), total/chunk)
+}
+
+// Guards against clients outside the limits that use up the memory or the descriptors of the process, with which the
+// requests of all other clients would end. The clients have a valid key.
+var _ = Describe("A process whose clients keep to no limits", Serial, func() {
+	const (
+		crowdHead   = "POST /v1/services/order-desk/orders HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + memberKey + "\r\n"
+		chunkedHead = crowdHead + "Transfer-Encoding: chunked\r\n\r\n"
+		unknown     = "GET /v1/services/none HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + memberKey + "\r\n\r\n"
+	)
+
+	It("survives bodies in large chunks that stop short of their end", func() {
+		startCrowdedDaemon().meets(crowdSenders, sendAll(chunkedHead, chunkedBody(128<<10, crowdBodyBytes)))
+	})
+
+	It("survives bodies in very small chunks that stop short of their end", func() {
+		startCrowdedDaemon().meets(crowdSenders, sendAll(chunkedHead, chunkedBody(1, crowdBodyBytes)))
+	})
+
+	It("survives announced bodies that stop", func() {
+		head := crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdMaxBodyBytes)
+		startCrowdedDaemon().meets(crowdSenders, sendAll(head, make([]byte, crowdBodyBytes)))
+	})
+
+	It("survives announced bodies far over the limit", func() {
+		head := crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", 8*crowdMaxBodyBytes)
+		startCrowdedDaemon().meets(crowdSenders, sendAll(head, make([]byte, 8*crowdMaxBodyBytes)))
+	})
+
+	It("survives bodies far over the limit that are just sent", func() {
+		first, rest := chunkedBody(100<<10, crowdBodyBytes), chunkedBody(100<<10, 8*crowdMaxBodyBytes)
+		var sending sync.WaitGroup
+		sending.Add(crowdSenders)
+		startCrowdedDaemon().meets(crowdSenders, func(conn net.Conn) {
+			sendAll(chunkedHead, first)(conn)
+			sending.Done()
+			// All clients are at the same point before any of them goes over the limit.
+			sending.Wait()
+			sendAll("", rest)(conn)
+		})
+	})
+
+	It("survives heads that never end", func() {
+		startCrowdedDaemon().meets(crowdConnections, sendAll(crowdHead+"Long: "+strings.Repeat("x", 12<<10), nil))
+	})
+
+	It("survives refusals that nobody reads", func() {
+		startCrowdedDaemon().meets(crowdSenders, sendAll("", bytes.Repeat([]byte(unknown), 10000)))
+	})
+
+	It("survives connections without end", func() {
+		startCrowdedDaemon().meets(crowdConnections, sendAll("", nil))
+	})
+})
