Bound memory and connections of callers at mulberrygladed

Clients outside the limits made a process run out of memory here as well: fasthttp read whole bodies into pooled buffers before the key was checked, and nothing counted them in all. Connections were bounded by a number alone, and idle ones kept new ones out for as long as they liked.

Handlers now read bodies themselves, after the key was checked, in the blocks of pkg/clientconn and within the budget that endpoints' responses use (limits.memoryMb, new; a fifth of it, 128 MB without it). The body that gives way gets 503, one below 1 KB/s over 15 s 408, one over the limit 413, each with the outcome not_run (unknown with an idempotency key, as before); the connection is then read for a while and closed, so that the response is not lost. The number of connections is also bounded by limits.maxFds (new) and the memory; at the bound an idle one gives way (clientconn.Group, now generic). With memoryMb, the collector has a soft limit. A long response is written in parts of 64 KB with the time-out each, so that a slow reader is not cut off after 20 s.

pkg/edge has gauges of the memory held and of clients' connections; the bounds by descriptors moved to pkg/clientconn.

"limits connections" in pkg/gateway held the only connection with one that never sends a request. That one has to give way now, so the spec holds it with a call in progress instead, which must survive; that an idle one gives way has a spec of its own.

--- a/cmd/mulberrygladed/main.go
+++ b/cmd/mulberrygladed/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -24,6 +25,13 @@
 	exitInvalidSettings = 3
 )
 
+// Where the memory of the process is limited, the heap grows by half between collections, and the garbage collector runs
+// more often near the soft limit, which is this fraction of the memory.
+const (
+	gcPercent           = 50
+	memoryLimitFraction = 0.7
+)
+
 type options struct {
 	Settings string `short:"s" long:"settings" description:"JSON settings file" required:"true"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
@@ -49,6 +57,10 @@
 	if o.Check {
 		return 0
 	}
+	if s.Limits.MemoryMB > 0 {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(float64(s.Limits.MemoryMB<<20) * memoryLimitFraction))
+	}
 	log, err := telemetry.NewLogger(s.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/pkg/clientconn/admission.go
+++ b/pkg/clientconn/admission.go
@@ -63,25 +63,34 @@
 	return victim
 }
 
+// Member is a connection of a Group.
+type Member interface {
+	comparable
+	// State returns what decides whether the connection gives way.
+	State(now time.Time) State
+	// CloseIn closes the connection, and returns false if it has left the phase.
+	CloseIn(phase Phase) bool
+}
+
 // Group bounds the number of open connections. It is safe for concurrent use.
-type Group struct {
+type Group[M Member] struct {
 	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	conns map[M]struct{}
 }
 
 // NewGroup returns an empty group.
-func NewGroup() *Group {
-	return &Group{conns: make(map[*Conn]struct{})}
+func NewGroup[M Member]() *Group[M] {
+	return &Group[M]{conns: make(map[M]struct{})}
 }
 
 // Admit adds a connection. If there are limit connections already, it closes one that gives way. It returns false if
 // there is none, and whether a connection was closed.
-func (g *Group) Admit(c *Conn, limit int) (admitted, closedOne bool) {
+func (g *Group[M]) Admit(c M, limit int) (admitted, closedOne bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.conns) >= limit {
-		victim := g.victimLocked()
-		if victim == nil {
+		victim, found := g.victimLocked()
+		if !found {
 			return false, false
 		}
 		delete(g.conns, victim)
@@ -93,37 +102,37 @@
 
 // victimLocked closes the connection that gives way and returns it. A connection whose phase changes meanwhile is
 // passed over.
-func (g *Group) victimLocked() *Conn {
+func (g *Group[M]) victimLocked() (victim M, found bool) {
 	now := time.Now()
-	all := make([]*Conn, 0, len(g.conns))
+	all := make([]M, 0, len(g.conns))
 	states := make([]State, 0, len(g.conns))
 	for c := range g.conns {
-		all, states = append(all, c), append(states, c.state(now))
+		all, states = append(all, c), append(states, c.State(now))
 	}
 	for {
 		i := VictimFor(states)
 		if i < 0 {
-			return nil
+			return victim, false
 		}
-		if all[i].closeInPhase(states[i].Phase) {
-			return all[i]
+		if all[i].CloseIn(states[i].Phase) {
+			return all[i], true
 		}
 		states[i].Phase = Busy
 	}
 }
 
 // Remove removes a connection that has ended.
-func (g *Group) Remove(c *Conn) {
+func (g *Group[M]) Remove(c M) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.conns, c)
 }
 
 // All returns the open connections.
-func (g *Group) All() []*Conn {
+func (g *Group[M]) All() []M {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	all := make([]*Conn, 0, len(g.conns))
+	all := make([]M, 0, len(g.conns))
 	for c := range g.conns {
 		all = append(all, c)
 	}
--- a/pkg/clientconn/body.go
+++ b/pkg/clientconn/body.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 )
 
 const (
@@ -49,7 +51,17 @@
 	}
 }
 
-func (b *Body) release() {
+// Bytes returns the body as a whole; this copies it.
+func (b *Body) Bytes() []byte {
+	whole := make([]byte, 0, b.size)
+	for _, block := range b.blocks {
+		whole = append(whole, block...)
+	}
+	return whole
+}
+
+// Release returns the memory of the body.
+func (b *Body) Release() {
 	for _, block := range b.blocks {
 		switch cap(block) {
 		case blockBytes:
@@ -130,7 +142,7 @@
 		if length == 0 {
 			return nil
 		}
-		return c.readBlocks(ctx, c.reader, length, limits)
+		return c.body.Fill(ctx, c.memory, c.reader, length, limits, c.setReadDeadline)
 	}
 	// Without a length, only the framing is left to fasthttp, which reads no byte of a chunked body in advance.
 	if err := req.ContinueReadBodyStream(c.reader, limits.MaxBodyBytes, false); err != nil {
@@ -139,7 +151,7 @@
 	if !req.IsBodyStream() {
 		return nil
 	}
-	if err := c.readBlocks(ctx, req.BodyStream(), length, limits); err != nil {
+	if err := c.body.Fill(ctx, c.memory, req.BodyStream(), length, limits, c.setReadDeadline); err != nil {
 		return err
 	}
 	if c.body.size == 0 {
@@ -148,33 +160,33 @@
 	return nil
 }
 
-// readBlocks reads a body of the given length, or up to the end if it is negative.
-func (c *Conn) readBlocks(ctx context.Context, from io.Reader, length int, limits Limits) error {
-	progress := c.beginProgress(limits)
-	body := &c.body
-	for length < 0 || body.size < length {
-		last := len(body.blocks) - 1
-		if last < 0 || len(body.blocks[last]) == cap(body.blocks[last]) {
-			size := nextBlockBytes(body.size, length)
-			if err := c.memory.Grow(ctx, time.Time{}, size); err != nil {
+// Fill reads a body of the given length, or up to the end if it is negative, and reserves its memory as it arrives.
+// setDeadline sets the deadline of reads as the time from now.
+func (b *Body) Fill(ctx context.Context, memory *membudget.Reservation, from io.Reader, length int, limits Limits, setDeadline func(time.Duration)) error {
+	progress := BeginProgress(setDeadline, limits.StallTimeout, limits.MinBytesPerSecond)
+	for length < 0 || b.size < length {
+		last := len(b.blocks) - 1
+		if last < 0 || len(b.blocks[last]) == cap(b.blocks[last]) {
+			size := nextBlockBytes(b.size, length)
+			if err := memory.Grow(ctx, time.Time{}, size); err != nil {
 				return err
 			}
-			body.blocks = append(body.blocks, newBlock(size))
+			b.blocks = append(b.blocks, newBlock(size))
 			last++
 		}
-		block := body.blocks[last]
+		block := b.blocks[last]
 		free := block[len(block):cap(block)]
 		if length >= 0 {
-			free = free[:min(len(free), length-body.size)]
+			free = free[:min(len(free), length-b.size)]
 		}
 		n, err := from.Read(free)
-		body.blocks[last] = block[:len(block)+n]
-		body.size += n
-		if body.size > limits.MaxBodyBytes {
+		b.blocks[last] = block[:len(block)+n]
+		b.size += n
+		if b.size > limits.MaxBodyBytes {
 			return fasthttp.ErrBodyTooLarge
 		}
 		if errors.Is(err, io.EOF) {
-			if length >= 0 && body.size < length {
+			if length >= 0 && b.size < length {
 				return io.ErrUnexpectedEOF
 			}
 			return nil
@@ -182,39 +194,7 @@
 		if err != nil {
 			return err
 		}
-		progress.add(n)
+		progress.Add(n)
 	}
 	return nil
 }
-
-// progress moves the deadline of a body as its bytes arrive: each period must bring a minimum, or the end of the body.
-type progress struct {
-	conn   *Conn
-	period time.Duration
-	need   int
-	got    int
-	began  time.Time
-}
-
-func (c *Conn) beginProgress(limits Limits) *progress {
-	need := int(float64(limits.MinBytesPerSecond) * limits.StallTimeout.Seconds())
-	c.setReadDeadline(limits.StallTimeout)
-	return &progress{conn: c, period: limits.StallTimeout, need: max(need, 1), began: time.Now()}
-}
-
-// minPeriodShare is the part of a period before which the deadline is not moved, so that a fast body costs few calls.
-const minPeriodShare = 8
-
-func (p *progress) add(n int) {
-	p.got += n
-	if p.got < p.need {
-		return
-	}
-	now := time.Now()
-	if now.Sub(p.began) < p.period/minPeriodShare {
-		p.got = p.need
-		return
-	}
-	p.got, p.began = 0, now
-	p.conn.setReadDeadline(p.period)
-}
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -128,7 +128,8 @@
 	return err
 }
 
-func (c *Conn) state(now time.Time) State {
+// State implements Member.
+func (c *Conn) State(now time.Time) State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return State{Phase: c.phase, Served: c.served, Age: now.Sub(c.since)}
@@ -139,8 +140,8 @@
 	c.phase, c.since = phase, time.Now()
 }
 
-// closeInPhase closes the connection unless it has left the phase.
-func (c *Conn) closeInPhase(phase Phase) bool {
+// CloseIn implements Member.
+func (c *Conn) CloseIn(phase Phase) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase != phase {
@@ -153,7 +154,7 @@
 
 // CloseIfIdle closes the connection if no request is being read or handled.
 func (c *Conn) CloseIfIdle() {
-	_ = c.closeInPhase(Idle)
+	_ = c.CloseIn(Idle)
 }
 
 // Close closes the connection.
@@ -311,7 +312,7 @@
 }
 
 func (c *Conn) releaseRequest() {
-	c.body.release()
+	c.body.Release()
 	c.memory.Release()
 	c.memory = nil
 }
@@ -319,13 +320,24 @@
 // Linger reads and drops what the client still sends, after EndRequest has ended the connection's last response.
 func (c *Conn) Linger() {
 	c.releaseReader()
+	discard(c.conn, c.source.first[:])
+}
+
+// Discard reads and drops what the client of a connection that is to be closed still sends, up to a bound in time and
+// bytes. The write side must be closed.
+func Discard(conn net.Conn) {
+	discard(conn, make([]byte, firstReadBytes))
+}
+
+func discard(conn net.Conn, buffer []byte) {
 	begin := time.Now()
 	for dropped := 0; dropped < lingerBytes && time.Since(begin) < lingerTotalTimeout; {
-		c.setReadDeadline(lingerTimeout)
-		if c.source.fill() != nil {
+		_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+		n, err := conn.Read(buffer)
+		dropped += n
+		if err != nil {
 			return
 		}
-		dropped += c.source.end
 	}
 }
 
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -11,6 +11,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/admin"
 	"github.com/mulberryglade/mulberryglade/pkg/admission"
 	"github.com/mulberryglade/mulberryglade/pkg/claims"
+	"github.com/mulberryglade/mulberryglade/pkg/clientconn"
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/configstore"
 	"github.com/mulberryglade/mulberryglade/pkg/configsync"
@@ -46,11 +47,22 @@
 	// engineDialTimeout bounds connecting to an endpoint, so that an unreachable endpoint does not use up the time to
 	// first token.
 	engineDialTimeout = 200 * time.Millisecond
-	// bodyMemory bounds the memory of endpoints' responses while they are buffered, over all pools, in bytes. It holds
-	// several responses of the largest size.
-	bodyMemory = 128 << 20
+	// heldMemoryFraction is the fraction of the memory that the bodies of callers and endpoints may occupy.
+	// defaultHeldMemory applies where the memory is unknown; it holds several bodies of the largest size.
+	heldMemoryFraction = 0.2
+	defaultHeldMemory  = 128 << 20
+	// callerConnectionBytes is what a caller's connection takes: the buffers of the server and its goroutines.
+	callerConnectionBytes = 36 << 10
 )
 
+// heldMemory returns the number of bytes that bodies may occupy.
+func heldMemory(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return defaultHeldMemory
+	}
+	return int64(float64(memoryMB<<20) * heldMemoryFraction)
+}
+
 func (d *Daemon) build() error {
 	d.recorder = decisions.NewRecorder(d.log, d.settings.DecisionRecords)
 	if err := d.buildStore(); err != nil {
@@ -102,11 +114,13 @@
 	if err != nil {
 		return err
 	}
+	d.memory = membudget.New(heldMemory(d.settings.Limits.MemoryMB))
 	connections := httpconn.Options{
-		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: membudget.New(bodyMemory),
+		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: d.memory,
 	}
 	d.engineClient = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.servicePool = httpconn.NewPool(connections)
+	d.servicePool.LimitIdleTotal(clientconn.IdleConnectionLimit(clientconn.DescriptorLimit(d.settings.Limits.MaxFDs)))
 	d.serviceLoads = plainhttp.NewReporter(connections)
 	options := endpoints.Options{
 		StaleAfter: peerStaleAfter,
@@ -298,12 +312,14 @@
 		Keys:     d.issuer,
 		Log:      d.log,
 		Scope:    d.metrics.Scope,
+		Memory:   d.memory,
 		Limits: gateway.Limits{
 			MaxBodyBytes:   int(limits.BodyBytes),
 			MaxHeaderBytes: limits.HeaderBytes,
-			MaxConnections: limits.ConcurrentConnections,
-			ReadTimeout:    config.Milliseconds(limits.ReadTimeoutMs),
-			IdleTimeout:    config.Milliseconds(limits.ConnectionIdleMs),
+			MaxConnections: min(limits.ConcurrentConnections,
+				clientconn.ConnectionLimit(clientconn.DescriptorLimit(limits.MaxFDs), limits.MemoryMB, callerConnectionBytes)),
+			ReadTimeout: config.Milliseconds(limits.ReadTimeoutMs),
+			IdleTimeout: config.Milliseconds(limits.ConnectionIdleMs),
 		},
 	})
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/instancelist"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore/etcdgateway"
 	"github.com/mulberryglade/mulberryglade/pkg/ledger"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/peer"
 	"github.com/mulberryglade/mulberryglade/pkg/placement"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
@@ -59,6 +60,8 @@
 	applied  atomic.Bool
 	recorder *decisions.Recorder
 
+	// memory bounds what the instance holds for callers and endpoints.
+	memory       *membudget.Budget
 	engineClient *openaihttp.Client
 	servicePool  *httpconn.Pool
 	serviceLoads *plainhttp.Reporter
--- a/pkg/edge/accept.go
+++ b/pkg/edge/accept.go
@@ -9,6 +9,8 @@
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/clientconn"
 )
 
 // accept accepts connections until the listener is closed and serves each one in its own goroutine.
@@ -44,7 +46,8 @@
 // admit counts a connection. At the limit it closes another one that gives way, or refuses the new one.
 func (s *Server) admit(c *clientConn) bool {
 	settings := s.settings()
-	admitted, closedOne := s.conns.Admit(c.Conn, connectionLimit(descriptorLimit(settings), settings.MemoryMB))
+	limit := clientconn.ConnectionLimit(clientconn.DescriptorLimit(settings.MaxFDs), settings.MemoryMB, clientconn.ConnectionBytes)
+	admitted, closedOne := s.conns.Admit(c.Conn, limit)
 	if closedOne || !admitted {
 		s.clientLimits.record(limitConnections, zap.Bool("refused", !admitted))
 	}
--- a/pkg/edge/clientlimits.go
+++ b/pkg/edge/clientlimits.go
@@ -1,8 +1,8 @@
 package edge
 
 import (
+	"context"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -32,6 +32,19 @@
 	unlogged map[string]int
 }
 
+// clientGaugeInterval is the interval at which the gauges of clients are updated.
+const clientGaugeInterval = 5 * time.Second
+
+// reportClients updates the gauges of what clients occupy until the context ends.
+func (s *Server) reportClients(ctx context.Context) {
+	for ctx.Err() == nil {
+		used, _ := s.deps.Pool.Memory().Usage()
+		s.clientLimits.scope.Gauge("held_bytes").Update(float64(used))
+		s.clientLimits.scope.Gauge("client_connections").Update(float64(len(s.conns.All())))
+		sleep(ctx, clientGaugeInterval)
+	}
+}
+
 // limitLogInterval is the minimum time between two log lines about one limit.
 const limitLogInterval = time.Second
 
@@ -56,48 +69,3 @@
 	l.mu.Unlock()
 	l.log.Info("client limit reached", append(fields, zap.String("limit", limit), zap.Int("unlogged", unlogged))...)
 }
-
-const (
-	// reservedFDs are the descriptors kept for listeners, the store, the instances and refused connections.
-	reservedFDs = 64
-	// clientFDShare is the share of the other descriptors for clients. A request needs a second one for its endpoint, and
-	// the rest is for idle connections to endpoints.
-	clientFDShare = 0.4
-	// idleFDShare is the share for idle connections to endpoints.
-	idleFDShare = 0.2
-	// connectionMemoryShare is the share of the memory that connections may take with their goroutines, connectionBytes
-	// what one takes at most while it is handled.
-	connectionMemoryShare = 0.125
-	connectionBytes       = 12 << 10
-	// minConnections is accepted in any case.
-	minConnections = 16
-)
-
-// connectionLimit returns the number of clients' connections for the given number of descriptors and the memory in
-// megabytes; zero means that a number is unknown.
-func connectionLimit(fds, memoryMB int) int {
-	limit := int(float64(fds-reservedFDs) * clientFDShare)
-	if memoryMB > 0 {
-		limit = min(limit, int(float64(memoryMB<<20)*connectionMemoryShare/connectionBytes))
-	}
-	return max(limit, minConnections)
-}
-
-// idleConnectionLimit returns the number of idle connections to all endpoints for the given number of descriptors.
-func idleConnectionLimit(fds int) int {
-	return int(float64(fds-reservedFDs) * idleFDShare)
-}
-
-// descriptorLimit returns the number of descriptors that the process may use: that of the settings, but no more than the
-// operating system allows.
-func descriptorLimit(settings *Settings) int {
-	limit := settings.MaxFDs
-	var system syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &system) == nil && (limit <= 0 || system.Cur < uint64(limit)) {
-		limit = int(min(system.Cur, maxDescriptors))
-	}
-	return limit
-}
-
-// maxDescriptors bounds the limit of the operating system, which may be none.
-const maxDescriptors = 1 << 20
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -59,7 +59,7 @@
 	// configuredAt is when the first configuration came into force; nil before that.
 	configuredAt atomic.Pointer[time.Time]
 	metrics      *metrics
-	conns        *clientconn.Group
+	conns        *clientconn.Group[*clientconn.Conn]
 	clientLimits *clientLimits
 	// endpointBytes counts the bytes of bodies that endpoints hold for this instance.
 	endpointBytes *membudget.Keyed
@@ -109,7 +109,7 @@
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
 		demand:         newDemandTracker(s.Region),
-		conns:          clientconn.NewGroup(),
+		conns:          clientconn.NewGroup[*clientconn.Conn](),
 		clientLimits:   newClientLimits(deps.Scope, log),
 		endpointBytes:  membudget.NewKeyed(cmp.Or(s.EndpointBodyMB, defaultEndpointBodyMB) << 20),
 		drainStarted:   make(chan struct{}),
@@ -307,7 +307,7 @@
 		}
 	}
 	s.deps.Pool.LimitIdle(limit)
-	s.deps.Pool.LimitIdleTotal(idleConnectionLimit(descriptorLimit(s.settings())))
+	s.deps.Pool.LimitIdleTotal(clientconn.IdleConnectionLimit(clientconn.DescriptorLimit(s.settings().MaxFDs)))
 }
 
 // maxIdleConnections bounds the idle connections to an endpoint.
@@ -335,7 +335,7 @@
 	}
 	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
 		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
-	s.deps.Pool.LimitIdleTotal(idleConnectionLimit(descriptorLimit(settings)))
+	s.deps.Pool.LimitIdleTotal(clientconn.IdleConnectionLimit(clientconn.DescriptorLimit(settings.MaxFDs)))
 	background, stopBackground := context.WithCancel(context.Background())
 	serving, stopServing := context.WithCancelCause(context.Background())
 	var tasks conc.WaitGroup
@@ -349,6 +349,7 @@
 	tasks.Go(func() { s.placement.Run(ctx) })
 	tasks.Go(func() { s.exchange.Run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
+	tasks.Go(func() { s.reportClients(background) })
 	<-ctx.Done()
 	s.drain(stopServing)
 	if err := clients.Close(); err != nil {
--- a/pkg/gateway/benchmark_test.go
+++ b/pkg/gateway/benchmark_test.go
@@ -66,3 +66,24 @@
 	}
 	return took
 }
+
+// BenchmarkLargeBody measures a call with a body of 4 MB, which the service's own limit refuses after it was read.
+func BenchmarkLargeBody(b *testing.B) {
+	f, cleanup := startFixture(standin.Options{}, gateway.Limits{}, nil)
+	defer cleanup()
+	pool := httpconn.NewPool(httpconn.Options{})
+	defer pool.Close()
+	body := bytes.Repeat([]byte("x"), 4<<20)
+	b.SetBytes(int64(len(body)))
+	for b.Loop() {
+		req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+		req.SetRequestURI(f.url + "/v1/services/order-desk/orders")
+		req.Header.SetMethod("POST")
+		req.Header.Set("Authorization", "Bearer "+memberKey)
+		req.SetBodyRaw(body)
+		err := pool.Do(context.Background(), f.url, time.Now().Add(time.Minute), req, resp, 1<<20)
+		if err != nil || resp.StatusCode() != fasthttp.StatusRequestEntityTooLarge {
+			b.Fatal(err, resp.StatusCode())
+		}
+	}
+}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -24,6 +24,8 @@
 	requestID string
 	stream    *dispatch.ModelStream
 	cancel    context.CancelFunc
+	// endRequest releases what the request holds.
+	endRequest func()
 	// pending is the unread rest of the current event. For a chunk it is a part of buffer, which is reused for the next
 	// chunk.
 	pending   []byte
@@ -99,7 +101,7 @@
 // Close implements io.Closer. fasthttp calls it at the end of the response and when the caller's connection fails.
 func (b *eventBody) Close() error {
 	b.closeOnce.Do(func() {
-		defer b.server.endRequest()
+		defer b.endRequest()
 		defer b.cancel()
 		b.stream.Close()
 	})
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -20,6 +20,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/dispatch"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
 	"github.com/mulberryglade/mulberryglade/pkg/gateway"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 )
 
@@ -239,17 +240,53 @@
 		Expect(f.server.Drain(context.Background())).To(Succeed())
 	})
 
-	// Guards against connections above the limit that are rejected without an outcome.
+	// Guards against connections above the limit that are rejected without an outcome, and against a call in progress that
+	// is displaced by a new connection.
 	It("limits connections", func() {
+		f := newFixture(standin.Options{}, gateway.Limits{MaxConnections: 1}, nil)
+		arrived, proceed := make(chan struct{}), make(chan struct{})
+		f.engine.Faults().Queue(standin.CallInference, standin.Fault{Hook: func() { close(arrived); <-proceed }})
+		inFlight := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			inFlight <- f.do("POST", chatPath, chat(""))
+		}()
+		<-arrived
+		r := f.sendRaw("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
+		Expect(r.problem.Type).To(Equal(problem.TypeOverloaded))
+		Expect(r.problem.Outcome).To(Equal(problem.NotRun))
+		close(proceed)
+		Expect((<-inFlight).status).To(Equal(200))
+	})
+
+	// Guards against callers that hold all connections without a request and keep all others out.
+	It("closes an idle connection for a new one", func() {
 		f := newFixture(standin.Options{}, gateway.Limits{MaxConnections: 1}, nil)
 		conn, err := net.Dial("tcp", f.address)
 		Expect(err).NotTo(HaveOccurred())
 		defer func() { _ = conn.Close() }()
 		r := f.sendRaw("GET /v1/models HTTP/1.1\r\nHost: x\r\n\r\n")
-		Expect(r.problem.Type).To(Equal(problem.TypeOverloaded))
-		Expect(r.problem.Outcome).To(Equal(problem.NotRun))
+		Expect(r.problem.Type).To(Equal(problem.TypeUnauthenticated))
+		_, err = conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(io.EOF))
 	})
 
+	// Guards against bodies that are kept for ever, or refused without an outcome, where their caller keeps to no limits.
+	DescribeTable("refuses a body outside the limits", func(head, body string, limits gateway.Limits, memory int64, want problem.Type, status int) {
+		f := newFixture(standin.Options{}, limits, func(o *gateway.Options) { o.Memory = membudget.New(memory) })
+		r := f.sendRaw("POST " + chatPath + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " + memberKey + "\r\n" + head + "\r\n\r\n" + body)
+		Expect(r.problem.Type).To(Equal(want))
+		Expect(r.status).To(Equal(status))
+		Expect(r.problem.Outcome).To(Equal(problem.NotRun))
+		Expect(f.engine.TotalExecutions()).To(BeZero())
+	},
+		Entry("that stops", "Content-Length: 9000", "{", gateway.Limits{StallTimeout: 100 * time.Millisecond}, int64(1<<20), problem.TypeRequestTimeout, 408),
+		Entry("that stops in a chunk", "Transfer-Encoding: chunked", "100\r\n{", gateway.Limits{StallTimeout: 100 * time.Millisecond}, int64(1<<20), problem.TypeRequestTimeout, 408),
+		Entry("that is too large", "Content-Length: 9000", strings.Repeat("x", 9000), gateway.Limits{MaxBodyBytes: 8999}, int64(1<<20), problem.TypeBodyTooLarge, 413),
+		Entry("that is too large in chunks", "Transfer-Encoding: chunked", strings.Repeat("100\r\n"+strings.Repeat("x", 256)+"\r\n", 400), gateway.Limits{MaxBodyBytes: 8999}, int64(1<<20), problem.TypeBodyTooLarge, 413),
+		Entry("for which there is no memory", "Content-Length: 90000", strings.Repeat("x", 90000), gateway.Limits{}, int64(50<<10), problem.TypeOverloaded, 503),
+	)
+
 	// Guards against buffers that are shared between requests, and against engine calls with equal ids when callers reuse
 	// their request ids.
 	It("isolates concurrent requests", func() {
--- a/pkg/gateway/listener.go
+++ b/pkg/gateway/listener.go
@@ -12,6 +12,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/mulberryglade/mulberryglade/pkg/clientconn"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 )
 
@@ -28,12 +29,12 @@
 type limitedListener struct {
 	net.Listener
 	server      *Server
-	openConns   atomic.Int64
+	conns       *clientconn.Group[*callerConn]
 	rejectSlots chan struct{}
 }
 
 func (s *Server) limitConnections(listener net.Listener) net.Listener {
-	return &limitedListener{Listener: listener, server: s, rejectSlots: make(chan struct{}, maxConcurrentRejections)}
+	return &limitedListener{Listener: listener, server: s, conns: clientconn.NewGroup[*callerConn](), rejectSlots: make(chan struct{}, maxConcurrentRejections)}
 }
 
 // Accept implements net.Listener.
@@ -43,10 +44,14 @@
 		if err != nil {
 			return nil, err
 		}
-		if l.openConns.Add(1) <= int64(l.server.options.Limits.MaxConnections) {
-			return &callerConn{Conn: conn, listener: l}, nil
+		caller := &callerConn{Conn: conn, listener: l, since: time.Now()}
+		admitted, closedOne := l.conns.Admit(caller, l.server.options.Limits.MaxConnections)
+		if closedOne {
+			l.server.options.Scope.Counter("displaced_connections").Inc(1)
+		}
+		if admitted {
+			return caller, nil
 		}
-		l.openConns.Add(-1)
 		l.reject(conn)
 	}
 }
@@ -94,23 +99,120 @@
 	net.Conn
 	listener  *limitedListener
 	closeOnce sync.Once
+	// lingers is set if the caller may still send a body that nobody reads, so that the connection is read for a while
+	// before it is closed. Closing it with unread bytes resets it, and the caller could lose the response.
+	lingers atomic.Bool
+
+	mu     sync.Mutex
+	phase  clientconn.Phase
+	since  time.Time
+	served bool
+	// handling is set while a handler runs, which may read the body.
+	handling bool
+}
+
+// State implements clientconn.Member.
+func (c *callerConn) State(now time.Time) clientconn.State {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return clientconn.State{Phase: c.phase, Served: c.served, Age: now.Sub(c.since)}
 }
 
-// Write implements net.Conn.
+// CloseIn implements clientconn.Member.
+func (c *callerConn) CloseIn(phase clientconn.Phase) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.phase != phase {
+		return false
+	}
+	_ = c.Conn.Close()
+	return true
+}
+
+// enter changes the phase. Outside of a handler, a read means that the response before it is complete.
+func (c *callerConn) enter(phase clientconn.Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.handling && c.phase != phase {
+		c.phase, c.since = phase, time.Now()
+	}
+}
+
+// beginRequest marks that a complete head has arrived, which a handler serves.
+func (c *callerConn) beginRequest() {
+	c.enter(clientconn.Busy)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling, c.served = true, true
+}
+
+// endHandler marks that the handler has returned. The connection stays busy until its response is written.
+func (c *callerConn) endHandler() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handling = false
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	if !c.handling && c.phase == clientconn.Busy {
+		c.phase, c.since = clientconn.Idle, time.Now()
+	}
+	c.mu.Unlock()
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.enter(clientconn.ReadingHead)
+	}
+	return n, err
+}
+
+// maxWriteBytes bounds one write, so that a caller that reads a long response slowly makes progress within the time-out.
+const maxWriteBytes = 64 << 10
+
+// Write implements net.Conn. The time-out is that of each part of maxWriteBytes.
 func (c *callerConn) Write(p []byte) (int, error) {
-	deadline := time.Now().Add(c.listener.server.options.Limits.WriteTimeout)
-	if err := c.SetWriteDeadline(deadline); err != nil {
-		return 0, err
+	written := 0
+	for {
+		deadline := time.Now().Add(c.listener.server.options.Limits.WriteTimeout)
+		if err := c.SetWriteDeadline(deadline); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(p[written:min(len(p), written+maxWriteBytes)])
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	return c.Conn.Write(p)
 }
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
-	c.closeOnce.Do(func() { c.listener.openConns.Add(-1) })
+	err := error(nil)
+	c.closeOnce.Do(func() {
+		if !c.lingers.Load() || !c.listener.server.runInBackground(func() { _ = c.lingerAndClose() }) {
+			err = c.closeNow()
+		}
+	})
+	return err
+}
+
+func (c *callerConn) closeNow() error {
+	c.listener.conns.Remove(c)
 	return c.Conn.Close()
 }
 
+func (c *callerConn) lingerAndClose() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		_ = half.CloseWrite()
+	}
+	c.mu.Lock()
+	c.phase, c.since = clientconn.Closing, time.Now()
+	c.mu.Unlock()
+	clientconn.Discard(c.Conn)
+	return c.closeNow()
+}
+
 // SyscallConn implements syscall.Conn for httpconn.PeerClosed.
 func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	socket, ok := c.Conn.(syscall.Conn)
--- a/pkg/gateway/models.go
+++ b/pkg/gateway/models.go
@@ -134,7 +134,7 @@
 	r.streaming = true
 	r.c.Set(fiber.HeaderContentType, "text/event-stream")
 	r.c.Set(fiber.HeaderCacheControl, "no-cache")
-	body := &eventBody{server: s, requestID: r.id, stream: modelStream, cancel: cancel}
+	body := &eventBody{server: s, requestID: r.id, stream: modelStream, cancel: cancel, endRequest: func() { r.end(s) }}
 	r.c.Response().SetBodyStream(body, -1)
 	return nil
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 )
 
@@ -38,6 +39,16 @@
 	member    *config.Member
 	// streaming is true when the response is written after the handler returns. Closing the stream then ends the request.
 	streaming bool
+	limits    *Limits
+	budget    *membudget.Budget
+	// memory is what the body occupies. It is released with the end of the request.
+	memory *membudget.Reservation
+}
+
+// end releases what the request holds.
+func (r *request) end(s *Server) {
+	r.memory.Release()
+	s.endRequest()
 }
 
 // authenticated wraps a handler: it counts the request as in flight, authenticates it, and responds with a problem
@@ -53,7 +64,7 @@
 		}
 		defer func() {
 			if !r.streaming {
-				s.endRequest()
+				r.end(s)
 			}
 		}()
 		prob := s.authenticate(r)
@@ -89,7 +100,7 @@
 		callID = id + "." + random[:callIDSuffixLength]
 	}
 	c.Set(headerRequestID, id)
-	return &request{c: c, id: id, callID: callID, startedAt: s.options.Now()}
+	return &request{c: c, id: id, callID: callID, startedAt: s.options.Now(), limits: &s.options.Limits, budget: s.options.Memory}
 }
 
 // authenticate checks the number of headers and sets the request's snapshot and, by the bearer key, its member.
@@ -115,16 +126,6 @@
 	return nil
 }
 
-// body returns a copy of the request's body. Compressed bodies are rejected.
-func (r *request) body() ([]byte, *problem.Problem) {
-	encoding := r.c.Get(fiber.HeaderContentEncoding)
-	if encoding != "" && encoding != "identity" {
-		return nil, problem.New(problem.TypeInvalidRequest, fiber.StatusUnsupportedMediaType, problem.NotRun,
-			"Compressed bodies are not supported.")
-	}
-	return append([]byte(nil), r.c.Request().Body()...), nil
-}
-
 // deadline returns the request's deadline: the timeout from the caller's header or else defaultTimeout, limited to
 // maxTimeout. A zero defaultTimeout or maxTimeout means that the record declares none.
 func (r *request) deadline(defaultTimeout, maxTimeout time.Duration) (time.Time, *problem.Problem) {
--- a/pkg/gateway/server.go
+++ b/pkg/gateway/server.go
@@ -23,6 +23,7 @@
 	"github.com/mulberryglade/mulberryglade/pkg/config"
 	"github.com/mulberryglade/mulberryglade/pkg/dispatch"
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/problem"
 )
 
@@ -55,6 +56,9 @@
 	IdleTimeout time.Duration
 	// WriteTimeout bounds one write, so that a caller that does not read cannot keep a stream open for ever.
 	WriteTimeout time.Duration
+	// StallTimeout is the time in which a body must bring MinBytesPerSecond on average.
+	StallTimeout      time.Duration
+	MinBytesPerSecond int
 	// DisconnectCheckInterval is the interval at which the connections of model calls in progress are checked.
 	DisconnectCheckInterval time.Duration
 }
@@ -69,6 +73,8 @@
 	Log      *zap.Logger
 	Scope    tally.Scope
 	Limits   Limits
+	// Memory bounds the memory of bodies, together with what else takes from it; nil means no bound.
+	Memory *membudget.Budget
 	// Now defaults to time.Now; tests replace it.
 	Now func() time.Time
 }
@@ -105,6 +111,8 @@
 	setDefault(&l.ReadTimeout, 15*time.Second)
 	setDefault(&l.IdleTimeout, 60*time.Second)
 	setDefault(&l.WriteTimeout, 20*time.Second)
+	setDefault(&l.StallTimeout, 15*time.Second)
+	setDefault(&l.MinBytesPerSecond, 1<<10)
 	setDefault(&l.DisconnectCheckInterval, 250*time.Millisecond)
 	return l
 }
@@ -135,6 +143,9 @@
 		IdleTimeout:             options.Limits.IdleTimeout,
 		ErrorHandler:            s.handleError,
 		DisableHeadAutoRegister: true,
+		// The handlers read bodies themselves, since fasthttp reads them whole into buffers that nothing counts.
+		StreamRequestBody:            true,
+		DisablePreParseMultipartForm: true,
 	})
 	s.routes()
 	s.wrapHandler()
@@ -156,6 +167,10 @@
 	server := s.app.Server()
 	next := server.Handler
 	server.Handler = func(ctx *fasthttp.RequestCtx) {
+		if conn, ok := ctx.Conn().(*callerConn); ok {
+			conn.beginRequest()
+			defer conn.endHandler()
+		}
 		defer s.recoverPanic(ctx)
 		if !knownMethod(string(ctx.Method())) {
 			p := problem.New(problem.TypeMethodNotAllowed, fasthttp.StatusMethodNotAllowed, problem.NotRun,
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -170,6 +170,8 @@
 	c.checkRange("/limits/connectionIdleMs", s.Limits.ConnectionIdleMs, 1, maxDurationMs)
 	c.checkRange("/limits/readTimeoutMs", s.Limits.ReadTimeoutMs, 1, maxDurationMs)
 	c.checkRange("/limits/concurrentConnections", int64(s.Limits.ConcurrentConnections), 1, maxCount)
+	c.checkRange("/limits/memoryMb", int64(s.Limits.MemoryMB), 0, maxCount)
+	c.checkRange("/limits/maxFds", int64(s.Limits.MaxFDs), 0, maxCount)
 	c.checkRange("/shutdown/graceMs", s.Shutdown.GraceMs, 0, maxDurationMs)
 	c.checkRange("/shutdown/drainMs", s.Shutdown.DrainMs, 0, maxDurationMs)
 	c.checkRange("/decisionRecords", int64(s.DecisionRecords), 1, maxCount)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -85,6 +85,10 @@
 	ConnectionIdleMs      int64 `json:"connectionIdleMs,omitempty"`
 	ReadTimeoutMs         int64 `json:"readTimeoutMs,omitempty"`
 	ConcurrentConnections int   `json:"concurrentConnections,omitempty"`
+	// MemoryMB is the memory that the process may use, in megabytes, and MaxFDs the number of file descriptors. Zero means
+	// that the memory is unknown, and the limit of the operating system.
+	MemoryMB int `json:"memoryMb,omitempty"`
+	MaxFDs   int `json:"maxFds,omitempty"`
 }
 
 // Shutdown has the times of a graceful shutdown.
