Do not carry a write limit over to the next request of a connection

An early refusal, such as 404, on a reused connection was written with the limit of the request before; once that was over, the client found the connection closed without a response. The limit now ends with its request. An error of a connection that was closed on this side, for a new one, is no bad request any more, and only clients that accept nothing for the stall time-out count as unread_response, not those whose request's time is over.

TestWriteLimitEndsWithItsRequest fails without the change.

--- a/pkg/clientconn/clientconn_test.go
+++ b/pkg/clientconn/clientconn_test.go
@@ -189,6 +189,27 @@
 	}
 }
 
+// Guards against a reused connection that loses its response because the time of the request before is over.
+func TestWriteLimitEndsWithItsRequest(t *testing.T) {
+	server, client := pair(t)
+	c := New(server, nil)
+	defer c.Release()
+	for range 2 {
+		go func() { _, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") }()
+		if err := c.Await(); err != nil || !c.Begin() {
+			t.Fatal(err)
+		}
+		if err := c.ReadRequest(context.Background(), &fasthttp.Request{}, testLimits); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("HTTP/1.1 204 No Content\r\n\r\n")); err != nil {
+			t.Fatal(err)
+		}
+		c.LimitWrites(time.Now())
+		c.EndRequest(true, time.Minute)
+	}
+}
+
 // BenchmarkLargeRequest reads and forwards one request inside the limits. "before" is how an instance read bodies until
 // blocks were introduced: with fasthttp, into one buffer that is pooled.
 func BenchmarkLargeRequest(b *testing.B) {
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -102,6 +102,8 @@
 	first      [firstReadBytes]byte
 	start, end int
 	timedOut   bool
+	// broken is set once the connection has failed or was closed on this side.
+	broken bool
 }
 
 // Read implements io.Reader.
@@ -112,8 +114,11 @@
 		return n, nil
 	}
 	n, err := s.conn.Read(p)
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		s.timedOut = true
+	case err != nil && !errors.Is(err, io.EOF):
+		s.broken = true
 	}
 	return n, err
 }
@@ -224,7 +229,9 @@
 // errors of fasthttp, it returns ErrTooSlow, fasthttp.ErrBodyTooLarge, membudget.ErrEvicted and membudget.ErrExhausted.
 func (c *Conn) ReadRequest(ctx context.Context, req *fasthttp.Request, limits Limits) error {
 	c.stall = limits.StallTimeout
-	c.source.timedOut = false
+	// The limit of the request before must not end the response to this one.
+	c.LimitWrites(time.Time{})
+	c.source.timedOut, c.source.broken = false, false
 	c.memory = c.budget.ReserveEvictable(c.evict)
 	if err := c.memory.Grow(ctx, time.Time{}, limits.MaxHeaderBytes+handlingBytes); err != nil {
 		return err
@@ -237,6 +244,9 @@
 		return membudget.ErrEvicted
 	case err != nil && c.source.timedOut:
 		return ErrTooSlow
+	case err != nil && c.source.broken:
+		// fasthttp does not wrap all errors of the connection.
+		return errors.Wrapf(net.ErrClosed, "%v", err)
 	case err != nil:
 		return err
 	}
@@ -415,7 +425,7 @@
 				c.writeDeadline = time.Time{}
 				continue
 			}
-			if c.OnUnread != nil {
+			if c.OnUnread != nil && (c.writeLimit.IsZero() || time.Now().Before(c.writeLimit)) {
 				c.OnUnread()
 			}
 			return written, errors.Wrapf(ErrUnread, "%v", err)
