Let unread responses give way at the bound on connections

Streams that nobody reads could take all connections of an instance for 15 s, and new connections were refused meanwhile: a request in progress never gave way. At the bound, after all idle connections, the one whose client has accepted no byte for longest, and for at least 5 s, is closed now; that ends its call at the endpoint.

256 descriptors are kept in place of 64, since the users' platform reserves 200 of maxFds for files. Clients get 45 % of the rest (was 40), idle connections to endpoints 10 % (was 20).

TestVictimSparesRequestsAndReusedConnections, TestResponseMustBeRead and TestConnectionLimitFollowsDescriptorsAndMemory cover it.

--- a/pkg/clientconn/admission.go
+++ b/pkg/clientconn/admission.go
@@ -27,36 +27,53 @@
 	Served bool
 	// Age is the time since the phase began.
 	Age time.Duration
+	// Unread is the time for which the client has accepted no part of a response; zero while nothing is written.
+	Unread time.Duration
 }
 
-// rank orders connections for closing, the first ones highest. Zero means that the connection is kept: a request that has
-// arrived or whose body is on its way is subject to the memory budget and to the minimum rate instead.
+// minUnread is the time after which an unread response may give way. It is a third of the time after which it ends in any
+// case.
+const minUnread = 5 * time.Second
+
+// rank orders connections for closing, the first ones highest. Zero means that the connection is kept: a request whose body is
+// on its way is subject to the memory budget and to the minimum rate instead.
 func (s State) rank() int {
 	switch {
 	case s.Phase == Closing:
-		return 4
+		return 5
 	case s.Phase == Idle && !s.Served:
-		return 3
+		return 4
 	case s.Phase == ReadingHead && !s.Served:
-		return 2
+		return 3
 	case s.Phase == Idle:
+		return 2
+	case s.Phase == Busy && s.Unread >= minUnread:
 		return 1
 	}
 	return 0
 }
 
+// waited returns for how long the connection has been as it is.
+func (s State) waited() time.Duration {
+	if s.Phase == Busy {
+		return s.Unread
+	}
+	return s.Age
+}
+
 // VictimFor returns the index of the connection that is closed so that a new one can be accepted, or -1 if there is none:
 // connections that only wait to be closed, then those that have never brought a request, then those that wait for the
-// next one. Within a group, the one that has waited longest is chosen.
+// next one, then those whose client does not read its response. Within a group, the one that has waited longest is chosen.
 //
-// The load that it addresses is connections without end next to the reused connections of sound clients.
+// The loads that it addresses are connections without end, and streams that nobody reads, next to the reused connections of
+// sound clients.
 func VictimFor(states []State) int {
 	victim := -1
 	for i, s := range states {
 		if s.rank() == 0 {
 			continue
 		}
-		if victim < 0 || s.rank() > states[victim].rank() || s.rank() == states[victim].rank() && s.Age > states[victim].Age {
+		if victim < 0 || s.rank() > states[victim].rank() || s.rank() == states[victim].rank() && s.waited() > states[victim].waited() {
 			victim = i
 		}
 	}
--- a/pkg/clientconn/clientconn_test.go
+++ b/pkg/clientconn/clientconn_test.go
@@ -30,6 +30,8 @@
 		{"a head that does not end", []State{{Phase: Idle, Served: true, Age: 12 * second}, {Phase: ReadingHead, Age: second}}, 1},
 		{"a connection that is to be closed", []State{{Phase: Idle, Age: 9 * second}, {Phase: Closing, Age: second}}, 1},
 		{"the longest idle one", []State{{Phase: Idle, Served: true, Age: second}, {Phase: Idle, Served: true, Age: 2 * second}}, 1},
+		{"a response that nobody reads", []State{{Phase: Busy, Served: true, Age: 20 * second, Unread: 4 * second}, {Phase: Busy, Served: true, Age: 9 * second, Unread: 8 * second}}, 1},
+		{"an idle connection before an unread response", []State{{Phase: Busy, Served: true, Unread: 9 * second}, {Phase: Idle, Served: true, Age: second}}, 1},
 		{"a second request's head", []State{{Phase: ReadingHead, Served: true, Age: second}}, -1},
 	} {
 		if got := VictimFor(test.states); got != test.want {
@@ -102,6 +104,8 @@
 		c := New(server, nil)
 		c.OnUnread = func() { unread++ }
 		c.stall = 500 * time.Millisecond
+		blocked := make(chan time.Duration, 1)
+		time.AfterFunc(300*time.Millisecond, func() { blocked <- c.State(time.Now()).Unread })
 		const total = 16 << 20
 		if reads {
 			go func() {
@@ -121,6 +125,12 @@
 		if !reads && (!errors.Is(err, ErrUnread) || unread != 1) {
 			t.Fatalf("silent client: %d bytes, %v", n, err)
 		}
+		if unreadFor := <-blocked; !reads && unreadFor <= 0 {
+			t.Fatal("a blocked write does not show")
+		}
+		if c.State(time.Now()).Unread != 0 {
+			t.Fatal("a write that has ended shows")
+		}
 	}
 }
 
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -10,6 +10,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,6 +83,9 @@
 	// after that.
 	evicted bool
 
+	// writingSince is when the write in progress began, in nanoseconds since 1970; zero while there is none.
+	writingSince atomic.Int64
+
 	// The fields below belong to the goroutine that writes.
 	writer        *bufio.Writer
 	stall         time.Duration
@@ -137,7 +141,11 @@
 func (c *Conn) State(now time.Time) State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return State{Phase: c.phase, Served: c.served, Age: now.Sub(c.since)}
+	state := State{Phase: c.phase, Served: c.served, Age: now.Sub(c.since)}
+	if since := c.writingSince.Load(); since != 0 {
+		state.Unread = now.Sub(time.Unix(0, since))
+	}
+	return state
 }
 
 // setPhaseLocked requires mu.
@@ -414,10 +422,12 @@
 // limit of LimitWrites.
 func (c *Conn) Write(p []byte) (int, error) {
 	written := 0
+	defer c.writingSince.Store(0)
 	for written < len(p) {
 		if err := c.moveWriteDeadline(); err != nil {
 			return written, err
 		}
+		c.writingSince.Store(time.Now().UnixNano())
 		n, err := c.conn.Write(p[written:min(len(p), written+maxWriteBytes)])
 		written += n
 		if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/pkg/clientconn/limits.go
+++ b/pkg/clientconn/limits.go
@@ -3,13 +3,14 @@
 import "syscall"
 
 const (
-	// reservedFDs are the descriptors kept for listeners, the store, the instances and refused connections.
-	reservedFDs = 64
+	// reservedFDs are the descriptors that connections to clients and endpoints do not use: the users' platform keeps 200 of
+	// maxFds for files, and the rest is for listeners, the store, the instances and refused connections.
+	reservedFDs = 256
 	// clientFDShare is the share of the other descriptors for clients. A request needs a second one for its endpoint, and
 	// the rest is for idle connections to endpoints.
-	clientFDShare = 0.4
+	clientFDShare = 0.45
 	// idleFDShare is the share for idle connections to endpoints.
-	idleFDShare = 0.2
+	idleFDShare = 0.1
 	// connectionMemoryShare is the share of the memory that connections may take.
 	connectionMemoryShare = 0.125
 	// minConnections is accepted in any case.
