--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -12,7 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
-	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/quota"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
@@ -32,8 +32,8 @@
 	arrivedAt time.Time
 	deadline  time.Time
 	log       *zap.Logger
-	// memory is what the endpoints' responses to this request occupy.
-	memory *httpconn.Reservation
+	// memory is what this request and the endpoints' responses to it occupy.
+	memory *membudget.Reservation
 
 	// keyCheck is the result of the last check of the API key, by the configuration checkedTable. workspaceChanged is set
 	// if the key belongs to another workspace there.
@@ -102,9 +102,8 @@
 		arrivedAt:   arrivedAt,
 		deadline:    arrivedAt.Add(requestTimeout(request.Remaining, route.Timeout)),
 		log:         log,
-		memory:      s.deps.Pool.Reserve(),
+		memory:      c.Memory(),
 	}
-	defer r.memory.Release()
 	c.setWriteDeadline(r.deadline)
 	if allowed, keepOpen := r.checkKey(closeAfter); !allowed {
 		return keepOpen
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -4,6 +4,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -17,11 +18,13 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mulberryglade/mulberryglade/pkg/clientconn"
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/lease"
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/quarantine"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
 	"github.com/mulberryglade/mulberryglade/pkg/retry"
@@ -58,10 +61,14 @@
 	// configuredAt is when the first configuration came into force; nil before that.
 	configuredAt atomic.Pointer[time.Time]
 	metrics      *metrics
-	instances    *instanceRegistry
-	demand       *demandTracker
-	exchange     *exchange.Exchange
-	lease        *lease.Holder
+	conns        *clientconn.Group[*clientconn.Conn]
+	clientLimits *clientLimits
+	// endpointBytes counts the bytes of bodies that endpoints hold for this instance.
+	endpointBytes *membudget.Keyed
+	instances     *instanceRegistry
+	demand        *demandTracker
+	exchange      *exchange.Exchange
+	lease         *lease.Holder
 	// placement sends placement orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
@@ -84,7 +91,6 @@
 	refusing chan struct{}
 
 	mu     sync.Mutex
-	conns  map[*clientConn]struct{}
 	random *rand.Rand
 	// controlListeners runs the listeners for readiness checks and metrics.
 	controlListeners conc.WaitGroup
@@ -106,7 +112,9 @@
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
 		demand:         newDemandTracker(s.Region),
-		conns:          make(map[*clientConn]struct{}),
+		conns:          clientconn.NewGroup[*clientconn.Conn](),
+		clientLimits:   newClientLimits(deps.Scope, log),
+		endpointBytes:  membudget.NewKeyed(cmp.Or(s.EndpointBodyMB, defaultEndpointBodyMB) << 20),
 		drainStarted:   make(chan struct{}),
 		refusing:       make(chan struct{}),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -307,6 +315,7 @@
 		}
 	}
 	s.deps.Pool.LimitIdle(limit)
+	s.deps.Pool.LimitIdleTotal(clientconn.IdleConnectionLimit(clientconn.DescriptorLimit(s.settings().MaxFDs)))
 }
 
 // maxIdleConnections bounds the idle connections to an endpoint.
@@ -334,6 +343,7 @@
 	}
 	s.log.Info("started", zap.String("instance", settings.InstanceID), zap.String("dataCentre", settings.DataCentre),
 		zap.String("clients", settings.CallerAddress), zap.String("store", settings.StoreAddress))
+	s.deps.Pool.LimitIdleTotal(clientconn.IdleConnectionLimit(clientconn.DescriptorLimit(settings.MaxFDs)))
 	background, stopBackground := context.WithCancel(context.Background())
 	serving, stopServing := context.WithCancelCause(context.Background())
 	var tasks conc.WaitGroup
@@ -348,6 +358,7 @@
 	tasks.Go(func() { s.exchange.Run(background) })
 	tasks.Go(func() { s.quota.run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
+	tasks.Go(func() { s.reportClients(background) })
 	<-ctx.Done()
 	s.drain(stopServing)
 	if err := clients.Close(); err != nil {
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -10,6 +10,8 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/valyala/fasthttp"
+
+	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 )
 
 // Options configures a Pool; zero values select the defaults.
@@ -29,7 +31,7 @@
 	// AllowCloseDelimited allows bodies without a length that end with an orderly close of the connection.
 	AllowCloseDelimited bool
 	// Memory bounds the memory of the bodies that are being buffered, over all pools that share it; nil means no bound.
-	Memory *MemoryBudget
+	Memory *membudget.Budget
 }
 
 const (
@@ -40,8 +42,10 @@
 
 // Pool keeps idle connections per endpoint. It is safe for concurrent use.
 type Pool struct {
-	options              Options
-	maxIdle              atomic.Int64
+	options Options
+	maxIdle atomic.Int64
+	// maxIdleTotal bounds the idle connections to all endpoints; zero means no bound.
+	maxIdleTotal         atomic.Int64
 	unsolicitedResponses atomic.Int64
 	stop                 chan struct{}
 	reaper               conc.WaitGroup
@@ -49,6 +53,8 @@
 	mu     sync.Mutex
 	closed bool
 	idle   map[string][]*Conn
+	// idleTotal is the number of connections in idle.
+	idleTotal int
 }
 
 // NewPool returns an empty pool, which must be closed.
@@ -73,6 +79,11 @@
 	p.maxIdle.Store(int64(max(perAddress, 1)))
 }
 
+// LimitIdleTotal sets the bound on idle connections to all endpoints together, which is at least one.
+func (p *Pool) LimitIdleTotal(total int) {
+	p.maxIdleTotal.Store(int64(max(total, 1)))
+}
+
 // Close closes idle connections. Connections in use are closed when they are released.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -105,7 +116,7 @@
 }
 
 // DoReserving is like Do for a body that is kept longer than the call. The caller releases its memory.
-func (p *Pool) DoReserving(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *Reservation) error {
+func (p *Pool) DoReserving(ctx context.Context, baseURL string, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) error {
 	conn, err := p.acquire(ctx, baseURL, deadline)
 	if err != nil {
 		return err
@@ -132,10 +143,15 @@
 }
 
 // Reserve returns an empty reservation in the pool's memory budget.
-func (p *Pool) Reserve() *Reservation {
+func (p *Pool) Reserve() *membudget.Reservation {
 	return p.options.Memory.Reserve()
 }
 
+// Memory returns the pool's memory budget, or nil if there is none.
+func (p *Pool) Memory() *membudget.Budget {
+	return p.options.Memory
+}
+
 // DoOnNewConn is like Do on a new connection that is closed afterwards. It is for calls that must not be repeated: an
 // endpoint may close an idle connection while a call is written to it, and the outcome of that call is unknown, while a
 // new connection that fails shows that nothing was sent.
@@ -210,10 +226,12 @@
 	conn := conns[len(conns)-1]
 	if time.Since(conn.idleSince) >= p.idleTimeout(conn) {
 		closeAll(conns)
+		p.idleTotal -= len(conns)
 		delete(p.idle, baseURL)
 		return nil
 	}
 	p.idle[baseURL] = conns[:len(conns)-1]
+	p.idleTotal--
 	return conn
 }
 
@@ -242,10 +260,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[conn.baseURL]
-	if p.closed || int64(len(conns)) >= p.maxIdle.Load() {
+	maxTotal := p.maxIdleTotal.Load()
+	if p.closed || int64(len(conns)) >= p.maxIdle.Load() || maxTotal > 0 && int64(p.idleTotal) >= maxTotal {
 		conn.Close()
 		return
 	}
+	p.idleTotal++
 	p.idle[conn.baseURL] = append(conns, conn)
 }
 
@@ -271,6 +291,7 @@
 			expired++
 		}
 		closeAll(conns[:expired])
+		p.idleTotal -= expired
 		if expired == len(conns) {
 			delete(p.idle, baseURL)
 			continue
