Log rejected requests without their contents

A request whose header could not be parsed was logged with the error of the HTTP library, which quotes the header and with it the API key. The log line now has the status and a fixed reason.

--- a/pkg/edge/clientconn.go
+++ b/pkg/edge/clientconn.go
@@ -141,7 +141,8 @@
 	}
 	c.DropRequest()
 	if limit == "" {
-		c.server.log.Info("request rejected", zap.Int("status", response.status), zap.Error(err))
+		// The error quotes the header, which may have an API key.
+		c.server.log.Info("request rejected", zap.Int("status", response.status), zap.String("reason", "malformed request"))
 	} else {
 		c.server.clientLimits.record(limit, zap.Int("status", response.status))
 	}
