Compare members by recent service relative to their shares

Fair queueing on the users' platform must hold back a workspace above its share by as much as the workspaces below it use. Accountant.Headroom does not fit: it always reserves a tenth, which is lost while nobody else asks, and treats all members above twice their share alike, so that a large workspace is held back as much as one at many times its demand.

Standing returns the facts for such a rule: the member's service relative to its share, the part that members below it received, and whether one of these waits. A member alone stands at 1 with nothing below it.

Tested: go test ./pkg/fairshare, seen failing before Standing existed.

--- a/pkg/fairshare/fairshare.go
+++ b/pkg/fairshare/fairshare.go
@@ -234,6 +234,39 @@
 	return min(1, excess) * min(maxHeadroom, max(minHeadroom, usedWithinShare/totalService))
 }
 
+// Standing compares a member's recent service over all instances with that of the other active members.
+type Standing struct {
+	// Relative is the member's fraction of the recent service divided by its fraction of the shares. It is above 1 for a
+	// member above its share.
+	Relative float64
+	// LowerFraction is the fraction of the recent service that members with a lower Relative received.
+	LowerFraction float64
+	// LowerWaits is set if calls of a member with a lower Relative wait, here or at another instance.
+	LowerWaits bool
+}
+
+// Standing returns the member's standing.
+func (a *Accountant) Standing(member string) Standing {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	totalShare, totalService := a.activeTotals(now)
+	own := a.member(member)
+	if totalService <= 0 || !own.isActive(now) {
+		return Standing{}
+	}
+	ownRatio := own.recentService(now) / own.share
+	standing := Standing{Relative: ownRatio * totalShare / totalService}
+	for _, account := range a.members.accounts {
+		if account == own || !account.isActive(now) || account.recentService(now)/account.share >= ownRatio {
+			continue
+		}
+		standing.LowerFraction += account.recentService(now) / totalService
+		standing.LowerWaits = standing.LowerWaits || account.waiting+account.remoteWaiting > 0
+	}
+	return standing
+}
+
 // activeTotals returns the sums of the shares and of the recent service of the active members. The caller holds the
 // lock.
 func (a *Accountant) activeTotals(now time.Time) (totalShare, totalService float64) {
--- a/pkg/fairshare/fairshare_test.go
+++ b/pkg/fairshare/fairshare_test.go
@@ -265,3 +265,32 @@
 		})
 	}
 }
+
+// Guards against a member above its share that is not recognized as such, and against reserving capacity for members that
+// ask for nothing.
+func TestStandingComparesMembersByRecentService(t *testing.T) {
+	a := newAccountant(nil)
+	receive := func(member string, tokens int) {
+		a.Start(member, "m", fairshare.Cost{}).Finish(fairshare.Cost{InputTokens: tokens})
+	}
+	receive("hot", 600)
+	if s := a.Standing("hot"); s.Relative != 1 || s.LowerFraction != 0 || s.LowerWaits {
+		t.Fatalf("a member alone: %+v", s)
+	}
+	receive("small", 100)
+	receive("large", 500)
+	near := func(got, want float64) bool { return math.Abs(got-want) < 0.01 }
+	if s := a.Standing("hot"); !near(s.Relative, 1.5) || !near(s.LowerFraction, 0.5) || s.LowerWaits {
+		t.Fatalf("hot: %+v", s)
+	}
+	if s := a.Standing("large"); !near(s.Relative, 1.25) || !near(s.LowerFraction, 1.0/12) {
+		t.Fatalf("large: %+v", s)
+	}
+	a.AddWaiting("new", "m", 1)
+	if s := a.Standing("hot"); !s.LowerWaits {
+		t.Fatalf("hot while another member waits: %+v", s)
+	}
+	if s := a.Standing("new"); s.Relative != 0 || s.LowerFraction != 0 || s.LowerWaits {
+		t.Fatalf("new: %+v", s)
+	}
+}
