Add the order of waiting requests and the limit of a workspace above its share

Callers of all workspaces were rejected or late in proportion to the whole when one workspace sent many times its usual demand: requests that found no endpoint were all woken at each change, and nothing told workspaces apart.

pkg/fairqueue decides, without a network, who is woken next (in time before late, rank, service relative to the share, deadline) and up to which fraction of an engine's time a workspace may send while its service is saturated. Each request has one turn per change and passes it on if it cannot use the room, so that no room stays unused. A change during a round starts another one after it, so that the end of the order is reached however fast changes follow. Usage of other instances is merged by sender or as one sum; usage from before the first message or from a gap does not count as recent.

Nothing calls the package yet. Tested: go test ./pkg/fairqueue, seen failing before the package existed.

--- /dev/null
+++ b/pkg/fairqueue/queue_test.go
@@ -0,0 +1,287 @@
+package fairqueue_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	// Fixes the seed of the property tests.
+	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
+	"github.com/mulberryglade/mulberryglade/pkg/fairqueue"
+	"github.com/mulberryglade/mulberryglade/pkg/fairshare"
+)
+
+const service = "s"
+
+// inputTokens is the cost of a call that generates nothing.
+func inputTokens(n int) fairshare.Cost {
+	return fairshare.Cost{InputTokens: n}
+}
+
+// hasTurn takes the ticket's turn if it has one.
+func hasTurn(t *fairqueue.Ticket) bool {
+	select {
+	case <-t.Turn():
+		return true
+	default:
+		return false
+	}
+}
+
+// takeTurns gives each ticket its turns until nobody has one, and returns the names in this order.
+func takeTurns(tickets map[string]*fairqueue.Ticket) string {
+	var order []string
+	for {
+		name := ""
+		for n, ticket := range tickets {
+			if hasTurn(ticket) {
+				if name != "" {
+					return "two turns at once: " + name + " " + n
+				}
+				name = n
+			}
+		}
+		if name == "" {
+			return strings.Join(order, " ")
+		}
+		order = append(order, name)
+		tickets[name].Yield(time.Now())
+	}
+}
+
+// Guards against a deviation from the documented order: in time before late, rank, service relative to the share, deadline.
+func TestRequestsAreWokenInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		scheduler.Start("hot", "m", inputTokens(5000))
+		scheduler.Start("normal", "m", inputTokens(1000))
+		scheduler.Start("small", "m", inputTokens(100))
+		now := time.Now()
+		in := func(d time.Duration) time.Time { return now.Add(d) }
+		tickets := make(map[string]*fairqueue.Ticket)
+		join := func(name, workspace string, rank int, inTimeUntil, deadline time.Duration) {
+			tickets[name], _ = queue.Join(fairqueue.Waiter{
+				Workspace: workspace, Model: "m", Rank: rank, InTimeUntil: in(inTimeUntil), Deadline: in(deadline),
+			}, true, now)
+		}
+		join("late", "small", 0, 0, time.Second)
+		join("hotEarly", "hot", 1, time.Second, time.Second)
+		join("normalLater", "normal", 1, time.Second, 3*time.Second)
+		join("normalEarlier", "normal", 1, time.Second, 2*time.Second)
+		join("urgentHot", "hot", 0, time.Second, 9*time.Second)
+		join("small", "small", 1, time.Second, 9*time.Second)
+		if order := takeTurns(tickets); order != "" {
+			t.Fatalf("woken without a change: %s", order)
+		}
+		queue.Wake(now)
+		const want = "urgentHot small normalEarlier normalLater hotEarly late"
+		if order := takeTurns(tickets); order != want {
+			t.Fatalf("order is %q, want %q", order, want)
+		}
+	})
+}
+
+// Guards against room that stays unused because the first in line cannot use it, and against requests that are never woken
+// because changes follow each other faster than all requests have had their turn.
+func TestAllRequestsHaveATurnAlthoughChangesContinue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := fairqueue.NewScheduler().Queue(service)
+		now := time.Now()
+		tickets := make(map[string]*fairqueue.Ticket)
+		for i, name := range []string{"a", "b", "c"} {
+			tickets[name], _ = queue.Join(fairqueue.Waiter{
+				Workspace: name, InTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Duration(i+1) * time.Second),
+			}, true, now)
+		}
+		queue.Wake(now)
+		var order []string
+		for range 6 {
+			for _, name := range []string{"a", "b", "c"} {
+				if hasTurn(tickets[name]) {
+					order = append(order, name)
+					queue.Wake(now)
+					tickets[name].Yield(now)
+					break
+				}
+			}
+		}
+		if got := strings.Join(order, " "); got != "a b c a b c" {
+			t.Fatalf("turns are %q", got)
+		}
+	})
+}
+
+// Guards against a turn that is lost with the request that had it: because its client left, its time ended or it was sent.
+func TestTurnPassesOnWhenARequestLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := fairqueue.NewScheduler().Queue(service)
+		now := time.Now()
+		waiter := func(deadline time.Duration) fairqueue.Waiter {
+			return fairqueue.Waiter{Workspace: "w", InTimeUntil: now.Add(time.Second), Deadline: now.Add(deadline)}
+		}
+		first, idle := queue.Join(waiter(1*time.Second), true, now)
+		second, again := queue.Join(waiter(2*time.Second), true, now)
+		if idle == nil || again != nil {
+			t.Fatal("exactly the first request must start the watch for changes")
+		}
+		queue.Wake(now)
+		first.Leave(now)
+		first.Leave(now)
+		if !hasTurn(second) {
+			t.Fatal("the second request has no turn after the first one left")
+		}
+		second.Leave(now)
+		select {
+		case <-idle:
+		default:
+			t.Fatal("the watch for changes does not end with the last request")
+		}
+		if queue.Waiting() {
+			t.Fatal("requests wait after all have left")
+		}
+		if _, idle := queue.Join(waiter(time.Second), true, now); idle == nil {
+			t.Fatal("the next request does not start a watch for changes")
+		}
+	})
+}
+
+// Guards against a new request that overtakes waiting ones which precede it, and against one that has to wait for those
+// which it precedes. Room also appears without a change, as rates decay with time.
+func TestNewRequestTakesItsPlaceInTheOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := fairqueue.NewScheduler().Queue(service)
+		now := time.Now()
+		tickets := make(map[string]*fairqueue.Ticket)
+		join := func(name string, deadline time.Duration, tried bool) {
+			tickets[name], _ = queue.Join(fairqueue.Waiter{
+				Workspace: "w", InTimeUntil: now.Add(time.Second), Deadline: now.Add(deadline),
+			}, tried, now)
+		}
+		join("first", 1*time.Second, true)
+		join("third", 3*time.Second, true)
+		join("second", 2*time.Second, false)
+		if order := takeTurns(tickets); order != "first second" {
+			t.Fatalf("order is %q", order)
+		}
+	})
+}
+
+// Guards against a workspace that is held back while it is the only one that asks, while nothing is saturated or while it
+// is within its share, and against one that is not held back although it takes what others below it use.
+func TestLimitOfAWorkspaceAboveItsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		const base = 0.95
+		limit := func(workspace string) float64 { return queue.Limit(workspace, base, time.Now()).Limit }
+		use := func(workspace string, tokens int) {
+			scheduler.Start(workspace, "m", inputTokens(tokens)).Finish(inputTokens(tokens))
+		}
+		use("hot", 6000)
+		queue.NoteSaturated(time.Now())
+		if got := limit("hot"); got != base {
+			t.Fatalf("limit of the only workspace is %v", got)
+		}
+		use("large", 3000)
+		use("small", 1000)
+		hot, large, small := limit("hot"), limit("large"), limit("small")
+		if hot >= large || large >= small && large != base || small != base || hot < base*0.7 {
+			t.Fatalf("limits are %v, %v and %v", hot, large, small)
+		}
+		if got := scheduler.Queue("other").Limit("hot", base, time.Now()).Limit; got != base {
+			t.Fatalf("limit at a service that is not saturated is %v", got)
+		}
+		time.Sleep(time.Minute)
+		use("hot", 6000)
+		use("small", 1000)
+		if got := limit("hot"); got != base {
+			t.Fatalf("limit is %v long after the service was saturated", got)
+		}
+	})
+}
+
+// Guards against an operator who does not see which workspace is held back, and against a log line for each request of it.
+func TestHeldWorkspaceIsLoggedAtIntervals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		lines := 0
+		for range 100 {
+			scheduler.Start("hot", "m", inputTokens(900)).Finish(inputTokens(900))
+			scheduler.Start("small", "m", inputTokens(100)).Finish(inputTokens(100))
+			queue.NoteSaturated(time.Now())
+			if d := queue.Limit("hot", 0.95, time.Now()); d.Log {
+				lines++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if lines < 1 || lines > 3 {
+			t.Fatalf("%d log lines in 10 s", lines)
+		}
+	})
+}
+
+// Guards against the usage of other instances that counts twice, counts what was used before this instance heard of it, or
+// that lets a sender which fell silent hold workspaces back for good.
+func TestUsageOfOtherInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		usages := func(hot, small float64) []fairshare.Usage {
+			return []fairshare.Usage{{Member: "hot", Service: hot}, {Member: "small", Service: small, Waiting: 1}}
+		}
+		held := func() bool {
+			queue.NoteSaturated(time.Now())
+			return queue.Limit("hot", 0.95, time.Now()).Held
+		}
+		scheduler.MergeUsages("i1", usages(1e9, 1e9), 0)
+		if held() {
+			t.Fatal("held by the usage from before the first message")
+		}
+		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0)
+		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0)
+		scheduler.MergeUsages("i1", usages(1e9+5000, 1e9+9000), 0)
+		if !held() {
+			t.Fatal("not held although above its share at other instances")
+		}
+		if received := scheduler.ReceivedService("hot"); received != 10_000 {
+			t.Fatalf("service is %v after repeated and late messages", received)
+		}
+		time.Sleep(time.Minute)
+		if held() {
+			t.Fatal("held by a sender that is silent")
+		}
+		// The sum of a coordinator includes this instance.
+		own := []fairshare.Usage{{Member: "hot", Service: 500}}
+		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2000, 0), Own: own})
+		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2700, 0), Own: []fairshare.Usage{{Member: "hot", Service: 900}}})
+		if received := scheduler.ReceivedService("hot"); received != 10_300 {
+			t.Fatalf("service is %v after the sum of a coordinator", received)
+		}
+		scheduler.MergeUsages("old", usages(0, 0), time.Minute)
+		scheduler.MergeUsages("old", usages(1e6, 0), time.Minute)
+		if received := scheduler.ReceivedService("hot"); received != 10_300 {
+			t.Fatalf("service is %v after messages that are too old", received)
+		}
+	})
+}
+
+// Guards against publishing usage that is taken back later: other instances ignore a value below an earlier one.
+func TestLocalUsagesOnlyGrow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		charge := scheduler.Start("w", "m", inputTokens(100))
+		if u := scheduler.LocalUsages(); len(u) != 1 || u[0].Service != 0 {
+			t.Fatalf("usage is %+v before the call has run", u)
+		}
+		charge.Finish(inputTokens(100))
+		scheduler.Start("w", "m", inputTokens(100)).Finish(fairshare.Cost{})
+		u := scheduler.LocalUsages()
+		if !slices.Equal(u, []fairshare.Usage{{Member: "w", Service: 100}}) {
+			t.Fatalf("usage is %+v", u)
+		}
+	})
+}
