Order workspaces with equal counters, and survive a turn that is not taken

A workspace that begins to wait is lifted to the lowest counter of those that wait. At an instance where few requests wait, the counters are therefore equal most of the time, and a request of a small workspace waited behind those of a hot one with earlier deadlines.

A request that was woken by something else while it had the turn left its signal behind, and the next turn for it blocked the queue for good. A signal that is already there is now enough, and the end of a turn removes it.

The time is now passed to MergeUsages and MergeSum, as to all other methods.

Tested: go test ./pkg/fairqueue; both new tests seen failing before.

--- a/pkg/fairqueue/queue.go
+++ b/pkg/fairqueue/queue.go
@@ -119,7 +119,10 @@
 	}
 	next.untried = false
 	q.holder = next
-	next.turn <- struct{}{}
+	select {
+	case next.turn <- struct{}{}:
+	default:
+	}
 }
 
 // next returns the first request in the order that has not had its turn; nil if there is none.
@@ -142,10 +145,24 @@
 		if c := cmp.Compare(accountant.Counter(a.Workspace), accountant.Counter(b.Workspace)); c != 0 {
 			return c
 		}
+		// A workspace that begins to wait is lifted to the lowest counter of those that wait, so that equal counters say
+		// little. Among workspaces within their share, the deadline decides: with the lowest recent service first, fewer
+		// of their requests were answered in time in the replay (0.930 instead of 0.960 in one load).
+		if c := cmp.Compare(q.aboveShare(a.Workspace), q.aboveShare(b.Workspace)); c != 0 {
+			return c
+		}
 	}
 	return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.sequence, b.sequence))
 }
 
+// aboveShare returns 0 for workspaces within their share, and 1 for others.
+func (q *Queue) aboveShare(workspace string) int {
+	if q.scheduler.accountant.WithinShare(workspace) {
+		return 0
+	}
+	return 1
+}
+
 // lateness returns 0 for requests that can still be in time, and 1 for others.
 func (t *Ticket) lateness(now time.Time) int {
 	if now.Before(t.InTimeUntil) {
@@ -165,10 +182,16 @@
 	q := t.queue
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.holder == t {
-		q.holder = nil
-		q.passTurn(now)
+	if q.holder != t {
+		return
+	}
+	q.holder = nil
+	select {
+	case <-t.turn:
+		// The request was woken by something else while it had the turn.
+	default:
 	}
+	q.passTurn(now)
 }
 
 // Leave removes the request from the queue and ends its turn. Further calls do nothing.
@@ -200,14 +223,14 @@
 	saturationHold = 3 * time.Second
 	// maxReserve bounds the fraction of an engine's time that is kept free of the requests of a workspace above its share.
 	// The room is needed for chance bursts of the others only, since prompts are read within about a second. In the replay
-	// of a large workspace at 4 times its demand (four seeds), the others got 0.945 to 0.957 of their requests answered in
-	// time at 0.2, and 0.955 to 0.970 at 0.25. With a small workspace at 7 times its demand, all workspaces together then
-	// got 0.92 instead of 0.93.
+	// of a large workspace at 4 times its demand (four seeds), the others got 0.936 to 0.960 of their requests answered in
+	// time at 0.2, and 0.960 to 0.975 at 0.25. With a small workspace at 7 times its demand, all workspaces together then
+	// got 0.906 to 0.923 instead of 0.917 to 0.946.
 	maxReserve = 0.2
 	// latencyExponent makes the latency factor of a held workspace fall faster than its time factor. Short queues cost the
 	// engines little time, but the others' requests find room in time. With 1 and a reserve of 0.3, at which the others got
-	// about as much (0.948 to 0.970), the large workspace at 4 times its demand got 0.41 to 0.42 of its requests answered in
-	// time instead of 0.49 to 0.52.
+	// about as much (0.951 to 0.963), the large workspace at 4 times its demand got 0.395 to 0.433 of its requests answered
+	// in time instead of 0.486 to 0.503.
 	latencyExponent = 3
 	// minWaitingReserve is the minimum of this fraction while a request of a workspace below it waits. A workspace that
 	// has just begun to send has used nothing yet.
--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -84,6 +84,48 @@
 	})
 }
 
+// Guards against a request of a workspace that used little and that waits behind those of a hot workspace: when it begins to
+// wait, its counter is lifted to theirs.
+func TestRecentServiceDecidesBetweenEqualCounters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		now := time.Now()
+		tickets := make(map[string]*fairqueue.Ticket)
+		scheduler.Start("hot", "m", inputTokens(5000)).Finish(inputTokens(5000))
+		scheduler.Start("small", "m", inputTokens(1000)).Finish(inputTokens(1000))
+		for i, workspace := range []string{"hot", "small"} {
+			tickets[workspace], _ = queue.Join(fairqueue.Waiter{
+				Workspace: workspace, Model: "m", InTimeUntil: now.Add(time.Second), Deadline: now.Add(time.Duration(i+1) * time.Second),
+			}, true, now)
+		}
+		queue.Wake(now)
+		if order := takeTurns(tickets); order != "small hot" {
+			t.Fatalf("order is %q", order)
+		}
+	})
+}
+
+// Guards against a place that blocks the queue: a request may be woken by something else while it has the turn.
+func TestTurnThatIsNotTakenDoesNotBlockTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := fairqueue.NewScheduler().Queue(service)
+		now := time.Now()
+		ticket, _ := queue.Join(fairqueue.Waiter{Workspace: "w"}, true, now)
+		for range 3 {
+			queue.Wake(now)
+			ticket.Yield(now)
+		}
+		if hasTurn(ticket) {
+			t.Fatal("a turn that was ended is still signalled")
+		}
+		queue.Wake(now)
+		if !hasTurn(ticket) {
+			t.Fatal("no turn after another change")
+		}
+	})
+}
+
 // Guards against room that stays unused because the first in line cannot use it, and against requests that are never woken
 // because changes follow each other faster than all requests have had their turn.
 func TestAllRequestsHaveATurnAlthoughChangesContinue(t *testing.T) {
@@ -259,13 +301,13 @@
 			queue.NoteSaturated(time.Now())
 			return queue.Limit("hot", time.Now()).Held
 		}
-		scheduler.MergeUsages("i1", usages(1e9, 1e9), 0)
+		scheduler.MergeUsages("i1", usages(1e9, 1e9), 0, time.Now())
 		if held() {
 			t.Fatal("held by the usage from before the first message")
 		}
-		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0)
-		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0)
-		scheduler.MergeUsages("i1", usages(1e9+5000, 1e9+9000), 0)
+		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0, time.Now())
+		scheduler.MergeUsages("i1", usages(1e9+10_000, 1e9+1000), 0, time.Now())
+		scheduler.MergeUsages("i1", usages(1e9+5000, 1e9+9000), 0, time.Now())
 		if !held() {
 			t.Fatal("not held although above its share at other instances")
 		}
@@ -278,13 +320,13 @@
 		}
 		// The sum of a coordinator includes this instance.
 		own := []fairshare.Usage{{Member: "hot", Service: 500}}
-		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2000, 0), Own: own})
-		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2700, 0), Own: []fairshare.Usage{{Member: "hot", Service: 900}}})
+		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2000, 0), Own: own}, time.Now())
+		scheduler.MergeSum(fairqueue.Sum{Source: "c", Usages: usages(2700, 0), Own: []fairshare.Usage{{Member: "hot", Service: 900}}}, time.Now())
 		if received := scheduler.ReceivedService("hot"); received != 10_300 {
 			t.Fatalf("service is %v after the sum of a coordinator", received)
 		}
-		scheduler.MergeUsages("old", usages(0, 0), time.Minute)
-		scheduler.MergeUsages("old", usages(1e6, 0), time.Minute)
+		scheduler.MergeUsages("old", usages(0, 0), time.Minute, time.Now())
+		scheduler.MergeUsages("old", usages(1e6, 0), time.Minute, time.Now())
 		if received := scheduler.ReceivedService("hot"); received != 10_300 {
 			t.Fatalf("service is %v after messages that are too old", received)
 		}
--- a/pkg/fairqueue/replay_test.go
+++ b/pkg/fairqueue/replay_test.go
@@ -412,7 +412,7 @@
 	}
 	slices.SortFunc(all, func(a, b fairshare.Usage) int { return cmp.Compare(a.Member, b.Member) })
 	for k, i := range r.instances {
-		i.scheduler.MergeSum(fairqueue.Sum{Source: "coordinator", Usages: all, Own: own[k]})
+		i.scheduler.MergeSum(fairqueue.Sum{Source: "coordinator", Usages: all, Own: own[k]}, time.Now())
 	}
 }
 
@@ -442,7 +442,7 @@
 // hotLoads are the loads with one workspace above its usual demand. bound is the least fraction of requests answered in
 // time of the workspaces within their share, boundAlone that without the usage of other instances. Alone, without the hot
 // workspace's additional requests, they get at least 0.99. The bounds were set from four seeds: the lowest fractions were
-// 0.945 and 0.914, 0.988 and 0.963, 0.996 and 0.994.
+// 0.936 and 0.924, 0.990 and 0.963, 0.996 and 0.994.
 var hotLoads = []struct {
 	name              string
 	workspace         int
--- a/pkg/fairqueue/scheduler.go
+++ b/pkg/fairqueue/scheduler.go
@@ -95,13 +95,12 @@
 
 // MergeUsages merges what each workspace used at another instance since that instance started, known with the given age.
 // Each process start of an instance is a sender of its own. Repeated and late messages change nothing.
-func (s *Scheduler) MergeUsages(sender string, usages []fairshare.Usage, age time.Duration) {
+func (s *Scheduler) MergeUsages(sender string, usages []fairshare.Usage, age time.Duration, now time.Time) {
 	if age > maxUsageAge {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
 	from := s.sources[sender]
 	resumed := from == nil || now.Sub(from.receivedAt) > maxUsageAge
 	if from == nil {
@@ -132,7 +131,7 @@
 }
 
 // MergeSum merges the usage of all instances together.
-func (s *Scheduler) MergeSum(sum Sum) {
+func (s *Scheduler) MergeSum(sum Sum, now time.Time) {
 	own := make(map[string]fairshare.Usage, len(sum.Own))
 	for _, u := range sum.Own {
 		own[u.Member] = u
@@ -142,7 +141,7 @@
 		others[i].Service = max(others[i].Service-own[others[i].Member].Service, 0)
 		others[i].Waiting = max(others[i].Waiting-own[others[i].Member].Waiting, 0)
 	}
-	s.MergeUsages(sum.Source, others, sum.Age)
+	s.MergeUsages(sum.Source, others, sum.Age, now)
 }
 
 // expireSources stops counting the waiting requests of sources that have fallen silent, so that they do not hold workspaces
