Queue requests by workspace at saturated services

With one workspace at many times its usual demand, the others' requests found saturated engines as often as its own: all waiting requests were woken at each change, in no order, and all were admitted up to the same limit.

If the configuration has workspaces, a request that finds the engines of its service saturated now waits in pkg/fairqueue and is woken in its turn. A new request lets those that wait and precede it choose first. One goroutine per service follows the changes while requests wait. A workspace above its share chooses under its lower limit, and its Retry-After follows from that limit. Calls are charged when they are reserved, and published once the engine has read the prompt and at the end.

Without workspaces in the configuration, and for plain services, neither the queue nor the limit nor the charge is used: TestWithoutWorkspacesRequestsWaitAsBefore passes on the code before and after this change.

Tested: go test -race ./pkg/edge -run 'Workspace|Room|Queue|RejectedAtOnce' -count=3; the tests of turns, the limit, Retry-After and leaving were seen failing before.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -40,6 +40,7 @@
 	checkedTable     *routing.Table
 	workspaceChanged bool
 
+	fairness fairness
 	// sends counts the sends that may have reached an endpoint. tried lists the endpoints of these sends and those that
 	// were unreachable.
 	sends int
@@ -157,6 +158,7 @@
 	r.server.demand.recordRequest(r.service.Name, &r.request, r.server.deps.Fleet.ServiceSpeed(r.service.Name, r.arrivedAt), r.arrivedAt)
 	endUse := r.server.demand.beginUse(r.service.Name, &r.request, r.arrivedAt)
 	defer func() { endUse(time.Now()) }()
+	defer func() { r.endCharge(r.mayHaveRun) }()
 	if r.route.Kind == routing.Streaming {
 		return r.serveStream(closeAfter)
 	}
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -12,6 +12,8 @@
 // request, it waits as long as waiting may help. If it returns nil, retryAfter is the time until an endpoint may be
 // available.
 func (r *clientRequest) chooseEndpoint() (a *attempt, retryAfter time.Duration) {
+	r.queueBehindWaiting()
+	defer r.leaveQueue()
 	for {
 		changed, configChanged := r.server.deps.Fleet.Changed(), r.server.configChanged.next()
 		now := time.Now()
@@ -56,13 +58,13 @@
 // reserve chooses an endpoint for a response in time, or else for a late one. A late response is worth more to the
 // client than a refusal and another attempt, and it only takes engine time that requests in time leave.
 func (r *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
-	choice, call := r.server.deps.Fleet.Reserve(demand, r.server.distance, now)
+	choice, call := r.reserveWithinLimit(demand, now)
 	if choice.Obstacle != fleet.Saturated || demand.Late {
 		return choice, call
 	}
 	targetLatency := demand.TargetLatency
 	r.markLate(demand, now)
-	choice, call = r.server.deps.Fleet.Reserve(demand, r.server.distance, now)
+	choice, call = r.reserveWithinLimit(demand, now)
 	if call == nil {
 		demand.Late, demand.TargetLatency, demand.MaxPrefillShare = false, targetLatency, prefillShare
 	}
@@ -90,7 +92,7 @@
 			return ready, limit
 		}
 	}
-	lateBy := choice.SoonestFirstToken - demand.TargetLatency
+	lateBy := choice.SoonestFirstToken - r.heldLatency(demand.TargetLatency)
 	share := waitingShare
 	if demand.Late {
 		share = lateWaitingShare
@@ -119,6 +121,10 @@
 // waitForChange waits until the fleet or the configuration changes or the instance begins to drain. It returns false if
 // maxWait has passed, the request has ended or the instance refuses requests.
 func (r *clientRequest) waitForChange(changed, configChanged <-chan struct{}, maxWait time.Duration) bool {
+	if queue := r.fairQueue(); queue != nil && r.obstacle == fleet.Saturated {
+		return r.waitForTurn(queue, changed, configChanged, maxWait)
+	}
+	r.leaveQueue()
 	if r.obstacle == fleet.NotHeld || r.obstacle == fleet.AdapterNotHeld {
 		endWait := r.server.demand.beginWait(r.service.Name, &r.request, r.obstacle == fleet.AdapterNotHeld)
 		defer endWait()
@@ -127,6 +133,11 @@
 			r.server.exchange.ReportWaitingDemand()
 		}
 	}
+	return r.await(changed, configChanged, maxWait)
+}
+
+// await waits for one of two events as waitForChange does.
+func (r *clientRequest) await(changed, configChanged <-chan struct{}, maxWait time.Duration) bool {
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
 	drainStarted := r.server.drainStarted
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -35,6 +35,7 @@
 	configVersion   tally.Gauge
 	usableEndpoints tally.Gauge
 	access          accessMetrics
+	fairQueue       fairQueueMetrics
 }
 
 func newMetrics(scope tally.Scope) *metrics {
@@ -60,5 +61,6 @@
 		configVersion:   scope.Gauge("configuration_version"),
 		usableEndpoints: scope.Gauge("usable_endpoints"),
 		access:          newAccessMetrics(scope),
+		fairQueue:       newFairQueueMetrics(scope),
 	}
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -18,6 +18,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/fairqueue"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/httpconn"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -73,6 +74,10 @@
 	viewMu    sync.Mutex
 	storeView storeView
 	changeLog *storeChangeLog
+	// fairQueues is used only while the configuration has workspaces.
+	fairQueues *fairqueue.Scheduler
+	// queueWatchers wake the requests in fairQueues. They end with the last request that waits.
+	queueWatchers conc.WaitGroup
 	// quarantine holds the prompt parts that crash endpoints.
 	quarantine *quarantine.Tracker
 	// watchRequested requests an immediate watch from the store watcher.
@@ -101,6 +106,7 @@
 		log:            log,
 		metrics:        newMetrics(deps.Scope),
 		changeLog:      newStoreChangeLog(),
+		fairQueues:     fairqueue.NewScheduler(),
 		quarantine:     quarantine.NewTracker(),
 		watchRequested: make(chan struct{}, 1),
 		instances:      newInstanceRegistry(),
@@ -355,6 +361,7 @@
 	s.shutdownListener(metricsServer)
 	tasks.Wait()
 	s.controlListeners.Wait()
+	s.queueWatchers.Wait()
 	s.log.Info("stopped")
 	return nil
 }
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -189,6 +189,7 @@
 
 func (r *clientRequest) recordFirstEvent(a *attempt) {
 	if a.call.Started(time.Now()) {
+		r.recordPromptRead()
 		a.firstEventAt = time.Now()
 		took := a.firstEventAt.Sub(a.sentAt)
 		r.server.metrics.firstEventTime.RecordDuration(took)
