Test charges, the workspace's rank and both parts of the limit at an instance

Nothing showed that streams are charged to their workspace when the engine has read the prompt and at the end, that refused requests cost nothing, that the workspace's own priority decides the rank, or that either factor of the limit reaches the choice of an endpoint.

Tested: go test -race -count=2 ./pkg/edge -run 'Charged|Rank|Workspace|Room|Queue|RejectedAtOnce'.

--- a/pkg/edge/fairqueue_test.go
+++ b/pkg/edge/fairqueue_test.go
@@ -1,9 +1,14 @@
 package edge
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"math"
 	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -172,13 +177,15 @@
 		f.expect("while nothing is saturated", "hot1")
 		f.occupy("m1", 10_000)
 		// The engine's rate is then 36,000 tokens per second. It falls to between the limits of the two workspaces.
-		f.choose(f.request("small1", "small", "m1", 20*time.Second, 60*time.Second))
+		small, hot := f.request("small1", "small", "m1", 20*time.Second, 60*time.Second), f.request("hot2", "hot", "m1", 20*time.Second, 60*time.Second)
+		// There is room for both requests.
+		small.request.PromptTokens, hot.request.PromptTokens = 10, 10
+		f.choose(small)
 		f.expect("while the engine is saturated", "hot1")
 		time.Sleep(time.Duration(math.Log(36/18.5) * float64(time.Second)))
-		f.choose(f.request("hot2", "hot", "m1", 20*time.Second, 60*time.Second))
-		if len(f.chosen) != 2 || f.chosen[1] != "small1" {
-			t.Fatalf("chosen are %v", f.chosen)
-		}
+		hot.arrivedAt = time.Now()
+		f.choose(hot)
+		f.expect("at a rate between the limits", "hot1", "small1")
 		held := f.logs.FilterMessage("workspace above its share held to a lower limit")
 		if held.Len() != 1 || held.All()[0].ContextMap()["workspace"] != "hot" {
 			t.Fatalf("log lines: %v", held.All())
@@ -293,3 +300,135 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a rank that is ignored, or that comes from the route although the workspace has its own.
+func TestRankOfTheWorkspaceGoesFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFairTest(t, true)
+		f.use("hot", 50_000)
+		f.use("small", 10_000)
+		f.occupy("m1", busyRate).End(fleet.Succeeded, time.Now())
+		f.occupy("m1", 1)
+		urgent := 0
+		first := f.request("small1", "small", "m1", 10*time.Second, 60*time.Second)
+		second := f.request("hot1", "hot", "m1", 10*time.Second, 60*time.Second)
+		first.route.Priority, second.route.Priority = 1, 2
+		second.workspace.Priority = &urgent
+		f.choose(first)
+		f.choose(second)
+		time.Sleep(1200 * time.Millisecond)
+		f.change()
+		if len(f.chosen) == 0 || f.chosen[0] != "hot1" {
+			t.Fatalf("chosen are %v", f.chosen)
+		}
+	})
+}
+
+// chargeCodec names one request for the model m1. Endpoints refuse by status 503.
+type chargeCodec struct{}
+
+func (chargeCodec) DecodeRequest(*fasthttp.RequestHeader) Request {
+	return Request{ID: "r1", Model: "m1", PromptTokens: 1000, OutputTokens: 100, Key: "k"}
+}
+
+func (chargeCodec) EncodeForward(*fasthttp.RequestHeader, Forwarding) {}
+
+func (chargeCodec) DecodeReply(h *fasthttp.ResponseHeader) Reply {
+	return Reply{ID: "r1", Signed: true, NotRun: h.StatusCode() == fasthttp.StatusServiceUnavailable}
+}
+
+// Guards against usage that is published only at the end of a long stream, that is missing, or that is charged for requests
+// that have not run.
+func TestStreamsAreChargedToTheirWorkspace(t *testing.T) {
+	for name, c := range map[string]struct {
+		refuses      bool
+		started, end float64
+	}{
+		"complete": {started: 1000, end: 1200},
+		"refused":  {refuses: true},
+	} {
+		proceed := make(chan struct{})
+		endpoint := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			if c.refuses {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-proceed
+		}))
+		s := newRelayTestServer(t, "edge-1", 1)
+		s.deps.HeaderCodec = chargeCodec{}
+		workspace := &routing.Workspace{Name: "w"}
+		config := &routing.Config{
+			Workspaces: []*routing.Workspace{workspace}, Keys: routing.NewKeyIndex(),
+			Services: map[string]*routing.Service{"s": {Name: "s", Engine: &routing.Engine{}}},
+			Routes: []routing.Route{{
+				Name: "route", Host: "h", Prefix: "/", Kind: routing.Streaming, Timeout: 10 * time.Second, TargetLatency: 5 * time.Second,
+				MaxAttempts: 1, Targets: []routing.Target{{Service: "s", Weight: 1}},
+			}},
+		}
+		config.Keys.Add("k", workspace)
+		s.table.Store(routing.NewTable(config))
+		s.deps.Fleet.Announce(fleet.Announcement{
+			ID: "e1", Service: "s", Address: strings.TrimPrefix(endpoint.URL, "http://"), Slots: 4, Models: []fleet.HeldModel{{Name: "m1"}},
+		}, time.Now())
+		client, server := net.Pipe()
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			s.newClientConn(server).serve(t.Context())
+		}()
+		go func() {
+			_, _ = client.Write([]byte("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"))
+		}()
+		reply := bufio.NewReader(client)
+		if _, err := reply.ReadString('x'); err != nil && !c.refuses {
+			t.Fatalf("%s: %v", name, err)
+		}
+		usage := func() float64 {
+			if usages := s.fairQueues.LocalUsages(); len(usages) == 1 && usages[0].Member == "w" {
+				return usages[0].Service
+			}
+			return -1
+		}
+		if got := usage(); got != c.started {
+			t.Errorf("%s: usage is %v after the first event", name, got)
+		}
+		close(proceed)
+		_, _ = io.Copy(io.Discard, reply)
+		<-served
+		if got := usage(); got != c.end {
+			t.Errorf("%s: usage is %v in the end", name, got)
+		}
+		_ = client.Close()
+		endpoint.Close()
+	}
+}
+
+// Guards against a workspace above its share that fills the engines' queues up to the target latency, so that requests of
+// others are late.
+func TestWorkspaceAboveItsShareKeepsToShorterQueues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFairTest(t, true)
+		f.occupy("m1", 320_000)
+		// The engine's rate decays, while 16 s of prompts remain to be read.
+		time.Sleep(5 * time.Second)
+		f.use("hot", 50_000)
+		f.use("small", 10_000)
+		for _, c := range []struct {
+			workspace string
+			saturated bool
+			late      bool
+		}{{"hot", false, false}, {"hot", true, true}, {"small", true, false}} {
+			if c.saturated {
+				f.server.fairQueues.Queue("s").NoteSaturated(time.Now())
+			}
+			r := f.request(c.workspace, c.workspace, "m1", 20*time.Second, 60*time.Second)
+			r.request.PromptTokens = 10
+			if a, _ := r.chooseEndpoint(); a == nil || a.late != c.late {
+				t.Errorf("%+v: attempt is %+v", c, a)
+			}
+		}
+	})
+}
