Test the queue under concurrent use

Guards against a turn that is lost, or two at once, when requests join, try, give up and leave at the same time.

Tested: go test -race -count=3 ./pkg/fairqueue -run Concurrent.

--- a/pkg/fairqueue/queue_test.go
+++ b/pkg/fairqueue/queue_test.go
@@ -1,12 +1,16 @@
 package fairqueue_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	// Fixes the seed of the property tests.
 	_ "github.com/mulberryglade/mulberryglade/internal/testkit"
 	"github.com/mulberryglade/mulberryglade/pkg/fairqueue"
@@ -390,3 +394,62 @@
 		queue.Limit(workspaceOf(replayWorkspaces-1), now)
 	}
 }
+
+// Guards against a turn that is lost, or two at once, when requests join, try, give up and leave at the same time.
+func TestNoTurnIsLostUnderConcurrentUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scheduler := fairqueue.NewScheduler()
+		queue := scheduler.Queue(service)
+		var trying, served atomic.Int64
+		var waiters conc.WaitGroup
+		stop := make(chan struct{})
+		for i := range 40 {
+			waiters.Go(func() {
+				random := rand.New(rand.NewPCG(uint64(i), 1))
+				for range 50 {
+					now := time.Now()
+					ticket, _ := queue.Join(fairqueue.Waiter{
+						Workspace: workspaceOf(i % replayWorkspaces), Rank: i % 2, InTimeUntil: now.Add(time.Second), Deadline: now.Add(2 * time.Second),
+					}, random.IntN(2) == 0, now)
+					patience := time.After(time.Duration(random.IntN(100)) * time.Millisecond)
+					for waiting := true; waiting; {
+						select {
+						case <-ticket.Turn():
+							if trying.Add(1) > 1 {
+								t.Error("two requests have the turn")
+							}
+							waiting = random.IntN(4) > 0
+							trying.Add(-1)
+							if waiting {
+								ticket.Yield(time.Now())
+							} else {
+								served.Add(1)
+							}
+						case <-patience:
+							waiting = false
+						}
+					}
+					ticket.Leave(time.Now())
+				}
+			})
+		}
+		var waker conc.WaitGroup
+		waker.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(10 * time.Millisecond):
+					queue.Wake(time.Now())
+				}
+			}
+		})
+		waiters.Wait()
+		close(stop)
+		waker.Wait()
+		// Requests give up after 50 ms on average, have a turn every 10 ms and then succeed with a probability of a quarter.
+		if served.Load() < 800 || queue.Waiting() {
+			t.Fatalf("%d of 2000 served; requests wait: %v", served.Load(), queue.Waiting())
+		}
+	})
+}
