Keep a loaded model in the ledger when a report from during its load arrives

Cause, one that would explain it: while the unload of an adapter waits, the endpoint's report is read again and again. A report lags by some hundred milliseconds. If a model was loaded meanwhile and the endpoint's entry already lists it, the ledger took the contents of a report from during the load, which has the same number of orders but does not list the model. Half a second later the next plan loaded another model into its memory.

A report that shows an order in progress no longer changes the contents of a ledger after the same orders. The ledger becomes unknown until a report without such an order has been read; unloads of adapters that wait stay known.

This is safe because a report without an order in progress lists all that the endpoint holds after its number of orders. That only shrinks until the next order, and an order with that number is refused after any further one.

Tests: TestReportFromDuringALoadDoesNotRemoveTheLoadedModel ("the loaded model is missing") and TestMemoryOfALoadedModelStaysOccupiedAfterALaggingReport ("the memory of the loaded model counts as free") fail before.

--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -69,18 +69,25 @@
 	}
 }
 
-// replace replaces the ledger by a report.
+// replace replaces the ledger by a report. If the report shows an order in progress, it does not list what that order
+// adds, so that no order can be planned from it, and the ledger becomes unknown.
 func (l *ledger) replace(report *Report, now time.Time) {
-	l.known = true
+	sameOrders := report.OrdersAccepted == l.ordersAccepted
+	l.known = !report.Busy && report.PendingAdapters == 0
 	l.reportsApplied++
 	l.ordersAccepted = report.OrdersAccepted
-	l.models = residentsOf(report)
 	l.busyUntil = time.Time{}
-	if report.Busy || report.PendingAdapters > 0 {
-		// The report does not list what an order in progress adds, so no order can be planned from it.
-		l.known = false
+	if !l.known {
 		l.busyUntil = now.Add(busyReportInterval)
+		if sameOrders {
+			return
+		}
+	}
+	models := residentsOf(report)
+	if sameOrders {
+		l.keepUnloading(models)
 	}
+	l.models = models
 }
 
 func residentsOf(report *Report) []resident {
@@ -93,6 +100,9 @@
 
 // applyReportOfSameOrders corrects a known ledger by a report after the same orders. It shows which unloads of adapters
 // have ended, and a ledger that lists other contents than the endpoint is wrong although its number of orders is right.
+//
+// A report that shows an order in progress is not used for the contents. It may be from before the end of that order, and
+// then it lacks a model that has been loaded since. Or it shows an order that the ledger lacks. A later report tells.
 func (l *ledger) applyReportOfSameOrders(report *Report, now time.Time) {
 	l.unloadCheckAt = now.Add(max(busyReportInterval, now.Sub(l.unloadAcceptedAt)/unloadCheckDivisor))
 	if l.changesModels() || report.PendingAdapters > 0 {
@@ -100,14 +110,12 @@
 		return
 	}
 	if report.Busy {
+		l.known = false
 		l.busyUntil = now.Add(busyReportInterval)
+		return
 	}
 	models := residentsOf(report)
-	for i := range models {
-		if r := l.find(models[i].name); r != nil {
-			models[i].keepUnloading(r.unloading)
-		}
-	}
+	l.keepUnloading(models)
 	if !slices.EqualFunc(l.models, models, sameContents) {
 		// Queued orders were planned on other contents.
 		l.reportsApplied++
@@ -115,6 +123,15 @@
 	l.models = models
 }
 
+// keepUnloading marks in a newer list the adapters that are being unloaded and that the endpoint still holds.
+func (l *ledger) keepUnloading(models []resident) {
+	for i := range models {
+		if r := l.find(models[i].name); r != nil {
+			models[i].keepUnloading(r.unloading)
+		}
+	}
+}
+
 // keepUnloading marks adapters as being unloaded that the endpoint still holds.
 func (r *resident) keepUnloading(unloading []string) {
 	for _, adapter := range unloading {
--- a/pkg/residency/ledger_test.go
+++ b/pkg/residency/ledger_test.go
@@ -121,3 +121,25 @@
 		t.Fatalf("%d reports in a minute", reports)
 	}
 }
+
+// Guards against a lagging report of an endpoint that was still loading a model: it does not list the model, which has
+// been loaded since, and the next plan loads another model into the same memory.
+func TestReportFromDuringALoadDoesNotRemoveTheLoadedModel(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "a", Adapters: []string{"a1", "a2"}})
+	l.recordUnloadWaiting(&Order{Verb: Unload, Model: "a", Adapter: "a1"}, start)
+	l.recordAccepted(&Order{Verb: Load, Model: "b", Expected: time.Second}, start)
+	l.reconcile(announces("a", "b"), start)
+	lagging := Report{OrdersAccepted: 6, Busy: true, Models: []fleet.HeldModel{{Name: "a", Adapters: []string{"a2"}}}}
+	l.applyReport(&lagging, start)
+	if l.find("b") == nil {
+		t.Fatalf("the loaded model is missing: %+v", l.models)
+	}
+	later := start.Add(busyReportInterval)
+	if !l.busy(later) || !l.needsReport(later) {
+		t.Fatal("orders are planned although the last report shows an order in progress")
+	}
+	l.applyReport(&Report{OrdersAccepted: 6, Models: []fleet.HeldModel{{Name: "a", Adapters: []string{"a2"}}, {Name: "b"}}}, later)
+	if l.busy(later) || len(l.models) != 2 || len(l.unloadingAdapters()) != 0 {
+		t.Fatalf("ledger is %+v", l)
+	}
+}
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -31,6 +31,8 @@
 	models      []fleet.HeldModel
 	// waitingUnloads is set if requests use all adapters: an unload is accepted and waits for them.
 	waitingUnloads bool
+	// busy is set if the reports show an order in progress.
+	busy bool
 	// alreadyDone is set if the engine has nothing to do for any unload: it says so and does not count the order.
 	alreadyDone bool
 }
@@ -86,7 +88,7 @@
 func (e *fakeEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Models: e.models}, fleet.Statement{}, nil
+	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Busy: e.busy, Models: e.models}, fleet.Statement{}, nil
 }
 
 type fakeLease struct {
@@ -173,6 +175,27 @@
 	}
 }
 
+// Guards against an order that loads a model into memory which another one occupies: the entry already lists the model
+// that was loaded last, while the report is from a time at which it was still being loaded.
+func TestMemoryOfALoadedModelStaysOccupiedAfterALaggingReport(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "a", Adapters: []string{"a1", "a2"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Unload, Model: "a", Adapter: "a1"})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "b", Expected: time.Second})
+	if len(e.acceptedCalls) != 2 {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	w, now := c.workers["e1"], time.Now()
+	w.apply(&EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("a", "b")}, now)
+	e.busy, e.models = true, []fleet.HeldModel{{Name: "a", Adapters: []string{"a2"}}}
+	w.readReport(context.Background())
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("a", "b")}
+	w.apply(&state, now.Add(2*busyReportInterval))
+	if !state.Busy && !state.HoldsModel("b") {
+		t.Fatalf("the memory of the loaded model counts as free: the endpoint holds %+v", state.Models)
+	}
+}
+
 // Guards against a ledger that counts an order which the endpoint did not count, and then never agrees with it again: an
 // unload of an adapter that is already being unloaded gets the reply of one that was carried out.
 func TestLedgerRecoversFromAnUnloadThatDidNotCount(t *testing.T) {
