Pass on the number of orders that an endpoint's entry reflects

An entry in the store states how many orders the endpoint had accepted when it listed its models. It is now part of the announcement, so that the ledger can tell which orders an entry reflects. Announcements from other instances do not have it. No change of behaviour.

--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -23,6 +23,9 @@
 	// SlowFor is the remaining time for which the endpoint is slow after its start.
 	SlowFor time.Duration
 	Models  []HeldModel
+	// OrdersAccepted is the number of orders that the endpoint had accepted when it listed its models; zero if that is
+	// not stated, as in announcements from other instances.
+	OrdersAccepted int64
 	// InMemory and OnDisk name the models that the endpoint can load fast from its own memory or disk.
 	InMemory []string
 	OnDisk   []string
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -27,6 +27,8 @@
 	stated *stated
 	// announcedModels are the models of the last announcement, without changes by orders.
 	announcedModels []HeldModel
+	// announcedOrders is the number of accepted orders that announcedModels reflect; zero if not known.
+	announcedOrders int64
 	own             Work
 	sendRate        sendRate
 	slowness        slowness
@@ -48,13 +50,10 @@
 	return !e.graceEndsAt.IsZero() && !now.Before(e.graceEndsAt)
 }
 
-// AnnouncedModels returns the names of the models in the endpoint's last announcement.
-func (e *Endpoint) AnnouncedModels() []string {
-	names := make([]string, 0, len(e.announcedModels))
-	for _, m := range e.announcedModels {
-		names = append(names, m.Name)
-	}
-	return names
+// AnnouncedModels returns the models of the endpoint's last announcement and the number of orders that it had accepted by
+// then; the number is zero if it is not known. The models must not be changed.
+func (e *Endpoint) AnnouncedModels() ([]HeldModel, int64) {
+	return e.announcedModels, e.announcedOrders
 }
 
 // ownWork returns this instance's calls at the endpoint.
@@ -180,7 +179,7 @@
 	a.Leaving = a.Leaving || said != nil && !said.leavingSince.IsZero()
 	if a.Models == nil && existing != nil && existing.Lifetime == a.Lifetime {
 		// An entry without a list of models says nothing about them.
-		a.Models = existing.announcedModels
+		a.Models, a.OrdersAccepted = existing.announcedModels, existing.announcedOrders
 	}
 	change := compare(existing, &a)
 	if existing == nil || change == Restarted {
@@ -190,7 +189,7 @@
 	previousModels := existing.Models
 	existing.graceEndsAt = time.Time{}
 	existing.announcedLeaving, existing.stated = announcedLeaving, said
-	existing.announcedModels = a.Models
+	existing.announcedModels, existing.announcedOrders = a.Models, a.OrdersAccepted
 	if now.Before(existing.modelsTrustedUntil) {
 		// The entry may be older than the last change by this system's orders.
 		a.Models = existing.Models
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -208,14 +208,14 @@
 	var states []EndpointState
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
 		for _, e := range endpoints {
-			announced := e.AnnouncedModels()
+			models, ordersAccepted := e.AnnouncedModels()
 			busy := e.CallsAllowedIn(now) > 0
 			states = append(states, EndpointState{
 				Announcement: e.Announcement,
 				Busy:         busy,
 				Work:         e.Work(now),
 				AdapterUse:   uses,
-				announces:    func(model string) bool { return slices.Contains(announced, model) },
+				announced:    listing{models: models, ordersAccepted: ordersAccepted},
 			})
 		}
 	})
--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -50,6 +50,22 @@
 	unloadCheckAt    time.Time
 }
 
+// listing is what an endpoint's announcement lists.
+type listing struct {
+	models []fleet.HeldModel
+	// ordersAccepted is the number of orders that the endpoint had accepted when it listed the models; zero if not known.
+	ordersAccepted int64
+}
+
+func (a listing) find(model string) *fleet.HeldModel {
+	for i := range a.models {
+		if a.models[i].Name == model {
+			return &a.models[i]
+		}
+	}
+	return nil
+}
+
 // busyReportInterval is the time until a report that showed an order in progress is read again.
 const busyReportInterval = 500 * time.Millisecond
 
@@ -222,10 +238,10 @@
 
 // reconcile completes loads and unloads whose effect the endpoint announces. If one is overdue, the ledger becomes
 // unknown and the report is read.
-func (l *ledger) reconcile(announces func(model string) bool, now time.Time) {
+func (l *ledger) reconcile(announced listing, now time.Time) {
 	for i := 0; i < len(l.models); i++ {
 		r := &l.models[i]
-		holds := announces(r.name)
+		holds := announced.find(r.name) != nil
 		switch {
 		case r.state == stateLoading && holds:
 			r.state = stateHeld
--- a/pkg/residency/ledger_test.go
+++ b/pkg/residency/ledger_test.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -15,15 +16,18 @@
 	return l
 }
 
-func announces(models ...string) func(string) bool {
-	return func(name string) bool {
-		for _, m := range models {
-			if m == name {
-				return true
-			}
-		}
-		return false
+// announces returns an announcement that is newer than all orders.
+func announces(models ...string) listing {
+	return announcedAfter(math.MaxInt64, models...)
+}
+
+// announcedAfter returns an announcement after a number of accepted orders.
+func announcedAfter(orders int64, models ...string) listing {
+	l := listing{ordersAccepted: orders}
+	for _, name := range models {
+		l.models = append(l.models, fleet.HeldModel{Name: name})
 	}
+	return l
 }
 
 // Guards against a lagging report that discards the record of accepted orders. Plans based on such a report load more
--- a/pkg/residency/plan.go
+++ b/pkg/residency/plan.go
@@ -54,8 +54,8 @@
 	ChangingModels []string
 	// ModelToLoad is the model for which an unload frees memory; it counts as held until it is loaded.
 	ModelToLoad string
-	// announces reports whether the endpoint's last announcement lists a model.
-	announces func(model string) bool
+	// announced is what the endpoint's last announcement lists.
+	announced listing
 	// adaptersOrdered counts the adapter loads that this plan orders.
 	adaptersOrdered int
 	// AdapterUse is the use of each adapter by clients' requests.
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -54,7 +54,7 @@
 
 // apply replaces the announced models by those of the ledger and adds the orders in progress.
 func (w *worker) apply(state *EndpointState, now time.Time) {
-	w.ledger.reconcile(state.announces, now)
+	w.ledger.reconcile(state.announced, now)
 	state.Busy = state.Busy || w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
 	if !w.ledger.known {
 		return
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -150,7 +150,7 @@
 	if len(e.acceptedCalls) != 1 || e.acceptedCalls[0].Verb != Unload {
 		t.Fatalf("carried out %+v", e.acceptedCalls)
 	}
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("m")}
 	c.workers["e1"].apply(&state, time.Now())
 	if state.AdapterCount() != 1 || len(state.UnloadingAdapters) != 1 {
 		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
@@ -168,7 +168,7 @@
 	}
 	e.models = []fleet.HeldModel{{Name: "m"}}
 	w.readReport(context.Background())
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("m")}
 	w.apply(&state, time.Now())
 	if state.AdapterCount() != 0 || len(state.UnloadingAdapters) != 0 || w.needsReport(time.Now().Add(time.Minute)) {
 		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
@@ -186,10 +186,10 @@
 		t.Fatalf("carried out %+v", e.acceptedCalls)
 	}
 	w, now := c.workers["e1"], time.Now()
-	w.apply(&EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("a", "b")}, now)
+	w.apply(&EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("a", "b")}, now)
 	e.busy, e.models = true, []fleet.HeldModel{{Name: "a", Adapters: []string{"a2"}}}
 	w.readReport(context.Background())
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("a", "b")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("a", "b")}
 	w.apply(&state, now.Add(2*busyReportInterval))
 	if !state.Busy && !state.HoldsModel("b") {
 		t.Fatalf("the memory of the loaded model counts as free: the endpoint holds %+v", state.Models)
