Decide for the ledger which source knows what, as of when

- An entry in the store from before an order counted as its effect: the memory of a model being unloaded counted as free at once if the entry did not list the model yet.
An entry now shows the effect of an order only if it states at least the number of accepted orders after it.
- An unload of an adapter that is already being unloaded is answered like one that was carried out, but not counted.
A late order of the previous holder, which the endpoint then accepts, makes up for the number, and the next load goes into a slot that is not free.
- A ledger that counted one order too many and became unknown took each report for an older one, for good.
A report with fewer orders that is read two seconds after the number last changed replaces the ledger.
- A new holder does not know which adapters are being unloaded and never saw the end.
A ledger that differs from the entry for 2.5 s is now checked by a report, at first after 2.5 s, later more rarely, down to every 40 s.

A report without an order in progress is a safe base for orders at any age, because the endpoint refuses an order if it has accepted more than the report shows. So none of the new ways to replace a ledger can free memory that is taken.

Tests, each seen failing before: TestEntryFromBeforeAnOrderDoesNotShowItsEffect, TestLateOrderDoesNotMakeUpForAnUnloadThatDidNotCount, TestUnknownLedgerThatCountsTooManyOrdersRecovers, TestLedgerThatDiffersFromTheEntryIsCheckedByReports, TestReportsAreReadMoreRarelyTheLongerTheEntryDiffers. In TestSlotIsFreeOnceTheReportNoLongerListsTheAdapter the announcement now states the number of orders of the endpoint; what is checked is the same.

--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -26,6 +26,8 @@
 	unloading []string
 	// readyAt is the expected end of a load.
 	readyAt time.Time
+	// afterOrders is the number of accepted orders including the one that loads or unloads the model.
+	afterOrders int64
 	// deadline is when a load or unload counts as overdue if the endpoint has not announced its effect.
 	deadline time.Time
 }
@@ -38,6 +40,12 @@
 	// known is false until a report of the endpoint has been read.
 	known          bool
 	ordersAccepted int64
+	// countedAt is when ordersAccepted last changed. A report with fewer orders that is read much later shows that the
+	// endpoint did not count an order.
+	countedAt time.Time
+	// lateOrdersRefused is set once an order was accepted and certainly counted: the endpoint refuses all orders sent
+	// before it that it has not received yet.
+	lateOrdersRefused bool
 	// reportsApplied counts the reports that replaced the ledger. An order planned before the last of them must not be
 	// sent: it would carry a number of accepted orders that belongs to another state.
 	reportsApplied int
@@ -48,6 +56,10 @@
 	// the report is read to see whether it has ended.
 	unloadAcceptedAt time.Time
 	unloadCheckAt    time.Time
+	// The ledger differs from the endpoint's entry since differsSince, if set. The report is read at entryCheckAt to see
+	// which of them is right.
+	differsSince time.Time
+	entryCheckAt time.Time
 }
 
 // listing is what an endpoint's announcement lists.
@@ -66,6 +78,18 @@
 	return nil
 }
 
+// maxReportLag is the age that a report may have when it is read. Reports lag by some hundred milliseconds.
+const maxReportLag = 2 * time.Second
+
+const (
+	// firstCheckAfter is how long the ledger may differ from the endpoint's entry until the report is read to check it.
+	// The entry is written and read some time after the endpoint has changed.
+	firstCheckAfter = 2500 * time.Millisecond
+	// maxCheckInterval bounds the time between two checks, which doubles each time. An entry that stays old, as during an
+	// outage of the store, must not cost a report every few seconds.
+	maxCheckInterval = 40 * time.Second
+)
+
 // busyReportInterval is the time until a report that showed an order in progress is read again.
 const busyReportInterval = 500 * time.Millisecond
 
@@ -74,10 +98,14 @@
 const unloadCheckDivisor = 4
 
 // applyReport replaces the ledger by a report unless the report is older. Reports lag by some hundred milliseconds, but
-// the contents of a report and its number of orders are consistent.
+// the contents of a report and its number of orders are consistent. A report without an order in progress is therefore a
+// safe base for orders however old it is: the endpoint refuses them if it has accepted more orders since.
 func (l *ledger) applyReport(report *Report, now time.Time) {
+	if !l.differsSince.IsZero() {
+		l.entryCheckAt = now.Add(min(max(firstCheckAfter, now.Sub(l.differsSince)), maxCheckInterval))
+	}
 	switch {
-	case report.OrdersAccepted < l.ordersAccepted:
+	case report.OrdersAccepted < l.ordersAccepted && now.Sub(l.countedAt) < maxReportLag:
 	case l.known && report.OrdersAccepted == l.ordersAccepted:
 		l.applyReportOfSameOrders(report, now)
 	default:
@@ -91,7 +119,8 @@
 	sameOrders := report.OrdersAccepted == l.ordersAccepted
 	l.known = !report.Busy && report.PendingAdapters == 0
 	l.reportsApplied++
-	l.ordersAccepted = report.OrdersAccepted
+	l.ordersAccepted, l.countedAt = report.OrdersAccepted, now
+	l.lateOrdersRefused = false
 	l.busyUntil = time.Time{}
 	if !l.known {
 		l.busyUntil = now.Add(busyReportInterval)
@@ -126,8 +155,7 @@
 		return
 	}
 	if report.Busy {
-		l.known = false
-		l.busyUntil = now.Add(busyReportInterval)
+		l.waitForReport(now)
 		return
 	}
 	models := residentsOf(report)
@@ -173,24 +201,39 @@
 // distrust makes the ledger accept the next report, whatever its number of orders, and wait for it until the report no
 // longer lags behind this moment.
 func (l *ledger) distrust(now time.Time) {
-	l.known, l.ordersAccepted = false, 0
+	l.ordersAccepted, l.lateOrdersRefused = 0, false
+	l.waitForReport(now)
+}
+
+// waitForReport makes the ledger unknown until a report has been read that no longer lags behind this moment.
+func (l *ledger) waitForReport(now time.Time) {
+	l.known = false
 	l.busyUntil = now.Add(busyReportInterval)
 }
 
+// countOrder counts an order that the endpoint has accepted. Entries written before it say nothing about its effect.
+func (l *ledger) countOrder(now time.Time) {
+	l.ordersAccepted++
+	l.countedAt = now
+	l.differsSince = time.Time{}
+}
+
 // recordAccepted records an order that the endpoint has accepted.
 func (l *ledger) recordAccepted(order *Order, now time.Time) {
-	l.ordersAccepted++
+	l.countOrder(now)
 	if order.Adapter != "" {
 		l.recordAdapterChange(order)
 		return
 	}
 	deadline := now.Add(2*order.Expected + completionMargin)
 	if order.Verb == Load {
-		l.models = append(l.models, resident{name: order.Model, state: stateLoading, readyAt: now.Add(order.Expected), deadline: deadline})
+		l.models = append(l.models, resident{
+			name: order.Model, state: stateLoading, afterOrders: l.ordersAccepted, readyAt: now.Add(order.Expected), deadline: deadline,
+		})
 		return
 	}
 	if r := l.find(order.Model); r != nil {
-		r.state, r.deadline = stateUnloading, deadline
+		r.state, r.afterOrders, r.deadline = stateUnloading, l.ordersAccepted, deadline
 	}
 }
 
@@ -209,7 +252,7 @@
 
 // recordUnloadWaiting records an accepted unload of an adapter that waits for the requests that use the adapter.
 func (l *ledger) recordUnloadWaiting(order *Order, now time.Time) {
-	l.ordersAccepted++
+	l.countOrder(now)
 	l.unloadAcceptedAt, l.unloadCheckAt = now, now.Add(busyReportInterval)
 	if r := l.find(order.Model); r != nil && slices.Contains(r.adapters, order.Adapter) && !slices.Contains(r.unloading, order.Adapter) {
 		r.unloading = append(r.unloading, order.Adapter)
@@ -236,22 +279,45 @@
 	return nil
 }
 
-// reconcile completes loads and unloads whose effect the endpoint announces. If one is overdue, the ledger becomes
-// unknown and the report is read.
+// reconcile completes loads and unloads whose effect the endpoint announces. An announcement from before the order does
+// not show its effect. If an order is overdue, the ledger becomes unknown and the report is read.
 func (l *ledger) reconcile(announced listing, now time.Time) {
 	for i := 0; i < len(l.models); i++ {
 		r := &l.models[i]
-		holds := announced.find(r.name) != nil
+		listed := announced.find(r.name)
+		reflectsOrder := announced.ordersAccepted >= r.afterOrders
 		switch {
-		case r.state == stateLoading && holds:
-			r.state = stateHeld
-		case r.state == stateUnloading && !holds:
+		case r.state == stateLoading && listed != nil && reflectsOrder:
+			r.state, r.version = stateHeld, listed.Version
+		case r.state == stateUnloading && listed == nil && reflectsOrder:
 			l.models = slices.Delete(l.models, i, i+1)
 			i--
 		case r.state != stateHeld && now.After(r.deadline):
 			l.known = false
 		}
 	}
+	if !l.differsFrom(announced) {
+		l.differsSince = time.Time{}
+	} else if l.differsSince.IsZero() {
+		l.differsSince, l.entryCheckAt = now, now.Add(firstCheckAfter)
+	}
+}
+
+// differsFrom reports whether a known ledger without model orders in progress differs from what the endpoint announces.
+// Either may be the older one.
+func (l *ledger) differsFrom(announced listing) bool {
+	if !l.known || l.changesModels() {
+		return false
+	}
+	if announced.ordersAccepted != 0 && announced.ordersAccepted != l.ordersAccepted {
+		return true
+	}
+	sameAdapters := func(r resident) bool {
+		m := announced.find(r.name)
+		return m != nil && len(m.Adapters) == len(r.adapters) &&
+			!slices.ContainsFunc(r.adapters, func(a string) bool { return !slices.Contains(m.Adapters, a) })
+	}
+	return len(l.models) != len(announced.models) || slices.ContainsFunc(l.models, func(r resident) bool { return !sameAdapters(r) })
 }
 
 // busy reports whether a model order is in progress or the ledger is unknown.
@@ -264,12 +330,15 @@
 	return slices.ContainsFunc(l.models, func(r resident) bool { return r.state != stateHeld })
 }
 
-// needsReport reports whether the endpoint's report must be read: to know what the endpoint holds, or to see whether the
-// unload of an adapter has ended.
+// needsReport reports whether the endpoint's report must be read: to know what the endpoint holds, to see whether the
+// unload of an adapter has ended, or because the endpoint's entry differs.
 func (l *ledger) needsReport(now time.Time) bool {
 	if !l.known {
 		return !now.Before(l.busyUntil)
 	}
+	if !l.differsSince.IsZero() && !now.Before(l.entryCheckAt) {
+		return true
+	}
 	return len(l.unloadingAdapters()) > 0 && !now.Before(l.unloadCheckAt)
 }
 
--- a/pkg/residency/ledger_test.go
+++ b/pkg/residency/ledger_test.go
@@ -147,3 +147,86 @@
 		t.Fatalf("ledger is %+v", l)
 	}
 }
+
+// Guards against an entry from before an order that counts as its effect. An entry from before a model was loaded does
+// not show that its unload has ended, and one from before an earlier unload does not show that a load has ended.
+func TestEntryFromBeforeAnOrderDoesNotShowItsEffect(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "a"})
+	l.recordAccepted(&Order{Verb: Unload, Model: "a", Expected: time.Second}, start)
+	l.reconcile(announcedAfter(3), start)
+	if l.find("a") == nil || !l.busy(start) {
+		t.Fatal("the memory counts as free although the entry is older than the order")
+	}
+	l.reconcile(announcedAfter(5), start)
+	if l.find("a") != nil || l.busy(start) {
+		t.Fatal("unload does not count as done")
+	}
+	l.recordAccepted(&Order{Verb: Load, Model: "a", Expected: time.Second}, start)
+	l.reconcile(announcedAfter(4, "a"), start)
+	if !l.busy(start) {
+		t.Fatal("load counts as done although the entry is older than the order")
+	}
+	l.reconcile(announcedAfter(6, "a"), start)
+	if l.busy(start) {
+		t.Fatal("load does not count as done")
+	}
+}
+
+// Guards against a ledger that stays unknown because it counts one order more than the endpoint and takes all reports
+// for older ones.
+func TestUnknownLedgerThatCountsTooManyOrdersRecovers(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "m", Adapters: []string{"a1"}})
+	l.recordAccepted(&Order{Verb: Unload, Model: "m", Adapter: "a1"}, start)
+	l.known = false
+	report := Report{OrdersAccepted: 4, Models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	l.applyReport(&report, start.Add(maxReportLag-time.Millisecond))
+	if l.known {
+		t.Fatal("a report that may be older was applied")
+	}
+	l.applyReport(&report, start.Add(maxReportLag))
+	if !l.known || l.ordersAccepted != 4 || len(l.models[0].adapters) != 1 {
+		t.Fatalf("ledger is %+v", l)
+	}
+}
+
+// Guards against a ledger that differs from the endpoint for good while no order is given. A new holder does not know
+// that an adapter which the report lists is being unloaded; only the endpoint's entry shows the end.
+func TestLedgerThatDiffersFromTheEntryIsCheckedByReports(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "m", Adapters: []string{"a1"}})
+	held := announcedAfter(4, "m")
+	held.models[0].Adapters = []string{"a1"}
+	l.reconcile(held, start)
+	if l.needsReport(start.Add(time.Minute)) {
+		t.Fatal("the report is read although ledger and entry agree")
+	}
+	l.reconcile(announcedAfter(4, "m"), start)
+	if l.needsReport(start) || !l.known {
+		t.Fatal("the report is read although the entry may be older")
+	}
+	now := start.Add(firstCheckAfter)
+	l.reconcile(announcedAfter(4, "m"), now)
+	if !l.needsReport(now) {
+		t.Fatal("the report is not read")
+	}
+	l.applyReport(&Report{OrdersAccepted: 4, Models: []fleet.HeldModel{{Name: "m"}}}, now)
+	l.reconcile(announcedAfter(4, "m"), now)
+	if len(l.models[0].adapters) != 0 || l.needsReport(now.Add(time.Minute)) {
+		t.Fatalf("ledger is %+v", l)
+	}
+}
+
+// Guards against two reports a second from each endpoint whose entry stays old, as during an outage of the store.
+func TestReportsAreReadMoreRarelyTheLongerTheEntryDiffers(t *testing.T) {
+	l := knownLedger(4, fleet.HeldModel{Name: "m"})
+	reports := 0
+	for now := start; now.Before(start.Add(5 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		l.reconcile(announcedAfter(3), now)
+		if l.needsReport(now) {
+			reports++
+			l.applyReport(&Report{OrdersAccepted: 4, Models: []fleet.HeldModel{{Name: "m"}}}, now)
+		}
+	}
+	if reports < 5 || reports > 15 {
+		t.Fatalf("%d reports in five minutes", reports)
+	}
+}
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -33,6 +33,8 @@
 	waitingUnloads bool
 	// busy is set if the reports show an order in progress.
 	busy bool
+	// lifetime is that of the reports; zero means 1.
+	lifetime int64
 	// alreadyDone is set if the engine has nothing to do for any unload: it says so and does not count the order.
 	alreadyDone bool
 }
@@ -88,7 +90,7 @@
 func (e *fakeEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Busy: e.busy, Models: e.models}, fleet.Statement{}, nil
+	return Report{Lifetime: max(e.lifetime, 1), OrdersAccepted: e.ordersAccepted, Busy: e.busy, Models: e.models}, fleet.Statement{}, nil
 }
 
 type fakeLease struct {
@@ -168,7 +170,7 @@
 	}
 	e.models = []fleet.HeldModel{{Name: "m"}}
 	w.readReport(context.Background())
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("m")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announcedAfter(1, "m")}
 	w.apply(&state, time.Now())
 	if state.AdapterCount() != 0 || len(state.UnloadingAdapters) != 0 || w.needsReport(time.Now().Add(time.Minute)) {
 		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
@@ -380,3 +382,22 @@
 		}
 	}
 }
+
+// Guards against a slot that counts as free although its adapter is still being unloaded: the reply to a second unload
+// is that of one that was carried out, but does not count, and a late order of the previous holder then makes up for the
+// number of orders.
+func TestLateOrderDoesNotMakeUpForAnUnloadThatDidNotCount(t *testing.T) {
+	e := &fakeEngine{alreadyDone: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	late := OrderCall{Verb: Load, Model: "m", Adapter: "a3", Holder: "edge-2"}
+	c.options.AdapterChanged = func(string, int64, Order) { e.receive(late) }
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 1 || e.acceptedCalls[0].Adapter != "a3" {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}}
+	c.workers["e1"].apply(&state, time.Now().Add(time.Minute))
+	if !state.Busy && !state.Holds("m", "a1") {
+		t.Fatalf("the slot of the adapter counts as free: %+v", state.Models)
+	}
+}
