Send no order to an endpoint that is known to have restarted

By reading, an order planned for an earlier run of an endpoint was still sent, and sent again, after the new run was announced or had shown itself in a report. If the new run has accepted the same number of orders, it carries the order out on other contents.

Cause: a worker that was replaced because of another lifetime went on with its queue, and a report of another lifetime left its ledger as it was.

Only the current worker of an endpoint sends orders, and a report of another lifetime makes the ledger unknown. TestNoOrderAfterTheEndpointHasRestarted fails before in both cases ("the order was sent").

--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -198,7 +198,9 @@
 	}
 	w.controller.mu.Lock()
 	defer w.controller.mu.Unlock()
-	return w.ledger.ordersAccepted, w.ledger.known && w.ledger.reportsApplied == order.reportsApplied
+	// After a restart of the endpoint another worker gives the orders.
+	isCurrent := w.controller.workers[w.target.ID] == w
+	return w.ledger.ordersAccepted, isCurrent && w.ledger.known && w.ledger.reportsApplied == order.reportsApplied
 }
 
 // callsAllowedIn returns the time for which the endpoint wants no calls.
@@ -331,6 +333,7 @@
 	}
 	if report.Lifetime != 0 && w.lifetime != 0 && report.Lifetime != w.lifetime {
 		w.controller.options.Log.Info("endpoint has restarted", zap.String("endpoint", w.target.ID))
+		w.invalidateLedger()
 		w.block(failurePause)
 		return Report{}, false
 	}
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -401,3 +401,32 @@
 		t.Fatalf("the slot of the adapter counts as free: %+v", state.Models)
 	}
 }
+
+// Guards against an order that was planned for an earlier run of the endpoint and is sent after the endpoint is known to
+// have restarted. The number of orders does not protect: the new run may have accepted the same number.
+func TestNoOrderAfterTheEndpointHasRestarted(t *testing.T) {
+	for name, restart := range map[string]func(c *Controller, e *fakeEngine){
+		"announced": func(c *Controller, _ *fakeEngine) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.worker(&fleet.Announcement{ID: "e1", Address: "e1:1", Lifetime: 2})
+		},
+		"seen in a report": func(c *Controller, e *fakeEngine) {
+			e.lifetime = 2
+			c.workers["e1"].readReport(context.Background())
+			c.workers["e1"].blockedUntil = time.Time{}
+		},
+	} {
+		e := &fakeEngine{models: []fleet.HeldModel{{Name: "a"}}}
+		c := newTestController(e, &fakeLease{token: 7, held: true})
+		runOrders(c)
+		w := c.workers["e1"]
+		order := Order{Endpoint: "e1", Verb: Load, Model: "b"}
+		order.reportsApplied = w.ledger.reportsApplied
+		restart(c, e)
+		w.execute(context.Background(), order, 7)
+		if len(e.acceptedCalls) != 0 {
+			t.Errorf("%s: the order was sent", name)
+		}
+	}
+}
