Play orders, reports, entries, handovers and restarts against the ledger

TestLedgerInAllSequences runs two controllers and one endpoint in simulated time. Orders and replies are lost or up to 12 s late, reports and entries lag, the lease changes hands with and without a handover, and the endpoint restarts. Half of the runs use the plan, half any order that fits according to the ledger. The endpoint must never be ordered beyond its memory or slots, and once all is quiet the holder's ledger must agree with it.

--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -81,6 +81,8 @@
 // Controller gives placement orders while this instance holds the lease.
 type Controller struct {
 	options Options
+	// plan is Plan except in tests.
+	plan func(*Input) []Order
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -96,7 +98,7 @@
 
 // NewController returns a controller. It gives no orders before Run is called.
 func NewController(o Options) *Controller {
-	return &Controller{options: o, workers: make(map[string]*worker), handovers: make(map[string]receivedHandover)}
+	return &Controller{options: o, plan: Plan, workers: make(map[string]*worker), handovers: make(map[string]receivedHandover)}
 }
 
 // Run plans and carries out orders until the context ends.
@@ -199,7 +201,7 @@
 		RegionOf:          c.options.RegionOf,
 		Now:               now,
 	}
-	c.startWorkers(ctx, tasks, Plan(&in), scope.token)
+	c.startWorkers(ctx, tasks, c.plan(&in), scope.token)
 }
 
 // endpointStates combines the endpoints' announcements with the orders in progress.
