Wait for the report after an unload that may not have counted

Cause: an unload of an adapter that the endpoint is already unloading is answered 200 and not counted. The ledger counted it if no late order of another holder could make up for the number. But its own next order carried the number, too high by one, was late, and was carried out seconds later when the endpoint had reached that number, on other contents.

An unload answered 200 is now counted at once only if the adapter was loaded by an accepted order in the same ledger, so that the endpoint holds it and is not unloading it. Otherwise the report decides before another order is sent. Such a swap takes half a second longer; it concerns adapters that a new holder, or a ledger after a lost reply, knows from a report.

TestNoOrderAfterAnUnloadThatMayNotHaveCounted fails before.

--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -24,6 +24,9 @@
 	adapters []string
 	// unloading lists those of the adapters whose unload waits for requests that use them. They occupy their slots.
 	unloading []string
+	// loaded lists those of the adapters that were loaded by an order in this ledger. The endpoint holds them and is not
+	// unloading them, which a report alone does not show.
+	loaded []string
 	// readyAt is the expected end of a load.
 	readyAt time.Time
 	// afterOrders is the number of accepted orders including the one that loads or unloads the model.
@@ -43,9 +46,6 @@
 	// countedAt is when ordersAccepted last changed. A report with fewer orders that is read much later shows that the
 	// endpoint did not count an order.
 	countedAt time.Time
-	// lateOrdersRefused is set once an order was accepted and certainly counted: the endpoint refuses all orders sent
-	// before it that it has not received yet.
-	lateOrdersRefused bool
 	// reportsApplied counts the reports that replaced the ledger. An order planned before the last of them must not be
 	// sent: it would carry a number of accepted orders that belongs to another state.
 	reportsApplied int
@@ -120,7 +120,6 @@
 	l.known = !report.Busy && report.PendingAdapters == 0
 	l.reportsApplied++
 	l.ordersAccepted, l.countedAt = report.OrdersAccepted, now
-	l.lateOrdersRefused = false
 	l.busyUntil = time.Time{}
 	if !l.known {
 		l.busyUntil = now.Add(busyReportInterval)
@@ -130,7 +129,7 @@
 	}
 	models := residentsOf(report)
 	if sameOrders {
-		l.keepUnloading(models)
+		l.keepMarks(models)
 	}
 	l.models = models
 }
@@ -159,7 +158,7 @@
 		return
 	}
 	models := residentsOf(report)
-	l.keepUnloading(models)
+	l.keepMarks(models)
 	if !slices.EqualFunc(l.models, models, sameContents) {
 		// Queued orders were planned on other contents.
 		l.reportsApplied++
@@ -167,20 +166,15 @@
 	l.models = models
 }
 
-// keepUnloading marks in a newer list the adapters that are being unloaded and that the endpoint still holds.
-func (l *ledger) keepUnloading(models []resident) {
+// keepMarks marks, in a list after the same orders, the adapters that are being unloaded or were loaded by an order, and
+// that the endpoint still holds.
+func (l *ledger) keepMarks(models []resident) {
 	for i := range models {
-		if r := l.find(models[i].name); r != nil {
-			models[i].keepUnloading(r.unloading)
-		}
-	}
-}
-
-// keepUnloading marks adapters as being unloaded that the endpoint still holds.
-func (r *resident) keepUnloading(unloading []string) {
-	for _, adapter := range unloading {
-		if slices.Contains(r.adapters, adapter) {
-			r.unloading = append(r.unloading, adapter)
+		m := &models[i]
+		isGone := func(adapter string) bool { return !slices.Contains(m.adapters, adapter) }
+		if r := l.find(m.name); r != nil {
+			m.unloading = slices.DeleteFunc(slices.Clone(r.unloading), isGone)
+			m.loaded = slices.DeleteFunc(slices.Clone(r.loaded), isGone)
 		}
 	}
 }
@@ -201,7 +195,7 @@
 // distrust makes the ledger accept the next report, whatever its number of orders, and wait for it until the report no
 // longer lags behind this moment.
 func (l *ledger) distrust(now time.Time) {
-	l.ordersAccepted, l.lateOrdersRefused = 0, false
+	l.ordersAccepted = 0
 	l.waitForReport(now)
 }
 
@@ -245,17 +239,32 @@
 	isAdapter := func(a string) bool { return a == order.Adapter }
 	r.adapters = slices.DeleteFunc(r.adapters, isAdapter)
 	r.unloading = slices.DeleteFunc(r.unloading, isAdapter)
+	r.loaded = slices.DeleteFunc(r.loaded, isAdapter)
 	if order.Verb == Load {
 		r.adapters = append(r.adapters, order.Adapter)
 	}
 }
 
+// recordLoaded records that an accepted order loads an adapter.
+func (l *ledger) recordLoaded(order *Order) {
+	if r := l.find(order.Model); r != nil {
+		r.loaded = append(r.loaded, order.Adapter)
+	}
+}
+
+// wasLoaded reports whether an adapter was loaded by an order in this ledger and not unloaded since.
+func (l *ledger) wasLoaded(model, adapter string) bool {
+	r := l.find(model)
+	return r != nil && slices.Contains(r.loaded, adapter)
+}
+
 // recordUnloadWaiting records an accepted unload of an adapter that waits for the requests that use the adapter.
 func (l *ledger) recordUnloadWaiting(order *Order, now time.Time) {
 	l.countOrder(now)
 	l.unloadAcceptedAt, l.unloadCheckAt = now, now.Add(busyReportInterval)
 	if r := l.find(order.Model); r != nil && slices.Contains(r.adapters, order.Adapter) && !slices.Contains(r.unloading, order.Adapter) {
 		r.unloading = append(r.unloading, order.Adapter)
+		r.loaded = slices.DeleteFunc(r.loaded, func(a string) bool { return a == order.Adapter })
 	}
 }
 
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -173,7 +173,6 @@
 			return
 		}
 		uncertain = true
-		w.expectLateOrder()
 		log.Info("order without a reply", zap.Int64("afterOrders", afterOrders), zap.Error(err))
 		if w.acceptedSince(ctx, afterOrders) {
 			// The endpoint accepted this order or a delayed one of a previous holder. The next plan starts from the
@@ -240,9 +239,10 @@
 }
 
 // handleAlreadyHolds processes a reply that leaves no order in progress. Unloading an adapter completes immediately and
-// counts as an accepted order, unless the endpoint had nothing to do or is already unloading the adapter. That is found
-// out by the next order, which the endpoint then refuses. While a late order may still arrive and make up for the number,
-// the next report decides instead. Loading an adapter or model that is already there does not count.
+// counts as an accepted order, unless the endpoint had nothing to do because it is already unloading the adapter or does
+// not hold it. Unless that is ruled out, the report decides: an order with a number that the endpoint has not reached yet
+// could be late and be accepted once it has, on other contents. Loading an adapter or model that is already there does
+// not count.
 func (w *worker) handleAlreadyHolds(order Order, log *zap.Logger) {
 	log.Info("order completed immediately")
 	if order.Adapter == "" {
@@ -253,7 +253,7 @@
 	switch {
 	case order.Verb == Load:
 		w.ledger.recordAdapterChange(&order)
-	case w.ledger.lateOrdersRefused:
+	case w.ledger.wasLoaded(order.Model, order.Adapter):
 		w.ledger.recordAccepted(&order, time.Now())
 	default:
 		w.ledger.waitForReport(time.Now())
@@ -276,7 +276,9 @@
 	} else {
 		w.ledger.recordAccepted(&order, now)
 	}
-	w.ledger.lateOrdersRefused = true
+	if order.Adapter != "" && order.Verb == Load {
+		w.ledger.recordLoaded(&order)
+	}
 	if order.Adapter == "" {
 		w.modelToUnload = ""
 	}
@@ -350,13 +352,6 @@
 	return report, true
 }
 
-// expectLateOrder records that an order was sent whose outcome is unknown. It may be carried out seconds later.
-func (w *worker) expectLateOrder() {
-	w.controller.mu.Lock()
-	defer w.controller.mu.Unlock()
-	w.ledger.lateOrdersRefused = false
-}
-
 // invalidateLedger makes the next plan wait for the endpoint's report.
 func (w *worker) invalidateLedger() {
 	w.controller.mu.Lock()
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -430,3 +430,24 @@
 		}
 	}
 }
+
+// Guards against an order with a number of accepted orders that the endpoint has not reached: the reply to an unload
+// leaves open whether it counted. Such an order can be late and be carried out seconds later on other contents.
+func TestNoOrderAfterAnUnloadThatMayNotHaveCounted(t *testing.T) {
+	held := []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}
+	e := &fakeEngine{models: held}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Adapter: "a3"})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 2 {
+		t.Fatalf("after the unload of an adapter that only the report lists: carried out %+v", e.acceptedCalls)
+	}
+	// The endpoint cannot be unloading an adapter that it was ordered to load since the ledger was read.
+	e = &fakeEngine{models: []fleet.HeldModel{{Name: "m"}}}
+	c = newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Adapter: "a1"})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 3 {
+		t.Fatalf("after the unload of an adapter that was loaded before: carried out %+v", e.acceptedCalls)
+	}
+}
