State the store's era once in messages between instances

Revisions carry the era in their high bits. In messages between instances they travel as the store's own numbers with the era beside them, once for a message, and without it in era 0. Builds that do not know the field read what they read before. An era or revision out of range makes a message invalid.

TestMessagesStateTheEraOfRevisions fails before; TestMessagesWithoutAnEraAreAsBefore held before.

--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/quarantine"
 )
 
@@ -38,6 +39,9 @@
 	// Handover is sent by an instance that was the holder until recently. That instance need not be the one that was
 	// the holder right before the present one.
 	Handover *HandoverDoc `json:"o,omitempty"`
+	// Era is the era of the store to which all revisions of the message belong. Encode and Decode move it between this
+	// field and the revisions, so that builds without eras find the store's own revisions.
+	Era int64 `json:"g,omitempty"`
 	// Stale is set while the sender cannot read the store. Some of the receivers then send it the Endpoints of their
 	// view of the store, with the Revision of that view.
 	Stale     bool          `json:"x,omitempty"`
@@ -221,7 +225,7 @@
 
 // Encode returns the datagram that carries a message. Errors: ErrTooLarge above maxMessageBytes.
 func Encode(m *Message) ([]byte, error) {
-	data, err := json.Marshal(m)
+	data, err := json.Marshal(m.withoutEras())
 	if err != nil {
 		return nil, errors.Wrap(err, "encode exchange message")
 	}
@@ -240,9 +244,64 @@
 	if m.Instance == "" {
 		return nil, errors.New("exchange message names no instance")
 	}
+	if err := m.restoreEras(); err != nil {
+		return nil, errors.Wrap(err, "decode exchange message")
+	}
 	return &m, nil
 }
 
+// withoutEras returns the message with its era in Era instead of its revisions. All revisions are of the sender's view and
+// thus of one era. Those from which on changes are listed may be of an earlier one; they become the begin of this era.
+func (m *Message) withoutEras() *Message {
+	era := kvstore.Revision(m.Revision).Era()
+	if m.Relay != nil {
+		era = max(era, kvstore.Revision(m.Relay.Revision).Era())
+	}
+	if era == 0 {
+		return m
+	}
+	strip := func(revision int64) int64 {
+		if r := kvstore.Revision(revision); r.Era() == era {
+			return r.WithinEra()
+		}
+		return 0
+	}
+	stripped := *m
+	stripped.Era, stripped.Revision = era, strip(m.Revision)
+	if m.Relay != nil {
+		relay := *m.Relay
+		relay.After, relay.Revision = strip(relay.After), strip(relay.Revision)
+		relay.Gaps = nil
+		for _, g := range m.Relay.Gaps {
+			relay.Gaps = append(relay.Gaps, RevisionGap{After: strip(g.After), Before: strip(g.Before)})
+		}
+		stripped.Relay = &relay
+	}
+	return &stripped
+}
+
+// restoreEras puts the era of a message into its revisions. Errors: an era or revision out of range.
+func (m *Message) restoreEras() error {
+	if m.Era == 0 {
+		return nil
+	}
+	revisions := []*int64{&m.Revision}
+	if m.Relay != nil {
+		revisions = append(revisions, &m.Relay.After, &m.Relay.Revision)
+		for i := range m.Relay.Gaps {
+			revisions = append(revisions, &m.Relay.Gaps[i].After, &m.Relay.Gaps[i].Before)
+		}
+	}
+	for _, revision := range revisions {
+		restored, err := kvstore.RevisionInEra(m.Era, *revision)
+		if err != nil {
+			return err
+		}
+		*revision = int64(restored)
+	}
+	return nil
+}
+
 // newer reports whether m was sent after the message of the same instance with the given start time and sequence
 // number.
 func newer(m *Message, started, sequence int64) bool {
