Read everything again when the store was restored from an older copy

What callers would see after such a restore: endpoints and configurations that an instance never learns of, requests to endpoints that are leaving or have left, endpoints without requests although they run, and two instances that place models.

Cause: nothing told a new era of the store from the one before.

When a watch or a read shows a new era, an instance reads all entries at once, also where relays usually do. A list of models as of fewer accepted orders than a known one of the same run is ignored. Relay messages of another era are not applied; one of a newer era makes the recipient read the store. The log of changes for relays begins anew. Configurations do not go back, as before.

New: log lines `store restored from an older copy; reading all entries` and `lease ended: the store was restored from an older copy`, metric store_restored.

Tests seen failing before: platform/newera_test.go, of which "keeps its configuration" failed only for the missing log line (versions only rise) and the two for leaving endpoints had waited wrongly and were seen failing with KeepLeaving taken out; without the grace and the registration at once, their specs fail, too. pkg/edge/era_test.go: the relay of a new era, the log of changes and the models of an earlier number of orders; the two for an earlier era held since revisions carry the era. pkg/lease/era_test.go: both.

--- a/pkg/edge/changelog.go
+++ b/pkg/edge/changelog.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
 // recentChanges maps the names of recently changed and removed entries to the times at which this instance learned of
@@ -56,13 +57,19 @@
 
 // recordRevision records that the view has all changes up to a revision.
 func (l *storeChangeLog) recordRevision(revision int64, now time.Time) {
-	if last := len(l.revisions) - 1; last >= 0 && l.revisions[last].revision > revision {
-		// The store was reset.
-		l.revisions = nil
+	if last := len(l.revisions) - 1; last >= 0 && (l.revisions[last].revision > revision || isNewEra(l.revisions[last].revision, revision)) {
+		// The store was reset or restored from an older copy. A message about its changes is not complete for a view from
+		// before that.
+		l.revisions, l.gaps = nil, nil
 	}
 	l.revisions = append(l.revisions, revisionTime{revision, now})
 }
 
+// isNewEra reports whether a revision is of a later era of the store than a known one; zero stands for none.
+func isNewEra(known, revision int64) bool {
+	return known != 0 && kvstore.Revision(revision).Era() > kvstore.Revision(known).Era()
+}
+
 // recordGap records that the view skipped the revisions between two, because all entries were read at once or came from
 // another instance. It extends the last gap if no complete view lies between them.
 func (l *storeChangeLog) recordGap(after, before int64) {
--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -258,7 +258,26 @@
 			sleep(ctx, storeRetryDelay)
 			continue
 		}
-		sleep(ctx, registrationRenewalInterval)
+		r.waitForRenewal(ctx)
+	}
+}
+
+// waitForRenewal waits until the next renewal is due, or until requestRegistration is called.
+func (r *registrar) waitForRenewal(ctx context.Context) {
+	timer := time.NewTimer(registrationRenewalInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-r.server.registrationRequested:
+	}
+}
+
+// requestRegistration makes the registrar renew the registration at once.
+func (s *Server) requestRegistration() {
+	select {
+	case s.registrationRequested <- struct{}{}:
+	default:
 	}
 }
 
@@ -314,7 +333,8 @@
 	}
 }
 
-// placementLease adapts lease.Holder to residency.Lease. The fencing token is the revision that created the key.
+// placementLease adapts lease.Holder to residency.Lease. The fencing token is the revision that created the key. It rises
+// from holder to holder, also if the store forgot former holders, because revisions carry the store's era.
 type placementLease struct {
 	holder *lease.Holder
 }
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -30,6 +30,8 @@
 	responseTime   tally.Histogram
 	firstEventTime tally.Histogram
 	storeOutages   tally.Counter
+	// storeRestores counts restores of the store from an older copy.
+	storeRestores tally.Counter
 	// quarantines counts prompt parts put in quarantine.
 	quarantines     tally.Counter
 	configVersion   tally.Gauge
@@ -54,6 +56,7 @@
 		resumed:         scope.Counter("resumed_streams"),
 		responseTime:    scope.Histogram("response_seconds", latencyBuckets),
 		firstEventTime:  scope.Histogram("first_event_seconds", latencyBuckets),
+		storeRestores:   scope.Counter("store_restored"),
 		storeOutages:    scope.Counter("store_lost"),
 		quarantines:     scope.Counter("quarantined_prompt_parts"),
 		configVersion:   scope.Gauge("configuration_version"),
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -142,6 +142,11 @@
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
 	known := s.storeView.revision.Load()
+	if isNewEra(known, r.Revision) {
+		// In a new era, everything is read again.
+		s.requestWatch()
+		return
+	}
 	inGap := slices.ContainsFunc(r.Gaps, func(g exchange.RevisionGap) bool { return g.Contains(known) })
 	if r.Revision < known || r.After > known || inGap {
 		return
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -75,6 +75,8 @@
 	quarantine *quarantine.Tracker
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
+	// registrationRequested requests an immediate renewal of the registration.
+	registrationRequested chan struct{}
 	// stalePeers tracks the instances that cannot read the store.
 	stalePeers stalePeers
 	// refusing is closed once a stopping instance refuses new requests.
@@ -101,12 +103,14 @@
 		changeLog:      newStoreChangeLog(),
 		quarantine:     quarantine.NewTracker(),
 		watchRequested: make(chan struct{}, 1),
-		instances:      newInstanceRegistry(),
-		demand:         newDemandTracker(s.Region),
-		conns:          make(map[*clientConn]struct{}),
-		drainStarted:   make(chan struct{}),
-		refusing:       make(chan struct{}),
-		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		registrationRequested: make(chan struct{}, 1),
+		instances:             newInstanceRegistry(),
+		demand:                newDemandTracker(s.Region),
+		conns:                 make(map[*clientConn]struct{}),
+		drainStarted:          make(chan struct{}),
+		refusing:              make(chan struct{}),
+		random:                rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	server.currentSettings.Store(&s)
 	if deps.Budget == nil {
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -48,6 +48,8 @@
 	store  kvstore.Store
 	// watch is nil while all entries have to be read first.
 	watch kvstore.Watch
+	// newEra is set from the end of a watch because of a new era until all entries have been read.
+	newEra bool
 	// justRead is set from a read of all entries until the next successful watch.
 	justRead bool
 	// seenRevision is the newest revision seen.
@@ -131,7 +133,7 @@
 // need to read the entries. If all instances read them at once, they fill the links between them and the store.
 func (w *storeWatcher) resumeAfterRelay(ctx context.Context) bool {
 	maxAge := w.server.settings().Bounds.watchInterval() + w.server.relayWatchInterval()
-	for ctx.Err() == nil && w.server.hasRelays() && w.server.storeView.age(time.Now()) < maxAge {
+	for ctx.Err() == nil && !w.newEra && w.server.hasRelays() && w.server.storeView.age(time.Now()) < maxAge {
 		if kvstore.Revision(w.server.storeView.revision.Load()) > w.seenRevision {
 			return w.skipRelayed(ctx) == nil
 		}
@@ -157,6 +159,10 @@
 		// A relay has reported newer changes while the entries were read.
 		return false
 	}
+	w.newEra = false
+	if isNewEra(known, int64(seenRevision)) {
+		w.beginEra(seenRevision)
+	}
 	w.server.changeLog.recordGap(known, int64(seenRevision))
 	present := make(map[string]bool, len(items))
 	for i := range items {
@@ -191,6 +197,22 @@
 	return true
 }
 
+// beginEra prepares for entries of a store that was restored from an older copy. What was written since that copy is gone
+// until it is written again: endpoints whose entries are missing are kept for some time, and those that were leaving keep
+// leaving. This instance's own entries and leases may be gone, too. The caller holds the server's viewMu.
+func (w *storeWatcher) beginEra(revision kvstore.Revision) {
+	now := time.Now()
+	w.server.log.Warn("store restored from an older copy; reading all entries", zap.Int64("era", revision.Era()),
+		zap.Int64("revision", revision.WithinEra()), zap.Int64("formerRevision", w.seenRevision.WithinEra()))
+	w.server.metrics.storeRestores.Inc(1)
+	w.graceEnd = now.Add(fleet.ReappearGrace)
+	w.server.deps.Fleet.KeepLeaving(now)
+	if start, err := kvstore.RevisionInEra(revision.Era(), 0); err == nil {
+		w.server.lease.EndBefore(start)
+	}
+	w.server.requestRegistration()
+}
+
 // watchOnce applies the changes since the last watch. It returns false if the caller should pause before the next
 // attempt.
 func (w *storeWatcher) watchOnce(ctx context.Context) bool {
@@ -203,6 +225,11 @@
 	defer cancel()
 	events, err := w.watch.Next(call)
 	switch {
+	case errors.Is(err, kvstore.ErrNewEra):
+		w.recordSuccess()
+		w.watch.Close()
+		w.watch, w.newEra = nil, true
+		return !w.justRead
 	case errors.Is(err, kvstore.ErrCompacted):
 		w.server.log.Info("store history is gone; reading all entries", zap.Int64("revision", int64(w.seenRevision)))
 		w.watch.Close()
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -107,6 +108,9 @@
 	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
 	stated    map[endpointRun]*stated
+	// left maps runs of endpoints whose entries said that they leave to the time of their removal. An older copy of the
+	// store may list them again.
+	left      map[endpointRun]time.Time
 	sentParts recentLog[SentPart]
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
@@ -121,6 +125,7 @@
 		byKey:     make(map[EndpointKey]*Endpoint),
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
+		left:      make(map[endpointRun]time.Time),
 		slowness:  make(map[string]*slowness),
 		changed:   make(chan struct{}),
 	}
@@ -134,9 +139,13 @@
 }
 
 // remove removes an endpoint. The caller holds the lock.
-func (r *Registry) remove(id string) {
+func (r *Registry) remove(id string, now time.Time) {
 	e := r.endpoints[id]
 	delete(r.endpoints, id)
+	if e != nil && e.announcedLeaving {
+		maps.DeleteFunc(r.left, func(_ endpointRun, at time.Time) bool { return now.Sub(at) >= statementRetention })
+		r.left[endpointRun{id, e.Lifetime}] = now
+	}
 	if e != nil && r.byKey[e.key] == e {
 		delete(r.byKey, e.key)
 	}
@@ -177,8 +186,10 @@
 	announcedLeaving := a.Leaving
 	said := r.stated[endpointRun{a.ID, a.Lifetime}]
 	a.Leaving = a.Leaving || said != nil && !said.leavingSince.IsZero()
-	if a.Models == nil && existing != nil && existing.Lifetime == a.Lifetime {
-		// An entry without a list of models says nothing about them.
+	sameRun := existing != nil && existing.Lifetime == a.Lifetime
+	if sameRun && (a.Models == nil || a.OrdersAccepted != 0 && a.OrdersAccepted < existing.announcedOrders) {
+		// An entry without a list of models says nothing about them, and one from before orders that the endpoint has
+		// acknowledged is outdated: the store was restored from an older copy.
 		a.Models, a.OrdersAccepted = existing.announcedModels, existing.announcedOrders
 	}
 	change := compare(existing, &a)
@@ -238,7 +249,7 @@
 		}
 		return true
 	}
-	r.remove(id)
+	r.remove(id, now)
 	r.signalChange()
 	return true
 }
@@ -264,7 +275,7 @@
 	for id, e := range r.endpoints {
 		if e.graceEnded(now) {
 			expired = append(expired, id)
-			r.remove(id)
+			r.remove(id, now)
 		}
 	}
 	if len(expired) > 0 {
--- a/pkg/fleet/statement.go
+++ b/pkg/fleet/statement.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"time"
 )
@@ -114,6 +115,25 @@
 	return r.markLeaving(run, record, now)
 }
 
+// KeepLeaving records that endpoints which the store's entries say are leaving, or said so until they were removed, leave
+// for the rest of their runs. It is called when the store was restored from an older copy, in which they may not leave yet.
+// Other instances are told like of endpoints that have said so themselves.
+func (r *Registry) KeepLeaving(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	runs := maps.Clone(r.left)
+	for id, e := range r.endpoints {
+		if e.announcedLeaving {
+			runs[endpointRun{id, e.Lifetime}] = now
+		}
+	}
+	for run := range runs {
+		record := r.statedBy(run, now)
+		record.heardHere = true
+		r.markLeaving(run, record, now)
+	}
+}
+
 // StatedBusy records that a run of an endpoint wants no calls from this instance for a time.
 func (r *Registry) StatedBusy(id string, lifetime int64, retryAfter time.Duration, now time.Time) {
 	r.mu.Lock()
--- a/pkg/lease/lease.go
+++ b/pkg/lease/lease.go
@@ -212,6 +212,9 @@
 // proves that the lease did not expire, so the holder keeps the same token.
 func (h *Holder) renew(ctx context.Context) time.Duration {
 	held := h.current.Load()
+	if held == nil {
+		return 0
+	}
 	interval := h.options.TTL / renewDivisor
 	call, cancel := context.WithTimeout(ctx, interval)
 	defer cancel()
@@ -219,7 +222,8 @@
 	ttl, err := h.options.Store.KeepAlive(call, held.lease)
 	switch {
 	case err == nil:
-		h.current.Store(newHeldLease(held.token, held.lease, sentAt, sentAtBoot, ttl-h.options.SafetyMargin))
+		// EndBefore may have ended the holding meanwhile.
+		h.current.CompareAndSwap(held, newHeldLease(held.token, held.lease, sentAt, sentAtBoot, ttl-h.options.SafetyMargin))
 		return interval - min(interval, time.Since(sentAt))
 	case errors.Is(err, kvstore.ErrLeaseNotFound):
 		h.current.Store(nil)
@@ -248,3 +252,14 @@
 		h.options.Log.Info("lease not revoked", zap.Error(err))
 	}
 }
+
+// EndBefore ends a holding whose token is below a revision. It is called when the store was restored from an older copy,
+// in which the lease may be missing.
+func (h *Holder) EndBefore(revision kvstore.Revision) {
+	held := h.current.Load()
+	if held == nil || held.token.Revision >= revision || !h.current.CompareAndSwap(held, nil) {
+		return
+	}
+	h.options.Scope.Counter("lost").Inc(1)
+	h.options.Log.Warn("lease ended: the store was restored from an older copy", zap.Int64("revision", int64(held.token.Revision)))
+}
