--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -32,6 +32,8 @@
 	storeOutages   tally.Counter
 	// storeRestores counts restores of the store from an older copy.
 	storeRestores tally.Counter
+	// ledgerCorrections counts reports of endpoints that hold other models or adapters than their ledgers listed.
+	ledgerCorrections tally.Counter
 	// quarantines counts prompt parts put in quarantine.
 	quarantines     tally.Counter
 	configVersion   tally.Gauge
@@ -46,20 +48,21 @@
 		return scope.Tagged(map[string]string{"end": end}).Counter("requests")
 	}
 	return &metrics{
-		answered:        requests("answered"),
-		refused:         requests("refused"),
-		failed:          requests("failed"),
-		broken:          requests("broken_off"),
-		clientsLeft:     requests("client_left"),
-		sends:           scope.Counter("sends"),
-		repeats:         scope.Counter("repeated_sends"),
-		resumed:         scope.Counter("resumed_streams"),
-		responseTime:    scope.Histogram("response_seconds", latencyBuckets),
-		firstEventTime:  scope.Histogram("first_event_seconds", latencyBuckets),
-		storeRestores:   scope.Counter("store_restored"),
-		storeOutages:    scope.Counter("store_lost"),
-		quarantines:     scope.Counter("quarantined_prompt_parts"),
-		configVersion:   scope.Gauge("configuration_version"),
-		usableEndpoints: scope.Gauge("usable_endpoints"),
+		answered:          requests("answered"),
+		refused:           requests("refused"),
+		failed:            requests("failed"),
+		broken:            requests("broken_off"),
+		clientsLeft:       requests("client_left"),
+		sends:             scope.Counter("sends"),
+		repeats:           scope.Counter("repeated_sends"),
+		resumed:           scope.Counter("resumed_streams"),
+		responseTime:      scope.Histogram("response_seconds", latencyBuckets),
+		firstEventTime:    scope.Histogram("first_event_seconds", latencyBuckets),
+		storeRestores:     scope.Counter("store_restored"),
+		storeOutages:      scope.Counter("store_lost"),
+		ledgerCorrections: scope.Counter("ledger_corrections"),
+		quarantines:       scope.Counter("quarantined_prompt_parts"),
+		configVersion:     scope.Gauge("configuration_version"),
+		usableEndpoints:   scope.Gauge("usable_endpoints"),
 	}
 }
--- a/pkg/edge/placement.go
+++ b/pkg/edge/placement.go
@@ -33,7 +33,8 @@
 		OnReportRead: func(id string, r residency.Report) {
 			s.deps.Fleet.SetModels(id, r.Lifetime, r.Models, time.Now())
 		},
-		OnStatement: s.recordStatement,
+		OnLedgerCorrected: func() { s.metrics.ledgerCorrections.Inc(1) },
+		OnStatement:       s.recordStatement,
 		ModelLeaving: func(id string, lifetime int64, model string) {
 			s.deps.Fleet.SetModelLeaving(id, lifetime, model, time.Now())
 			s.exchange.SendUpdate()
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -70,6 +70,9 @@
 	StoreWindow func() (time.Duration, float64)
 	// OnReportRead is called after this instance has read an endpoint's report.
 	OnReportRead func(id string, report Report)
+	// OnLedgerCorrected, if not nil, is called after a report has shown that an endpoint holds other models or adapters than
+	// its ledger listed.
+	OnLedgerCorrected func()
 	// OnStatement is called with what an endpoint says about itself in its response to an order or in its report.
 	OnStatement func(id string, lifetime int64, statement fleet.Statement)
 	// ModelLeaving is called before a model is unloaded.
--- a/pkg/residency/ledger.go
+++ b/pkg/residency/ledger.go
@@ -179,6 +179,28 @@
 	}
 }
 
+// explains reports whether a newer ledger after the same orders lists the same contents, except for adapters that were
+// being unloaded.
+func (l *ledger) explains(newer *ledger) bool {
+	if l.ordersAccepted != newer.ordersAccepted || len(l.models) != len(newer.models) {
+		return false
+	}
+	for i := range l.models {
+		expected, found := l.models[i], newer.find(l.models[i].name)
+		if found == nil {
+			return false
+		}
+		ended := func(a string) bool {
+			return slices.Contains(expected.unloading, a) && !slices.Contains(found.adapters, a)
+		}
+		expected.adapters = slices.DeleteFunc(slices.Clone(expected.adapters), ended)
+		if !sameContents(expected, *found) {
+			return false
+		}
+	}
+	return true
+}
+
 // sameContents reports whether two residents are the same model with the same adapters, in any order.
 func sameContents(a, b resident) bool {
 	if a.name != b.name || a.version != b.version || len(a.adapters) != len(b.adapters) {
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -340,9 +340,15 @@
 		return Report{}, false
 	}
 	w.controller.mu.Lock()
+	before := w.ledger
+	before.models = slices.Clone(before.models)
 	w.ledger.applyReport(&report, time.Now())
 	unloading := w.ledger.unloadingAdapters()
+	corrected := before.known && w.ledger.known && !before.explains(&w.ledger)
 	w.controller.mu.Unlock()
+	if corrected {
+		w.logCorrection(&before, &report)
+	}
 	report.Lifetime = w.lifetime
 	w.controller.options.OnReportRead(w.target.ID, report)
 	for _, key := range unloading {
@@ -352,6 +358,16 @@
 	return report, true
 }
 
+// logCorrection records that the endpoint held other models or adapters than its ledger listed.
+func (w *worker) logCorrection(before *ledger, report *Report) {
+	w.controller.options.Log.Info("ledger corrected by the endpoint's report", zap.String("endpoint", w.target.ID),
+		zap.Int64("orders", before.ordersAccepted), zap.Int64("reportedOrders", report.OrdersAccepted),
+		zap.Any("listed", before.heldModels()), zap.Any("reported", report.Models))
+	if w.controller.options.OnLedgerCorrected != nil {
+		w.controller.options.OnLedgerCorrected()
+	}
+}
+
 // invalidateLedger makes the next plan wait for the endpoint's report.
 func (w *worker) invalidateLedger() {
 	w.controller.mu.Lock()
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -451,3 +451,23 @@
 		t.Fatalf("after the unload of an adapter that was loaded before: carried out %+v", e.acceptedCalls)
 	}
 }
+
+// Guards against a ledger that was wrong without a trace for operators, and against counting the first report of an
+// endpoint, or one that only shows the end of an unload that was waited for.
+func TestCorrectionsOfTheLedgerAreReported(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	corrections := 0
+	c.options.OnLedgerCorrected = func() { corrections++ }
+	runOrders(c, Order{Endpoint: "e1", Verb: Unload, Model: "m", Adapter: "a1"})
+	e.models = []fleet.HeldModel{{Name: "m"}}
+	c.workers["e1"].readReport(context.Background())
+	if corrections != 0 {
+		t.Fatalf("%d corrections although the ledger was right", corrections)
+	}
+	e.models = []fleet.HeldModel{{Name: "m"}, {Name: "n"}}
+	c.workers["e1"].readReport(context.Background())
+	if corrections != 1 {
+		t.Fatalf("%d corrections", corrections)
+	}
+}
