Give each event of the ledger's sequences test a time of its own

With a change of the ledger taken out, rapid could not reproduce a failure that it had found: goroutines woke at the same simulated time, and their order differed from run to run. Their starts and the calls now have times that are no multiples of the intervals.

--- a/pkg/residency/sequences_test.go
+++ b/pkg/residency/sequences_test.go
@@ -28,6 +28,9 @@
 	// simulatedQuiet is long enough for orders without a reply, overdue orders, and the longest time between two checks.
 	simulatedQuiet = 2*maxCheckInterval + 20*time.Second
 	simulationStep = 50 * time.Millisecond
+	// simulatedCall is the time of a call without faults. Like the starts of the goroutines, it is no multiple of the
+	// intervals, so that no two events have the same time and their order is that of every run.
+	simulatedCall = 5*time.Millisecond + 7*time.Microsecond
 )
 
 // choices returns numbers that decide what happens next. All are determined by a number that is drawn.
@@ -166,7 +169,7 @@
 	if e.faulty() {
 		lag = time.Duration(e.fates.next()) * 10 * time.Millisecond
 	}
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(simulatedCall)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if fate >= 90 {
@@ -179,7 +182,7 @@
 	fate := e.drawFate()
 	switch {
 	case fate < 20:
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(simulatedCall)
 		return e.receive(call), fleet.Statement{}, nil
 	case fate < 40:
 		e.receive(call)
@@ -203,7 +206,7 @@
 	case fate < 90:
 		return 0, fleet.Statement{}, errors.Wrap(engine.ErrNotSent, "connection refused")
 	}
-	time.Sleep(orderTimeout)
+	time.Sleep(orderTimeout + simulatedCall)
 	return 0, fleet.Statement{}, errLost
 }
 
@@ -525,7 +528,16 @@
 	begin := time.Now()
 	s.endpoint.begin, s.demand.begin = begin, begin
 	s.endpoint.restart()
-	tasks.Go(func() { s.runEndpoint(ctx) })
+	started := 0
+	start := func(run func()) {
+		started++
+		offset := time.Duration(started) * 101 * time.Nanosecond
+		tasks.Go(func() {
+			pause(ctx, offset)
+			run()
+		})
+	}
+	start(func() { s.runEndpoint(ctx) })
 	var controllers [2]*Controller
 	var leases [2]*fakeLease
 	for i := range controllers {
@@ -533,11 +545,11 @@
 		controllers[i] = s.newController(i, leases[i])
 	}
 	leases[0].token, leases[0].held = 1, true
-	tasks.Go(func() { s.changeHolders(ctx, leases) })
-	tasks.Go(func() { s.passHandovers(ctx, controllers) })
+	start(func() { s.changeHolders(ctx, leases) })
+	start(func() { s.passHandovers(ctx, controllers) })
 	for i, c := range controllers {
-		tasks.Go(func() { s.followEntry(ctx, c, s.entryFates[i]) })
-		tasks.Go(func() { c.Run(ctx) })
+		start(func() { s.followEntry(ctx, c, s.entryFates[i]) })
+		start(func() { c.Run(ctx) })
 	}
 	time.Sleep(simulatedFaults + simulatedQuiet)
 	holder := controllers[len(s.leaseChanges)%2]
@@ -610,7 +622,7 @@
 // changeHolders gives the lease to the other instance at each lease change, half a second after the holder has lost it.
 func (s *simulation) changeHolders(ctx context.Context, leases [2]*fakeLease) {
 	for i, at := range s.leaseChanges {
-		pause(ctx, time.Until(s.endpoint.begin.Add(at)))
+		pause(ctx, time.Until(s.endpoint.begin.Add(at+211*time.Nanosecond)))
 		leases[i%2].lose()
 		pause(ctx, 500*time.Millisecond)
 		next := leases[(i+1)%2]
