--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -30,6 +30,10 @@
 	responseTime   tally.Histogram
 	firstEventTime tally.Histogram
 	storeOutages   tally.Counter
+	// storeRestores counts restores of the store from an older copy.
+	storeRestores tally.Counter
+	// ledgerCorrections counts reports of endpoints that hold other models or adapters than their ledgers listed.
+	ledgerCorrections tally.Counter
 	// quarantines counts prompt parts put in quarantine.
 	quarantines tally.Counter
 	// limitsLowered and limitsRaised count changes of learned limits of endpoints' concurrent calls, limitsInEffect the
@@ -54,24 +58,26 @@
 		return scope.Tagged(map[string]string{"direction": direction}).Counter("endpoint_limit_changes")
 	}
 	return &metrics{
-		answered:        requests("answered"),
-		refused:         requests("refused"),
-		failed:          requests("failed"),
-		broken:          requests("broken_off"),
-		clientsLeft:     requests("client_left"),
-		sends:           scope.Counter("sends"),
-		repeats:         scope.Counter("repeated_sends"),
-		resumed:         scope.Counter("resumed_streams"),
-		responseTime:    scope.Histogram("response_seconds", latencyBuckets),
-		firstEventTime:  scope.Histogram("first_event_seconds", latencyBuckets),
-		storeOutages:    scope.Counter("store_lost"),
-		quarantines:     scope.Counter("quarantined_prompt_parts"),
-		limitsLowered:   limitChanges("lowered"),
-		limitsRaised:    limitChanges("raised"),
-		limitsInEffect:  scope.Gauge("limited_endpoints"),
-		configVersion:   scope.Gauge("configuration_version"),
-		usableEndpoints: scope.Gauge("usable_endpoints"),
-		access:          newAccessMetrics(scope),
-		fairQueue:       newFairQueueMetrics(scope),
+		answered:          requests("answered"),
+		refused:           requests("refused"),
+		failed:            requests("failed"),
+		broken:            requests("broken_off"),
+		clientsLeft:       requests("client_left"),
+		sends:             scope.Counter("sends"),
+		repeats:           scope.Counter("repeated_sends"),
+		resumed:           scope.Counter("resumed_streams"),
+		responseTime:      scope.Histogram("response_seconds", latencyBuckets),
+		firstEventTime:    scope.Histogram("first_event_seconds", latencyBuckets),
+		storeOutages:      scope.Counter("store_lost"),
+		quarantines:       scope.Counter("quarantined_prompt_parts"),
+		limitsLowered:     limitChanges("lowered"),
+		limitsRaised:      limitChanges("raised"),
+		limitsInEffect:    scope.Gauge("limited_endpoints"),
+		configVersion:     scope.Gauge("configuration_version"),
+		usableEndpoints:   scope.Gauge("usable_endpoints"),
+		access:            newAccessMetrics(scope),
+		fairQueue:         newFairQueueMetrics(scope),
+		storeRestores:     scope.Counter("store_restored"),
+		ledgerCorrections: scope.Counter("ledger_corrections"),
 	}
 }
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -90,6 +90,8 @@
 	quota      *quotaService
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
+	// registrationRequested requests an immediate renewal of the registration.
+	registrationRequested chan struct{}
 	// stalePeers tracks the instances that cannot read the store.
 	stalePeers stalePeers
 	// refusing is closed once a stopping instance refuses new requests.
@@ -124,6 +126,8 @@
 		drainStarted:   make(chan struct{}),
 		refusing:       make(chan struct{}),
 		random:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+
+		registrationRequested: make(chan struct{}, 1),
 	}
 	server.currentSettings.Store(&s)
 	if deps.Budget == nil {
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -29,6 +30,8 @@
 	stated *stated
 	// announcedModels are the models of the last announcement, without changes by orders.
 	announcedModels []HeldModel
+	// announcedOrders is the number of accepted orders that announcedModels reflect; zero if not known.
+	announcedOrders int64
 	own             Work
 	sendRate        sendRate
 	slowness        endpointSlowness
@@ -52,13 +55,10 @@
 	return !e.graceEndsAt.IsZero() && !now.Before(e.graceEndsAt)
 }
 
-// AnnouncedModels returns the names of the models in the endpoint's last announcement.
-func (e *Endpoint) AnnouncedModels() []string {
-	names := make([]string, 0, len(e.announcedModels))
-	for _, m := range e.announcedModels {
-		names = append(names, m.Name)
-	}
-	return names
+// AnnouncedModels returns the models of the endpoint's last announcement and the number of orders that it had accepted by
+// then; the number is zero if it is not known. The models must not be changed.
+func (e *Endpoint) AnnouncedModels() ([]HeldModel, int64) {
+	return e.announcedModels, e.announcedOrders
 }
 
 // ownWork returns this instance's calls at the endpoint.
@@ -112,6 +112,9 @@
 	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
 	stated    map[endpointRun]*stated
+	// left maps runs of endpoints whose entries said that they leave to the time of their removal. An older copy of the
+	// store may list them again.
+	left      map[endpointRun]time.Time
 	sentParts recentLog[SentPart]
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
@@ -131,6 +134,7 @@
 		byKey:     make(map[EndpointKey]*Endpoint),
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
+		left:      make(map[endpointRun]time.Time),
 		slowness:  make(map[string]*slowness),
 		capacity:  make(map[string]*limit.Capacity),
 		latency:   make(map[string]*limit.Track),
@@ -146,9 +150,13 @@
 }
 
 // remove removes an endpoint. The caller holds the lock.
-func (r *Registry) remove(id string) {
+func (r *Registry) remove(id string, now time.Time) {
 	e := r.endpoints[id]
 	delete(r.endpoints, id)
+	if e != nil && e.announcedLeaving {
+		maps.DeleteFunc(r.left, func(_ endpointRun, at time.Time) bool { return now.Sub(at) >= statementRetention })
+		r.left[endpointRun{id, e.Lifetime}] = now
+	}
 	if e != nil && r.byKey[e.key] == e {
 		delete(r.byKey, e.key)
 	}
@@ -189,9 +197,11 @@
 	announcedLeaving := a.Leaving
 	said := r.stated[endpointRun{a.ID, a.Lifetime}]
 	a.Leaving = a.Leaving || said != nil && !said.leavingSince.IsZero()
-	if a.Models == nil && existing != nil && existing.Lifetime == a.Lifetime {
-		// An entry without a list of models says nothing about them.
-		a.Models = existing.announcedModels
+	sameRun := existing != nil && existing.Lifetime == a.Lifetime
+	if sameRun && (a.Models == nil || a.OrdersAccepted != 0 && a.OrdersAccepted < existing.announcedOrders) {
+		// An entry without a list of models says nothing about them, and one from before orders that the endpoint has
+		// acknowledged is outdated: the store was restored from an older copy.
+		a.Models, a.OrdersAccepted = existing.announcedModels, existing.announcedOrders
 	}
 	change := compare(existing, &a)
 	if existing == nil || change == Restarted {
@@ -201,7 +211,7 @@
 	previousModels := existing.Models
 	existing.graceEndsAt = time.Time{}
 	existing.announcedLeaving, existing.stated = announcedLeaving, said
-	existing.announcedModels = a.Models
+	existing.announcedModels, existing.announcedOrders = a.Models, a.OrdersAccepted
 	if now.Before(existing.modelsTrustedUntil) {
 		// The entry may be older than the last change by this system's orders.
 		a.Models = existing.Models
@@ -251,7 +261,7 @@
 		}
 		return true
 	}
-	r.remove(id)
+	r.remove(id, now)
 	r.signalChange()
 	return true
 }
@@ -277,7 +287,7 @@
 	for id, e := range r.endpoints {
 		if e.graceEnded(now) {
 			expired = append(expired, id)
-			r.remove(id)
+			r.remove(id, now)
 		}
 	}
 	if len(expired) > 0 {
--- a/pkg/residency/controller.go
+++ b/pkg/residency/controller.go
@@ -70,6 +70,9 @@
 	StoreWindow func() (time.Duration, float64)
 	// OnReportRead is called after this instance has read an endpoint's report.
 	OnReportRead func(id string, report Report)
+	// OnLedgerCorrected, if not nil, is called after a report has shown that an endpoint holds other models or adapters than
+	// its ledger listed.
+	OnLedgerCorrected func()
 	// OnStatement is called with what an endpoint says about itself in its response to an order or in its report.
 	OnStatement func(id string, lifetime int64, statement fleet.Statement)
 	// ModelLeaving is called before a model is unloaded.
@@ -81,6 +84,8 @@
 // Controller gives placement orders while this instance holds the lease.
 type Controller struct {
 	options Options
+	// plan is Plan except in tests.
+	plan func(*Input) []Order
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -96,7 +101,7 @@
 
 // NewController returns a controller. It gives no orders before Run is called.
 func NewController(o Options) *Controller {
-	return &Controller{options: o, workers: make(map[string]*worker), handovers: make(map[string]receivedHandover)}
+	return &Controller{options: o, plan: Plan, workers: make(map[string]*worker), handovers: make(map[string]receivedHandover)}
 }
 
 // Run plans and carries out orders until the context ends.
@@ -199,7 +204,7 @@
 		RegionOf:          c.options.RegionOf,
 		Now:               now,
 	}
-	c.startWorkers(ctx, tasks, Plan(&in), scope.token)
+	c.startWorkers(ctx, tasks, c.plan(&in), scope.token)
 }
 
 // endpointStates combines the endpoints' announcements with the orders in progress.
@@ -208,14 +213,14 @@
 	var states []EndpointState
 	c.options.Fleet.View(service.Name, func(endpoints []*fleet.Endpoint) {
 		for _, e := range endpoints {
-			announced := e.AnnouncedModels()
+			models, ordersAccepted := e.AnnouncedModels()
 			busy := e.CallsAllowedIn(now) > 0
 			states = append(states, EndpointState{
 				Announcement: e.Announcement,
 				Busy:         busy,
 				Work:         e.Work(now),
 				AdapterUse:   uses,
-				announces:    func(model string) bool { return slices.Contains(announced, model) },
+				announced:    listing{models: models, ordersAccepted: ordersAccepted},
 			})
 		}
 	})
--- a/pkg/residency/worker.go
+++ b/pkg/residency/worker.go
@@ -54,7 +54,7 @@
 
 // apply replaces the announced models by those of the ledger and adds the orders in progress.
 func (w *worker) apply(state *EndpointState, now time.Time) {
-	w.ledger.reconcile(state.announces, now)
+	w.ledger.reconcile(state.announced, now)
 	state.Busy = state.Busy || w.ledger.busy(now) || w.running || now.Before(w.blockedUntil)
 	if !w.ledger.known {
 		return
@@ -197,7 +197,9 @@
 	}
 	w.controller.mu.Lock()
 	defer w.controller.mu.Unlock()
-	return w.ledger.ordersAccepted, w.ledger.known && w.ledger.reportsApplied == order.reportsApplied
+	// After a restart of the endpoint another worker gives the orders.
+	isCurrent := w.controller.workers[w.target.ID] == w
+	return w.ledger.ordersAccepted, isCurrent && w.ledger.known && w.ledger.reportsApplied == order.reportsApplied
 }
 
 // callsAllowedIn returns the time for which the endpoint wants no calls.
@@ -237,7 +239,10 @@
 }
 
 // handleAlreadyHolds processes a reply that leaves no order in progress. Unloading an adapter completes immediately and
-// counts as an accepted order. Loading an adapter or model that is already there does not count.
+// counts as an accepted order, unless the endpoint had nothing to do because it is already unloading the adapter or does
+// not hold it. Unless that is ruled out, the report decides: an order with a number that the endpoint has not reached yet
+// could be late and be accepted once it has, on other contents. Loading an adapter or model that is already there does
+// not count.
 func (w *worker) handleAlreadyHolds(order Order, log *zap.Logger) {
 	log.Info("order completed immediately")
 	if order.Adapter == "" {
@@ -245,10 +250,14 @@
 		return
 	}
 	w.controller.mu.Lock()
-	if order.Verb == Unload {
-		w.ledger.recordAccepted(&order, time.Now())
-	} else {
+	switch {
+	case order.Verb == Load:
 		w.ledger.recordAdapterChange(&order)
+	case w.ledger.wasLoaded(order.Model, order.Adapter):
+		w.ledger.recordAccepted(&order, time.Now())
+	default:
+		w.ledger.waitForReport(time.Now())
+		w.dropQueueLocked()
 	}
 	w.controller.mu.Unlock()
 	w.controller.options.AdapterChanged(w.target.ID, w.lifetime, order)
@@ -267,6 +276,9 @@
 	} else {
 		w.ledger.recordAccepted(&order, now)
 	}
+	if order.Adapter != "" && order.Verb == Load {
+		w.ledger.recordLoaded(&order)
+	}
 	if order.Adapter == "" {
 		w.modelToUnload = ""
 	}
@@ -323,13 +335,20 @@
 	}
 	if report.Lifetime != 0 && w.lifetime != 0 && report.Lifetime != w.lifetime {
 		w.controller.options.Log.Info("endpoint has restarted", zap.String("endpoint", w.target.ID))
+		w.invalidateLedger()
 		w.block(failurePause)
 		return Report{}, false
 	}
 	w.controller.mu.Lock()
+	before := w.ledger
+	before.models = slices.Clone(before.models)
 	w.ledger.applyReport(&report, time.Now())
 	unloading := w.ledger.unloadingAdapters()
+	corrected := before.known && w.ledger.known && !before.explains(&w.ledger)
 	w.controller.mu.Unlock()
+	if corrected {
+		w.logCorrection(&before, &report)
+	}
 	report.Lifetime = w.lifetime
 	w.controller.options.OnReportRead(w.target.ID, report)
 	for _, key := range unloading {
@@ -339,6 +358,16 @@
 	return report, true
 }
 
+// logCorrection records that the endpoint held other models or adapters than its ledger listed.
+func (w *worker) logCorrection(before *ledger, report *Report) {
+	w.controller.options.Log.Info("ledger corrected by the endpoint's report", zap.String("endpoint", w.target.ID),
+		zap.Int64("orders", before.ordersAccepted), zap.Int64("reportedOrders", report.OrdersAccepted),
+		zap.Any("listed", before.heldModels()), zap.Any("reported", report.Models))
+	if w.controller.options.OnLedgerCorrected != nil {
+		w.controller.options.OnLedgerCorrected()
+	}
+}
+
 // invalidateLedger makes the next plan wait for the endpoint's report.
 func (w *worker) invalidateLedger() {
 	w.controller.mu.Lock()
--- a/pkg/residency/worker_test.go
+++ b/pkg/residency/worker_test.go
@@ -31,6 +31,10 @@
 	models      []fleet.HeldModel
 	// waitingUnloads is set if requests use all adapters: an unload is accepted and waits for them.
 	waitingUnloads bool
+	// busy is set if the reports show an order in progress.
+	busy bool
+	// lifetime is that of the reports; zero means 1.
+	lifetime int64
 	// alreadyDone is set if the engine has nothing to do for any unload: it says so and does not count the order.
 	alreadyDone bool
 }
@@ -86,7 +90,7 @@
 func (e *fakeEngine) Report(context.Context, Target) (Report, fleet.Statement, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return Report{Lifetime: 1, OrdersAccepted: e.ordersAccepted, Models: e.models}, fleet.Statement{}, nil
+	return Report{Lifetime: max(e.lifetime, 1), OrdersAccepted: e.ordersAccepted, Busy: e.busy, Models: e.models}, fleet.Statement{}, nil
 }
 
 type fakeLease struct {
@@ -148,7 +152,7 @@
 	if len(e.acceptedCalls) != 1 || e.acceptedCalls[0].Verb != Unload {
 		t.Fatalf("carried out %+v", e.acceptedCalls)
 	}
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("m")}
 	c.workers["e1"].apply(&state, time.Now())
 	if state.AdapterCount() != 1 || len(state.UnloadingAdapters) != 1 {
 		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
@@ -166,13 +170,34 @@
 	}
 	e.models = []fleet.HeldModel{{Name: "m"}}
 	w.readReport(context.Background())
-	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announces: announces("m")}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announcedAfter(1, "m")}
 	w.apply(&state, time.Now())
 	if state.AdapterCount() != 0 || len(state.UnloadingAdapters) != 0 || w.needsReport(time.Now().Add(time.Minute)) {
 		t.Fatalf("%d adapters, unloading %v", state.AdapterCount(), state.UnloadingAdapters)
 	}
 }
 
+// Guards against an order that loads a model into memory which another one occupies: the entry already lists the model
+// that was loaded last, while the report is from a time at which it was still being loaded.
+func TestMemoryOfALoadedModelStaysOccupiedAfterALaggingReport(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "a", Adapters: []string{"a1", "a2"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Unload, Model: "a", Adapter: "a1"})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "b", Expected: time.Second})
+	if len(e.acceptedCalls) != 2 {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	w, now := c.workers["e1"], time.Now()
+	w.apply(&EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("a", "b")}, now)
+	e.busy, e.models = true, []fleet.HeldModel{{Name: "a", Adapters: []string{"a2"}}}
+	w.readReport(context.Background())
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}, announced: announces("a", "b")}
+	w.apply(&state, now.Add(2*busyReportInterval))
+	if !state.Busy && !state.HoldsModel("b") {
+		t.Fatalf("the memory of the loaded model counts as free: the endpoint holds %+v", state.Models)
+	}
+}
+
 // Guards against a ledger that counts an order which the endpoint did not count, and then never agrees with it again: an
 // unload of an adapter that is already being unloaded gets the reply of one that was carried out.
 func TestLedgerRecoversFromAnUnloadThatDidNotCount(t *testing.T) {
@@ -357,3 +382,92 @@
 		}
 	}
 }
+
+// Guards against a slot that counts as free although its adapter is still being unloaded: the reply to a second unload
+// is that of one that was carried out, but does not count, and a late order of the previous holder then makes up for the
+// number of orders.
+func TestLateOrderDoesNotMakeUpForAnUnloadThatDidNotCount(t *testing.T) {
+	e := &fakeEngine{alreadyDone: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	late := OrderCall{Verb: Load, Model: "m", Adapter: "a3", Holder: "edge-2"}
+	c.options.AdapterChanged = func(string, int64, Order) { e.receive(late) }
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 1 || e.acceptedCalls[0].Adapter != "a3" {
+		t.Fatalf("carried out %+v", e.acceptedCalls)
+	}
+	state := EndpointState{Announcement: fleet.Announcement{ID: "e1"}}
+	c.workers["e1"].apply(&state, time.Now().Add(time.Minute))
+	if !state.Busy && !state.Holds("m", "a1") {
+		t.Fatalf("the slot of the adapter counts as free: %+v", state.Models)
+	}
+}
+
+// Guards against an order that was planned for an earlier run of the endpoint and is sent after the endpoint is known to
+// have restarted. The number of orders does not protect: the new run may have accepted the same number.
+func TestNoOrderAfterTheEndpointHasRestarted(t *testing.T) {
+	for name, restart := range map[string]func(c *Controller, e *fakeEngine){
+		"announced": func(c *Controller, _ *fakeEngine) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.worker(&fleet.Announcement{ID: "e1", Address: "e1:1", Lifetime: 2})
+		},
+		"seen in a report": func(c *Controller, e *fakeEngine) {
+			e.lifetime = 2
+			c.workers["e1"].readReport(context.Background())
+			c.workers["e1"].blockedUntil = time.Time{}
+		},
+	} {
+		e := &fakeEngine{models: []fleet.HeldModel{{Name: "a"}}}
+		c := newTestController(e, &fakeLease{token: 7, held: true})
+		runOrders(c)
+		w := c.workers["e1"]
+		order := Order{Endpoint: "e1", Verb: Load, Model: "b"}
+		order.reportsApplied = w.ledger.reportsApplied
+		restart(c, e)
+		w.execute(context.Background(), order, 7)
+		if len(e.acceptedCalls) != 0 {
+			t.Errorf("%s: the order was sent", name)
+		}
+	}
+}
+
+// Guards against an order with a number of accepted orders that the endpoint has not reached: the reply to an unload
+// leaves open whether it counted. Such an order can be late and be carried out seconds later on other contents.
+func TestNoOrderAfterAnUnloadThatMayNotHaveCounted(t *testing.T) {
+	held := []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}
+	e := &fakeEngine{models: held}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Adapter: "a3"})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 2 {
+		t.Fatalf("after the unload of an adapter that only the report lists: carried out %+v", e.acceptedCalls)
+	}
+	// The endpoint cannot be unloading an adapter that it was ordered to load since the ledger was read.
+	e = &fakeEngine{models: []fleet.HeldModel{{Name: "m"}}}
+	c = newTestController(e, &fakeLease{token: 7, held: true})
+	runOrders(c, Order{Endpoint: "e1", Verb: Load, Model: "m", Adapter: "a1"})
+	runOrders(c, adapterSwap()...)
+	if len(e.acceptedCalls) != 3 {
+		t.Fatalf("after the unload of an adapter that was loaded before: carried out %+v", e.acceptedCalls)
+	}
+}
+
+// Guards against a ledger that was wrong without a trace for operators, and against counting the first report of an
+// endpoint, or one that only shows the end of an unload that was waited for.
+func TestCorrectionsOfTheLedgerAreReported(t *testing.T) {
+	e := &fakeEngine{waitingUnloads: true, models: []fleet.HeldModel{{Name: "m", Adapters: []string{"a1"}}}}
+	c := newTestController(e, &fakeLease{token: 7, held: true})
+	corrections := 0
+	c.options.OnLedgerCorrected = func() { corrections++ }
+	runOrders(c, Order{Endpoint: "e1", Verb: Unload, Model: "m", Adapter: "a1"})
+	e.models = []fleet.HeldModel{{Name: "m"}}
+	c.workers["e1"].readReport(context.Background())
+	if corrections != 0 {
+		t.Fatalf("%d corrections although the ledger was right", corrections)
+	}
+	e.models = []fleet.HeldModel{{Name: "m"}, {Name: "n"}}
+	c.workers["e1"].readReport(context.Background())
+	if corrections != 1 {
+		t.Fatalf("%d corrections", corrections)
+	}
+}
