--- a/pkg/daemon/clients_test.go
+++ b/pkg/daemon/clients_test.go
@@ -34,6 +34,8 @@
 	crowdSenders     = 150
 	crowdBodyBytes   = 900 << 10
 	crowdConnections = 1500
+	// crowdReaders is the number of clients that read slowly or not at all.
+	crowdReaders = 60
 )
 
 // buildDaemon builds mulberrygladed once and returns the path of the program.
@@ -289,6 +291,28 @@
 		startCrowdedDaemon().meets(crowdSenders, sendAll("", bytes.Repeat([]byte(unknown), 10000)))
 	})
 
+	It("survives responses and streams that are read slowly or not at all", func() {
+		var requests strings.Builder
+		for n := range 4 {
+			body := fmt.Sprintf(`{"model":"menu","messages":[{"role":"user","content":"x"}],"max_tokens":4000,"stream":%v}`, n%2 == 0)
+			fmt.Fprintf(&requests, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", memberKey, len(body), body)
+		}
+		var started atomic.Int64
+		startCrowdedDaemon().meets(crowdReaders, func(conn net.Conn) {
+			if _, err := conn.Write([]byte(requests.String())); err != nil || started.Add(1)%2 == 0 {
+				return
+			}
+			piece := make([]byte, 1000)
+			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+			for range 30 {
+				if _, err := conn.Read(piece); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	})
+
 	It("survives connections without end", func() {
 		startCrowdedDaemon().meets(crowdConnections, sendAll("", nil))
 	})
