--- a/pkg/clientconn/clientconn_test.go
+++ b/pkg/clientconn/clientconn_test.go
@@ -297,6 +297,76 @@
 	}
 }
 
+// BenchmarkSmallRequest reads and answers requests of an ordinary size on one connection, one after the other. "before" is how
+// an instance did it until idle connections held no buffers.
+func BenchmarkSmallRequest(b *testing.B) {
+	request := []byte("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 400\r\n\r\n" + string(make([]byte, 400)))
+	response := []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+	run := func(b *testing.B, one func(conn net.Conn)) {
+		server, client := pair(b)
+		b.ReportAllocs()
+		go func() {
+			buffer := make([]byte, len(response))
+			for {
+				if _, err := client.Write(request); err != nil {
+					return
+				}
+				if _, err := io.ReadFull(client, buffer); err != nil {
+					return
+				}
+			}
+		}()
+		for b.Loop() {
+			one(server)
+		}
+	}
+	b.Run("before", func(b *testing.B) {
+		var reader *bufio.Reader
+		run(b, func(conn net.Conn) {
+			if reader == nil {
+				reader = bufio.NewReaderSize(conn, 16<<10)
+			}
+			req := fasthttp.AcquireRequest()
+			_, err := reader.Peek(1)
+			_ = conn.SetReadDeadline(time.Now().Add(3 * time.Second))
+			err = errors.CombineErrors(err, req.Header.Read(reader))
+			_ = conn.SetReadDeadline(time.Now().Add(30 * time.Second))
+			err = errors.CombineErrors(err, req.ContinueReadBody(reader, 4<<20, false))
+			_ = conn.SetReadDeadline(time.Time{})
+			_ = conn.SetWriteDeadline(time.Now().Add(time.Minute))
+			_, writeErr := conn.Write(response)
+			_ = conn.SetReadDeadline(time.Now().Add(15 * time.Second))
+			if err = errors.CombineErrors(err, writeErr); err != nil {
+				b.Fatal(err)
+			}
+			fasthttp.ReleaseRequest(req)
+		})
+	})
+	b.Run("now", func(b *testing.B) {
+		var c *Conn
+		budget := membudget.New(64 << 20)
+		run(b, func(conn net.Conn) {
+			if c == nil {
+				c = New(conn, budget)
+			}
+			req := fasthttp.AcquireRequest()
+			if err := c.Await(); err != nil || !c.Begin() {
+				b.Fatal(err)
+			}
+			if err := c.ReadRequest(context.Background(), req, testLimits); err != nil {
+				b.Fatal(err)
+			}
+			c.LimitWrites(time.Now().Add(time.Minute))
+			_, err := c.Write(response)
+			c.EndRequest(true, 15*time.Second)
+			if err != nil {
+				b.Fatal(err)
+			}
+			fasthttp.ReleaseRequest(req)
+		})
+	})
+}
+
 // Guards against a body that changes at the boundaries of its blocks when it is written.
 func TestBodyIsWrittenWhole(t *testing.T) {
 	want := make([]byte, 900_000)
