Reject response heads that are no valid HTTP response

Clients of plain services got a 200 when an endpoint in trouble sent a response with status 000, and 600 or 999 were passed on, also in place of a stream. fasthttp reads the code 0 as "not set", which means 200, and accepts any three digits, any version and empty lines before the status line; a length beside chunks is overridden.

The head is now checked before the library parses it. Anything but a status of 200 to 599 in an HTTP/1.0 or 1.1 status line, or both a length and a transfer coding, closes the connection, and the request counts as sent without an answer, since nothing says what the endpoint has run.

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -353,12 +353,11 @@
 func (c *Conn) readHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
 	for range maxMismatchedResponses {
 		resp.SkipBody = req.Header.IsHead()
-		if err := resp.Header.Read(c.reader); err != nil {
+		if err := checkResponseHead(c.reader); err != nil {
 			return err
 		}
-		// An interim response would be followed by a second header. No endpoint of this system sends one.
-		if status := resp.StatusCode(); status < fasthttp.StatusOK {
-			return errors.Newf("unexpected interim response with status %d", status)
+		if err := resp.Header.Read(c.reader); err != nil {
+			return err
 		}
 		c.recordIdleTimeout(resp)
 		if c.accept == nil || c.accept(req, resp) {
