Use the portions of the quota soon after a restart of the whole system

An instance uses its portion only ten seconds after its registration, because others may not count it before that.

An instance whose entry in the store is still that of its previous process is counted already. It now waits for two seconds, which exceeds the longest loan of the previous process.

TestWholeSystemRestarts fails before at all sizes (5,177 of 16,151 requests rejected at 6 instances between 4 and 9 s), TestOwnEntryOfAPreviousProcess covers which entry counts, and the property test of the bound restarts instances with the short time.

--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -250,6 +250,14 @@
 	lease  kvstore.LeaseID
 }
 
+// recordOwnEntry tells the quota whether this instance's entry is that of a previous process, so that the other instances
+// have counted this one before. It is called with the first entry that is read.
+func (s *Server) recordOwnEntry(item *kvstore.KeyValue) {
+	if !s.registering.Load() || item.CreateRevision < item.ModRevision {
+		s.quota.previouslyRegistered()
+	}
+}
+
 // run registers the instance, renews the registration until the context ends, and then withdraws it.
 func (r *registrar) run(ctx context.Context) {
 	defer r.withdraw()
@@ -312,6 +320,7 @@
 		return errors.Wrap(err, "encode instance entry")
 	}
 	put := kvstore.Put{Key: instancePrefix + s.InstanceID, Value: value, Lease: r.lease}
+	r.server.registering.Store(true)
 	_, err = r.store.Commit(ctx, []kvstore.ConditionalWrite{{Puts: []kvstore.Put{put}}})
 	if errors.Is(err, kvstore.ErrLeaseNotFound) {
 		r.lease = 0
--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -248,6 +248,13 @@
 	q.account.ConfirmRegistration(sentAt)
 }
 
+// previouslyRegistered records that a previous process of this instance was still registered when this one started.
+func (q *quotaService) previouslyRegistered() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.account.PreviouslyRegistered()
+}
+
 // take decides on a request, and waits for the coordinator's answer until it counts as missing, for at most maxWait. Again is
 // set if the request had a charge that expired.
 func (q *quotaService) take(ctx context.Context, key quota.Key, cost float64, patience, maxWait time.Duration, again bool) quota.Decision {
--- a/pkg/edge/quota_test.go
+++ b/pkg/edge/quota_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/mulberryglade/mulberryglade/internal/timing"
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
+	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 	"github.com/mulberryglade/mulberryglade/pkg/quota"
 	"github.com/mulberryglade/mulberryglade/pkg/routing"
 )
@@ -112,3 +113,29 @@
 		t.Fatal("an instance is asked long after its registration lapsed")
 	}
 }
+
+// Guards against a restarted instance that uses its portion only after the settling time of a new one, and against a new
+// one that uses it before the others count it.
+func TestOwnEntryOfAPreviousProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		registering bool
+		item        kvstore.KeyValue
+		want        bool
+	}{
+		"read before the registration":              {false, kvstore.KeyValue{CreateRevision: 7, ModRevision: 7}, true},
+		"own, in place of that of the last process": {true, kvstore.KeyValue{CreateRevision: 7, ModRevision: 9}, true},
+		"own, new": {true, kvstore.KeyValue{CreateRevision: 9, ModRevision: 9}, false},
+	} {
+		s := newQuotaTestRequest(t).server
+		s.registering.Store(c.registering)
+		w := &storeWatcher{server: s}
+		c.item.Value = []byte(`{"exchange":"127.0.0.1:9","memoryMb":500}`)
+		w.putInstance("edge-1", &c.item)
+		now := timing.SinceBoot()
+		s.quota.poll(now)
+		// Between the two settling times.
+		if got := s.quota.account.OwnsPortion(now + 5*time.Second); got != c.want {
+			t.Errorf("%s: owns its portion after 5 s: %v", name, got)
+		}
+	}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -67,9 +67,12 @@
 	// endpointBytes counts the bytes of bodies that endpoints hold for this instance.
 	endpointBytes *membudget.Keyed
 	instances     *instanceRegistry
-	demand        *demandTracker
-	exchange      *exchange.Exchange
-	lease         *lease.Holder
+	// registering is set once this process has begun to register the instance. An entry read before is that of a previous
+	// process.
+	registering atomic.Bool
+	demand      *demandTracker
+	exchange    *exchange.Exchange
+	lease       *lease.Holder
 	// placement sends placement orders while this instance holds the lease.
 	placement *residency.Controller
 	draining  atomic.Bool
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -370,6 +370,9 @@
 		w.server.log.Warn("instance entry cannot be decoded", zap.String("instance", name), zap.Error(err))
 		return
 	}
+	if name == w.server.settings().InstanceID && !w.server.instances.has(name) {
+		w.server.recordOwnEntry(item)
+	}
 	w.server.instances.put(name, doc)
 	w.server.changeLog.instances.recordChange(name, time.Now())
 }
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -66,6 +66,9 @@
 	// settleTime is the time from an instance's registration until it uses its portion. By then the others count it: a
 	// registration that the store lost is renewed within 8 s and read by the others within 1.5 s.
 	settleTime = 10 * time.Second
+	// restartSettleTime replaces settleTime for an instance whose previous process was registered, so that the others
+	// count it already. It exceeds the longest loan of that process.
+	restartSettleTime = 2 * time.Second
 	// memberRetention is how long an instance that is no longer registered is counted. An instance that is cut off from
 	// the store keeps its portion for registrationUse after it last confirmed its registration, which is shorter.
 	memberRetention = 10 * time.Minute
@@ -104,6 +107,8 @@
 	// registeredAt is when this instance first saw its registration; negative before. confirmedAt is when the store last
 	// confirmed it.
 	registeredAt, confirmedAt time.Duration
+	// settle is the time from registeredAt until this instance uses its portion.
+	settle time.Duration
 	// heard is the number of instances in the newest answer.
 	heard int
 
@@ -177,7 +182,7 @@
 // NewAccount returns the account of an instance. The epoch identifies the process and is not zero.
 func NewAccount(self string, epoch int64) *Account {
 	return &Account{
-		self: self, epoch: epoch, seenAt: make(map[string]time.Duration), registeredAt: -1,
+		self: self, epoch: epoch, seenAt: make(map[string]time.Duration), registeredAt: -1, settle: settleTime,
 		suspects: make(map[string]*suspect), requests: make(map[int64]*sentRequest), workspaces: make(map[Key]*workspace),
 		sentAt: -time.Hour,
 	}
@@ -218,6 +223,11 @@
 	return h.Sum64()
 }
 
+// PreviouslyRegistered records that a previous process of this instance was still registered when this one started.
+func (a *Account) PreviouslyRegistered() {
+	a.settle = restartSettleTime
+}
+
 // ConfirmRegistration records that the store confirmed this instance's registration by a call sent at a time.
 func (a *Account) ConfirmRegistration(sentAt time.Duration) {
 	a.confirmedAt = max(a.confirmedAt, sentAt)
@@ -252,9 +262,9 @@
 	return a.usage
 }
 
-// ownsPortion reports whether the others count this instance, so that it may use or lend its portion.
-func (a *Account) ownsPortion(now time.Duration) bool {
-	return a.registeredAt >= 0 && now-a.registeredAt >= settleTime && now-a.confirmedAt < registrationUse
+// OwnsPortion reports whether the others count this instance, so that it may use or lend its portion.
+func (a *Account) OwnsPortion(now time.Duration) bool {
+	return a.registeredAt >= 0 && now-a.registeredAt >= a.settle && now-a.confirmedAt < registrationUse
 }
 
 func (a *Account) workspace(key Key, now time.Duration) *workspace {
@@ -335,11 +345,11 @@
 
 // refillOwn refills the bucket of the own portion, which is empty while it is lent or not owned.
 func (a *Account) refillOwn(key Key, w *workspace, now time.Duration) {
-	if now < a.lentUntil || !a.ownsPortion(now) {
+	if now < a.lentUntil || !a.OwnsPortion(now) {
 		w.own = bucket{updated: now}
 		return
 	}
-	w.own.updated = max(w.own.updated, a.lentUntil, a.registeredAt+settleTime)
+	w.own.updated = max(w.own.updated, a.lentUntil, a.registeredAt+a.settle)
 	w.own.refill(a.limits.Of[key], 1/float64(a.instances()), now)
 }
 
@@ -506,7 +516,7 @@
 // lend adds the loan of the portion to a request to the coordinator, unless another process may still use it.
 func (a *Account) lend(r *Request, now time.Duration) {
 	sameProcess := a.lentTo.name == a.coordinator.name && a.lentTo.epoch == a.coordinator.epoch
-	if a.coordinator.epoch == 0 || !a.ownsPortion(now) || now < a.lentUntil && !sameProcess {
+	if a.coordinator.epoch == 0 || !a.OwnsPortion(now) || now < a.lentUntil && !sameProcess {
 		return
 	}
 	r.LentFor = time.Duration(loanIntervals * float64(renewalInterval(a.instances())))
@@ -602,7 +612,7 @@
 		}
 	}
 	lonelySince := a.coordinator.lonelySince
-	if from != a.coordinator.name || a.instances() == 1 || !a.ownsPortion(now) || lenders >= minLenders {
+	if from != a.coordinator.name || a.instances() == 1 || !a.OwnsPortion(now) || lenders >= minLenders {
 		lonelySince = now
 	}
 	a.coordinator = coordinator{name: from, epoch: answer.Epoch, time: answer.Time, answeredAt: now, lonelySince: lonelySince}
--- a/pkg/quota/protocol_test.go
+++ b/pkg/quota/protocol_test.go
@@ -208,7 +208,7 @@
 func TestPortionEndsWithoutRegistration(t *testing.T) {
 	account, _, now := pair(10000, 10000)
 	account.ConfirmRegistration(now)
-	if !account.ownsPortion(now+registrationUse-1) || account.ownsPortion(now+registrationUse) {
+	if !account.OwnsPortion(now+registrationUse-1) || account.OwnsPortion(now+registrationUse) {
 		t.Fatal("the portion does not end when the registration may have been forgotten")
 	}
 	if registrationUse >= memberRetention {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -256,6 +256,33 @@
 	})
 }
 
+// Guards against rejecting all requests for the settling time of new instances when the whole system restarts, although the
+// instances are registered and count each other at once.
+func TestWholeSystemRestarts(t *testing.T) {
+	forSizes(t, func(t *testing.T, instances int) {
+		s, _ := running(t, instances, 9)
+		for _, n := range s.nodes {
+			s.stop(n)
+		}
+		s.runUntil(s.now + time.Second)
+		for _, n := range s.nodes {
+			s.start(n)
+		}
+		s.runUntil(s.now + 4*time.Second)
+		s.reset()
+		s.runUntil(s.now + 5*time.Second)
+		s.checkBound()
+		// At most a quarter may still be rejected that soon after a restart.
+		s.checkRejected(0.25)
+		// Buckets begin empty, and renewals take longer with more instances.
+		s.runUntil(s.now + 3*time.Second)
+		s.reset()
+		s.runUntil(s.now + 15*time.Second)
+		s.checkBound()
+		s.checkRejected(0.005)
+	})
+}
+
 // Guards against two regions that cannot reach each other admitting more than the quota together, and against either of
 // them admitting nothing.
 func TestRegionCutOff(t *testing.T) {
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -207,7 +207,7 @@
 				sum += b.portion
 			}
 		}
-		if s.clock(n) >= n.account.lentUntil && n.account.ownsPortion(s.clock(n)) {
+		if s.clock(n) >= n.account.lentUntil && n.account.OwnsPortion(s.clock(n)) {
 			sum += 1 / float64(n.account.instances())
 		}
 	}
@@ -218,10 +218,14 @@
 
 // start starts a process of an instance. All that are up see it at once.
 func (s *simulation) start(n *node) {
+	previouslyRegistered := n.run > 0
 	n.run++
 	n.up = true
 	epoch := n.run*1000 + 1
 	n.account, n.pool = NewAccount(n.name, epoch), NewPool(epoch)
+	if previouslyRegistered {
+		n.account.PreviouslyRegistered()
+	}
 	n.offset = time.Duration(s.random.Float64() * float64(time.Minute))
 	n.waiting = make(map[int64]*client)
 	n.polledFor = -1
