Mend what the review of the new code found

- A growth that is evicted itself evicted others in vain (TestEvictedGrowthEvictsNobodyElse failed before).
- A new quota coordinator took all that an instance had admitted since its start for the usage of a moment (TestNewCoordinatorCountsUsageFromTheFirstReport failed before).
- A request that waited for quota was rejected although its workspace was no longer limited (TestWaitEndsWithTheLimit, written with the change).
- Log lines of rejected requests had the workspace twice.

--- a/pkg/clientconn/admission.go
+++ b/pkg/clientconn/admission.go
@@ -134,7 +134,8 @@
 		if all[i].CloseIn(states[i].Phase) {
 			return all[i], true
 		}
-		states[i].Phase = Busy
+		// The connection has left its phase. It counts as one that handles a request, whose client reads the response.
+		states[i] = State{Phase: Busy}
 	}
 }
 
--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -130,7 +130,7 @@
 	if table := q.server.table.Load(); table != q.table {
 		q.table = table
 		limits := limitsOf(table.Config)
-		q.account.Configure(limits)
+		q.settle(q.account.Configure(limits))
 		q.pool.Configure(limits, now)
 	}
 	if now-q.membersAt >= membersInterval {
@@ -231,14 +231,19 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	for _, d := range q.account.Receive(from, m.Answer, now) {
+	q.settle(q.account.Receive(from, m.Answer, now))
+	q.recordCoordinator()
+	q.wakeUp()
+}
+
+// settle ends the wait of requests that are decided. The caller holds the lock.
+func (q *quotaService) settle(decisions []quota.Decision) {
+	for _, d := range decisions {
 		if waiter := q.waiting[d.Waiter]; waiter != nil {
 			waiter <- d
 			delete(q.waiting, d.Waiter)
 		}
 	}
-	q.recordCoordinator()
-	q.wakeUp()
 }
 
 // confirmRegistration records that the store confirmed the registration by a call sent at a time since boot.
--- a/pkg/edge/quotarequest.go
+++ b/pkg/edge/quotarequest.go
@@ -22,7 +22,8 @@
 	patienceDivisor = 3
 )
 
-// takeQuota charges the request to its workspace. It returns false and when the request fits if it exceeds the quota.
+// takeQuota charges the request to its workspace. If the request exceeds the quota, it returns false and the time after
+// which the request fits.
 func (r *clientRequest) takeQuota() (retryAfter time.Duration, ok bool) {
 	if r.workspace == nil || !r.workspace.Quota.Limited() {
 		return 0, true
@@ -55,7 +56,7 @@
 		return 0, true
 	}
 	r.overQuota = true
-	r.log = r.log.With(zap.String("workspace", w.Name), zap.Float64("cost", cost))
+	r.log = r.log.With(zap.Float64("cost", cost))
 	r.server.quota.metrics.rejected.Inc(1)
 	return d.RetryAfter, false
 }
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -271,27 +271,47 @@
 	if !suffices {
 		return nil
 	}
-	var victims []func()
+	var chosen []*Reservation
 	for !b.willFitLocked(r, bytes) {
 		i := Victim(claims)
 		if i < 0 {
 			break
 		}
 		claims[i].Bytes = 0
-		holder := holders[i]
-		delete(b.evictable, holder)
-		holder.evicted = true
-		b.evictions++
-		b.yielding += holder.bytes
-		if holder == r {
+		if holders[i] == r {
+			// The others would be evicted in vain.
+			b.yielding -= totalBytes(chosen)
+			b.yielding += r.bytes
+			chosen = nil
+			b.markEvictedLocked(r)
 			break
 		}
+		b.yielding += holders[i].bytes
+		chosen = append(chosen, holders[i])
+	}
+	victims := make([]func(), 0, len(chosen))
+	for _, holder := range chosen {
+		b.markEvictedLocked(holder)
 		b.wakeEvictedLocked(holder)
 		victims = append(victims, holder.evict)
 	}
 	return victims
 }
 
+func totalBytes(holders []*Reservation) int64 {
+	total := int64(0)
+	for _, holder := range holders {
+		total += holder.bytes
+	}
+	return total
+}
+
+func (b *Budget) markEvictedLocked(holder *Reservation) {
+	delete(b.evictable, holder)
+	holder.evicted = true
+	b.evictions++
+}
+
 func (b *Budget) removeLocked(e *list.Element) {
 	b.waitingBytes -= e.Value.(*waiter).bytes
 	b.waiters.Remove(e)
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -137,3 +137,22 @@
 		t.Fatalf("%d bytes used, %d yielding, %d waiters, %d evictable", used, b.yielding, b.waiters.Len(), len(b.evictable))
 	}
 }
+
+// Guards against evicting others in vain for a growth that is evicted itself.
+func TestEvictedGrowthEvictsNobodyElse(t *testing.T) {
+	b := New(1000 << 10)
+	settled := b.Reserve()
+	if !settled.TryGrow(300 << 10) {
+		t.Fatal("the budget is not free")
+	}
+	idle, other, growing := b.ReserveEvictable(func() { t.Error("evicted in vain") }), b.ReserveEvictable(func() {}), b.ReserveEvictable(func() {})
+	for r, bytes := range map[*Reservation]int{idle: 200 << 10, other: 350 << 10, growing: 20 << 10} {
+		if err := r.Grow(context.Background(), time.Time{}, bytes); err != nil {
+			t.Fatal(err)
+		}
+	}
+	idle.grownAt = time.Now().Add(-time.Hour)
+	if err := growing.Grow(context.Background(), time.Time{}, 450<<10); !errors.Is(err, ErrEvicted) {
+		t.Fatalf("got %v", err)
+	}
+}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -188,14 +188,20 @@
 	}
 }
 
-// Configure puts limits in force.
-func (a *Account) Configure(limits Limits) {
+// Configure puts limits in force. It returns the decisions on waiting requests of workspaces that are no longer limited.
+func (a *Account) Configure(limits Limits) []Decision {
 	a.limits = limits
-	for key := range a.workspaces {
-		if _, limited := limits.Of[key]; !limited {
-			delete(a.workspaces, key)
+	var decisions []Decision
+	for key, w := range a.workspaces {
+		if _, limited := limits.Of[key]; limited {
+			continue
 		}
+		for i := range w.waiting {
+			decisions = append(decisions, Decision{Waiter: w.waiting[i].id, Admitted: true})
+		}
+		delete(a.workspaces, key)
 	}
+	return decisions
 }
 
 // SetMembers replaces the registered instances.
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -27,7 +27,8 @@
 	lentUntil   time.Duration
 	heardAt     time.Duration
 	usageSentAt time.Duration
-	// used is the last reported total of each workspace.
+	// used is the last reported total of each workspace. The first report is the baseline: the total counts from the start
+	// of the process, and an earlier coordinator may have counted it.
 	used map[Key]int64
 }
 
@@ -184,8 +185,10 @@
 		return Grant{}, false
 	}
 	b := p.buckets[d.Workspace]
-	if used := d.Used - from.used[d.Workspace]; used > 0 {
-		b.usage.add(float64(used), now)
+	if previous, reported := from.used[d.Workspace]; !reported || d.Used > previous {
+		if reported {
+			b.usage.add(float64(d.Used-previous), now)
+		}
 		from.used[d.Workspace] = d.Used
 	}
 	if len(d.Costs) == 0 && d.Advance == 0 {
--- a/pkg/quota/protocol_test.go
+++ b/pkg/quota/protocol_test.go
@@ -272,3 +272,35 @@
 		t.Fatalf("usage is %v after 20 s without requests", usage)
 	}
 }
+
+// Guards against a new coordinator that takes all that an instance has admitted since its start for the usage of a moment.
+func TestNewCoordinatorCountsUsageFromTheFirstReport(t *testing.T) {
+	account, pool, now := pair(100000, 100000)
+	for range 100 {
+		account.Admit(testWorkspace, 2000, time.Second, now)
+		exchangeAll(account, pool, now)
+		now += 100 * time.Millisecond
+	}
+	next := NewPool(33)
+	next.Configure(testLimits(100000, 100000), now)
+	for range 2 {
+		exchangeAll(account, next, now)
+		now += 400 * time.Millisecond
+	}
+	if usage := next.usage(now); len(usage) > 0 && usage[0].PerSecond > 20000 {
+		t.Fatalf("usage is %d of 20000 per second", usage[0].PerSecond)
+	}
+}
+
+// Guards against rejecting a request that waits when its workspace is no longer limited.
+func TestWaitEndsWithTheLimit(t *testing.T) {
+	account, _, now := pair(10000, 10000)
+	d := account.Admit(testWorkspace, 4000, time.Second, now)
+	if d.Waiter == 0 {
+		t.Fatalf("decided without the coordinator: %+v", d)
+	}
+	decisions := account.Configure(Limits{Version: 4})
+	if len(decisions) != 1 || decisions[0].Waiter != d.Waiter || !decisions[0].Admitted {
+		t.Fatalf("decisions %+v", decisions)
+	}
+}
