Rename parts of quota and memory budget to the usual terms; correct comments

Names and comments that stopped a reader new to the project: lender in place of borrower for the side that lends its portion, unresponsive members, isolation, divisors that were called shares, evicted in place of giving way. No change of behaviour.

--- a/pkg/clientconn/admission.go
+++ b/pkg/clientconn/admission.go
@@ -20,18 +20,19 @@
 	Closing
 )
 
-// State is what decides whether a connection gives way to a new one.
+// State is what decides whether a connection is closed to admit a new one.
 type State struct {
 	Phase Phase
 	// Served is set once the connection has brought a complete request.
 	Served bool
 	// Age is the time since the phase began.
 	Age time.Duration
-	// Unread is the time for which the client has accepted no part of a response; zero while nothing is written.
+	// Unread is the time since the write in progress of at most maxWriteBytes of a response began; zero while nothing is
+	// written.
 	Unread time.Duration
 }
 
-// minUnread is the time after which an unread response may give way. It is a third of the time after which it ends in any
+// minUnread is the time after which a connection with an unread response may be closed for a new one. It is a third of the time after which it ends in any
 // case.
 const minUnread = 5 * time.Second
 
@@ -66,7 +67,7 @@
 // next one, then those whose client does not read its response. Within a group, the one that has waited longest is chosen.
 //
 // The loads that it addresses are connections without end, and streams that nobody reads, next to the reused connections of
-// sound clients.
+// well-behaved clients.
 func VictimFor(states []State) int {
 	victim := -1
 	for i, s := range states {
@@ -83,7 +84,7 @@
 // Member is a connection of a Group.
 type Member interface {
 	comparable
-	// State returns what decides whether the connection gives way.
+	// State returns what decides whether the connection is closed to admit a new one.
 	State(now time.Time) State
 	// CloseIn closes the connection, and returns false if it has left the phase.
 	CloseIn(phase Phase) bool
@@ -100,7 +101,7 @@
 	return &Group[M]{conns: make(map[M]struct{})}
 }
 
-// Admit adds a connection. If there are limit connections already, it closes one that gives way. It returns false if
+// Admit adds a connection. If there are limit connections already, it closes the one that VictimFor chooses. It returns false if
 // there is none, and whether a connection was closed.
 func (g *Group[M]) Admit(c M, limit int) (admitted, closedOne bool) {
 	g.mu.Lock()
@@ -117,7 +118,7 @@
 	return true, closedOne
 }
 
-// victimLocked closes the connection that gives way and returns it. A connection whose phase changes meanwhile is
+// victimLocked closes the connection that VictimFor chooses and returns it. A connection whose phase changes meanwhile is
 // passed over.
 func (g *Group[M]) victimLocked() (victim M, found bool) {
 	now := time.Now()
--- a/pkg/clientconn/body.go
+++ b/pkg/clientconn/body.go
@@ -13,8 +13,9 @@
 )
 
 const (
-	// minBlockBytes and firstBlockBytes are the sizes of the first block of a body of unknown and known length. Further
-	// ones have blockBytes, or largeBlockBytes in a body that is larger than that. These two sizes are pooled. With blocks of
+	// minBlockBytes and firstBlockBytes are the sizes of the first block of a body of unknown and known length. A
+	// body of unknown length goes on with firstBlockBytes up to blockBytes in all. Further blocks have blockBytes, or
+	// largeBlockBytes in a body that is larger than that. These two sizes are pooled. With blocks of
 	// 64 KB only, a chunked body of 4 MB took a fifth more processor time.
 	minBlockBytes   = 4 << 10
 	firstBlockBytes = 16 << 10
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -221,7 +221,7 @@
 	return true
 }
 
-// evict ends the reading of a request whose memory is given to others.
+// evict ends the reading of a request whose memory reservation is evicted.
 func (c *Conn) evict() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/clientconn/limits.go
+++ b/pkg/clientconn/limits.go
@@ -3,7 +3,7 @@
 import "syscall"
 
 const (
-	// reservedFDs are the descriptors that connections to clients and endpoints do not use: the users' platform keeps 200 of
+	// reservedFDs are the descriptors that connections to clients and endpoints do not use: the platform keeps 200 of
 	// maxFds for files, and the rest is for listeners, the store, the instances and refused connections.
 	reservedFDs = 256
 	// clientFDShare is the share of the other descriptors for clients. A request needs a second one for its endpoint, and
--- a/pkg/clientconn/progress.go
+++ b/pkg/clientconn/progress.go
@@ -18,8 +18,9 @@
 	return &Progress{setDeadline: setDeadline, period: period, need: max(need, 1), began: time.Now()}
 }
 
-// minPeriodShare is the part of a period before which the deadline is not moved, so that a fast body costs few calls.
-const minPeriodShare = 8
+// minPeriodDivisor divides the period. The deadline is not moved again before that time, so that a fast body costs few
+// calls.
+const minPeriodDivisor = 8
 
 // Add records bytes that have arrived.
 func (p *Progress) Add(n int) {
@@ -28,7 +29,7 @@
 		return
 	}
 	now := time.Now()
-	if now.Sub(p.began) < p.period/minPeriodShare {
+	if now.Sub(p.began) < p.period/minPeriodDivisor {
 		p.got = p.need
 		return
 	}
--- a/pkg/edge/accept.go
+++ b/pkg/edge/accept.go
@@ -43,7 +43,7 @@
 // acceptRetryDelay is the delay after a failed accept, for example when file descriptors have run out.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// admit counts a connection. At the limit it closes another one that gives way, or refuses the new one.
+// admit counts a connection. At the limit it closes another one, or refuses the new one.
 func (s *Server) admit(c *clientConn) bool {
 	settings := s.settings()
 	limit := clientconn.ConnectionLimit(clientconn.DescriptorLimit(settings.MaxFDs), settings.MemoryMB, clientconn.ConnectionBytes)
--- a/pkg/membudget/keyed.go
+++ b/pkg/membudget/keyed.go
@@ -17,14 +17,14 @@
 }
 
 // TryTake counts bytes for a key, and returns false if they are too many together with those counted already. The first
-// ones are always accepted, so that a single large body is never refused. Large bodies leave 1/smallShare to small ones.
+// ones are always accepted, so that a single large body is never refused. Large bodies leave 1/smallReserveDivisor to small ones.
 func (k *Keyed) TryTake(key string, bytes int) bool {
 	if bytes == 0 {
 		return true
 	}
 	available := k.limit
 	if bytes > smallBytes {
-		available -= available / smallShare
+		available -= available / smallReserveDivisor
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -1,5 +1,5 @@
 // Package membudget bounds the memory that a process holds for its clients and endpoints: request heads and bodies,
-// buffered responses and streams. When the budget is exhausted, holders that may be evicted give way in the order of
+// buffered responses and streams. When the budget is exhausted, holders that may be evicted are evicted in the order of
 // Victim.
 package membudget
 
@@ -13,17 +13,17 @@
 )
 
 var (
-	// ErrEvicted means that a reservation had to give way to others.
-	ErrEvicted = errors.New("memory is given to others")
+	// ErrEvicted means that a reservation was evicted for the growth of others.
+	ErrEvicted = errors.New("memory reservation evicted")
 	// ErrExhausted means that the budget has too little left and nothing that may be evicted.
 	ErrExhausted = errors.New("memory budget is exhausted")
 )
 
 const (
-	// smallBytes is the size up to which a reservation may use the whole budget. Larger ones leave 1/smallShare of it, so
+	// smallBytes is the size up to which a reservation may use the whole budget. Larger ones leave 1/smallReserveDivisor of it, so
 	// that small requests and responses never wait for large ones.
-	smallBytes = 64 << 10
-	smallShare = 8
+	smallBytes          = 64 << 10
+	smallReserveDivisor = 8
 )
 
 // Budget is a bound on the bytes of all its reservations. A nil Budget grants everything. It is safe for concurrent use.
@@ -32,9 +32,9 @@
 
 	mu   sync.Mutex
 	used int64
-	// yielding is the part of used that evicted reservations have not released yet.
-	yielding  int64
-	evictable map[*Reservation]struct{}
+	// pendingRelease is the part of used that evicted reservations have not released yet.
+	pendingRelease int64
+	evictable      map[*Reservation]struct{}
 	// waiters is the queue of growths that wait for releases, waitingBytes their sum.
 	waiters      list.List
 	waitingBytes int64
@@ -124,7 +124,7 @@
 func (b *Budget) fitsLocked(r *Reservation, bytes int64) bool {
 	available := b.capacity
 	if r.bytes+bytes > smallBytes {
-		available -= available / smallShare
+		available -= available / smallReserveDivisor
 	}
 	return b.used+bytes <= available
 }
@@ -155,9 +155,9 @@
 	return b.fitsLocked(r, bytes) && (b.waiters.Len() == 0 || r.bytes+bytes <= smallBytes)
 }
 
-// Grow adds bytes to the reservation. If the budget has too few left, holders that may be evicted give way, and Grow waits
+// Grow adds bytes to the reservation. If the budget has too few left, others that may be evicted are evicted, and Grow waits
 // until enough is released. A reservation that may be evicted itself never waits for anything else: it gets ErrEvicted
-// when it is the one to give way. Any other one waits until the context ends or the deadline has passed; a zero
+// when it is the one to be evicted. Any other one waits until the context ends or the deadline has passed; a zero
 // deadline means no deadline.
 func (r *Reservation) Grow(ctx context.Context, deadline time.Time, bytes int) error {
 	if r.unlimited() || r.TryGrow(bytes) {
@@ -236,7 +236,7 @@
 // willFitLocked reports whether the growth fits once all evicted reservations are released and the growths that wait
 // already are granted.
 func (b *Budget) willFitLocked(r *Reservation, bytes int64) bool {
-	change := b.waitingBytes - b.yielding
+	change := b.waitingBytes - b.pendingRelease
 	b.used += change
 	fits := b.fitsLocked(r, bytes)
 	b.used -= change
@@ -265,9 +265,9 @@
 		}
 		holders, claims = append(holders, holder), append(claims, claim)
 	}
-	b.yielding += evictableBytes
+	b.pendingRelease += evictableBytes
 	suffices := b.willFitLocked(r, bytes)
-	b.yielding -= evictableBytes
+	b.pendingRelease -= evictableBytes
 	if !suffices {
 		return nil
 	}
@@ -280,13 +280,13 @@
 		claims[i].Bytes = 0
 		if holders[i] == r {
 			// The others would be evicted in vain.
-			b.yielding -= totalBytes(chosen)
-			b.yielding += r.bytes
+			b.pendingRelease -= totalBytes(chosen)
+			b.pendingRelease += r.bytes
 			chosen = nil
 			b.markEvictedLocked(r)
 			break
 		}
-		b.yielding += holders[i].bytes
+		b.pendingRelease += holders[i].bytes
 		chosen = append(chosen, holders[i])
 	}
 	victims := make([]func(), 0, len(chosen))
@@ -372,7 +372,7 @@
 	b.used -= bytes
 	r.bytes -= bytes
 	if r.evicted {
-		b.yielding -= bytes
+		b.pendingRelease -= bytes
 	}
 	b.wakeLocked()
 }
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -133,8 +133,8 @@
 		})
 	}
 	holders.Wait()
-	if used, _ := b.Usage(); used != 0 || b.yielding != 0 || b.waiters.Len() != 0 || len(b.evictable) != 0 {
-		t.Fatalf("%d bytes used, %d yielding, %d waiters, %d evictable", used, b.yielding, b.waiters.Len(), len(b.evictable))
+	if used, _ := b.Usage(); used != 0 || b.pendingRelease != 0 || b.waiters.Len() != 0 || len(b.evictable) != 0 {
+		t.Fatalf("%d bytes used, %d pendingRelease, %d waiters, %d evictable", used, b.pendingRelease, b.waiters.Len(), len(b.evictable))
 	}
 }
 
--- a/pkg/membudget/victim.go
+++ b/pkg/membudget/victim.go
@@ -18,11 +18,11 @@
 	return float64(c.Bytes) * (1 + c.Idle.Seconds()/idleUnit.Seconds())
 }
 
-// Victim returns the index of the claim that gives way when the budget is exhausted, or -1 if there is none that holds
+// Victim returns the index of the claim that is evicted when the budget is exhausted, or -1 if there is none that holds
 // anything. It is the one with the largest product of size and idle time, so that small claims and claims that make
 // progress are spared while larger or stalled ones exist. Of equal claims the first is chosen.
 //
-// The load that it addresses is many bodies that stop short of their end and stay open, next to bodies of sound clients.
+// The load that it addresses is many bodies that stop short of their end and stay open, next to bodies of well-behaved clients.
 func Victim(claims []Claim) int {
 	victim, heaviest := -1, 0.0
 	for i, claim := range claims {
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -50,14 +50,15 @@
 	// is older than minSilence. An instance that has never answered is given up after one.
 	maxMissed  = 3
 	minSilence = 600 * time.Millisecond
-	// firstSuspicion is how long an instance that does not answer is not asked again; it doubles up to maxSuspicion. An
-	// instance that answers for maxSuspicion begins anew.
-	firstSuspicion = 2 * time.Second
-	maxSuspicion   = 30 * time.Second
-	// minLenders is the number of portions that a coordinator must have lonelyTime after this instance has begun to lend
-	// to it, or else the next one is asked. An instance that the others do not reach answers itself.
-	minLenders = 1.5
-	lonelyTime = 4 * time.Second
+	// firstProbePause is how long an instance that does not answer is not asked again; it doubles up to maxProbePause. An
+	// instance that answers for maxProbePause begins anew.
+	firstProbePause = 2 * time.Second
+	maxProbePause   = 30 * time.Second
+	// minLenders is the number of portions that a coordinator must have isolationTime after this instance has begun to lend
+	// to it, or else the next one is asked. A coordinator to which only one instance lends is probably out of reach for the
+	// others; the half allows for instances that count differently.
+	minLenders    = 1.5
+	isolationTime = 4 * time.Second
 	// loanIntervals is the length of a loan in intervals between its renewals.
 	loanIntervals = 3
 	// clockMargin and clockDrift are added to a loan at the lender, for different clock rates.
@@ -109,14 +110,14 @@
 	registeredAt, confirmedAt time.Duration
 	// settle is the time from registeredAt until this instance uses its portion.
 	settle time.Duration
-	// heard is the number of instances in the newest answer.
-	heard int
+	// reportedInstances is the number of instances in the newest answer.
+	reportedInstances int
 
 	coordinator coordinator
 	// lentTo may use this instance's portion until lentUntil.
-	lentTo    coordinator
-	lentUntil time.Duration
-	suspects  map[string]*suspect
+	lentTo       coordinator
+	lentUntil    time.Duration
+	unresponsive map[string]*unresponsiveMember
 
 	number   int64
 	sentAt   time.Duration
@@ -136,19 +137,20 @@
 	// missed counts the missing answers since answeredAt.
 	missed     int
 	answeredAt time.Duration
-	// lonelySince is since when it has had fewer than minLenders portions, or since when it is asked.
-	lonelySince time.Duration
+	// isolatedSince is since when it has had fewer than minLenders portions, or since when it is asked.
+	isolatedSince time.Duration
 }
 
-// suspect is an instance that did not answer, or that has not been asked yet although it comes before the coordinator.
-type suspect struct {
+// unresponsiveMember is an instance that did not answer, or that has not been asked yet although it comes before the
+// coordinator.
+type unresponsiveMember struct {
 	// silent is set until it answers.
 	silent  bool
 	retryAt time.Duration
 	// pause is the time between questions whether it answers again. It doubles each time.
 	pause time.Duration
-	// lonelyUntil is until when it is asked for credit again only if others lend to it.
-	lonelyUntil time.Duration
+	// isolatedUntil is until when it is asked for credit again only if others lend to it.
+	isolatedUntil time.Duration
 }
 
 type sentRequest struct {
@@ -183,7 +185,7 @@
 func NewAccount(self string, epoch int64) *Account {
 	return &Account{
 		self: self, epoch: epoch, seenAt: make(map[string]time.Duration), registeredAt: -1, settle: settleTime,
-		suspects: make(map[string]*suspect), requests: make(map[int64]*sentRequest), workspaces: make(map[Key]*workspace),
+		unresponsive: make(map[string]*unresponsiveMember), requests: make(map[int64]*sentRequest), workspaces: make(map[Key]*workspace),
 		sentAt: -time.Hour,
 	}
 }
@@ -245,7 +247,7 @@
 }
 
 func (a *Account) instances() int {
-	return max(a.Counted(), a.heard)
+	return max(a.Counted(), a.reportedInstances)
 }
 
 // AnswerTime is the time within which a request that waits is decided if the coordinator answers: it waits for the next
@@ -438,7 +440,7 @@
 			}
 			c.missed++
 			if c.epoch == 0 || c.missed >= maxMissed && now-c.answeredAt >= minSilence {
-				a.suspect(r.to, now)
+				a.markUnresponsive(r.to, now)
 			}
 			break
 		}
@@ -456,19 +458,19 @@
 }
 
 func (a *Account) silent(name string) bool {
-	s := a.suspects[name]
+	s := a.unresponsive[name]
 	return s != nil && s.silent
 }
 
-func (a *Account) suspect(name string, now time.Duration) {
-	s := a.suspects[name]
+func (a *Account) markUnresponsive(name string, now time.Duration) {
+	s := a.unresponsive[name]
 	if s == nil {
-		s = &suspect{pause: firstSuspicion}
-		a.suspects[name] = s
+		s = &unresponsiveMember{pause: firstProbePause}
+		a.unresponsive[name] = s
 	}
 	if !s.silent {
 		s.silent, s.retryAt = true, now+s.pause
-		s.pause = min(2*s.pause, maxSuspicion)
+		s.pause = min(2*s.pause, maxProbePause)
 	}
 	if a.coordinator.name == name {
 		a.coordinator = coordinator{}
@@ -487,17 +489,17 @@
 			break
 		}
 		if a.coordinator.name == "" && !a.silent(m.Name) {
-			a.coordinator = coordinator{name: m.Name, answeredAt: now, lonelySince: now}
+			a.coordinator = coordinator{name: m.Name, answeredAt: now, isolatedSince: now}
 			// The first request is sent at once.
 			a.sentAt = min(a.sentAt, now-renewalInterval(a.instances()))
 			break
 		}
-		if a.suspects[m.Name] == nil {
-			a.suspects[m.Name] = &suspect{silent: true, pause: firstSuspicion}
+		if a.unresponsive[m.Name] == nil {
+			a.unresponsive[m.Name] = &unresponsiveMember{silent: true, pause: firstProbePause}
 		}
-		if s := a.suspects[m.Name]; now >= s.retryAt && len(out) == 0 {
+		if s := a.unresponsive[m.Name]; now >= s.retryAt && len(out) == 0 {
 			s.silent, s.retryAt = true, now+s.pause
-			s.pause = min(2*s.pause, maxSuspicion)
+			s.pause = min(2*s.pause, maxProbePause)
 			out = append(out, a.request(m.Name, false, now))
 		}
 	}
@@ -593,7 +595,7 @@
 }
 
 func (a *Account) recordAnswer(from string, answer *Answer, now time.Duration) {
-	a.heard = answer.Instances
+	a.reportedInstances = answer.Instances
 	if len(answer.Usage) > 0 {
 		a.usage = make(map[Key]float64, len(answer.Usage))
 		for _, u := range answer.Usage {
@@ -607,24 +609,24 @@
 		return
 	}
 	lenders := float64(answer.Share) * float64(a.instances()) / 1e6
-	if s := a.suspects[from]; s != nil {
-		if from != a.coordinator.name && now < s.lonelyUntil && lenders < minLenders-1 {
-			s.pause = firstSuspicion
+	if s := a.unresponsive[from]; s != nil {
+		if from != a.coordinator.name && now < s.isolatedUntil && lenders < minLenders-1 {
+			s.pause = firstProbePause
 			return
 		}
 		s.silent = false
-		if now-s.retryAt >= maxSuspicion {
-			delete(a.suspects, from)
+		if now-s.retryAt >= maxProbePause {
+			delete(a.unresponsive, from)
 		}
 	}
-	lonelySince := a.coordinator.lonelySince
+	isolatedSince := a.coordinator.isolatedSince
 	if from != a.coordinator.name || a.instances() == 1 || !a.OwnsPortion(now) || lenders >= minLenders {
-		lonelySince = now
+		isolatedSince = now
 	}
-	a.coordinator = coordinator{name: from, epoch: answer.Epoch, time: answer.Time, answeredAt: now, lonelySince: lonelySince}
-	if now-lonelySince >= lonelyTime {
-		a.suspect(from, now)
-		a.suspects[from].lonelyUntil = now + maxSuspicion
+	a.coordinator = coordinator{name: from, epoch: answer.Epoch, time: answer.Time, answeredAt: now, isolatedSince: isolatedSince}
+	if now-isolatedSince >= isolationTime {
+		a.markUnresponsive(from, now)
+		a.unresponsive[from].isolatedUntil = now + maxProbePause
 	}
 }
 
--- a/pkg/quota/pool.go
+++ b/pkg/quota/pool.go
@@ -9,18 +9,18 @@
 
 // Pool is the coordinator's side: the portions that instances lend to this one, and what it granted of them.
 type Pool struct {
-	epoch     int64
-	limits    Limits
-	borrowers map[string]*borrower
-	buckets   map[Key]*poolBucket
-	pruned    time.Duration
+	epoch   int64
+	limits  Limits
+	lenders map[string]*lender
+	buckets map[Key]*poolBucket
+	pruned  time.Duration
 	// share is the sum of the portions lent. It is computed anew at nextEnd, when the first loan may end.
 	share   float64
 	nextEnd time.Duration
 }
 
-// borrower is an instance that sends requests.
-type borrower struct {
+// lender is an instance that sends requests.
+type lender struct {
 	epoch, number int64
 	// portion is lent until lentUntil in this coordinator's time.
 	portion     float64
@@ -52,8 +52,8 @@
 	usageTime = 2 * time.Second
 	// usageInterval is the time between answers with usage to one instance.
 	usageInterval = time.Second
-	// borrowerRetention is the time without requests after which an instance is forgotten. It exceeds the longest loan.
-	borrowerRetention = 30 * time.Second
+	// lenderRetention is the time without requests after which an instance is forgotten. It exceeds the longest loan.
+	lenderRetention = 30 * time.Second
 	// maxDebt is the debt of a bucket that all coordinators together may have; each has its share of it. It covers the
 	// largest usual request (4,000 tokens) while a third of the portions is missing, and is a third of the slack.
 	maxDebt = 6000
@@ -74,7 +74,7 @@
 
 // NewPool returns a pool without portions. The epoch identifies the process.
 func NewPool(epoch int64) *Pool {
-	return &Pool{epoch: epoch, borrowers: make(map[string]*borrower), buckets: make(map[Key]*poolBucket)}
+	return &Pool{epoch: epoch, lenders: make(map[string]*lender), buckets: make(map[Key]*poolBucket)}
 }
 
 // Configure puts limits in force.
@@ -93,7 +93,7 @@
 func (p *Pool) Share(now time.Duration) float64 {
 	if now >= p.nextEnd {
 		p.share, p.nextEnd = 0, math.MaxInt64
-		for _, b := range p.borrowers {
+		for _, b := range p.lenders {
 			if now >= b.lentUntil {
 				b.portion = 0
 				continue
@@ -129,14 +129,14 @@
 // instances that this one counts.
 func (p *Pool) Receive(from string, r *Request, instances int, now time.Duration) *Answer {
 	p.prune(now)
-	b := p.borrowers[from]
+	b := p.lenders[from]
 	if b == nil || b.epoch != r.Epoch {
 		// A request of an earlier process that arrives late only shortens the loan.
 		if b != nil {
 			p.share -= b.portion
 		}
-		b = &borrower{epoch: r.Epoch, used: make(map[Key]int64), usageSentAt: -usageInterval}
-		p.borrowers[from] = b
+		b = &lender{epoch: r.Epoch, used: make(map[Key]int64), usageSentAt: -usageInterval}
+		p.lenders[from] = b
 	}
 	if r.Number <= b.number {
 		return nil
@@ -166,7 +166,7 @@
 
 // borrow counts the loan of a request from the time of this coordinator that the request repeats, which the lender
 // received before it sent the request. A late copy therefore ends no later than the original.
-func (p *Pool) borrow(b *borrower, r *Request, now time.Duration) {
+func (p *Pool) borrow(b *lender, r *Request, now time.Duration) {
 	if r.CoordinatorEpoch != p.epoch || r.LentFor <= 0 || r.Instances <= 0 || r.CoordinatorTime > now {
 		return
 	}
@@ -179,7 +179,7 @@
 	p.nextEnd = min(p.nextEnd, lentUntil)
 }
 
-func (p *Pool) grant(from *borrower, d *Demand, share float64, now time.Duration) (Grant, bool) {
+func (p *Pool) grant(from *lender, d *Demand, share float64, now time.Duration) (Grant, bool) {
 	limit, limited := p.limits.Of[d.Workspace]
 	if !limited {
 		return Grant{}, false
@@ -237,14 +237,14 @@
 }
 
 func (p *Pool) prune(now time.Duration) {
-	if now-p.pruned < borrowerRetention {
+	if now-p.pruned < lenderRetention {
 		return
 	}
 	p.pruned = now
-	for name, b := range p.borrowers {
-		if now-b.heardAt >= borrowerRetention {
+	for name, b := range p.lenders {
+		if now-b.heardAt >= lenderRetention {
 			p.share -= b.portion
-			delete(p.borrowers, name)
+			delete(p.lenders, name)
 		}
 	}
 }
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -202,7 +202,7 @@
 		if !n.up {
 			continue
 		}
-		for _, b := range n.pool.borrowers {
+		for _, b := range n.pool.lenders {
 			if s.clock(n) < b.lentUntil {
 				sum += b.portion
 			}
--- a/pkg/routing/keys.go
+++ b/pkg/routing/keys.go
@@ -72,7 +72,7 @@
 	KeyNotUsed KeyCheck = iota
 	// KeyKnown means that the key belongs to a workspace.
 	KeyKnown
-	// KeyDropped means that the route is public and the key belongs to no workspace.
+	// KeyDropped means that the route is public, and that the key belongs to no workspace or the request has several.
 	KeyDropped
 	// KeyMissing means that there is no key although the route needs one.
 	KeyMissing
