Do not write under a deadline that has passed on a connection in use again

The deadline in force is now kept only if it leaves three quarters of the time that the new one would leave.

TestWriteDeadlineOfAnEarlierRequestDoesNotApply fails before (i/o timeout).

--- a/pkg/clientconn/clientconn_test.go
+++ b/pkg/clientconn/clientconn_test.go
@@ -391,3 +391,22 @@
 		}
 	}
 }
+
+// Guards against a response that is not written because the write deadline of an earlier request on the connection has
+// passed, where the limits of the two requests differ by little.
+func TestWriteDeadlineOfAnEarlierRequestDoesNotApply(t *testing.T) {
+	server, client := pair(t)
+	go func() { _, _ = io.Copy(io.Discard, client) }()
+	c := New(server, nil)
+	defer c.Release()
+	c.stall = 15 * time.Second
+	c.LimitWrites(time.Now().Add(20 * time.Millisecond))
+	if _, err := c.Write([]byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(40 * time.Millisecond)
+	c.LimitWrites(time.Now().Add(2 * time.Second))
+	if _, err := c.Write([]byte("second")); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/pkg/clientconn/conn.go
+++ b/pkg/clientconn/conn.go
@@ -447,8 +447,8 @@
 	return written, nil
 }
 
-// moveWriteDeadline sets the deadline of the next write. The deadline is moved only by a quarter of the stall timeout or
-// more, which saves most of the calls for streams of small events.
+// moveWriteDeadline sets the deadline of the next write. One that leaves three quarters of the time or more is not moved,
+// which saves most of the calls for streams of small events.
 func (c *Conn) moveWriteDeadline() error {
 	if c.stall <= 0 && c.writeLimit.IsZero() {
 		return nil
@@ -461,7 +461,8 @@
 	if c.stall <= 0 || !c.writeLimit.IsZero() && c.writeLimit.Before(deadline) {
 		deadline = c.writeLimit
 	}
-	if ahead := deadline.Sub(c.writeDeadline); ahead >= 0 && ahead <= c.stall/4 {
+	// The deadline in force may be that of an earlier request, which has passed or is about to.
+	if left := c.writeDeadline.Sub(now); left <= deadline.Sub(now) && left >= deadline.Sub(now)*3/4 {
 		return nil
 	}
 	c.writeDeadline = deadline
