--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -265,9 +265,7 @@
 			s.stop(n)
 		}
 		s.runUntil(s.now + time.Second)
-		for _, n := range s.nodes {
-			s.start(n)
-		}
+		s.startAll(s.nodes)
 		s.runUntil(s.now + 4*time.Second)
 		s.reset()
 		s.runUntil(s.now + 5*time.Second)
--- a/pkg/quota/simulation_test.go
+++ b/pkg/quota/simulation_test.go
@@ -218,6 +218,23 @@
 
 // start starts a process of an instance. All that are up see it at once.
 func (s *simulation) start(n *node) {
+	s.startAll([]*node{n})
+}
+
+// startAll starts a process of each of some instances.
+func (s *simulation) startAll(nodes []*node) {
+	for _, n := range nodes {
+		s.launch(n)
+	}
+	if s.now > 0 {
+		s.announceMembers()
+	}
+	for _, n := range nodes {
+		s.poll(n)
+	}
+}
+
+func (s *simulation) launch(n *node) {
 	previouslyRegistered := n.run > 0
 	n.run++
 	n.up = true
@@ -231,10 +248,6 @@
 	n.polledFor = -1
 	n.account.Configure(s.limits)
 	n.pool.Configure(s.limits, s.clock(n))
-	if s.now > 0 {
-		s.announceMembers()
-	}
-	s.poll(n)
 }
 
 // stop ends the process of an instance; it stays registered.
