--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -42,9 +42,11 @@
 }
 
 var scenarios = map[string]func(w *world) (broken bool, err error){
-	"poison":   poisonScenario,
-	"restore":  restoreScenario,
-	"unframed": unframedScenario,
+	"poison":     poisonScenario,
+	"restore":    restoreScenario,
+	"unframed":   unframedScenario,
+	"bigwatch":   bigWatchScenario,
+	"poisonkill": poisonKillScenario,
 }
 
 // runScenario plays the scenario args[0]; args[1] is the root of the repository, args[2] the path of the record.
@@ -110,7 +112,11 @@
 func (w *world) startEdges(zoneNames ...string) error {
 	for i, zone := range zoneNames {
 		name := fmt.Sprintf("edge-%s-%d", zone, i+1)
-		e, err := newEdge(w.root, w.folder, name, zone, fmt.Sprintf("%s%d", w.ip, 10+i), w.store.address)
+		d, err := w.store.open(w.ip+"1", name)
+		if err != nil {
+			return err
+		}
+		e, err := newEdge(w.root, w.folder, name, zone, fmt.Sprintf("%s%d", w.ip, 10+i), d.address)
 		if err != nil {
 			return err
 		}
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,15 @@
 	Created   int64  `json:"created,omitempty"`
 	Lease     int64  `json:"lease"`
 	Tombstone bool   `json:"tombstone,omitempty"`
+
+	at time.Time
+}
+
+// door is an address of the store for one machine.
+type door struct {
+	address string
+	server  *http.Server
+	shut    atomic.Bool
 }
 
 type lease struct {
@@ -33,11 +43,12 @@
 	revision int64
 	items    map[string]item
 	history  []item
+	dropped  int64
 	leases   map[int64]lease
 }
 
 func (c contents) clone() contents {
-	return contents{c.revision, maps.Clone(c.items), slices.Clone(c.history), maps.Clone(c.leases)}
+	return contents{c.revision, maps.Clone(c.items), slices.Clone(c.history), c.dropped, maps.Clone(c.leases)}
 }
 
 // store is a stand-in of the platform's store.
@@ -51,7 +62,11 @@
 	nextID  int64
 	stop    chan struct{}
 	server  *http.Server
-	// onWatch is called with each item or removal that a watch returns, and the caller's address.
+	// doors are further addresses of the store, by machine; those that are shut answer 503.
+	doors map[string]*door
+	// keep is how long the history is kept (historyS).
+	keep time.Duration
+	// onWatch is called with each item or removal that a watch returns, and the machine that watches.
 	onWatch func(caller string, event item)
 }
 
@@ -62,6 +77,7 @@
 	}
 	s := &store{
 		address: listener.Addr().String(), changed: make(chan struct{}), stop: make(chan struct{}), nextID: 77000,
+		doors: make(map[string]*door), keep: 20 * time.Second,
 		contents: contents{revision: 100, items: map[string]item{}, leases: map[int64]lease{}},
 	}
 	s.server = &http.Server{Handler: http.HandlerFunc(s.serve)}
@@ -73,6 +89,29 @@
 func (s *store) close() {
 	close(s.stop)
 	_ = s.server.Close()
+	for _, d := range s.doors {
+		_ = d.server.Close()
+	}
+}
+
+// open opens an address of the store for one machine.
+func (s *store) open(ip, machine string) (*door, error) {
+	listener, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return nil, err
+	}
+	d := &door{address: listener.Addr().String()}
+	d.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if d.shut.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		r.Header.Set("Caller", machine)
+		s.serve(w, r)
+	})}
+	s.doors[machine] = d
+	go func() { _ = d.server.Serve(listener) }()
+	return d, nil
 }
 
 func (s *store) expireLeases() {
@@ -121,6 +160,7 @@
 }
 
 func (s *store) announce(it item) {
+	it.at = time.Now()
 	s.history = append(s.history, it)
 	s.wake()
 }
@@ -311,6 +351,19 @@
 	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
+// forgotten drops the history that is older than it is kept, and returns the newest revision that was dropped.
+func (s *store) forgotten() int64 {
+	old := 0
+	for old < len(s.history) && time.Since(s.history[old].at) > s.keep {
+		old++
+	}
+	if old > 0 {
+		s.dropped = s.history[old-1].Revision
+		s.history = slices.Clone(s.history[old:])
+	}
+	return s.dropped
+}
+
 func (s *store) watch(r *http.Request) (int, any) {
 	query := r.URL.Query()
 	after, _ := strconv.ParseInt(query.Get("after"), 10, 64)
@@ -325,7 +378,7 @@
 		case s.away:
 			s.mu.Unlock()
 			return http.StatusServiceUnavailable, nil
-		case after > s.revision || s.era != era:
+		case after > s.revision || s.era != era || after < s.forgotten():
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
@@ -340,9 +393,8 @@
 		s.mu.Unlock()
 		if len(events) > 0 {
 			if onWatch != nil {
-				host, _, _ := net.SplitHostPort(r.RemoteAddr)
 				for _, event := range events {
-					onWatch(host, event)
+					onWatch(r.Header.Get("Caller"), event)
 				}
 			}
 			return http.StatusOK, reply
