Responses of unknown length take memory from unfinished bodies

While unfinished bodies held the memory budget, a chunked response over 16 KB failed with 502 although the request had run: its buffer grew only where memory was free, since two responses that wait for each other half read would never end. It now evicts bodies as a response of known length does, and waits for these only (GrowByEviction). Events of a stream likewise.

TestGrowthByEvictionWaitsForEvictedHoldersOnly has the rule without a network.

--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -127,7 +127,7 @@
 
 // readErrorResponse reads the body of a response that is not a stream, and ends the call.
 func (r *clientRequest) readErrorResponse(a *attempt, body *httpconn.Body, resp *fasthttp.Response, reply *Reply) sendResult {
-	content, err := httpconn.ReadAll(body, maxResponseBytes, r.memory)
+	content, err := httpconn.ReadAll(r.ctx, body, maxResponseBytes, r.memory)
 	body.Close()
 	if reply.NotRun {
 		return r.recordRefusal(a, resp.StatusCode(), reply)
@@ -157,7 +157,7 @@
 			r.recordFirstEvent(a)
 		}
 		events, invalid := state.events.Add(state.buffer[:n])
-		if growth := state.events.Growth(); invalid == nil && growth > 0 && !r.memory.TryGrow(growth) {
+		if growth := state.events.Growth(); invalid == nil && growth > 0 && r.memory.GrowByEviction(r.ctx, growth) != nil {
 			invalid = errEventTooLarge
 		}
 		if len(events) > 0 {
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -454,7 +454,7 @@
 	if length >= 0 {
 		return readKnownLength(ctx, deadline, body, length, memory)
 	}
-	return ReadAll(body, maxBytes, memory)
+	return ReadAll(ctx, body, maxBytes, memory)
 }
 
 // Read implements io.Reader. It returns io.EOF only at the end of the body. Errors: engine.ErrConnectionLost,
--- a/pkg/httpconn/memory.go
+++ b/pkg/httpconn/memory.go
@@ -32,15 +32,18 @@
 	return buffer, err
 }
 
-// ReadAll reads a body of unknown length up to maxBytes. It gives up if the body becomes too large or the memory is used
-// up. The buffers that are outgrown stay reserved, since they occupy memory until the next garbage collection.
-func ReadAll(body io.Reader, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
+// ReadAll reads a body of unknown length up to maxBytes. It gives up if the body becomes too large, or if the memory is used
+// up by others that cannot be evicted. The buffers that are outgrown stay reserved, since they occupy memory until the next
+// garbage collection.
+func ReadAll(ctx context.Context, body io.Reader, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
 	buffer := make([]byte, 0, minBodyBuffer)
 	for {
 		if len(buffer) == cap(buffer) {
 			grown := 2 * cap(buffer)
-			if grown > unreservedBytes && !memory.TryGrow(grown) {
-				return nil, errMemoryUsedUp
+			if grown > unreservedBytes {
+				if err := memory.GrowByEviction(ctx, grown); err != nil {
+					return nil, errors.Wrapf(errMemoryUsedUp, "%v", err)
+				}
 			}
 			buffer = append(make([]byte, 0, grown), buffer...)
 		}
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -163,17 +163,34 @@
 	if r.unlimited() || r.TryGrow(bytes) {
 		return nil
 	}
-	wait, victims, err := r.budget.makeRoom(r, int64(bytes))
+	if r.mayYield() {
+		// It must not wait for those that wait like itself.
+		return r.GrowByEviction(ctx, bytes)
+	}
+	return r.growWithin(ctx, deadline, bytes, false)
+}
+
+// GrowByEviction adds bytes to the reservation. If the budget has too few left, others that may be evicted are evicted. It
+// waits for these only, and returns ErrExhausted at once if they do not suffice, so that holders that grow step by step
+// never wait for each other.
+func (r *Reservation) GrowByEviction(ctx context.Context, bytes int) error {
+	if r.unlimited() || r.TryGrow(bytes) {
+		return nil
+	}
+	// Small growths may overtake this one meanwhile.
+	return r.growWithin(ctx, time.Now().Add(releaseTimeout), bytes, true)
+}
+
+// growWithin evicts others and waits for memory until the deadline; zero means no deadline. byEviction makes it fail at once
+// where evictions do not suffice.
+func (r *Reservation) growWithin(ctx context.Context, deadline time.Time, bytes int, byEviction bool) error {
+	wait, victims, err := r.budget.makeRoom(r, int64(bytes), byEviction)
 	for _, evict := range victims {
 		evict()
 	}
 	if err != nil || wait == nil {
 		return err
 	}
-	if r.mayYield() {
-		// Small growths may overtake this one, and it must not wait for those that wait like itself.
-		deadline = time.Now().Add(yieldTimeout)
-	}
 	if !deadline.IsZero() {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithDeadline(ctx, deadline)
@@ -190,8 +207,8 @@
 	}
 }
 
-// yieldTimeout bounds the wait for evicted reservations to be released, which takes a few milliseconds.
-const yieldTimeout = time.Second
+// releaseTimeout bounds the wait for evicted reservations to be released, which takes a few milliseconds.
+const releaseTimeout = time.Second
 
 func (r *Reservation) mayYield() bool {
 	r.budget.mu.Lock()
@@ -208,8 +225,8 @@
 }
 
 // makeRoom evicts holders until the growth fits, and enqueues it until they have released their memory. It returns the
-// functions that tell the victims.
-func (b *Budget) makeRoom(r *Reservation, bytes int64) (*waiter, []func(), error) {
+// functions that tell the victims. With byEviction, it fails if evictions do not suffice.
+func (b *Budget) makeRoom(r *Reservation, bytes int64, byEviction bool) (*waiter, []func(), error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if r.evicted {
@@ -219,12 +236,11 @@
 		b.takeLocked(r, bytes)
 		return nil, nil, nil
 	}
-	_, mayYield := b.evictable[r]
 	victims := b.evictForLocked(r, bytes)
 	if r.evicted {
 		return nil, victims, ErrEvicted
 	}
-	if mayYield && !b.willFitLocked(r, bytes) {
+	if byEviction && !b.willFitLocked(r, bytes) {
 		return nil, victims, ErrExhausted
 	}
 	w := &waiter{reservation: r, bytes: bytes, ready: make(chan struct{})}
--- a/pkg/membudget/membudget_test.go
+++ b/pkg/membudget/membudget_test.go
@@ -73,6 +73,37 @@
 	}
 }
 
+// Guards against a response that is given up although unfinished bodies hold the memory, and against responses that wait
+// for each other.
+func TestGrowthByEvictionWaitsForEvictedHoldersOnly(t *testing.T) {
+	b := New(1000 << 10)
+	release := make(chan struct{})
+	var stalled *Reservation
+	stalled = b.ReserveEvictable(func() {
+		go func() {
+			<-release
+			stalled.Release()
+		}()
+	})
+	if err := stalled.Grow(context.Background(), time.Time{}, 800<<10); err != nil {
+		t.Fatal(err)
+	}
+	response := b.Reserve()
+	done := make(chan error, 1)
+	go func() { done <- response.GrowByEviction(context.Background(), 400<<10) }()
+	close(release)
+	if err := <-done; err != nil || !stalled.Evicted() {
+		t.Fatalf("the response does not take the memory of a stalled body: %v", err)
+	}
+	other := b.Reserve()
+	if err := other.GrowByEviction(context.Background(), 600<<10); !errors.Is(err, ErrExhausted) {
+		t.Fatalf("growth over what others keep: %v", err)
+	}
+	if used, evictions := b.Usage(); used != 400<<10 || evictions != 1 || b.waiters.Len() != 0 {
+		t.Fatalf("%d bytes used, %d evictions, %d wait", used, evictions, b.waiters.Len())
+	}
+}
+
 // Guards against small requests that wait for large ones.
 func TestSmallGrowthOvertakesLargeOnes(t *testing.T) {
 	b := New(1000 << 10)
