A late time-out of a dial is not taken for the endpoint's failure

Traced with the program's output: the dial to the sound endpoint ended with 'i/o timeout' after 0.69 to 3.78 s, where its time-out is 0.5 s. The process had no processor time; the time-out was noticed before the connection that stood already. The endpoint was then left out for 0.2 s, and the request refused as not run, since there was no other.

A dial that ends a quarter or more after its time-out was due says nothing about the peer and is tried once more; nothing was sent. Ruled out: the memory budget (no request to the sound endpoint reached it).

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -153,7 +153,11 @@
 	if source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: source}
 	}
+	begin := time.Now()
 	raw, err := dialer.DialContext(ctx, "tcp", parsed.Host)
+	if err != nil && ctx.Err() == nil && timedOutLate(time.Since(begin), timeout) {
+		raw, err = dialer.DialContext(ctx, "tcp", parsed.Host)
+	}
 	if err != nil {
 		return nil, notSent(err)
 	}
@@ -174,6 +178,15 @@
 	return conn, nil
 }
 
+// timedOutLate reports whether an attempt to connect that failed after this time says nothing about the peer: its time-out
+// came so late that this process had no processor time, and the peer may have accepted long before.
+func timedOutLate(took, timeout time.Duration) bool {
+	return took >= timeout+timeout/dialLatenessDivisor
+}
+
+// dialLatenessDivisor makes a time-out late that comes a quarter of its time after it was due.
+const dialLatenessDivisor = 4
+
 // keepAliveConfig ends a connection about four seconds after its peer has become unreachable without a reset.
 var keepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
