--- a/pkg/daemon/clients_test.go
+++ b/pkg/daemon/clients_test.go
@@ -36,6 +36,12 @@
 	crowdConnections = 1500
 	// crowdReaders is the number of clients that read slowly or not at all.
 	crowdReaders = 60
+	// mixedCrowd is the number of clients of all kinds beside which ordinary requests are answered. The process has
+	// mixedCrowdMaxFDs descriptors then, so that it accepts more connections than these.
+	mixedCrowd       = 300
+	mixedCrowdMaxFDs = 2048
+	// ordinaryClients is the number of ordinary clients beside the mixed crowd.
+	ordinaryClients = 4
 )
 
 // buildDaemon builds mulberrygladed once and returns the path of the program.
@@ -65,10 +71,14 @@
 
 // startCrowdedDaemon starts the program with the settings of the crowds, one engine and one plain service.
 func startCrowdedDaemon() *daemonProcess {
+	return startCrowdedDaemonWith(crowdMaxFDs)
+}
+
+func startCrowdedDaemonWith(maxFDs int) *daemonProcess {
 	env := newTestEnv(testEnvOptions{preloaded: true})
 	// A connection of an earlier crowd may take a free address before the process listens on it.
 	for range 5 {
-		if p := tryStartDaemon(env); p != nil {
+		if p := tryStartDaemon(env, maxFDs); p != nil {
 			return p
 		}
 	}
@@ -76,7 +86,7 @@
 	return nil
 }
 
-func tryStartDaemon(env *testEnv) *daemonProcess {
+func tryStartDaemon(env *testEnv, maxFDs int) *daemonProcess {
 	p := &daemonProcess{caller: freeAddress(), admin: freeAddress()}
 	s := env.bed.Settings("a-1", dcA, "127.0.0.1")
 	s.CallerAddress, s.AdminAddress, s.PeerAddress = p.caller, p.admin, freeAddress()
@@ -84,7 +94,7 @@
 	s.Limits.BodyBytes = crowdMaxBodyBytes
 	text, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
-	text = bytes.Replace(text, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"memoryMb":%d,"maxFds":%d,`, crowdMemoryMB, crowdMaxFDs), 1)
+	text = bytes.Replace(text, []byte(`"limits":{`), fmt.Appendf(nil, `"limits":{"memoryMb":%d,"maxFds":%d,`, crowdMemoryMB, maxFDs), 1)
 	path := filepath.Join(GinkgoT().TempDir(), "settings.json")
 	Expect(os.WriteFile(path, text, 0o600)).To(Succeed())
 	p.cmd = exec.Command(buildDaemon(), "--settings", path)
@@ -149,45 +159,64 @@
 	return len(entries)
 }
 
-// meets sends a crowd of n clients, which keep their connections open, and requires that the process lives within its
-// bounds and answers an ordinary request meanwhile.
-func (p *daemonProcess) meets(n int, act func(conn net.Conn)) {
-	GinkgoHelper()
-	// patience bounds one write: an instance may leave bytes unread. round bounds the part of all clients.
-	const patience, round = 5 * time.Second, 40 * time.Second
-	end := time.Now().Add(round)
-	var mu sync.Mutex
-	var conns []net.Conn
-	var clients sync.WaitGroup
-	var working atomic.Int64
-	DeferCleanup(func() {
-		mu.Lock()
-		for _, conn := range conns {
-			_ = conn.Close()
-		}
-		mu.Unlock()
-		clients.Wait()
-	})
+// crowd is a number of clients that keep their connections open until the spec ends.
+type crowd struct {
+	process *daemonProcess
+	begin   time.Time
+	clients sync.WaitGroup
+	// working counts the clients that have not finished their part.
+	working atomic.Int64
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// crowdPatience bounds one write of a client, since an instance may leave bytes unread. crowdRound bounds the part of all
+// clients.
+const crowdPatience, crowdRound = 5 * time.Second, 40 * time.Second
+
+// sendCrowd runs act for each of n connections and returns at once.
+func sendCrowd(p *daemonProcess, n int, act func(conn net.Conn)) *crowd {
+	c := &crowd{process: p, begin: time.Now()}
+	DeferCleanup(c.close)
+	end := c.begin.Add(crowdRound)
 	for range n {
-		working.Add(1)
-		clients.Go(func() {
-			defer working.Add(-1)
-			conn, err := net.DialTimeout("tcp", p.caller, patience)
+		c.working.Add(1)
+		c.clients.Go(func() {
+			defer c.working.Add(-1)
+			conn, err := net.DialTimeout("tcp", p.caller, crowdPatience)
 			if err != nil {
 				// The client does its part on a connection that takes no bytes.
 				conn, _ = net.Pipe()
 				_ = conn.Close()
 			}
-			mu.Lock()
-			conns = append(conns, conn)
-			mu.Unlock()
-			act(&patientConn{Conn: conn, patience: patience, end: end})
+			c.mu.Lock()
+			c.conns = append(c.conns, conn)
+			c.mu.Unlock()
+			act(&patientConn{Conn: conn, patience: crowdPatience, end: end})
 		})
 	}
+	return c
+}
+
+func (c *crowd) close() {
+	c.mu.Lock()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+	c.mu.Unlock()
+	c.clients.Wait()
+}
+
+// check waits until the crowd has done its part, and requires that the process lives within its bounds and answers an
+// ordinary request.
+func (c *crowd) check(maxFDs int) {
+	GinkgoHelper()
+	p := c.process
 	descriptors := 0
-	peak, since, begin := 0, time.Now(), time.Now()
+	peak, since := 0, time.Now()
 	// Bytes that the crowd has written may not have been read yet: the peak must have settled.
-	for working.Load() > 0 || time.Since(since) < time.Second && time.Since(begin) < 2*round {
+	for c.working.Load() > 0 || time.Since(since) < time.Second && time.Since(c.begin) < 2*crowdRound {
 		descriptors = max(descriptors, p.descriptors())
 		if now := p.peakMemoryMB(); now > peak {
 			peak, since = now, time.Now()
@@ -201,7 +230,13 @@
 	Expect(err).NotTo(HaveOccurred())
 	Expect(status).To(Equal(http.StatusOK))
 	Expect(peak).To(BeNumerically("<", crowdMemoryMB))
-	Expect(descriptors).To(BeNumerically("<=", crowdMaxFDs))
+	Expect(descriptors).To(BeNumerically("<=", maxFDs))
+}
+
+// meets sends a crowd and checks that the process lives within its bounds.
+func (p *daemonProcess) meets(n int, act func(conn net.Conn)) {
+	GinkgoHelper()
+	sendCrowd(p, n, act).check(crowdMaxFDs)
 }
 
 // patientConn bounds each write by patience, and all of them by end.
@@ -243,6 +278,31 @@
 	return bytes.Repeat([]byte(one), total/chunk)
 }
 
+// modelCalls returns calls of a model, half of them streams, with long answers.
+func modelCalls() string {
+	var requests strings.Builder
+	for n := range 4 {
+		body := fmt.Sprintf(`{"model":"menu","messages":[{"role":"user","content":"x"}],"max_tokens":4000,"stream":%v}`, n%2 == 0)
+		fmt.Fprintf(&requests, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", memberKey, len(body), body)
+	}
+	return requests.String()
+}
+
+// readSlowly sends calls of a model and reads their answers slowly for a while.
+func readSlowly(conn net.Conn) {
+	if _, err := conn.Write([]byte(modelCalls())); err != nil {
+		return
+	}
+	piece := make([]byte, 1000)
+	_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	for range 30 {
+		if _, err := conn.Read(piece); err != nil {
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
 // Guards against clients outside the limits that use up the memory or the descriptors of the process, with which the
 // requests of all other clients would end. The clients have a valid key.
 var _ = Describe("A process whose clients keep to no limits", Serial, func() {
@@ -292,28 +352,56 @@
 	})
 
 	It("survives responses and streams that are read slowly or not at all", func() {
-		var requests strings.Builder
-		for n := range 4 {
-			body := fmt.Sprintf(`{"model":"menu","messages":[{"role":"user","content":"x"}],"max_tokens":4000,"stream":%v}`, n%2 == 0)
-			fmt.Fprintf(&requests, "POST /v1/chat/completions HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", memberKey, len(body), body)
-		}
 		var started atomic.Int64
 		startCrowdedDaemon().meets(crowdReaders, func(conn net.Conn) {
-			if _, err := conn.Write([]byte(requests.String())); err != nil || started.Add(1)%2 == 0 {
+			if started.Add(1)%2 == 0 {
+				sendAll(modelCalls(), nil)(conn)
 				return
 			}
-			piece := make([]byte, 1000)
-			_ = conn.SetReadDeadline(time.Now().Add(20 * time.Second))
-			for range 30 {
-				if _, err := conn.Read(piece); err != nil {
-					return
-				}
-				time.Sleep(100 * time.Millisecond)
-			}
+			readSlowly(conn)
 		})
 	})
 
 	It("survives connections without end", func() {
 		startCrowdedDaemon().meets(crowdConnections, sendAll("", nil))
 	})
+
+	It("answers ordinary requests beside a mixed crowd", func() {
+		process := startCrowdedDaemonWith(mixedCrowdMaxFDs)
+		announced := crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdMaxBodyBytes)
+		farOver := crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", 8*crowdMaxBodyBytes)
+		acts := []func(net.Conn){
+			sendAll(chunkedHead, chunkedBody(128<<10, crowdBodyBytes)),
+			sendAll(chunkedHead, chunkedBody(1, crowdBodyBytes)),
+			sendAll(announced, make([]byte, crowdBodyBytes)),
+			sendAll(farOver, make([]byte, 8*crowdMaxBodyBytes)),
+			sendAll(chunkedHead, chunkedBody(100<<10, 8*crowdMaxBodyBytes)),
+			sendAll(crowdHead+"Long: "+strings.Repeat("x", 12<<10), nil),
+			sendAll("", bytes.Repeat([]byte(unknown), 10000)),
+			sendAll(modelCalls(), nil),
+			readSlowly,
+			sendAll("", nil),
+		}
+		var started atomic.Int64
+		c := sendCrowd(process, mixedCrowd, func(conn net.Conn) {
+			acts[int(started.Add(1))%len(acts)](conn)
+		})
+		var ordinary sync.WaitGroup
+		var answered atomic.Int64
+		for range ordinaryClients {
+			ordinary.Go(func() {
+				defer GinkgoRecover()
+				for c.working.Load() > 0 {
+					status, err := process.ordinary()
+					Expect(err).NotTo(HaveOccurred())
+					Expect(status).To(Equal(http.StatusOK))
+					answered.Add(1)
+				}
+			})
+		}
+		ordinary.Wait()
+		AddReportEntry("ordinary requests answered meanwhile", answered.Load())
+		Expect(answered.Load()).To(BeNumerically(">", ordinaryClients))
+		c.check(mixedCrowdMaxFDs)
+	})
 })
