--- a/internal/testkit/sockets.go
+++ b/internal/testkit/sockets.go
@@ -10,9 +10,25 @@
 	"github.com/cockroachdb/errors"
 )
 
+// The fields of a line of /proc/net/tcp.
+const (
+	localField  = 1
+	remoteField = 2
+	queuesField = 4
+)
+
 // QueuedBytes returns the bytes that the kernel holds for all connections to an IPv4 address that a process listens on, at its
 // end: those received and not read yet, and those written and not acknowledged.
 func QueuedBytes(address string) (int, error) {
+	return queuedBytes(localField, address)
+}
+
+// QueuedBytesTowards returns what the kernel holds for these connections at the end that has opened them.
+func QueuedBytesTowards(address string) (int, error) {
+	return queuedBytes(remoteField, address)
+}
+
+func queuedBytes(addressField int, address string) (int, error) {
 	_, port, err := net.SplitHostPort(address)
 	if err != nil {
 		return 0, err
@@ -25,17 +41,16 @@
 	if err != nil {
 		return 0, err
 	}
-	local := fmt.Sprintf(":%04X", number)
+	suffix := fmt.Sprintf(":%04X", number)
 	total := 0
 	for line := range strings.Lines(string(table)) {
-		// The second field is the local address, the fifth has both queues.
 		fields := strings.Fields(line)
-		if len(fields) < 5 || !strings.HasSuffix(fields[1], local) {
+		if len(fields) <= queuesField || !strings.HasSuffix(fields[addressField], suffix) {
 			continue
 		}
 		var unacknowledged, unread int
-		if _, err := fmt.Sscanf(fields[4], "%x:%x", &unacknowledged, &unread); err != nil {
-			return 0, errors.Wrapf(err, "queues %q", fields[4])
+		if _, err := fmt.Sscanf(fields[queuesField], "%x:%x", &unacknowledged, &unread); err != nil {
+			return 0, errors.Wrapf(err, "queues %q", fields[queuesField])
 		}
 		total += unacknowledged + unread
 	}
