Responses of unknown length are read in parts; unsent bytes bounded by 32 KB

ReadAll doubled one buffer: a chunked response of 1 MB took 4 MB of the budget, and as much garbage. It is now read in parts of up to 256 KB, which are joined once: at most twice the body and one part.

--- a/pkg/httpconn/memory.go
+++ b/pkg/httpconn/memory.go
@@ -16,8 +16,11 @@
 // errMemoryUsedUp means that a body was not read on because the memory for bodies is used up.
 var errMemoryUsedUp = errors.New("memory for response bodies is used up")
 
-// minBodyBuffer is the first size of the buffer for a body of unknown length.
-const minBodyBuffer = 4 << 10
+// The parts in which a body of unknown length is read grow from the first size to the second one.
+const (
+	minPartBytes = 4 << 10
+	maxPartBytes = 256 << 10
+)
 
 // readKnownLength reads a body of a given length. It waits for the memory of the whole body before it reads, so that
 // bodies that are each read in part never wait for each other.
@@ -33,30 +36,64 @@
 }
 
 // ReadAll reads a body of unknown length up to maxBytes. It gives up if the body becomes too large, or if the memory is used
-// up by others that cannot be evicted. The buffers that are outgrown stay reserved, since they occupy memory until the next
-// garbage collection.
+// up by others that cannot be evicted. The parts in which it is read stay reserved next to the whole, since they occupy
+// memory until the next garbage collection.
 func ReadAll(ctx context.Context, body io.Reader, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
-	buffer := make([]byte, 0, minBodyBuffer)
-	for {
-		if len(buffer) == cap(buffer) {
-			grown := 2 * cap(buffer)
-			if grown > unreservedBytes {
-				if err := memory.GrowByEviction(ctx, grown); err != nil {
-					return nil, errors.Wrapf(errMemoryUsedUp, "%v", err)
-				}
-			}
-			buffer = append(make([]byte, 0, grown), buffer...)
+	var parts [][]byte
+	size := 0
+	for capacity := minPartBytes; ; capacity = min(2*capacity, maxPartBytes) {
+		if err := reserve(ctx, memory, size+capacity, capacity); err != nil {
+			return nil, err
 		}
-		n, err := body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if len(buffer) > maxBytes {
+		part, err := readPart(body, capacity)
+		parts = append(parts, part)
+		size += len(part)
+		switch {
+		case size > maxBytes:
 			return nil, errors.Newf("body exceeds %d bytes", maxBytes)
+		case errors.Is(err, io.EOF):
+			return join(ctx, parts, size, memory)
+		case err != nil:
+			return nil, err
 		}
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
-		}
+	}
+}
+
+// readPart reads until the part is full or the body has ended, which an error shows.
+func readPart(body io.Reader, capacity int) ([]byte, error) {
+	part := make([]byte, capacity)
+	read := 0
+	for read < capacity {
+		n, err := body.Read(part[read:])
+		read += n
 		if err != nil {
-			return nil, err
+			return part[:read], err
 		}
 	}
+	return part, nil
+}
+
+func join(ctx context.Context, parts [][]byte, size int, memory *membudget.Reservation) ([]byte, error) {
+	if len(parts) == 1 {
+		return parts[0], nil
+	}
+	if err := reserve(ctx, memory, size, size); err != nil {
+		return nil, err
+	}
+	whole := make([]byte, 0, size)
+	for _, part := range parts {
+		whole = append(whole, part...)
+	}
+	return whole, nil
+}
+
+// reserve reserves bytes for a body that occupies total bytes then.
+func reserve(ctx context.Context, memory *membudget.Reservation, total, bytes int) error {
+	if total <= unreservedBytes {
+		return nil
+	}
+	if err := memory.GrowByEviction(ctx, bytes); err != nil {
+		return errors.Wrapf(errMemoryUsedUp, "%v", err)
+	}
+	return nil
 }
--- a/pkg/tcpopt/tcpopt.go
+++ b/pkg/tcpopt/tcpopt.go
@@ -9,9 +9,9 @@
 )
 
 // maxUnsentBytes bounds what the kernel keeps of a connection's written bytes that the peer has no room for. Without it, the
-// kernel keeps some megabytes for each peer that does not read. Bytes on their way are not counted, so that long links stay
-// as fast.
-const maxUnsentBytes = 128 << 10
+// kernel keeps some megabytes for each peer that does not read. It may exceed the bound by a segment of up to 64 KB. Bytes on
+// their way are not counted, so that long links stay as fast.
+const maxUnsentBytes = 32 << 10
 
 // BoundUnsentBytes sets the bound on a socket. A kernel that does not know the option bounds the bytes by its own rules.
 func BoundUnsentBytes(fd uintptr) {
