Small responses of unknown length need no memory of the budget, as before

The parts are now each as large as those before together. TestSmallBodyNeedsNoMemoryOfTheBudget fails without it.

--- a/internal/testkit/testkit.go
+++ b/internal/testkit/testkit.go
@@ -1,5 +1,5 @@
-// Package testkit fixes the seeds of the test libraries, so that CI gives the same verdict every time, and issues
-// certificates for tests.
+// Package testkit fixes the seeds of the test libraries, so that CI gives the same verdict every time, issues
+// certificates for tests, and reads what the kernel holds for connections.
 package testkit
 
 import (
--- a/pkg/httpconn/memory.go
+++ b/pkg/httpconn/memory.go
@@ -16,7 +16,8 @@
 // errMemoryUsedUp means that a body was not read on because the memory for bodies is used up.
 var errMemoryUsedUp = errors.New("memory for response bodies is used up")
 
-// The parts in which a body of unknown length is read grow from the first size to the second one.
+// The parts in which a body of unknown length is read grow from the first size to the second one, each as large as those before
+// together.
 const (
 	minPartBytes = 4 << 10
 	maxPartBytes = 256 << 10
@@ -41,7 +42,8 @@
 func ReadAll(ctx context.Context, body io.Reader, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
 	var parts [][]byte
 	size := 0
-	for capacity := minPartBytes; ; capacity = min(2*capacity, maxPartBytes) {
+	for {
+		capacity := min(max(size, minPartBytes), maxPartBytes)
 		if err := reserve(ctx, memory, size+capacity, capacity); err != nil {
 			return nil, err
 		}
--- a/pkg/httpconn/memory_test.go
+++ b/pkg/httpconn/memory_test.go
@@ -47,3 +47,14 @@
 		}
 	}
 }
+
+// Guards against small responses that fail because large ones have used up the memory.
+func TestSmallBodyNeedsNoMemoryOfTheBudget(t *testing.T) {
+	exhausted := membudget.New(0)
+	if _, err := ReadAll(context.Background(), bytes.NewReader(make([]byte, unreservedBytes-1)), maxPartBytes, exhausted.Reserve()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadAll(context.Background(), bytes.NewReader(make([]byte, unreservedBytes+1)), maxPartBytes, exhausted.Reserve()); err == nil {
+		t.Fatal("a larger one needs none either")
+	}
+}
