--- a/pkg/clientconn/body.go
+++ b/pkg/clientconn/body.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"sync"
@@ -54,11 +55,7 @@
 
 // Bytes returns the body as a whole; this copies it.
 func (b *Body) Bytes() []byte {
-	whole := make([]byte, 0, b.size)
-	for _, block := range b.blocks {
-		whole = append(whole, block...)
-	}
-	return whole
+	return bytes.Join(b.blocks, nil)
 }
 
 // Release returns the memory of the body.
--- a/pkg/httpconn/memory.go
+++ b/pkg/httpconn/memory.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"time"
@@ -82,11 +83,7 @@
 	if err := reserve(ctx, memory, size, size); err != nil {
 		return nil, err
 	}
-	whole := make([]byte, 0, size)
-	for _, part := range parts {
-		whole = append(whole, part...)
-	}
-	return whole, nil
+	return bytes.Join(parts, nil), nil
 }
 
 // reserve reserves bytes for a body that occupies total bytes then.
