--- a/internal/testkit/sockets.go
+++ b/internal/testkit/sockets.go
@@ -56,3 +56,18 @@
 	}
 	return total, nil
 }
+
+// FreeAddresses returns addresses on loopback that nothing listens on. They differ from each other: all are in use until the
+// last one is chosen.
+func FreeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, errors.Wrap(err, "choose a free address")
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
--- a/pkg/daemon/clients_test.go
+++ b/pkg/daemon/clients_test.go
@@ -64,13 +64,6 @@
 	cmd           *exec.Cmd
 }
 
-func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
-}
-
 // startCrowdedDaemon starts the program with the settings of the crowds, one engine and one plain service.
 func startCrowdedDaemon() *daemonProcess {
 	return startCrowdedDaemonWith(crowdMaxFDs)
@@ -89,9 +82,11 @@
 }
 
 func tryStartDaemon(env *testEnv, maxFDs int) *daemonProcess {
-	p := &daemonProcess{caller: freeAddress(), admin: freeAddress()}
+	addresses, err := testkit.FreeAddresses(3)
+	Expect(err).NotTo(HaveOccurred())
+	p := &daemonProcess{caller: addresses[0], admin: addresses[1]}
 	s := env.bed.Settings("a-1", dcA, "127.0.0.1")
-	s.CallerAddress, s.AdminAddress, s.PeerAddress = p.caller, p.admin, freeAddress()
+	s.CallerAddress, s.AdminAddress, s.PeerAddress = addresses[0], addresses[1], addresses[2]
 	s.Shutdown.GraceMs = 0
 	s.Limits.BodyBytes = crowdMaxBodyBytes
 	text, err := json.Marshal(s)
