A part of an early answer is not taken for the whole after a reset

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was being written.

Cause: the kernel reports a reset once, to the first call that fails. Here that was the write of the request. The read after it returned what had arrived and then the end of the stream, as if the peer had closed in order, and a body without a length ends there.

Change: the first failure of a connection decides. countingConn keeps it and returns it in place of a later end of the stream. EPIPE as the first failure is none: the kernel reports it only if the peer's FIN had arrived before its reset, so that all that it sent is there. An answer that an endpoint ends in order while it does not read the rest of an upload is therefore whole, as before. Nothing is read as an answer if no byte of the request was written.

Why it works: every read of an answer, whatever its framing, passes through countingConn; the rule needs no knowledge of requests or routes.

--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -66,12 +66,17 @@
 
 // countingConn counts the bytes that the kernel accepted and records whether a timeout occurred. fasthttp wraps some
 // errors in a way that hides their cause.
+//
+// The kernel reports a reset once. Reads after that return what had arrived and then the end of the stream, as if the peer had
+// closed in order, so countingConn returns the first failure of a read or a write instead of that end.
 type countingConn struct {
 	net.Conn
 	written  atomic.Int64
 	timedOut atomic.Bool
 
 	mu sync.Mutex
+	// failure is the first failure of a read or a write after which the end of the stream cannot be trusted.
+	failure error
 	// progress extends the deadline with each byte that is read; its zero value does not.
 	progress Progress
 	// cancelled is set once the context of the call has ended. From then on the deadline must not be extended.
@@ -93,9 +98,34 @@
 	if n > 0 {
 		c.extendDeadline()
 	}
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		err = c.endOfStream()
+	default:
+		c.recordFailure(err)
+	}
 	return n, err
 }
 
+// endOfStream returns io.EOF if the peer ended the stream in order, and the failure of the connection otherwise.
+func (c *countingConn) endOfStream() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure != nil {
+		return errors.Wrap(c.failure, "connection had failed before")
+	}
+	return io.EOF
+}
+
+func (c *countingConn) recordFailure(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = err
+	}
+}
+
 // begin sets the deadline of a call and how it is extended.
 func (c *countingConn) begin(deadline time.Time, progress Progress) error {
 	c.mu.Lock()
@@ -136,6 +166,11 @@
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	c.recordTimeout(err)
+	// EPIPE as the first failure means that the peer had ended its stream in order before it reset the connection, as one
+	// that does not read the rest of a request does. A reset without that end is reported as ECONNRESET.
+	if err != nil && !errors.Is(err, syscall.EPIPE) {
+		c.recordFailure(err)
+	}
 	return n, err
 }
 
@@ -330,7 +365,7 @@
 		return nil, notSent(err)
 	}
 	stopCancelWatch := context.AfterFunc(ctx, c.raw.cancel)
-	err := c.writeAndReadHeader(req, resp)
+	err := c.writeAndReadHeader(req, resp, writtenBefore)
 	if err == nil {
 		return stopCancelWatch, nil
 	}
@@ -345,17 +380,23 @@
 	return nil, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
 }
 
-func (c *Conn) writeAndReadHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := c.writeRequest(req); err != nil {
-		// The endpoint may have responded and closed the connection before it read the whole request body. That response can
-		// still be read.
-		if c.raw.written.Load() == 0 || c.readHeader(req, resp) != nil {
-			return err
-		}
-		c.unusable = true
+// writeAndReadHeader writes the request and reads the header of its response. writtenBefore is the number of bytes that were
+// written to the connection before.
+func (c *Conn) writeAndReadHeader(req *fasthttp.Request, resp *fasthttp.Response, writtenBefore int64) error {
+	writeErr := c.writeRequest(req)
+	if writeErr == nil {
+		return c.readHeader(req, resp)
+	}
+	c.unusable = true
+	if c.raw.written.Load() == writtenBefore {
+		return writeErr
+	}
+	// The endpoint may have responded and closed the connection before it read the whole request body. That response can
+	// still be read.
+	if c.readHeader(req, resp) == nil {
 		return nil
 	}
-	return c.readHeader(req, resp)
+	return writeErr
 }
 
 func (c *Conn) writeRequest(req *fasthttp.Request) error {
