One rule of our own for what a whole, well-formed response is

What callers saw: an endpoint in trouble sent a head with a blank or a control byte in the name of a field. Clients got it as an answer, with that line passed on, or with a body that was framed by something else than the field that was meant (MIXED).

Cause: heads were checked for the forms of the last incident only (status line, length beside chunks), and all else was left to the HTTP library, which accepts what old servers send. Reading on, it also accepted: a blank before or after a name, continued lines, control bytes and carriage returns in the reason, which were passed on; lines and heads that end with a line feed alone, so that a head that stops there and is followed by any text was whole; chunks in HTTP/1.0, whose framing was passed on as the body; malformed chunk extensions and trailers. It stored the fields of a trailer section among those of the head before they were read, so that a trailer could sign an answer, name a request or refuse it as not run. A status of 000, which the issue names, was rejected before (docs/incidents/invalid-status.md); its tests stay.

Change: pkg/httpresponse parses heads and bodies by the grammar of RFC 9112 (sections 2 to 7) and RFC 9110 (section 5) and decides where a body ends. httpconn, which reads all answers of endpoints in both programs and the store's in mulberryglade-edged, hands a head to the library only after it was accepted, checks that the library consumed the same bytes, and reads all bodies by that package. Trailer fields are checked and dropped. What is rejected closes the connection and counts as sent without an answer: another endpoint where the route allows it, else 502.

Why it works: there is one parser for all framings and all callers, and it accepts only what the grammar does. The exceptions are two: the space before an empty reason may be missing, and only final statuses up to 599 are accepted.

--- a/pkg/dispatch/service_test.go
+++ b/pkg/dispatch/service_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -84,7 +85,46 @@
 	totalExecutions int
 }
 
+// startBrokenService returns the URL of a service whose responses have a malformed field name.
+func startBrokenService() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 4<<10))
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nX Not: run\r\nContent-Length: 2\r\n\r\nok"))
+			_ = conn.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
 var _ = Describe("ServiceDispatcher", func() {
+	// Guards against a response that is none reaching a caller, against a second execution after it, and against a failure of a
+	// call that may be repeated.
+	DescribeTable("never returns a response with a broken head",
+		func(call dispatch.ServiceCall, outcome problem.Outcome, executions int) {
+			f := newServiceFixture(9)
+			f.gate.targets[0].URL = startBrokenService()
+			_, prob := f.dispatcher.Call(context.Background(), call)
+			if outcome == "" {
+				Expect(prob).To(BeNil())
+			} else {
+				Expect(prob).NotTo(BeNil())
+				Expect(prob.Outcome).To(Equal(outcome))
+			}
+			Expect(f.executions("o1")).To(Equal(executions))
+		},
+		Entry("of a repeatable call", repeatable, problem.Outcome(""), 1),
+		Entry("of a call that must not be repeated", unmatched, problem.Unknown, 0),
+		Entry("of a call with a claim", claimed, problem.Unknown, 0),
+	)
+
 	// Guards against a second execution of a call that must not be repeated, for any fault of its first attempt and any
 	// retry budget, and against a claim that is released although the call may have run.
 	DescribeTable("fault and kind of call", func(c serviceCase) {
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -24,6 +24,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/mulberryglade/mulberryglade/pkg/engine"
+	"github.com/mulberryglade/mulberryglade/pkg/httpresponse"
 	"github.com/mulberryglade/mulberryglade/pkg/membudget"
 	"github.com/mulberryglade/mulberryglade/pkg/tcpopt"
 )
@@ -31,10 +32,6 @@
 // readBufferBytes is the size of the read buffer. It also bounds the size of a response header.
 const readBufferBytes = 16 << 10
 
-// contentLengthIdentity is the content length that fasthttp returns for a body that is delimited by the close of the
-// connection.
-const contentLengthIdentity = -2
-
 // errCloseDelimited means that a body has neither a length nor chunks, so that its completeness cannot be checked.
 var errCloseDelimited = errors.New("response body has no length")
 
@@ -53,6 +50,8 @@
 	unusable            bool
 	accept              AcceptFunc
 	allowCloseDelimited bool
+	// head is the framing of the current response.
+	head httpresponse.Head
 	// progress extends the deadline of the next call.
 	progress Progress
 }
@@ -298,58 +297,24 @@
 	if err != nil {
 		return nil, err
 	}
-	reader, err := c.bodyReader(resp)
+	reader, err := c.bodyReader()
 	if err != nil {
 		stopCancelWatch()
-		c.unusable = true
-		return nil, errors.Wrapf(engine.ErrTruncated, "%v", err)
+		return nil, c.fail(ctx, err, engine.ErrTruncated)
 	}
 	return &Body{conn: c, ctx: ctx, stopCancelWatch: stopCancelWatch, resp: resp, reader: reader}, nil
 }
 
 // bodyReader returns a reader that returns the bytes of the body as they arrive, and io.EOF only at the end of the
 // body.
-func (c *Conn) bodyReader(resp *fasthttp.Response) (io.Reader, error) {
-	length := resp.Header.ContentLength()
-	switch {
-	case hasNoBody(resp):
-		return &fixedLengthReader{}, nil
-	case length >= 0:
-		return &fixedLengthReader{source: c.reader, remaining: length}, nil
-	case length == contentLengthIdentity:
+func (c *Conn) bodyReader() (io.Reader, error) {
+	if c.head.Framing == httpresponse.CloseDelimited {
 		c.unusable = true
 		if !c.allowCloseDelimited {
 			return nil, errCloseDelimited
 		}
-		return c.reader, nil
-	}
-	resp.StreamBody = true
-	if err := resp.ReadBody(c.reader, 0); err != nil {
-		return nil, err
-	}
-	return resp.BodyStream(), nil
-}
-
-// fixedLengthReader reads a body of known length. It returns io.ErrUnexpectedEOF if the connection ends early.
-type fixedLengthReader struct {
-	source    io.Reader
-	remaining int
-}
-
-// Read implements io.Reader.
-func (r *fixedLengthReader) Read(p []byte) (int, error) {
-	if r.remaining == 0 {
-		return 0, io.EOF
 	}
-	n, err := r.source.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
-	if errors.Is(err, io.EOF) && r.remaining > 0 {
-		err = io.ErrUnexpectedEOF
-	}
-	if errors.Is(err, io.EOF) {
-		err = nil
-	}
-	return n, err
+	return httpresponse.NewBody(c.reader, c.head), nil
 }
 
 // send writes the request and reads the response header. It also starts to watch the context for cancellation. The
@@ -370,14 +335,21 @@
 		return stopCancelWatch, nil
 	}
 	stopCancelWatch()
-	c.unusable = true
 	if c.raw.written.Load() == writtenBefore {
+		c.unusable = true
 		return nil, notSent(err)
 	}
+	return nil, c.fail(ctx, err, engine.ErrConnectionLost)
+}
+
+// fail makes the connection unusable and returns the error of a response: that of the context if it has ended,
+// context.DeadlineExceeded after a timeout, and otherwise the error of the package engine.
+func (c *Conn) fail(ctx context.Context, err, engineError error) error {
+	c.unusable = true
 	if contextErr := c.contextError(ctx); contextErr != nil {
-		return nil, contextErr
+		return contextErr
 	}
-	return nil, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
+	return errors.Wrapf(engineError, "%v", err)
 }
 
 // writeAndReadHeader writes the request and reads the header of its response. writtenBefore is the number of bytes that were
@@ -393,8 +365,8 @@
 	}
 	// The endpoint may have responded and closed the connection before it read the whole request body. That response can
 	// still be read.
-	if c.readHeader(req, resp) == nil {
-		return nil
+	if err := c.readHeader(req, resp); err == nil || httpresponse.CauseOf(err) != "" {
+		return err
 	}
 	return writeErr
 }
@@ -410,20 +382,17 @@
 func (c *Conn) readHeader(req *fasthttp.Request, resp *fasthttp.Response) error {
 	for range maxMismatchedResponses {
 		resp.SkipBody = req.Header.IsHead()
-		if err := checkResponseHead(c.reader); err != nil {
-			return err
-		}
-		if err := resp.Header.Read(c.reader); err != nil {
+		if err := c.readOneHeader(resp); err != nil {
 			return err
 		}
 		c.recordIdleTimeout(resp)
 		if c.accept == nil || c.accept(req, resp) {
 			return nil
 		}
-		if resp.Header.ContentLength() == contentLengthIdentity {
+		if c.head.Framing == httpresponse.CloseDelimited {
 			return errors.New("response to another request has no length and cannot be skipped")
 		}
-		if err := c.skipBody(resp); err != nil {
+		if err := c.skipBody(); err != nil {
 			return err
 		}
 		resp.Reset()
@@ -431,9 +400,26 @@
 	return errors.New("too many responses to other requests")
 }
 
+// readOneHeader reads the header of the next response, if that is well-formed.
+func (c *Conn) readOneHeader(resp *fasthttp.Response) error {
+	head, err := httpresponse.PeekHead(c.reader, resp.SkipBody)
+	if err != nil {
+		return err
+	}
+	buffered := c.reader.Buffered()
+	if err := resp.Header.Read(c.reader); err != nil {
+		return err
+	}
+	if read := buffered - c.reader.Buffered(); read != head.Size {
+		return errors.Newf("header of %d bytes was decoded from %d bytes", head.Size, read)
+	}
+	c.head = head
+	return nil
+}
+
 // skipBody reads and drops the body of a response to another request.
-func (c *Conn) skipBody(resp *fasthttp.Response) error {
-	body, err := c.bodyReader(resp)
+func (c *Conn) skipBody() error {
+	body, err := c.bodyReader()
 	if err != nil {
 		return err
 	}
@@ -473,42 +459,32 @@
 	return nil
 }
 
-func hasNoBody(resp *fasthttp.Response) bool {
-	status := resp.StatusCode()
-	return resp.SkipBody || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified
-}
-
 // readBody reads the complete body of a response.
 func (c *Conn) readBody(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) error {
 	if resp.ConnectionClose() {
 		c.unusable = true
 	}
-	if hasNoBody(resp) {
+	if c.head.Framing == httpresponse.NoBody {
 		return nil
 	}
-	content, err := c.readContent(ctx, deadline, resp, maxBytes, memory)
+	content, err := c.readContent(ctx, deadline, maxBytes, memory)
 	if err == nil {
 		resp.SetBodyRaw(content)
 		return nil
 	}
-	c.unusable = true
-	if contextErr := c.contextError(ctx); contextErr != nil {
-		return contextErr
-	}
-	return errors.Wrapf(engine.ErrTruncated, "%v", err)
+	return c.fail(ctx, err, engine.ErrTruncated)
 }
 
-func (c *Conn) readContent(ctx context.Context, deadline time.Time, resp *fasthttp.Response, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
-	length := resp.Header.ContentLength()
-	if length > maxBytes {
+func (c *Conn) readContent(ctx context.Context, deadline time.Time, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
+	if c.head.Length > maxBytes {
 		return nil, errors.Newf("body exceeds %d bytes", maxBytes)
 	}
-	body, err := c.bodyReader(resp)
+	body, err := c.bodyReader()
 	if err != nil {
 		return nil, err
 	}
-	if length >= 0 {
-		return readKnownLength(ctx, deadline, body, length, memory)
+	if c.head.Framing == httpresponse.FixedLength {
+		return readKnownLength(ctx, deadline, body, c.head.Length, memory)
 	}
 	return ReadAll(ctx, body, maxBytes, memory)
 }
@@ -524,11 +500,7 @@
 		b.reachedEnd = true
 		return n, io.EOF
 	}
-	b.conn.unusable = true
-	if contextErr := b.conn.contextError(b.ctx); contextErr != nil {
-		return n, contextErr
-	}
-	return n, errors.Wrapf(engine.ErrConnectionLost, "%v", err)
+	return n, b.conn.fail(b.ctx, err, engine.ErrConnectionLost)
 }
 
 // Drain reads the framed end of a body whose content is complete, so that the connection can be reused. It waits no
