Responses to clients have the version HTTP/1.1

What callers saw: a stream whose endpoint answers in HTTP/1.0 reached its client as HTTP/1.0 in chunks. A client does not look for chunks there and took the chunk sizes for events.

Cause: the version of the endpoint's response was forwarded with its header.

Change: an intermediary sends its own version (RFC 9110, section 6.2; RFC 9112, section 2.3). prepareResponseHeader sets it.

--- a/pkg/edge/response.go
+++ b/pkg/edge/response.go
@@ -37,12 +37,17 @@
 // hopByHopHeaders are response headers that only concern the connection to the endpoint.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Trailer", "Upgrade"}
 
-// prepareResponseHeader replaces the headers for the endpoint's connection by those for the client's connection. With
-// closeAfter, they announce that the connection is closed after the response.
+// protocolVersion is the version of all responses to clients, whatever that of the endpoint's response (RFC 9110, section 6.2).
+// A client does not look for chunks in a response of HTTP/1.0.
+var protocolVersion = []byte("HTTP/1.1")
+
+// prepareResponseHeader replaces the version and the headers for the endpoint's connection by those for the client's
+// connection. With closeAfter, they announce that the connection is closed after the response.
 func prepareResponseHeader(h *fasthttp.ResponseHeader, closeAfter bool) {
 	for _, name := range hopByHopHeaders {
 		h.Del(name)
 	}
+	h.SetProtocol(protocolVersion)
 	h.ResetConnectionClose()
 	if closeAfter {
 		h.SetConnectionClose()
