A refusal whose body is broken off is not believed on stream routes either

What callers saw: on routes with streams, a refusal (Not-Executed) whose body was cut off or malformed counted as one, and the request was promised not to have run. On other routes the same bytes counted as no answer.

Cause: readErrorResponse looked at the statement before it looked at the error of the body.

Change: the error comes first. What is not a whole response says nothing about the request: the client gets 502, or the answer of another endpoint where the route allows it.

--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -129,12 +129,12 @@
 func (r *clientRequest) readErrorResponse(a *attempt, body *httpconn.Body, resp *fasthttp.Response, reply *Reply) sendResult {
 	content, err := httpconn.ReadAll(r.ctx, body, maxResponseBytes, r.memory)
 	body.Close()
-	if reply.NotRun {
-		return r.recordRefusal(a, resp.StatusCode(), reply)
-	}
 	if err != nil {
 		return r.handleSendError(a, err)
 	}
+	if reply.NotRun {
+		return r.recordRefusal(a, resp.StatusCode(), reply)
+	}
 	r.recordSend()
 	r.tried = append(r.tried, a.choice.ID)
 	r.mayHaveRun = true
