Replies without a length to orders, reports and the store count if they end in order

Callers saw nothing of it; the reply to an order without a length counted as lost, and a report or a reply of the store as unreadable.

Cause: only the connections for requests allowed bodies that end with the connection, since nothing else showed whether they are whole.

Change: the control connections of mulberryglade-edged allow them.

Evidence: platform: "A reply without a length to a control call": whole if it ends in order; not if it was reset, cut or empty.

--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -91,7 +91,8 @@
 }
 
 func serve(ctx context.Context, path string, settings edge.Settings, log *zap.Logger) int {
-	controlPool := httpconn.NewPool(httpconn.Options{})
+	// Replies to control calls are whole by their status or their JSON document.
+	controlPool := httpconn.NewPool(httpconn.Options{AllowCloseDelimited: true})
 	defer controlPool.Close()
 	requestPool := httpconn.NewPool(httpconn.Options{
 		Accept: platform.AcceptsResponse, AllowCloseDelimited: true, IdleTimeout: connectionIdleTimeout,
