The rule for heads holds for the store, the instance list and the weight store of mulberrygladed

What callers would have seen: nothing directly; a reply of these with a blank in or after the name of a field was used.

Cause: they are read by net/http, which accepts such names and any status of three digits.

Change: httpresponse.CheckDecoded checks the status and the fields that net/http has decoded. Their bodies are JSON documents, which show by themselves whether they are whole: a body that a reset or an early end cut off cannot be decoded. Calls between instances of mulberrygladed use HTTP/2, whose transport rejects such names and a stream that ends without its last frame; no change there.

--- a/internal/httpjson/httpjson.go
+++ b/internal/httpjson/httpjson.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mulberryglade/mulberryglade/pkg/httpresponse"
 )
 
 const (
@@ -86,6 +88,9 @@
 		return errors.Wrap(err, "send request")
 	}
 	defer response.Body.Close()
+	if err := httpresponse.CheckDecoded(response.StatusCode, response.Header); err != nil {
+		return errors.Wrap(err, url)
+	}
 	if response.StatusCode != http.StatusOK {
 		return errors.Newf("%s: status %d", url, response.StatusCode)
 	}
--- a/pkg/httpresponse/head.go
+++ b/pkg/httpresponse/head.go
@@ -82,6 +82,25 @@
 	return Head{Status: status, Framing: framing, Length: fields.length, Size: len(block)}, err
 }
 
+// CheckDecoded checks the status and the fields of a head that net/http has decoded, which accepts statuses below 200 and blanks
+// in names. Where the body ends must be clear from the body itself. All its errors are of type *Error.
+func CheckDecoded(status int, fields map[string][]string) error {
+	if status < minStatus || status > maxStatus {
+		return newError(CauseStatusLine, "status %d", status)
+	}
+	for name, values := range fields {
+		if !isToken([]byte(name)) {
+			return newError(CauseFieldName, "name %.40q", name)
+		}
+		for _, value := range values {
+			if !isFieldContent([]byte(value)) {
+				return newError(CauseFieldValue, "value %.40q of field %.40q", value, name)
+			}
+		}
+	}
+	return nil
+}
+
 // cutLine returns the first line without its line end, and what follows it.
 func cutLine(data []byte) (line, rest []byte, err error) {
 	end := bytes.IndexByte(data, '\n')
--- a/pkg/kvstore/etcdgateway/client.go
+++ b/pkg/kvstore/etcdgateway/client.go
@@ -21,6 +21,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/mulberryglade/mulberryglade/pkg/httpresponse"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
 )
 
@@ -265,7 +266,17 @@
 	// Without GetBody the transport cannot send the body a second time.
 	request.GetBody = nil
 	request.Header.Set("Content-Type", "application/json")
-	return c.transport.RoundTrip(request)
+	response, err := c.transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	// All bodies are JSON, which shows whether they are whole.
+	if err := httpresponse.CheckDecoded(response.StatusCode, response.Header); err != nil {
+		_ = response.Body.Close()
+		c.scope.Tagged(map[string]string{"cause": string(httpresponse.CauseOf(err))}).Counter("rejected_responses").Inc(1)
+		return nil, err
+	}
+	return response, nil
 }
 
 // readUnary reads a whole response. Of the stream that the keep-alive endpoint returns it reads only the first message.
--- a/pkg/kvstore/etcdgateway/client_test.go
+++ b/pkg/kvstore/etcdgateway/client_test.go
@@ -1,8 +1,10 @@
 package etcdgateway_test
 
 import (
+	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -51,6 +53,28 @@
 	return "http://" + listener.Addr().String(), func() int { stop(); return count }
 }
 
+// startAnsweringServer returns the URL of a server that answers each connection with the same bytes and closes it.
+func startAnsweringServer(response string) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			request, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				_, _ = io.Copy(io.Discard, request.Body)
+				_, _ = conn.Write([]byte(response))
+			}
+			_ = conn.Close()
+		}
+	}()
+	return "http://" + listener.Addr().String()
+}
+
 var _ = Describe("Client", func() {
 	var ctx context.Context
 	var memory *kv.Memory
@@ -82,6 +106,23 @@
 		Expect(requests()).To(Equal(1))
 	})
 
+	// Guards against a reply that is no HTTP response being taken for the store's, and against a write that is repeated or
+	// reported as not done after one.
+	DescribeTable("rejects a reply with a broken head",
+		func(head string) {
+			client := newClient(nil, time.Minute, startAnsweringServer(head+"\r\n"+`{"header":{"revision":"7"},"succeeded":true}`))
+			_, _, _, err := client.Get(ctx, "a")
+			Expect(err).To(MatchError(kvstore.ErrUnavailable))
+			_, err = client.Commit(ctx, []kvstore.ConditionalWrite{create("a", "1")})
+			Expect(err).To(MatchError(kvstore.ErrOutcomeUnknown))
+		},
+		Entry("a status of 000", "HTTP/1.1 000 OK\r\n"),
+		Entry("a status of 600", "HTTP/1.1 600 OK\r\n"),
+		Entry("a blank in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\n"),
+		Entry("a blank after a name", "HTTP/1.1 200 OK\r\nX-Y : z\r\n"),
+		Entry("a control byte in a value", "HTTP/1.1 200 OK\r\nX-Y: \x01\r\n"),
+	)
+
 	It("sends the next write to another URL after a lost reply", func() {
 		url, _ := startBreakingServer()
 		client := newClient(nil, time.Minute, url, startServer(memory, false))
