A log line and a counter name the cause of each rejected response

Operators saw a rejected response only as `send failed` of a request, with the library's text, and not at all for reports and replies of the store that were repeated later.

Change: httpconn.Rejections counts `rejected_responses{cause}` and logs `response rejected: not whole or not well-formed` with the address, at most one line a second for each of nine causes; `unlogged` counts the others. All pools and order sessions of both programs report to it. A deadline, a client that left and a connection that ended before the first byte are not counted. The bound on the log lines about client limits is the same code now (telemetry.Throttle).

Evidence: httpconn: "A broken response" checks the counter, the single line and that the connection is closed, for Do and Open.

--- a/cmd/mulberryglade-edged/main.go
+++ b/cmd/mulberryglade-edged/main.go
@@ -91,16 +91,17 @@
 }
 
 func serve(ctx context.Context, path string, settings edge.Settings, log *zap.Logger) int {
+	metrics := telemetry.NewMetrics(metricsFlushInterval)
+	defer func() { _ = metrics.Close() }()
+	rejections := httpconn.NewRejections(metrics.Scope, log)
 	// Replies to control calls are whole by their status or their JSON document.
-	controlPool := httpconn.NewPool(httpconn.Options{AllowCloseDelimited: true})
+	controlPool := httpconn.NewPool(httpconn.Options{AllowCloseDelimited: true, Rejections: rejections})
 	defer controlPool.Close()
 	requestPool := httpconn.NewPool(httpconn.Options{
 		Accept: platform.AcceptsResponse, AllowCloseDelimited: true, IdleTimeout: connectionIdleTimeout,
-		Memory: membudget.New(heldMemory(settings)),
+		Memory: membudget.New(heldMemory(settings)), Rejections: rejections,
 	})
 	defer requestPool.Close()
-	metrics := telemetry.NewMetrics(metricsFlushInterval)
-	defer func() { _ = metrics.Close() }()
 	server, err := edge.New(settings, edge.Dependencies{
 		HeaderCodec:  platform.HeaderCodec{},
 		EntryDecoder: platform.NewEntryDecoder(),
--- a/pkg/daemon/build.go
+++ b/pkg/daemon/build.go
@@ -117,6 +117,7 @@
 	d.memory = membudget.New(heldMemory(d.settings.Limits.MemoryMB))
 	connections := httpconn.Options{
 		TLSConfig: tlsConfig, DialTimeout: engineDialTimeout, Source: d.outboundAddress(), Memory: d.memory,
+		Rejections: httpconn.NewRejections(d.metrics.Scope, d.log),
 	}
 	d.engineClient = openaihttp.New(openaihttp.Options{Connections: connections, Scope: d.metrics.Scope})
 	d.servicePool = httpconn.NewPool(connections)
--- a/pkg/edge/clientlimits.go
+++ b/pkg/edge/clientlimits.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
+
+	"github.com/mulberryglade/mulberryglade/pkg/telemetry"
 )
 
 // The limits on clients, as metrics and log lines name them.
@@ -23,13 +24,9 @@
 // clientLimits counts the clients that reached a limit, and logs at most one line a second for each limit, so that a
 // crowd outside the limits does not fill the log.
 type clientLimits struct {
-	scope tally.Scope
-	log   *zap.Logger
-
-	mu     sync.Mutex
-	logged map[string]time.Time
-	// unlogged counts the events of a limit since its last line.
-	unlogged map[string]int
+	scope    tally.Scope
+	log      *zap.Logger
+	throttle *telemetry.Throttle
 }
 
 // clientGaugeInterval is the interval at which the gauges of clients are updated.
@@ -52,20 +49,12 @@
 	if scope == nil {
 		scope = tally.NoopScope
 	}
-	return &clientLimits{scope: scope, log: log, logged: make(map[string]time.Time), unlogged: make(map[string]int)}
+	return &clientLimits{scope: scope, log: log, throttle: telemetry.NewThrottle(limitLogInterval)}
 }
 
 func (l *clientLimits) record(limit string, fields ...zap.Field) {
 	l.scope.Tagged(map[string]string{"limit": limit}).Counter("client_limits").Inc(1)
-	now := time.Now()
-	l.mu.Lock()
-	unlogged := l.unlogged[limit]
-	if now.Sub(l.logged[limit]) < limitLogInterval {
-		l.unlogged[limit]++
-		l.mu.Unlock()
-		return
+	if unlogged, allowed := l.throttle.Allow(limit, time.Now()); allowed {
+		l.log.Info("client limit reached", append(fields, zap.String("limit", limit), zap.Int("unlogged", unlogged))...)
 	}
-	l.logged[limit], l.unlogged[limit] = now, 0
-	l.mu.Unlock()
-	l.log.Info("client limit reached", append(fields, zap.String("limit", limit), zap.Int("unlogged", unlogged))...)
 }
--- a/pkg/engine/openaihttp/orders.go
+++ b/pkg/engine/openaihttp/orders.go
@@ -42,7 +42,7 @@
 
 // DialOrders implements engine.OrderDialer.
 func (c *Client) DialOrders(ctx context.Context, target engine.Target) (engine.OrderSession, error) {
-	conn, err := httpconn.DialFrom(ctx, c.options.Connections.Source, target.URL, orderDialTimeout, c.options.Connections.TLSConfig)
+	conn, err := c.options.Connections.Dial(ctx, target.URL, orderDialTimeout)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -50,6 +50,7 @@
 	unusable            bool
 	accept              AcceptFunc
 	allowCloseDelimited bool
+	rejections          *Rejections
 	// head is the framing of the current response.
 	head httpresponse.Head
 	// progress extends the deadline of the next call.
@@ -349,6 +350,7 @@
 	if contextErr := c.contextError(ctx); contextErr != nil {
 		return contextErr
 	}
+	c.rejections.record(c.baseURL, err)
 	return errors.Wrapf(engineError, "%v", err)
 }
 
--- a/pkg/httpconn/pool.go
+++ b/pkg/httpconn/pool.go
@@ -30,6 +30,8 @@
 	Accept AcceptFunc
 	// AllowCloseDelimited allows bodies without a length that end with an orderly close of the connection.
 	AllowCloseDelimited bool
+	// Rejections is told of responses that are not whole or not well-formed; nil discards them.
+	Rejections *Rejections
 	// Memory bounds the memory of the bodies that are being buffered, over all pools that share it; nil means no bound.
 	Memory *membudget.Budget
 }
@@ -190,11 +192,16 @@
 	if timeout <= 0 {
 		return nil, notSent(context.DeadlineExceeded)
 	}
-	conn, err := DialFrom(ctx, p.options.Source, baseURL, timeout, p.options.TLSConfig)
+	return p.options.Dial(ctx, baseURL, timeout)
+}
+
+// Dial opens a connection that belongs to no pool. All its errors wrap engine.ErrNotSent.
+func (o Options) Dial(ctx context.Context, baseURL string, timeout time.Duration) (*Conn, error) {
+	conn, err := DialFrom(ctx, o.Source, baseURL, timeout, o.TLSConfig)
 	if err != nil {
 		return nil, err
 	}
-	conn.accept, conn.allowCloseDelimited = p.options.Accept, p.options.AllowCloseDelimited
+	conn.accept, conn.allowCloseDelimited, conn.rejections = o.Accept, o.AllowCloseDelimited, o.Rejections
 	return conn, nil
 }
 
