Bytes that can begin no response are given up as they arrive

What callers saw: an endpoint that answered with something else than HTTP, without a line end, and kept the connection open was waited for until the deadline of the request. The client got 504, also where another endpoint was free.

Cause: a head was parsed only once its empty line had arrived.

Change: PeekHead compares the first bytes with "HTTP/1." as they arrive and returns CauseStatusLine if they differ.

Evidence: httpresponse: "TestBytesThatBeginNoHeadAreRejectedAsTheyArrive" (7 of 7 cases failed before); platform: "Bytes that begin no response, on a connection that stays open" got 504 after 20 s before, and the answer of the other endpoint now.

--- a/pkg/httpresponse/httpresponse_test.go
+++ b/pkg/httpresponse/httpresponse_test.go
@@ -192,6 +192,27 @@
 	}
 }
 
+// Guards against waiting for the line end of bytes that can begin no response.
+func TestBytesThatBeginNoHeadAreRejectedAsTheyArrive(t *testing.T) {
+	for _, data := range []string{"x", "220 ready", "HTTP/2", "HTP", "http/1.1 200 OK", "\n", " HTTP/1.1"} {
+		waits := false
+		endpoint := readerFunc(func([]byte) (int, error) {
+			waits = true
+			return 0, io.EOF
+		})
+		reader := bufio.NewReaderSize(io.MultiReader(strings.NewReader(data), endpoint), readerBytes)
+		if _, err := httpresponse.PeekHead(reader, false); httpresponse.CauseOf(err) != httpresponse.CauseStatusLine || waits {
+			t.Errorf("%q: %v, waits for more: %t", data, err, waits)
+		}
+	}
+}
+
+// readerFunc is a function that implements io.Reader.
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 // Guards against a body that is expected after the response to a HEAD request.
 func TestResponseToHeadHasNoBody(t *testing.T) {
 	for _, fields := range []string{"", "Content-Length: 9\r\n", "Transfer-Encoding: chunked\r\n"} {
--- a/pkg/httpresponse/reader.go
+++ b/pkg/httpresponse/reader.go
@@ -5,16 +5,21 @@
 	"bytes"
 	"io"
 	"os"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// PeekHead waits for the next head and parses it. It consumes nothing. The size of the reader's buffer bounds the head.
+// PeekHead waits for the next head and parses it. It consumes nothing. The size of the reader's buffer bounds the head. Bytes that
+// cannot begin a head are rejected as they arrive, since their sender may keep the connection open without a line end.
 // Errors: of type *Error, or that of the reader if no byte has arrived or its deadline has passed.
 func PeekHead(reader *bufio.Reader, toHead bool) (Head, error) {
 	searched, lineBegin := 0, 0
 	for {
 		buffered, _ := reader.Peek(reader.Buffered())
+		if begin := buffered[:min(len(buffered), len(versionBegin))]; !strings.HasPrefix(versionBegin, string(begin)) {
+			return Head{}, newError(CauseStatusLine, "%.40q", buffered)
+		}
 		for {
 			length := bytes.IndexByte(buffered[searched:], '\n')
 			if length < 0 {
@@ -34,6 +39,9 @@
 	}
 }
 
+// versionBegin is the beginning of each head.
+const versionBegin = "HTTP/1."
+
 // headError returns the error of a head that is incomplete because of an error of its connection.
 func headError(err error, received []byte) error {
 	switch {
