Relay each change of an endpoint's entry, whatever the relay knew before

What callers saw: requests reached an endpoint that had said that it leaves, from instances whose view of the store was recent; others were not used at all.

Cause: a relay enters a change into its change log only if it changes what the relay knows of the endpoint. An entry that says that the endpoint leaves was left out if the relay had heard that from the endpoint, and so was one that came back while the relay still kept the endpoint with grace. The message claims all the same to list all changes up to its revision, so that the other instances of the data centre do not ask the store.

Fix: Announce compares the entry with the previous entry, not only with the endpoint.

Evidence: TestLeavingKnownFromTheEndpointIsRelayed fails before.

--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -417,3 +417,29 @@
 		t.Fatalf("gaps with complete revisions between them are %v", gaps)
 	}
 }
+
+// Guards against a relay that leaves out that an endpoint is leaving because the endpoint itself had told it of that before:
+// the instances that rely on it would use the endpoint until its entry is removed.
+func TestLeavingKnownFromTheEndpointIsRelayed(t *testing.T) {
+	now := time.Now().Add(-time.Minute)
+	relay, reliant := newRelayTestServer(t, "edge-1", minInstancesForRelays), newRelayTestServer(t, "edge-4", minInstancesForRelays)
+	entry := fleet.Announcement{ID: "e1", Service: "s", Address: "a:1", Lifetime: 4}
+	for _, s := range []*Server{relay, reliant} {
+		s.applyAnnouncement(entry, 30, "", now)
+		s.recordRevision(30, now)
+		s.storeView.recordComplete(now)
+	}
+	relay.recordRevision(30, now.Add(2*relay.relayWindow()))
+	now = time.Now()
+	relay.recordRevision(30, now.Add(-relay.relayWindow()))
+	relay.recordStatement("e1", 4, fleet.Statement{Leaving: true})
+	entry.Leaving = true
+	relay.applyAnnouncement(entry, 31, "", now)
+	relay.recordRevision(31, now)
+	m := &exchange.Message{Instance: "edge-1"}
+	relay.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+	reliant.applyRelayed("edge-1", m.Relay, now)
+	if reliant.storeView.revision.Load() != 31 || reliant.deps.Fleet.Usable() != 0 {
+		t.Fatalf("the instance knows all up to revision %d and uses %d leaving endpoints", reliant.storeView.revision.Load(), reliant.deps.Fleet.Usable())
+	}
+}
--- a/pkg/edge/views_test.go
+++ b/pkg/edge/views_test.go
@@ -36,6 +36,10 @@
 	muteTime = time.Second
 	// longMuteTime is long enough that instances which rely on relays watch the store themselves meanwhile.
 	longMuteTime = 1500 * time.Millisecond
+	// toldShare is the share of the instances that hear from an endpoint itself that it leaves.
+	toldShare = 0.3
+	// lapseTime is how long an entry is missing that lapses.
+	lapseTime = 400 * time.Millisecond
 	// viewForget is how long an endpoint that has left is checked.
 	viewForget = 15 * time.Second
 )
@@ -52,10 +56,16 @@
 	// versionsAt are the times at which the versions were written; the first is version 1.
 	versionsAt []time.Time
 	present    []fleet.Announcement
-	leftAt     map[string]time.Time
-	created    int
+	// announcedAt and leftAt are the times at which the present endpoints were last announced and the others began to leave.
+	announcedAt map[string]time.Time
+	leftAt      map[string]time.Time
+	// lapsedUntil are the times at which endpoints announce themselves again whose entries have lapsed.
+	lapsedUntil map[string]time.Time
+	created     int
 	// sound is set if nothing is impaired but single datagrams.
 	sound bool
+	// updatesPerSecond is the rate at which endpoints change that do not leave.
+	updatesPerSecond float64
 	// withoutNotice is set if endpoints are removed without being announced as leaving.
 	withoutNotice bool
 }
@@ -65,7 +75,9 @@
 	network := &simulatedNetwork{
 		random: rand.New(rand.NewPCG(seed, 1)), conns: make(map[string]*simulatedConn), loss: 0.01, cutOff: make(map[string]bool),
 	}
-	s := &viewSimulation{t: t, random: random, network: network, store: newSimulatedStore(), leftAt: make(map[string]time.Time)}
+	s := &viewSimulation{t: t, random: random, updatesPerSecond: 10, network: network, store: newSimulatedStore(),
+		announcedAt: make(map[string]time.Time), leftAt: make(map[string]time.Time),
+		lapsedUntil: make(map[string]time.Time)}
 	for i := range viewDataCentres * viewInstances {
 		s.instances = append(s.instances, s.newInstance(i))
 	}
@@ -139,6 +151,10 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if !a.Leaving {
+		s.announcedAt[a.ID] = time.Now()
+	}
+	delete(s.lapsedUntil, a.ID)
 	s.store.put(simulatedEndpoints+a.ID, value)
 }
 
@@ -148,6 +164,7 @@
 	a := s.present[i]
 	s.present = append(s.present[:i], s.present[i+1:]...)
 	s.leftAt[a.ID] = time.Now()
+	delete(s.announcedAt, a.ID)
 	s.addEndpoint()
 	if s.withoutNotice {
 		s.store.delete(simulatedEndpoints + a.ID)
@@ -155,9 +172,38 @@
 	}
 	a.Leaving = true
 	s.announce(&a)
+	s.tellLeaving(a.ID)
 	time.AfterFunc(viewBound, func() { s.store.delete(simulatedEndpoints + a.ID) })
 }
 
+// tellLeaving lets some instances hear from an endpoint itself that it leaves, before they read it from the store.
+func (s *viewSimulation) tellLeaving(id string) {
+	for _, i := range s.instances {
+		if i.server != nil && s.random.Float64() < toldShare {
+			i.server.recordStatement(id, 0, fleet.Statement{Leaving: true})
+		}
+	}
+}
+
+// lapseEndpoint removes the entry of an endpoint that goes on running, as the store does after an outage of either.
+func (s *viewSimulation) lapseEndpoint() {
+	i := s.random.IntN(len(s.present))
+	a := s.present[i]
+	delete(s.announcedAt, a.ID)
+	s.store.delete(simulatedEndpoints + a.ID)
+	s.lapsedUntil[a.ID] = time.Now().Add(lapseTime)
+}
+
+// announceLapsed announces the present endpoints again whose entries have been missing for lapseTime.
+func (s *viewSimulation) announceLapsed() {
+	for i := range s.present {
+		until, lapsed := s.lapsedUntil[s.present[i].ID]
+		if lapsed && !time.Now().Before(until) {
+			s.announce(&s.present[i])
+		}
+	}
+}
+
 // updateEndpoint announces an endpoint that has changed but does not leave.
 func (s *viewSimulation) updateEndpoint() {
 	i := s.random.IntN(len(s.present))
@@ -235,9 +281,13 @@
 	if perSecond(3) {
 		s.replaceEndpoint()
 	}
-	if perSecond(10) {
+	if perSecond(s.updatesPerSecond) {
 		s.updateEndpoint()
 	}
+	if perSecond(1) {
+		s.lapseEndpoint()
+	}
+	s.announceLapsed()
 	if !s.sound && perSecond(0.3) {
 		s.impair()
 	}
@@ -264,6 +314,11 @@
 			return fmt.Sprintf("%s is used, it left %v before", id, now.Sub(leftAt))
 		}
 	}
+	for id, announcedAt := range s.announcedAt {
+		if now.Sub(announcedAt) > viewBound && !usable[id] {
+			return fmt.Sprintf("%s is not used, it was announced %v before", id, now.Sub(announcedAt))
+		}
+	}
 	return ""
 }
 
@@ -298,12 +353,12 @@
 }
 
 // playViews plays deployments with different seeds.
-func playViews(t *testing.T, withoutNotice bool) {
+func playViews(t *testing.T, prepare func(s *viewSimulation)) {
 	for seed := *firstViewSeed; seed < *firstViewSeed+*viewSeeds; seed++ {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newViewSimulation(t, seed)
-				s.withoutNotice = withoutNotice
+				prepare(s)
 				if finding := s.run(); finding != "" {
 					t.Error(finding)
 				}
@@ -314,12 +369,18 @@
 
 // Guards against an instance that knows a change too late because the relays on which it relies have lost the store.
 func TestRelaysThatLoseTheStoreDoNotDelayChanges(t *testing.T) {
-	playViews(t, false)
+	playViews(t, func(*viewSimulation) {})
 }
 
 // Guards against using endpoints for too long that were removed without notice after an instance had lost the store.
 func TestEndpointsRemovedAfterALostConnectionAreNotUsed(t *testing.T) {
-	playViews(t, true)
+	playViews(t, func(s *viewSimulation) { s.withoutNotice = true })
+}
+
+// Guards against a relay that leaves out changes of entries which make no difference to itself, since it has heard from the
+// endpoint that it leaves, or has kept it while its entry was missing. Later changes of the same endpoints would repair that.
+func TestChangesThatRelaysKnewBeforeAreRelayed(t *testing.T) {
+	playViews(t, func(s *viewSimulation) { s.updatesPerSecond = 0 })
 }
 
 // Guards against instances that watch the store although their relays keep their views recent: with many instances, their
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -185,7 +185,8 @@
 	StartedLeaving
 	// StoppedLeaving means that the endpoint announced itself as leaving before and no longer does.
 	StoppedLeaving
-	// Updated means that the endpoint's models, slots or removal time changed.
+	// Updated means that the entry changed otherwise: the endpoint's models, slots or removal time, an entry that was missing,
+	// or one that says what the endpoint had said itself.
 	Updated
 )
 
@@ -204,6 +205,10 @@
 		a.Models, a.OrdersAccepted = existing.announcedModels, existing.announcedOrders
 	}
 	change := compare(existing, &a)
+	if change == Unchanged && (existing.announcedLeaving != announcedLeaving || !existing.graceEndsAt.IsZero()) {
+		// The entry differs from the previous one, although what is known of the endpoint does not.
+		change = Updated
+	}
 	if existing == nil || change == Restarted {
 		existing = &Endpoint{remoteWork: make(map[string]remoteWork), prompts: newPromptCache()}
 		r.insert(a.ID, existing)
