Log and count what fails while the store is lost

Only the first failed call of an outage was logged, so that a watch that can never succeed looked like an outage of the store. The last error, the number of failed calls and the age of the view are now logged each 5 s; two metrics count failed calls and show the age.

--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -29,7 +29,11 @@
 	// responseTime is the time from a request's arrival to its end, firstEventTime from the send to the first event.
 	responseTime   tally.Histogram
 	firstEventTime tally.Histogram
-	storeOutages   tally.Counter
+	// storeOutages counts the times that the store was lost, storeFailures the failed calls to follow it.
+	storeOutages  tally.Counter
+	storeFailures tally.Counter
+	// viewAge is the time since the view of the store was last known to be complete.
+	viewAge tally.Gauge
 	// storeRestores counts restores of the store from an older copy.
 	storeRestores tally.Counter
 	// ledgerCorrections counts reports of endpoints that hold other models or adapters than their ledgers listed.
@@ -69,6 +73,8 @@
 		responseTime:      scope.Histogram("response_seconds", latencyBuckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", latencyBuckets),
 		storeOutages:      scope.Counter("store_lost"),
+		storeFailures:     scope.Counter("store_failures"),
+		viewAge:           scope.Gauge("store_view_age_seconds"),
 		quarantines:       scope.Counter("quarantined_prompt_parts"),
 		limitsLowered:     limitChanges("lowered"),
 		limitsRaised:      limitChanges("raised"),
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -56,6 +56,9 @@
 	seenRevision kvstore.Revision
 	// unreachableSince is the time of the first failed call; zero while the store responds.
 	unreachableSince time.Time
+	// failures counts the failed calls of the present outage, the last of which was logged at failureLoggedAt.
+	failures        int
+	failureLoggedAt time.Time
 	// graceEnd is the time until which endpoints that the store no longer lists after an outage are kept.
 	graceEnd time.Time
 }
@@ -85,6 +88,7 @@
 func (w *storeWatcher) afterWatch() {
 	w.expireEndpoints()
 	w.server.limitIdleConnections()
+	w.server.metrics.viewAge.Update(w.server.storeView.age(time.Now()).Seconds())
 	w.server.metrics.usableEndpoints.Update(float64(w.server.deps.Fleet.Usable()))
 	w.server.metrics.limitsInEffect.Update(float64(w.server.deps.Fleet.LimitedEndpoints(time.Now())))
 }
@@ -382,24 +386,38 @@
 	w.server.changeLog.instances.recordRemoval(name, time.Now())
 }
 
-// recordFailure records a failed call of the store. Only the first one of an outage is logged.
+// recordFailure records a failed call of the store. It logs the first one of an outage, and one each failureLogInterval.
 func (w *storeWatcher) recordFailure(err error) {
-	if w.unreachableSince.IsZero() {
-		w.unreachableSince = time.Now()
-		w.server.storeView.setUnreachable(w.unreachableSince)
+	now := time.Now()
+	age := w.server.storeView.age(now)
+	w.failures++
+	w.server.metrics.storeFailures.Inc(1)
+	w.server.metrics.viewAge.Update(age.Seconds())
+	fields := []zap.Field{zap.Error(err), zap.Int64("revision", int64(w.seenRevision)), zap.Duration("viewAge", age)}
+	switch {
+	case w.unreachableSince.IsZero():
+		w.unreachableSince = now
+		w.server.storeView.setUnreachable(now)
 		w.server.metrics.storeOutages.Inc(1)
-		w.server.log.Warn("store lost; the last view stays in use", zap.Error(err), zap.Int64("revision", int64(w.seenRevision)),
-			zap.Duration("viewAge", w.server.storeView.age(time.Now())))
+		w.server.log.Warn("store lost; the last view stays in use", fields...)
+	case now.Sub(w.failureLoggedAt) >= failureLogInterval:
+		w.server.log.Warn("store still lost", append(fields, zap.Int("failures", w.failures))...)
+	default:
+		return
 	}
+	w.failureLoggedAt = now
 }
 
+// failureLogInterval is the time between two log lines about calls that fail in one outage.
+const failureLogInterval = 5 * time.Second
+
 func (w *storeWatcher) recordSuccess() {
 	if w.unreachableSince.IsZero() {
 		return
 	}
-	w.server.log.Info("store regained", zap.Duration("after", time.Since(w.unreachableSince)),
+	w.server.log.Info("store regained", zap.Duration("after", time.Since(w.unreachableSince)), zap.Int("failures", w.failures),
 		zap.Duration("viewAge", w.server.storeView.age(time.Now())))
-	w.unreachableSince = time.Time{}
+	w.unreachableSince, w.failures = time.Time{}, 0
 	w.server.storeView.setReachable()
 	w.graceEnd = time.Now().Add(fleet.ReappearGrace)
 }
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -6,6 +6,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/kvstore"
@@ -181,3 +185,20 @@
 		}
 	})
 }
+
+// Guards against an outage whose log line tells only how it began: the calls after that may fail for another reason.
+func TestFailuresOfALongOutageAreLogged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRelayTestServer(t, "edge-1", 1)
+		core, logs := observer.New(zap.WarnLevel)
+		s.log = zap.New(core)
+		w := &storeWatcher{server: s}
+		const outage = 16 * time.Second
+		for began := time.Now(); time.Since(began) < outage; time.Sleep(storeRetryDelay) {
+			w.recordFailure(errors.Newf("after %v", time.Since(began)))
+		}
+		if lines := logs.FilterMessage("store still lost").Len(); lines != int(outage/failureLogInterval) {
+			t.Fatalf("%d log lines in %v", lines, outage)
+		}
+	})
+}
