Read all entries where the reply to a watch is too large

Cause: a reply to a watch has every version of each entry since the last one, and no bound. Above 4 MB it was dropped, and the watcher asked for the same again every 0.3 s.

Fix: such a reply is told apart (ErrChangesTooLarge), and the watcher reads all entries, as it does after lost history; the others of a data centre wait for their relays as they do then.

--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		if w.watch == nil {
-			// The store has compacted the missing changes.
+			// The missing changes cannot be read.
 			continue
 		}
 		w.afterWatch()
@@ -235,12 +235,8 @@
 		w.watch.Close()
 		w.watch, w.newEra = nil, true
 		return !w.justRead
-	case errors.Is(err, kvstore.ErrCompacted):
-		w.server.log.Info("store history is gone; reading all entries", zap.Int64("revision", int64(w.seenRevision)))
-		w.watch.Close()
-		w.watch = nil
-		// If the history is compacted right after all entries were read, the next read follows after a pause.
-		return !w.justRead
+	case errors.Is(err, kvstore.ErrCompacted), errors.Is(err, kvstore.ErrChangesTooLarge):
+		return w.endWatch(err)
 	case ctx.Err() != nil:
 		return false
 	case err != nil:
@@ -254,6 +250,16 @@
 	return true
 }
 
+// endWatch ends a watch that cannot succeed, so that all entries are read next. It returns false if the caller should pause
+// before that, because all entries were read just before.
+func (w *storeWatcher) endWatch(cause error) bool {
+	w.server.log.Info("store history cannot be read; reading all entries", zap.Error(cause), zap.Int64("revision", int64(w.seenRevision)),
+		zap.Duration("viewAge", w.server.storeView.age(time.Now())))
+	w.watch.Close()
+	w.watch = nil
+	return !w.justRead
+}
+
 // sendUpdate sends changes to the instances that depend on this one, if it is a relay.
 func (w *storeWatcher) sendUpdate() {
 	if w.server.isRelay() {
--- a/pkg/httpconn/conn.go
+++ b/pkg/httpconn/conn.go
@@ -29,6 +29,9 @@
 // readBufferBytes is the size of the read buffer. It also bounds the size of a response header.
 const readBufferBytes = 16 << 10
 
+// ErrBodyTooLarge marks an error that is due to a body above the caller's bound.
+var ErrBodyTooLarge = errors.New("response body is too large")
+
 // errCloseDelimited means that a body has neither a length nor chunks, so that its completeness cannot be checked.
 var errCloseDelimited = errors.New("response body has no length")
 
@@ -159,7 +162,7 @@
 
 // Do writes the request once and reads the complete response into resp. Errors: engine.ErrNotSent if no byte was
 // written; engine.ErrConnectionLost if the connection broke before the response header was complete;
-// engine.ErrTruncated if the body ended early, has no length or exceeds maxBytes; context.Canceled or
+// engine.ErrTruncated if the body ended early, has no length or exceeds maxBytes (also ErrBodyTooLarge); context.Canceled or
 // context.DeadlineExceeded if the context or the deadline ended after bytes were written.
 func (c *Conn) Do(ctx context.Context, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response, maxBytes int) error {
 	return c.doReserving(ctx, deadline, req, resp, maxBytes, nil)
@@ -238,7 +241,11 @@
 		return contextErr
 	}
 	c.rejections.record(c.baseURL, err)
-	return errors.Wrapf(engineError, "%v", err)
+	failure := errors.Wrapf(engineError, "%v", err)
+	if errors.Is(err, ErrBodyTooLarge) {
+		return errors.Mark(failure, ErrBodyTooLarge)
+	}
+	return failure
 }
 
 // writeAndReadHeader writes the request and reads the header of its response. writtenBefore is the number of bytes that were
@@ -366,7 +373,7 @@
 
 func (c *Conn) readContent(ctx context.Context, deadline time.Time, maxBytes int, memory *membudget.Reservation) ([]byte, error) {
 	if c.head.Length > maxBytes {
-		return nil, errors.Newf("body exceeds %d bytes", maxBytes)
+		return nil, bodyTooLarge(maxBytes)
 	}
 	body, err := c.bodyReader()
 	if err != nil {
@@ -378,6 +385,10 @@
 	return ReadAll(ctx, body, maxBytes, memory)
 }
 
+func bodyTooLarge(maxBytes int) error {
+	return errors.Wrapf(ErrBodyTooLarge, "over %d bytes", maxBytes)
+}
+
 // Read implements io.Reader. It returns io.EOF only at the end of the body. Errors: engine.ErrConnectionLost,
 // context.Canceled and context.DeadlineExceeded.
 func (b *Body) Read(p []byte) (int, error) {
--- a/pkg/httpconn/memory.go
+++ b/pkg/httpconn/memory.go
@@ -53,7 +53,7 @@
 		size += len(part)
 		switch {
 		case size > maxBytes:
-			return nil, errors.Newf("body exceeds %d bytes", maxBytes)
+			return nil, bodyTooLarge(maxBytes)
 		case errors.Is(err, io.EOF):
 			return join(ctx, parts, size, memory)
 		case err != nil:
--- a/pkg/kvstore/kvstore.go
+++ b/pkg/kvstore/kvstore.go
@@ -22,6 +22,9 @@
 	// ErrCompacted means that the service no longer has the start revision of a watch. The caller must read the keys
 	// and start a new watch.
 	ErrCompacted = errors.New("watch revision compacted")
+	// ErrChangesTooLarge means that the changes since the start revision of a watch are too large for one reply. Repeating
+	// the call does not help: the caller must read the keys, whose former values are left out, and start a new watch.
+	ErrChangesTooLarge = errors.New("changes since the watch revision are too large")
 	// ErrValueTooLarge means that a value exceeds MaxValueBytes; nothing took effect.
 	ErrValueTooLarge = errors.New("value exceeds the store's limit")
 )
