Read all entries after a watch's reply that does not arrive in time

What callers saw: as for replies that are too large, with smaller ones on a narrow link.

Cause: a watch whose reply has begun may take 10 s. If it takes longer, the watcher asked again from the same revision, and the reply grew with each change meanwhile.

Fix: a watch that fails after more than 5 s, which only one can whose reply has begun, is followed by a read of all entries, in pages and without replaced versions.

Evidence: TestEntriesAreReadAfterAReplyThatTakesTooLong fails before.

--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -38,6 +38,9 @@
 	// watchTimeout bounds one watch with its reply, which may be long. The store's client notices an unresponsive connection
 	// earlier.
 	watchTimeout = 10 * time.Second
+	// longReplyTime is the time after which a watch that fails has received a part of its reply. The reply to another one
+	// would be longer still.
+	longReplyTime = watchTimeout / 2
 	// storeRetryDelay is the delay between attempts while the store does not respond.
 	storeRetryDelay = 300 * time.Millisecond
 )
@@ -241,6 +244,9 @@
 		return false
 	case err != nil:
 		w.recordFailure(err)
+		if time.Since(started) >= longReplyTime {
+			return w.endWatch(err)
+		}
 		return false
 	}
 	w.recordSuccess()
--- a/pkg/edge/storewatcher_test.go
+++ b/pkg/edge/storewatcher_test.go
@@ -20,7 +20,9 @@
 	kvstore.Store
 	items []kvstore.KeyValue
 	// compacted reports whether a watch fails with ErrCompacted. Watches are counted from one.
-	compacted   func(watch int) bool
+	compacted func(watch int) bool
+	// slow reports whether a watch fails at its time-out.
+	slow        func(watch int) bool
 	watches     int
 	rangeTimes  []time.Time
 	compactedAt []time.Time
@@ -39,8 +41,12 @@
 	return s, nil
 }
 
-func (s *scriptedStore) Next(context.Context) ([]kvstore.Event, error) {
+func (s *scriptedStore) Next(ctx context.Context) ([]kvstore.Event, error) {
 	s.watches++
+	if s.slow != nil && s.slow(s.watches) {
+		<-ctx.Done()
+		return nil, kvstore.ErrUnavailable
+	}
 	if s.compacted(s.watches) {
 		s.compactedAt = append(s.compactedAt, time.Now())
 		return nil, kvstore.ErrCompacted
@@ -202,3 +208,17 @@
 		}
 	})
 }
+
+// Guards against repeating a watch whose reply takes too long on a slow link. The next one has more changes.
+func TestEntriesAreReadAfterAReplyThatTakesTooLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRelayTestServer(t, "edge-1", 1)
+		store := &scriptedStore{compacted: func(int) bool { return false }, slow: func(watch int) bool { return watch == 2 }}
+		ctx, cancel := context.WithTimeout(context.Background(), 2*watchTimeout)
+		defer cancel()
+		(&storeWatcher{server: s, store: store}).run(ctx)
+		if len(store.rangeTimes) != 2 {
+			t.Fatalf("the entries were read at %v", store.rangeTimes)
+		}
+	})
+}
