Withhold endpoints that had left without notice after a restore of the store

Cause: only endpoints whose entries had said that they leave were remembered as left, so that the older copy brought the others back.

After a restore, such an endpoint is not used for four seconds: entries are written again within two, so that one that is still there then is the endpoint's own.

Evidence: TestEndpointRemovedWithoutNoticeIsNotUsedRightAfterARestore fails before.

--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -138,7 +138,7 @@
 }
 
 func evaluate(choice *Choice, e *Endpoint, demand *Demand, speed EngineSpeed, distanceTo Distances, now time.Time, includeAvoided bool) {
-	if e.Leaving || e.graceEnded(now) {
+	if e.Leaving || e.graceEnded(now) || now.Before(e.withheldUntil) {
 		return
 	}
 	if excluded(e.ID, demand.Exclude) {
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -17,6 +17,10 @@
 	// ReappearGrace is how long after an outage of the store an endpoint is kept whose entry the store removed. Running
 	// endpoints announce themselves again within two seconds of the store's recovery.
 	ReappearGrace = 2 * time.Second
+	// restoreSettleTime is how long after the restore of the store an endpoint is not used that had left without notice and
+	// that the copy lists. Within ReappearGrace its entry is removed again or proves to be its own; the rest is for this
+	// instance to learn of that.
+	restoreSettleTime = 2 * ReappearGrace
 )
 
 // Endpoint is one endpoint with all recorded state. Its fields are guarded by the registry's lock.
@@ -44,6 +48,8 @@
 	RemovalAt time.Time
 	// graceEndsAt is when an endpoint that was withdrawn with grace is removed; zero for all others.
 	graceEndsAt time.Time
+	// withheldUntil is the time until which the endpoint is not used; zero for most.
+	withheldUntil time.Time
 	// modelsTrustedUntil is the time until which Models, as changed by orders, takes precedence over announcements.
 	modelsTrustedUntil time.Time
 	// modelsChangedAt is the time of the last change of Models by an order.
@@ -112,9 +118,10 @@
 	byKey     map[EndpointKey]*Endpoint
 	loading   map[string]loadingModel
 	stated    map[endpointRun]*stated
-	// left maps runs of endpoints whose entries said that they leave to the time of their removal. An older copy of the
-	// store may list them again.
-	left      map[endpointRun]time.Time
+	// departed are the runs of endpoints whose entries were removed. An older copy of the store may list them again.
+	departed map[endpointRun]departure
+	// withheld are the times until which runs are not used that an older copy of the store may list again.
+	withheld  map[endpointRun]time.Time
 	sentParts recentLog[SentPart]
 	// slowness has an estimate for each service, ownSlowness the recent measurements of this instance.
 	slowness    map[string]*slowness
@@ -134,7 +141,8 @@
 		byKey:     make(map[EndpointKey]*Endpoint),
 		loading:   make(map[string]loadingModel),
 		stated:    make(map[endpointRun]*stated),
-		left:      make(map[endpointRun]time.Time),
+		departed:  make(map[endpointRun]departure),
+		withheld:  make(map[endpointRun]time.Time),
 		slowness:  make(map[string]*slowness),
 		capacity:  make(map[string]*limit.Capacity),
 		latency:   make(map[string]*limit.Track),
@@ -142,6 +150,14 @@
 	}
 }
 
+// departure is the removal of an endpoint's entry.
+type departure struct {
+	at time.Time
+	// announced is set if the entry said before that the endpoint leaves. Other endpoints leave without notice, crash or do
+	// not reach the store, and may come back.
+	announced bool
+}
+
 // insert adds an endpoint or replaces its previous lifetime. The caller holds the lock.
 func (r *Registry) insert(id string, e *Endpoint) {
 	e.key = EndpointKeyOf(id)
@@ -153,9 +169,9 @@
 func (r *Registry) remove(id string, now time.Time) {
 	e := r.endpoints[id]
 	delete(r.endpoints, id)
-	if e != nil && e.announcedLeaving {
-		maps.DeleteFunc(r.left, func(_ endpointRun, at time.Time) bool { return now.Sub(at) >= statementRetention })
-		r.left[endpointRun{id, e.Lifetime}] = now
+	if e != nil {
+		maps.DeleteFunc(r.departed, func(_ endpointRun, d departure) bool { return now.Sub(d.at) >= statementRetention })
+		r.departed[endpointRun{id, e.Lifetime}] = departure{at: now, announced: e.announcedLeaving}
 	}
 	if e != nil && r.byKey[e.key] == e {
 		delete(r.byKey, e.key)
@@ -215,6 +231,10 @@
 	}
 	previousModels := existing.Models
 	existing.graceEndsAt = time.Time{}
+	existing.withheldUntil = r.withheld[endpointRun{a.ID, a.Lifetime}]
+	if d, found := r.departed[endpointRun{a.ID, a.Lifetime}]; found && !d.announced {
+		delete(r.departed, endpointRun{a.ID, a.Lifetime})
+	}
 	existing.announcedLeaving, existing.stated = announcedLeaving, said
 	existing.announcedModels, existing.announcedOrders = a.Models, a.OrdersAccepted
 	if now.Before(existing.modelsTrustedUntil) {
--- a/pkg/fleet/statement.go
+++ b/pkg/fleet/statement.go
@@ -119,11 +119,20 @@
 
 // KeepLeaving records that endpoints which the store's entries say are leaving, or said so until they were removed, leave
 // for the rest of their runs. It is called when the store was restored from an older copy, in which they may not leave yet.
-// Other instances are told like of endpoints that have said so themselves.
+// Other instances are told like of endpoints that have said so themselves. Endpoints whose entries were removed without that
+// are only not used for restoreSettleTime, since they may be running.
 func (r *Registry) KeepLeaving(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	runs := maps.Clone(r.left)
+	runs := make(map[endpointRun]time.Time)
+	maps.DeleteFunc(r.withheld, func(_ endpointRun, until time.Time) bool { return !now.Before(until) })
+	for run, d := range r.departed {
+		if d.announced {
+			runs[run] = d.at
+		} else {
+			r.withheld[run] = now.Add(restoreSettleTime)
+		}
+	}
 	for id, e := range r.endpoints {
 		if e.announcedLeaving {
 			runs[endpointRun{id, e.Lifetime}] = now
--- a/pkg/fleet/statement_test.go
+++ b/pkg/fleet/statement_test.go
@@ -138,3 +138,25 @@
 		t.Fatalf("%d records", len(r.stated))
 	}
 }
+
+// Guards against calls to an endpoint that left without saying so, because an older copy of the store lists it again.
+func TestEndpointRemovedWithoutNoticeIsNotUsedRightAfterARestore(t *testing.T) {
+	r := NewRegistry()
+	announce(r, "gone", HeldModel{Name: "m"})
+	announce(r, "back", HeldModel{Name: "m"})
+	r.Withdraw("gone", time.Time{}, now)
+	r.Withdraw("back", time.Time{}, now)
+	announce(r, "back", HeldModel{Name: "m"})
+	restored := now.Add(time.Minute)
+	r.KeepLeaving(restored)
+	announce(r, "gone", HeldModel{Name: "m"})
+	if choice, _ := reserve(r, restored.Add(restoreSettleTime-1), "back"); choice.ID != "" {
+		t.Fatalf("%s is used although its entry had been removed", choice.ID)
+	}
+	if choice, _ := reserve(r, restored, "gone"); choice.ID != "back" {
+		t.Fatalf("%q is used instead of an endpoint whose entry had come back", choice.ID)
+	}
+	if choice, _ := reserve(r, restored.Add(restoreSettleTime), "back"); choice.ID != "gone" {
+		t.Fatalf("%q is used instead of an endpoint that is still listed long after the restore", choice.ID)
+	}
+}
