Withdraw leaving endpoints without grace

Cause: after any lost call a relay keeps endpoints whose entries are removed for two seconds, also those that had said that they leave, and says nothing to its data centre meanwhile. During a release that is all the time after the loss of a connection, and all instances of the data centre read the store themselves over the link that they share.

Fix: grace is for endpoints that may be running; one that has said that it leaves is not used in any case, and goes at once.

Evidence: TestLeavingEndpointIsWithdrawnWithoutGrace fails without the condition.

--- a/pkg/edge/endpointview.go
+++ b/pkg/edge/endpointview.go
@@ -24,8 +24,7 @@
 // withdrawEndpoint withdraws an endpoint that the store, or the instance named by from, no longer lists. It stays in use
 // until graceEnd. Instances repeat such reports; only the first is logged.
 func (s *Server) withdrawEndpoint(id string, graceEnd time.Time, revision int64, from string, now time.Time) {
-	known := s.deps.Fleet.Withdraw(id, graceEnd, now)
-	kept := known && graceEnd.After(now)
+	known, kept := s.deps.Fleet.Withdraw(id, graceEnd, now)
 	if !kept {
 		s.changeLog.endpoints.recordRemoval(id, now)
 	}
--- a/pkg/fleet/fleet_test.go
+++ b/pkg/fleet/fleet_test.go
@@ -252,3 +252,13 @@
 		t.Fatalf("%d tokens count as kept", other.KeptTokens)
 	}
 }
+
+// Guards against keeping an endpoint with grace that had said that it leaves, and that no longer takes calls: while a relay
+// keeps any endpoint, its data centre cannot rely on it.
+func TestLeavingEndpointIsWithdrawnWithoutGrace(t *testing.T) {
+	r := NewRegistry()
+	r.Announce(Announcement{ID: "leaves", Service: "s", Address: "a:1", Leaving: true}, now)
+	if known, kept := r.Withdraw("leaves", now.Add(ReappearGrace), now); !known || kept || len(r.IDs()) != 0 {
+		t.Fatalf("known %v, kept %v: %v", known, kept, r.IDs())
+	}
+}
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -272,23 +272,24 @@
 
 // Withdraw removes an endpoint whose entry was removed, at graceEnd if that is in the future. A store that has just
 // recovered from an outage may have removed the entries of running endpoints, which are about to announce themselves
-// again. It reports whether the endpoint was known.
-func (r *Registry) Withdraw(id string, graceEnd, now time.Time) bool {
+// again. An endpoint whose entry said that it leaves needs no grace. Withdraw reports whether the endpoint was known and
+// whether it is kept.
+func (r *Registry) Withdraw(id string, graceEnd, now time.Time) (known, kept bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	existing := r.endpoints[id]
 	if existing == nil {
-		return false
+		return false, false
 	}
-	if graceEnd.After(now) {
+	if graceEnd.After(now) && !existing.announcedLeaving {
 		if existing.graceEndsAt.IsZero() {
 			existing.graceEndsAt = graceEnd
 		}
-		return true
+		return true, true
 	}
 	r.remove(id, now)
 	r.signalChange()
-	return true
+	return true, false
 }
 
 // GraceEnds returns the ends of the grace periods of withdrawn endpoints that are still kept, by id.
