Relays go on while they keep endpoints with grace

Cause: a relay said nothing while it kept an endpoint that the store no longer listed, up to two seconds after each lost call, since its message would have claimed that the endpoint is there. All instances of its data centre then read the store themselves.

Fix: a relay's message lists these endpoints with the time for which it keeps them, and not among the changed ones. An instance that has lost the store, too, keeps those that it knows for that time; any other one, for which no outage excuses the missing entry, withdraws them at once. The relay reports the end of the grace as a removal, as before. An instance of an earlier build learns of such a removal up to two seconds later, during an upgrade.

TestRelayAfterTheStoreIsBack asked for the silence. It now asks for what the silence was for: that no instance uses such an endpoint for longer than the relay, or again. It failed before, for a relay that sends nothing.

--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -91,11 +91,6 @@
 	}
 	s.viewMu.Lock()
 	defer s.viewMu.Unlock()
-	if len(s.deps.Fleet.GraceEnds()) > 0 {
-		// After an outage, the view differs from the store until each endpoint that is kept with grace has been
-		// announced again or dropped.
-		return
-	}
 	after, from := s.changeLog.since(now.Add(-s.relayWindow()))
 	m.Relay = &exchange.RelayDoc{
 		After:         after,
@@ -106,10 +101,17 @@
 		Holder:        s.instances.currentHolder(),
 	}
 	m.Relay.ConfigurationEntry = s.configEntryToRelay(m.Relay.Configuration, now)
+	graceEnds := s.deps.Fleet.GraceEnds()
+	if len(graceEnds) > 0 {
+		m.Relay.GraceMs = make(map[string]int64, len(graceEnds))
+	}
+	for id, end := range graceEnds {
+		m.Relay.GraceMs[id] = max(end.Sub(now).Milliseconds(), 0)
+	}
 	var changed []string
 	changed, m.Relay.RemovedEndpoints = s.changeLog.endpoints.since(from)
 	for _, a := range s.deps.Fleet.Announcements("") {
-		if slices.Contains(changed, a.ID) {
+		if _, withdrawn := graceEnds[a.ID]; !withdrawn && slices.Contains(changed, a.ID) {
 			m.Relay.ChangedEndpoints = append(m.Relay.ChangedEndpoints, exchange.EncodeEndpoint(&a))
 		}
 	}
@@ -181,6 +183,14 @@
 	for _, id := range r.RemovedEndpoints {
 		s.withdrawEndpoint(id, now, r.Revision, from, now)
 	}
+	for id, graceMs := range r.GraceMs {
+		graceEnd := now
+		if s.storeView.unreachableSince.Load() != nil {
+			// The outage is not the relay's alone, so that the entry may have expired because of it.
+			graceEnd = now.Add(time.Duration(graceMs) * time.Millisecond)
+		}
+		s.withdrawEndpoint(id, graceEnd, r.Revision, from, now)
+	}
 }
 
 // applyRelayedConfig applies the configuration of a relay message if it is newer than the one in force. It returns
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -84,6 +84,9 @@
 	Holder           string        `json:"h,omitempty"`
 	ChangedEndpoints []EndpointDoc `json:"e,omitempty"`
 	RemovedEndpoints []string      `json:"g,omitempty"`
+	// GraceMs lists the endpoints that the store no longer lists and that the sender keeps after an outage, each with the
+	// time for which it does.
+	GraceMs map[string]int64 `json:"w,omitempty"`
 	// ChangedInstances maps the names of changed instances to their entries; RemovedInstances lists removed instances.
 	ChangedInstances map[string]InstanceDoc `json:"p,omitempty"`
 	RemovedInstances []string               `json:"q,omitempty"`
