Bound what clients may send to the readiness and metrics addresses

What callers saw: a process ran out of memory under clients that send large bodies and stop short of their end, although the same crowd at the address for clients does nothing.

Cause: the listeners for readiness checks and metrics took bodies of 4 MB, the default of the library, from 64 connections, and had no time-outs: 256 MB, at instances with 144 MB.

Fix: 1 KB of body, 3 s for a request and for its response, 15 s without one.

Evidence, with bounds from the settings of the test (96 MB, 600 descriptors): "survives bodies at the readiness address, and answers readiness checks afterwards" fails before, at 270 MB. Two more specs hold before as well: connections without end there, and crowds of four kinds one after the other at one process.

--- a/pkg/edge/listen.go
+++ b/pkg/edge/listen.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -9,8 +10,17 @@
 	"go.uber.org/zap"
 )
 
-// maxControlConnections bounds the connections of the readiness listener and of the metrics listener.
-const maxControlConnections = 64
+// The limits of the readiness listener and of the metrics listener, whose requests have no bodies. Anyone who reaches their
+// addresses may send others.
+const (
+	// maxControlConnections bounds the connections of each.
+	maxControlConnections = 64
+	maxControlBodyBytes   = 1 << 10
+	// controlReadTimeout bounds the time to read a request, controlWriteTimeout that to write the response.
+	controlReadTimeout  = 3 * time.Second
+	controlWriteTimeout = 3 * time.Second
+	controlIdleTimeout  = 15 * time.Second
+)
 
 // listenReady starts the listener for the load balancer's readiness checks.
 func (s *Server) listenReady(address string) (*fasthttp.Server, error) {
@@ -38,6 +48,10 @@
 		Handler:               handler,
 		ReadBufferSize:        minReadBufferBytes,
 		Concurrency:           maxControlConnections,
+		MaxRequestBodySize:    maxControlBodyBytes,
+		ReadTimeout:           controlReadTimeout,
+		WriteTimeout:          controlWriteTimeout,
+		IdleTimeout:           controlIdleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
 	}
