Bound connections and the time of requests at the admin port

Cause: the admin port bounded the size of a body, and neither the number of connections nor the time in which a request must arrive.

Fix: 64 connections, 10 s for a request, a minute without one. Responses have no bound, since a profile takes as long as it is asked to.

--- a/pkg/admin/server.go
+++ b/pkg/admin/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/gofiber/fiber/v3"
@@ -19,6 +20,11 @@
 	tokenScheme = "Bearer "
 	// maxBodyBytes is much larger than the body of any command.
 	maxBodyBytes = 64 << 10
+	// maxConnections bounds the connections of operators, monitoring and the load balancer's checks together.
+	maxConnections = 64
+	// readTimeout bounds the time to read a request. Responses have no bound: a profile takes as long as it is asked to.
+	readTimeout = 10 * time.Second
+	idleTimeout = time.Minute
 )
 
 // Options configure a Server.
@@ -42,7 +48,10 @@
 // NewServer returns a server; Serve starts it.
 func NewServer(options Options) *Server {
 	s := &Server{options: options}
-	s.app = fiber.New(fiber.Config{BodyLimit: maxBodyBytes, ErrorHandler: s.sendProblem})
+	s.app = fiber.New(fiber.Config{
+		BodyLimit: maxBodyBytes, Concurrency: maxConnections, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ErrorHandler: s.sendProblem,
+	})
 	s.app.Get("/healthz", s.health)
 	s.app.Get("/readyz", s.ready)
 	s.addOperatorGet("/metrics", adaptor.HTTPHandler(options.Metrics))
--- a/pkg/daemon/clients_test.go
+++ b/pkg/daemon/clients_test.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -174,6 +175,11 @@
 
 // sendCrowd runs act for each of n connections and returns at once.
 func sendCrowd(p *daemonProcess, n int, act func(conn net.Conn)) *crowd {
+	return sendCrowdTo(p, p.caller, n, act)
+}
+
+// sendCrowdTo is sendCrowd for another address of the process.
+func sendCrowdTo(p *daemonProcess, address string, n int, act func(conn net.Conn)) *crowd {
 	c := &crowd{process: p, begin: time.Now()}
 	DeferCleanup(c.close)
 	end := c.begin.Add(crowdRound)
@@ -181,7 +187,7 @@
 		c.working.Add(1)
 		c.clients.Go(func() {
 			defer c.working.Add(-1)
-			conn, err := net.DialTimeout("tcp", p.caller, crowdPatience)
+			conn, err := net.DialTimeout("tcp", address, crowdPatience)
 			if err != nil {
 				// The client does its part on a connection that takes no bytes.
 				conn, _ = net.Pipe()
@@ -368,6 +374,27 @@
 		startCrowdedDaemon().meets(crowdConnections, sendAll("", nil))
 	})
 
+	// Guards against clients that find the address of the health checks and use up the memory or the descriptors there, or keep
+	// the checks from being answered.
+	It("survives bodies that stop at the admin address, and answers health checks afterwards", func() {
+		process := startCrowdedDaemon()
+		head := "POST /healthz HTTP/1.1\r\nHost: h.example\r\nContent-Length: 65536\r\n\r\n"
+		sendCrowdTo(process, process.admin, crowdConnections, sendAll(head, make([]byte, 60<<10))).check(crowdMaxFDs)
+		client := &http.Client{Timeout: crowdPatience}
+		healthy := func() error {
+			resp, err := client.Get("http://" + process.admin + "/healthz")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = resp.Body.Close() }()
+			if resp.StatusCode != http.StatusOK {
+				return errors.Newf("status %d", resp.StatusCode)
+			}
+			return nil
+		}
+		Eventually(healthy).WithTimeout(crowdRound).Should(Succeed())
+	})
+
 	It("answers ordinary requests beside a mixed crowd", func() {
 		process := startCrowdedDaemonWith(mixedCrowdMaxFDs)
 		announced := crowdHead + fmt.Sprintf("Content-Length: %d\r\n\r\n", crowdMaxBodyBytes)
