--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 )
 
 // latencyBuckets are the bucket bounds of the latency histograms.
@@ -34,6 +36,8 @@
 	storeFailures tally.Counter
 	// viewAge is the time since the view of the store was last known to be complete.
 	viewAge tally.Gauge
+	// exchangeBytes counts the bytes of datagrams to other instances.
+	exchangeBytes exchangeMetrics
 	// storeRestores counts restores of the store from an older copy.
 	storeRestores tally.Counter
 	// ledgerCorrections counts reports of endpoints that hold other models or adapters than their ledgers listed.
@@ -83,7 +87,32 @@
 		usableEndpoints:   scope.Gauge("usable_endpoints"),
 		access:            newAccessMetrics(scope),
 		fairQueue:         newFairQueueMetrics(scope),
+		exchangeBytes:     newExchangeMetrics(scope),
 		storeRestores:     scope.Counter("store_restored"),
 		ledgerCorrections: scope.Counter("ledger_corrections"),
 	}
 }
+
+// exchangeMetrics has a counter for each reason of a message, for recipients in this instance's region and in others.
+type exchangeMetrics struct {
+	sameRegion, otherRegion map[exchange.Reason]tally.Counter
+}
+
+func newExchangeMetrics(scope tally.Scope) exchangeMetrics {
+	m := exchangeMetrics{sameRegion: make(map[exchange.Reason]tally.Counter), otherRegion: make(map[exchange.Reason]tally.Counter)}
+	for _, reason := range exchange.Reasons {
+		counter := func(region string) tally.Counter {
+			return scope.Tagged(map[string]string{"reason": reason.String(), "region": region}).Counter("exchange_sent_bytes")
+		}
+		m.sameRegion[reason], m.otherRegion[reason] = counter("same"), counter("other")
+	}
+	return m
+}
+
+func (m *exchangeMetrics) recordSent(to exchange.Peer, reason exchange.Reason, bytes int) {
+	counters := m.otherRegion
+	if to.SameRegion {
+		counters = m.sameRegion
+	}
+	counters[reason].Inc(int64(bytes))
+}
--- a/pkg/edge/quota.go
+++ b/pkg/edge/quota.go
@@ -201,7 +201,8 @@
 	data := e.Message.Encode()
 	q.metrics.messages.Inc(1)
 	q.metrics.bytes.Inc(int64(len(data)))
-	peer := exchange.Peer{Instance: e.To, Address: address}
+	settings := q.server.settings()
+	peer := exchange.Peer{Instance: e.To, Address: address, SameRegion: q.server.instances.regionOf(e.To, settings.Regions) == settings.Region}
 	if err := q.server.exchange.Send(peer, func(m *exchange.Message) { m.Quota = data }); err != nil {
 		q.server.log.Debug("quota message not sent", zap.String("peer", e.To), zap.Error(err))
 	}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -164,6 +164,7 @@
 		NeedsUpdates: server.relaysTo,
 		Compose:      server.compose,
 		Receive:      server.receive,
+		Sent:         server.metrics.exchangeBytes.recordSent,
 		Log:          log,
 	})
 	return server, err
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -40,7 +40,9 @@
 	Compose func(m *Message, to Peer, info SendInfo)
 	// Receive handles a message of another instance.
 	Receive func(m *Message, now time.Time)
-	Log     *zap.Logger
+	// Sent is told the size of each datagram that was sent; nil if nobody wants to know.
+	Sent func(to Peer, reason Reason, bytes int)
+	Log  *zap.Logger
 }
 
 const (
@@ -72,8 +74,13 @@
 	ReasonUpdate
 	// ReasonCrash messages report to all that an endpoint crashed under prompt parts.
 	ReasonCrash
+	// ReasonDirect messages are sent by Send, to one instance.
+	ReasonDirect
 )
 
+// Reasons lists all reasons.
+var Reasons = []Reason{ReasonRegular, ReasonWaitingDemand, ReasonUpdate, ReasonCrash, ReasonDirect}
+
 // String returns the reason's name for logs.
 func (r Reason) String() string {
 	switch r {
@@ -85,6 +92,8 @@
 		return "update"
 	case ReasonCrash:
 		return "crash"
+	case ReasonDirect:
+		return "direct"
 	default:
 		return "unknown"
 	}
@@ -277,11 +286,15 @@
 }
 
 func (e *Exchange) sendTo(peer Peer, info SendInfo) error {
-	return e.Send(peer, func(m *Message) { e.options.Compose(m, peer, info) })
+	return e.sendMessage(peer, info.Reason, func(m *Message) { e.options.Compose(m, peer, info) })
 }
 
 // Send sends one message to a peer at once. The function compose adds the state; it must not call Send.
 func (e *Exchange) Send(peer Peer, compose func(m *Message)) error {
+	return e.sendMessage(peer, ReasonDirect, compose)
+}
+
+func (e *Exchange) sendMessage(peer Peer, reason Reason, compose func(m *Message)) error {
 	e.sendMu.Lock()
 	defer e.sendMu.Unlock()
 	e.sequence++
@@ -295,7 +308,9 @@
 	if err != nil {
 		return err
 	}
-	_, err = e.conn.WriteTo(data, address)
+	if _, err = e.conn.WriteTo(data, address); err == nil && e.options.Sent != nil {
+		e.options.Sent(peer, reason, len(data))
+	}
 	return err
 }
 
