Forward messages to another region there, not one for each of its instances

Cause: each instance told each instance of the other region the same news by itself. The early messages of the holder of the placement lease alone, 10 a second to each of 31 instances, took 384 to 758 KB/s of the 750 KB/s that a link of 6 Mbit/s takes; regular messages took 138 to 465 KB/s, up to 958 KB/s with the lists of endpoints for instances without the store. The store's replies waited behind them.

A message to a region with eight instances or more now crosses the link as one datagram to each of two of its largest instances, which forward it to the others. It is the same datagram, so that recipients drop the second copy by its sequence, as before. The holder still gets regular messages directly, since they tell it more. One list of endpoints is sent to a region in which instances are without the store. Forwarders change with each regular message; those that are silent are passed over.

--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -210,6 +210,28 @@
 	}
 }
 
+// Guards against a region that is cut off from the store and gets a list of the endpoints for each of its instances, or none.
+func TestOneListOfEndpointsIsSentToARegion(t *testing.T) {
+	now := time.Now()
+	s, err := New(Settings{InstanceID: "a-1", ExchangeAddress: "127.0.0.1:0", Regions: map[string]string{"z1": "r1", "z2": "r2"}}, Dependencies{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, dataCentre := range map[string]string{"a-1": "z1", "a-2": "z1", "b-1": "z2", "b-2": "z2"} {
+		s.instances.put(name, exchange.InstanceDoc{DataCentre: dataCentre})
+		s.stalePeers.recordMessage(name, dataCentre == "z2", now)
+	}
+	region := exchange.Peer{Region: "r2"}
+	if !s.sendsEndpointsTo(region, now) || !s.endpointsDue(region, now) || s.endpointsDue(region, now) {
+		t.Fatal("the region must get one list")
+	}
+	s.stalePeers.recordMessage("b-1", false, now)
+	s.stalePeers.recordMessage("b-2", false, now)
+	if s.endpointsDue(region, now.Add(endpointsSendInterval)) {
+		t.Fatal("a list is sent to a region whose instances can read the store")
+	}
+}
+
 // A bound over a time window, such as that of retries, is divided by the number of instances. Guards against counting
 // fewer instances, and so enlarging each one's share, when registrations expire during an outage of the store.
 func TestInstanceCountKeepsRecentPeak(t *testing.T) {
--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -181,16 +181,16 @@
 	return r.holder.instance
 }
 
-// byDistance returns the instances: those of the data centre first, then those of its region, then all others.
+// byDistance returns the instances: those of the data centre first, then those of the region, then all others.
 // Instances of the same distance are ordered by compareSize.
-func (r *instanceRegistry) byDistance(dataCentre string, regions map[string]string) []string {
+func (r *instanceRegistry) byDistance(dataCentre, region string, regions map[string]string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	distance := func(name string) int {
 		switch other := r.instances[name].DataCentre; {
 		case other == dataCentre:
 			return 0
-		case regions[other] == regions[dataCentre]:
+		case regions[other] == region:
 			return 1
 		default:
 			return 2
@@ -201,6 +201,19 @@
 	return names
 }
 
+// inRegion returns the instances of a region.
+func (r *instanceRegistry) inRegion(region string, regions map[string]string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var names []string
+	for name, doc := range r.instances {
+		if regions[doc.DataCentre] == region {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // compareSize orders instances by memory, the largest first, and then by name. Larger instances have links of higher
 // bandwidth. The caller holds the lock.
 func (r *instanceRegistry) compareSize(a, b string) int {
@@ -214,10 +227,16 @@
 	return regions[r.instances[name].DataCentre]
 }
 
-// peers returns all instances but own.
+// peers returns all instances but own. Those with the most memory in their region may forward messages, since small ones have
+// links of lower bandwidth.
 func (r *instanceRegistry) peers(own string, regions map[string]string, region string) []exchange.Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	largest := make(map[string]int)
+	for _, doc := range r.instances {
+		of := regions[doc.DataCentre]
+		largest[of] = max(largest[of], doc.MemoryMB)
+	}
 	var peers []exchange.Peer
 	for name, doc := range r.instances {
 		if name == own {
@@ -226,8 +245,10 @@
 		peers = append(peers, exchange.Peer{
 			Instance:   name,
 			DataCentre: doc.DataCentre,
+			Region:     regions[doc.DataCentre],
 			Address:    doc.Exchange,
 			SameRegion: regions[doc.DataCentre] == region,
+			Forwards:   doc.MemoryMB == largest[regions[doc.DataCentre]],
 		})
 	}
 	return peers
--- a/pkg/edge/peers.go
+++ b/pkg/edge/peers.go
@@ -72,7 +72,7 @@
 	s.composeQuarantine(m, now)
 	m.Leaving = s.leavingDocs(now)
 	m.Stale = s.storeView.stale(now)
-	if !m.Stale && s.sendsEndpointsTo(to, now) && s.stalePeers.endpointsDue(to.Instance, now) {
+	if !m.Stale && s.sendsEndpointsTo(to, now) && s.endpointsDue(to, now) {
 		m.Revision = s.storeView.revision.Load()
 		m.Endpoints = s.endpointDocs(now)
 	}
--- a/pkg/edge/stalepeers.go
+++ b/pkg/edge/stalepeers.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -45,12 +46,18 @@
 
 // endpointsDue reports whether the endpoints should be sent to an instance now, and records that they are.
 func (p *stalePeers) endpointsDue(instance string, now time.Time) bool {
+	return p.endpointsDueToAny(instance, []string{instance}, now)
+}
+
+// endpointsDueToAny is like endpointsDue for a recipient that stands for several instances.
+func (p *stalePeers) endpointsDueToAny(recipient string, instances []string, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.isStale(instance, now) || now.Sub(p.endpointsSentAt[instance]) < endpointsSendInterval {
+	anyStale := slices.ContainsFunc(instances, func(name string) bool { return p.isStale(name, now) })
+	if !anyStale || now.Sub(p.endpointsSentAt[recipient]) < endpointsSendInterval {
 		return false
 	}
-	p.endpointsSentAt[instance] = now
+	p.endpointsSentAt[recipient] = now
 	return true
 }
 
@@ -74,12 +81,20 @@
 // of all endpoints takes some ten kilobytes and a whole region may be cut off at the same time.
 const endpointSenders = 2
 
+// endpointsDue reports whether the endpoints should be sent to a recipient now, and records that they are.
+func (s *Server) endpointsDue(to exchange.Peer, now time.Time) bool {
+	if to.IsRegion() {
+		return s.stalePeers.endpointsDueToAny("region "+to.Region, s.instances.inRegion(to.Region, s.settings().Regions), now)
+	}
+	return s.stalePeers.endpointsDue(to.Instance, now)
+}
+
 // sendsEndpointsTo reports whether this instance is one of the endpointSenders instances that send the endpoints to a
-// stale instance. They are the nearest instances that can read the store: those of the stale instance's data centre
-// first, then those of its region, then all others, and among equally near ones the largest first.
+// stale instance, or to the stale ones of a region. They are the nearest instances that can read the store: those of the stale
+// instance's data centre first, then those of its region, then all others, and among equally near ones the largest first.
 func (s *Server) sendsEndpointsTo(to exchange.Peer, now time.Time) bool {
 	settings := s.settings()
-	candidates := s.instances.byDistance(to.DataCentre, settings.Regions)
+	candidates := s.instances.byDistance(to.DataCentre, cmp.Or(to.Region, settings.Regions[to.DataCentre]), settings.Regions)
 	senders := s.stalePeers.withStoreAccess(candidates, settings.InstanceID, now)
 	return slices.Contains(senders[:min(len(senders), endpointSenders)], settings.InstanceID)
 }
--- a/pkg/exchange/exchange.go
+++ b/pkg/exchange/exchange.go
@@ -15,11 +15,19 @@
 type Peer struct {
 	Instance   string
 	DataCentre string
+	Region     string
 	// Address is IP:PORT of its exchange socket.
 	Address string
 	// SameRegion is set for peers in this instance's region. Other peers get fewer messages, because the link between
 	// regions is paid by volume.
 	SameRegion bool
+	// Forwards is set for peers that may forward messages to all instances of their region.
+	Forwards bool
+}
+
+// IsRegion reports whether a recipient stands for all instances of its region.
+func (p *Peer) IsRegion() bool {
+	return p.Instance == ""
 }
 
 // Options are the parameters of Listen.
@@ -36,7 +44,7 @@
 	// NeedsUpdates reports whether SendUpdate also sends to a peer while this instance is not the holder. If it is nil,
 	// only the holder sends updates.
 	NeedsUpdates func(to Peer) bool
-	// Compose adds this instance's state to a message for a peer.
+	// Compose adds this instance's state to a message for a peer, or for all instances of a region (Peer.IsRegion).
 	Compose func(m *Message, to Peer, info SendInfo)
 	// Receive handles a message of another instance.
 	Receive func(m *Message, now time.Time)
@@ -76,10 +84,17 @@
 	ReasonCrash
 	// ReasonDirect messages are sent by Send, to one instance.
 	ReasonDirect
+	// ReasonForward messages are those of instances of other regions that this one forwards.
+	ReasonForward
 )
 
 // Reasons lists all reasons.
-var Reasons = []Reason{ReasonRegular, ReasonWaitingDemand, ReasonUpdate, ReasonCrash, ReasonDirect}
+var Reasons = []Reason{ReasonRegular, ReasonWaitingDemand, ReasonUpdate, ReasonCrash, ReasonDirect, ReasonForward}
+
+// toldMoreToHolder reports whether messages of a reason have state for the holder that others do not get.
+func (r Reason) toldMoreToHolder() bool {
+	return r == ReasonRegular || r == ReasonWaitingDemand
+}
 
 // String returns the reason's name for logs.
 func (r Reason) String() string {
@@ -94,6 +109,8 @@
 		return "crash"
 	case ReasonDirect:
 		return "direct"
+	case ReasonForward:
+		return "forward"
 	default:
 		return "unknown"
 	}
@@ -116,6 +133,8 @@
 	// sendMu orders messages: a recipient drops one that overtakes another.
 	sendMu   sync.Mutex
 	sequence int64
+	// forwarderTurn counts the regular messages to other regions; used by the sending goroutine only.
+	forwarderTurn int
 	// demandSignal, updateSignal and crashSignal request early messages with ReasonWaitingDemand, ReasonUpdate and
 	// ReasonCrash.
 	demandSignal chan struct{}
@@ -216,6 +235,7 @@
 			otherRegions := now.Sub(lastOtherRegions) >= scaledInterval(otherRegionInterval, len(peers))
 			if otherRegions {
 				lastOtherRegions = now
+				e.forwarderTurn++
 			}
 			e.sendToPeers(peers, ReasonRegular, otherRegions)
 			timer.Reset(scaledInterval(sameRegionInterval, len(peers)))
@@ -252,24 +272,42 @@
 	return min(base*time.Duration(max(peers, baselinePeers))/baselinePeers, maxInterval)
 }
 
-// sendToPeers sends a message to each recipient among the peers.
+// sendToPeers sends a message to each recipient among the peers. Instances of another region get it by forwarders, but for
+// the holder, whose messages have more.
 func (e *Exchange) sendToPeers(peers []Peer, reason Reason, otherRegions bool) {
 	holder := e.options.Holder()
+	forwarders := e.forwarders(peers, time.Now())
+	regions := make(map[string]bool)
 	for _, peer := range peers {
 		if !e.isRecipient(peer, holder, reason, otherRegions) {
 			continue
 		}
-		info := SendInfo{ToHolder: peer.Instance == holder, Reason: reason, Interval: messageInterval(reason, peer.SameRegion, len(peers))}
-		if err := e.sendTo(peer, info); err != nil {
-			level := zap.DebugLevel
-			if errors.Is(err, ErrTooLarge) {
-				level = zap.WarnLevel
-			}
-			e.options.Log.Log(level, "exchange message not sent", zap.String("peer", peer.Instance), zap.Stringer("reason", reason), zap.Error(err))
+		if forwarders[peer.Region] != nil && (peer.Instance != holder || !reason.toldMoreToHolder()) {
+			regions[peer.Region] = true
+			continue
 		}
+		info := SendInfo{ToHolder: peer.Instance == holder, Reason: reason, Interval: messageInterval(reason, peer.SameRegion, len(peers))}
+		e.logUnsent(peer, reason, e.sendTo(peer, info))
+	}
+	for region := range regions {
+		info := SendInfo{Reason: reason, Interval: messageInterval(reason, false, len(peers))}
+		e.sendToRegion(Peer{Region: region}, e.chooseForwarders(forwarders[region]), info)
 	}
 }
 
+// logUnsent logs an error, if there is one, of a message that was not sent.
+func (e *Exchange) logUnsent(to Peer, reason Reason, err error) {
+	if err == nil {
+		return
+	}
+	level := zap.DebugLevel
+	if errors.Is(err, ErrTooLarge) {
+		level = zap.WarnLevel
+	}
+	e.options.Log.Log(level, "exchange message not sent", zap.String("peer", to.Instance), zap.String("region", to.Region),
+		zap.Stringer("reason", reason), zap.Error(err))
+}
+
 // isRecipient reports whether a peer gets a message. Regular messages go to peers of the same region, and to all peers
 // if otherRegions is set.
 func (e *Exchange) isRecipient(peer Peer, holder string, reason Reason, otherRegions bool) bool {
@@ -286,15 +324,16 @@
 }
 
 func (e *Exchange) sendTo(peer Peer, info SendInfo) error {
-	return e.sendMessage(peer, info.Reason, func(m *Message) { e.options.Compose(m, peer, info) })
+	return e.sendMessage(info.Reason, []Peer{peer}, false, func(m *Message) { e.options.Compose(m, peer, info) })
 }
 
 // Send sends one message to a peer at once. The function compose adds the state; it must not call Send.
 func (e *Exchange) Send(peer Peer, compose func(m *Message)) error {
-	return e.sendMessage(peer, ReasonDirect, compose)
+	return e.sendMessage(ReasonDirect, []Peer{peer}, false, compose)
 }
 
-func (e *Exchange) sendMessage(peer Peer, reason Reason, compose func(m *Message)) error {
+// sendMessage sends one message, the same to all given peers. If forward is set, they forward it to their region.
+func (e *Exchange) sendMessage(reason Reason, to []Peer, forward bool, compose func(m *Message)) error {
 	e.sendMu.Lock()
 	defer e.sendMu.Unlock()
 	e.sequence++
@@ -304,18 +343,30 @@
 	if err != nil {
 		return err
 	}
-	address, err := net.ResolveUDPAddr("udp4", peer.Address)
+	if forward {
+		data = append([]byte{forwardMark}, data...)
+	}
+	for _, peer := range to {
+		err = errors.CombineErrors(err, e.write(peer, reason, data))
+	}
+	return err
+}
+
+// write sends one datagram.
+func (e *Exchange) write(to Peer, reason Reason, data []byte) error {
+	address, err := net.ResolveUDPAddr("udp4", to.Address)
 	if err != nil {
 		return err
 	}
-	if _, err = e.conn.WriteTo(data, address); err == nil && e.options.Sent != nil {
-		e.options.Sent(peer, reason, len(data))
+	_, err = e.conn.WriteTo(data, address)
+	if err == nil && e.options.Sent != nil {
+		e.options.Sent(to, reason, len(data))
 	}
 	return err
 }
 
 func (e *Exchange) receive() {
-	buffer := make([]byte, maxMessageBytes+1)
+	buffer := make([]byte, maxMessageBytes+2)
 	for {
 		n, _, err := e.conn.ReadFrom(buffer)
 		if errors.Is(err, net.ErrClosed) {
@@ -325,12 +376,16 @@
 			e.options.Log.Debug("exchange message not received", zap.Error(err))
 			continue
 		}
-		m, err := Decode(buffer[:n])
+		data, forward := cutForwardMark(buffer[:n])
+		if forward {
+			e.forward(data)
+		}
+		m, err := Decode(data)
 		if err != nil {
 			e.options.Log.Info("exchange message dropped", zap.Error(err))
 			continue
 		}
-		if now := time.Now(); e.acceptInOrder(m, now) {
+		if now := time.Now(); m.Instance != e.options.Instance && e.acceptInOrder(m, now) {
 			e.options.Receive(m, now)
 		}
 	}
