The data centres of a region share the relays that watch the store

The two largest instances of a region now watch the store for all its data centres with five instances or more.

--- a/pkg/edge/instances.go
+++ b/pkg/edge/instances.go
@@ -201,6 +201,19 @@
 	return names
 }
 
+// dataCentres returns the data centres that have instances.
+func (r *instanceRegistry) dataCentres() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []string
+	for _, doc := range r.instances {
+		if !slices.Contains(found, doc.DataCentre) {
+			found = append(found, doc.DataCentre)
+		}
+	}
+	return found
+}
+
 // inRegion returns the instances of a region.
 func (r *instanceRegistry) inRegion(region string, regions map[string]string) []string {
 	r.mu.Lock()
--- a/pkg/edge/relay.go
+++ b/pkg/edge/relay.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// relaysPerDataCentre is the number of instances that watch the store for all others of their data centre. With
-	// two, one may fail.
-	relaysPerDataCentre = 2
+	// relaysPerRegion is the number of instances that watch the store for all others of their region. With two, one may
+	// fail. Each data centre watching by itself would fetch the same changes several times over the link between regions.
+	relaysPerRegion = 2
 	// minInstancesForRelays is the minimum number of instances of a data centre for which relays are used. Fewer
 	// instances watch the store themselves, so that they see changes sooner.
 	minInstancesForRelays = 5
@@ -24,54 +24,61 @@
 	relayRepeats = 3
 )
 
-// relays returns the instances that watch the store for a data centre: the largest ones, or none if it has few
-// instances.
-func (r *instanceRegistry) relays(dataCentre string) []string {
+// relays returns the instances that watch the store for a data centre: the largest ones of its region, or none if the data
+// centre has few instances. A data centre that regions does not list is a region of its own.
+func (r *instanceRegistry) relays(dataCentre string, regions map[string]string) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	instances := 0
 	var names []string
 	for name, doc := range r.instances {
 		if doc.DataCentre == dataCentre {
+			instances++
+		}
+		if doc.DataCentre == dataCentre || regions[dataCentre] != "" && regions[doc.DataCentre] == regions[dataCentre] {
 			names = append(names, name)
 		}
 	}
-	if len(names) < minInstancesForRelays {
+	if instances < minInstancesForRelays {
 		return nil
 	}
 	slices.SortFunc(names, r.compareSize)
-	return names[:relaysPerDataCentre]
+	return names[:relaysPerRegion]
+}
+
+// relaysOf returns the relays of a data centre.
+func (s *Server) relaysOf(dataCentre string) []string {
+	return s.instances.relays(dataCentre, s.settings().Regions)
 }
 
-// reliesOnRelays reports whether this instance need not watch the store, because the messages of the relays of its data
-// centre keep its view recent. The instance that places models and the relays always watch the store themselves.
+// reliesOnRelays reports whether this instance need not watch the store, because the messages of the relays of its
+// region keep its view recent. The instance that places models and the relays always watch the store themselves.
 func (s *Server) reliesOnRelays(now time.Time) bool {
 	return s.storeView.age(now) < s.settings().Bounds.watchInterval() && s.hasRelays()
 }
 
-// hasRelays reports whether relays of the data centre watch the store for this instance.
+// hasRelays reports whether relays watch the store for this instance.
 func (s *Server) hasRelays() bool {
 	settings := s.settings()
 	if _, holder := s.lease.Held(); holder || s.table.Load() == nil {
 		return false
 	}
-	relays := s.instances.relays(settings.DataCentre)
+	relays := s.relaysOf(settings.DataCentre)
 	return relays != nil && !slices.Contains(relays, settings.InstanceID)
 }
 
-// isRelay reports whether this instance watches the store for its data centre.
+// isRelay reports whether this instance watches the store for others.
 func (s *Server) isRelay() bool {
 	settings := s.settings()
-	return slices.Contains(s.instances.relays(settings.DataCentre), settings.InstanceID)
+	return slices.ContainsFunc(s.instances.dataCentres(), func(dataCentre string) bool {
+		return slices.Contains(s.relaysOf(dataCentre), settings.InstanceID)
+	})
 }
 
 // relaysTo reports whether this instance is a relay for another one.
 func (s *Server) relaysTo(to exchange.Peer) bool {
-	settings := s.settings()
-	if to.DataCentre != settings.DataCentre {
-		return false
-	}
-	relays := s.instances.relays(settings.DataCentre)
-	return slices.Contains(relays, settings.InstanceID) && !slices.Contains(relays, to.Instance)
+	relays := s.relaysOf(to.DataCentre)
+	return slices.Contains(relays, s.settings().InstanceID) && !slices.Contains(relays, to.Instance)
 }
 
 // relayWatchInterval returns the time between two watches of a relay.
@@ -134,11 +141,11 @@
 	return compressedValue
 }
 
-// applyRelayed applies the changes that a relay of the data centre reports. It ignores a message if this instance knows
+// applyRelayed applies the changes that a relay reports. It ignores a message if this instance knows
 // a newer revision. It also ignores a message that may not list all changes which this instance lacks, or that does not
 // carry a configuration which this instance lacks; the instance then watches the store itself.
 func (s *Server) applyRelayed(from string, r *exchange.RelayDoc, now time.Time) {
-	if !slices.Contains(s.instances.relays(s.settings().DataCentre), from) {
+	if !slices.Contains(s.relaysOf(s.settings().DataCentre), from) {
 		return
 	}
 	s.viewMu.Lock()
