A view ages while its machine is suspended

The age of a view now also counts by the clock since boot. TestViewAgesWhileTheMachineIsSuspended fails before.

--- a/pkg/edge/relay_test.go
+++ b/pkg/edge/relay_test.go
@@ -56,6 +56,22 @@
 	}
 }
 
+// Guards against a relay whose machine was suspended telling its view as recent: the monotonic clock stands still meanwhile.
+func TestViewAgesWhileTheMachineIsSuspended(t *testing.T) {
+	uptime := time.Hour
+	s := newRelayTestServer(t, "edge-1", minInstancesForRelays)
+	s.storeView.sinceBoot = func() time.Duration { return uptime }
+	now := time.Now()
+	s.storeView.recordComplete(now)
+	const suspended = 3 * time.Second
+	uptime += suspended
+	m := &exchange.Message{Instance: "edge-1"}
+	s.composeRelay(m, exchange.Peer{Instance: "edge-4", DataCentre: "z1"}, now)
+	if age := time.Duration(m.Relay.AgeMs) * time.Millisecond; age < suspended-100*time.Millisecond {
+		t.Fatalf("the relay tells an age of %v after the machine was suspended for %v", age, suspended)
+	}
+}
+
 // Guards against each data centre of a region fetching the same changes over the link to the store, and against a data centre
 // with few instances, which watch the store themselves, having no relay among those of its region.
 func TestDataCentresOfARegionShareRelays(t *testing.T) {
--- a/pkg/edge/storeview.go
+++ b/pkg/edge/storeview.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/mulberryglade/mulberryglade/internal/timing"
 )
 
 // staleViewAfter is the time without the store after which an instance accepts the endpoints of other instances.
@@ -13,7 +15,9 @@
 	// revision is the revision up to which all changes are known.
 	revision atomic.Int64
 	// completeAt is the latest time at which the view is known to have been complete; nil before the first read.
-	completeAt atomic.Pointer[time.Time]
+	completeAt atomic.Pointer[completeTime]
+	// sinceBoot returns the time since boot, also that for which the machine was suspended; nil selects timing.SinceBoot.
+	sinceBoot func() time.Duration
 	// peerRevision is the revision of the endpoints last received from another instance; guarded by the server's
 	// viewMu.
 	peerRevision int64
@@ -23,6 +27,12 @@
 	peerEndpointsApplied atomic.Bool
 }
 
+// completeTime is a time by the monotonic clock, which excludes the time for which the machine was suspended, and since boot.
+type completeTime struct {
+	at        time.Time
+	sinceBoot time.Duration
+}
+
 // endpointsReflect reports whether the endpoints received from another instance already reflect a revision, so that an
 // update as of that revision must not change them. The caller holds the server's viewMu.
 func (v *storeView) endpointsReflect(revision int64) bool {
@@ -42,21 +52,33 @@
 // overlap.
 func (v *storeView) recordComplete(at time.Time) {
 	if at.After(v.lastComplete()) {
-		v.completeAt.Store(&at)
+		v.completeAt.Store(&completeTime{at: at, sinceBoot: v.uptime() - time.Since(at)})
 	}
 }
 
+func (v *storeView) uptime() time.Duration {
+	if v.sinceBoot != nil {
+		return v.sinceBoot()
+	}
+	return timing.SinceBoot()
+}
+
 // lastComplete returns the latest time at which the view is known to have been complete; the zero time means never.
 func (v *storeView) lastComplete() time.Time {
-	if at := v.completeAt.Load(); at != nil {
-		return *at
+	if last := v.completeAt.Load(); last != nil {
+		return last.at
 	}
 	return time.Time{}
 }
 
-// age returns the time since the view was last known to be complete.
+// age returns the time since the view was last known to be complete, also that for which the machine was suspended: a relay
+// whose machine was would otherwise tell its old view as a recent one.
 func (v *storeView) age(now time.Time) time.Duration {
-	return now.Sub(v.lastComplete())
+	age := now.Sub(v.lastComplete())
+	if last := v.completeAt.Load(); last != nil {
+		age = max(age, v.uptime()-last.sinceBoot-time.Since(now))
+	}
+	return age
 }
 
 func (v *storeView) stale(now time.Time) bool {
