Continue a stream only at the software version that began it

Cause: nothing carried the version. The field of an endpoint's entry was checked and dropped, and Resumes was not read.

The version of the first event now binds the rest of the response. Who knows where a stream began that is taken up: - while a service has one version, every stream began there. Versions are added to a key of the store before the first stream begins at them, so that this holds after all instances have ended, too; - while it has several, instances write the keys of the streams that they begin to the store, in batches of 250 ms to 1 s, with a lease. They write those that run when a second version comes as well. An instance that does not know a stream reads the batches, one read for all take-ups that wait; - otherwise the version is unknown, and the take-up is refused at once.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -58,6 +58,9 @@
 	quarantinedPart uint64
 	// outlastsInstance is set if the request is not sent because this instance stops before the request's deadline.
 	outlastsInstance bool
+	// software lists the versions of endpoints' software that may run the request; nil means all. A stream that has begun is
+	// bound to one.
+	software []string
 	// mayHaveRun is set once an endpoint may have begun to run the request.
 	mayHaveRun bool
 	// charge is what was taken from the quota of the workspace. overQuota is set if the request is not sent because it
@@ -182,6 +185,7 @@
 		OutputTokens: cmp.Or(r.request.ExpectedOutput, r.request.OutputTokens),
 		Parts:        r.request.Parts,
 		Exclude:      r.tried,
+		Software:     r.allowedSoftware(),
 		TimeLeft:     r.deadline.Sub(now),
 		Random:       rand.Float64,
 	}
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -80,6 +80,12 @@
 func (r *clientRequest) obstacleTimes(choice *fleet.Choice, demand *fleet.Demand, now time.Time) (expected, maxWait time.Duration) {
 	switch choice.Obstacle {
 	case fleet.Saturated:
+	case fleet.NotHeld:
+		if r.boundToSoftware() {
+			// The model may be loaded at endpoints of other versions only.
+			return 0, 0
+		}
+		return r.server.expectedWait(r.service, demand, choice.Obstacle), r.deadline.Sub(now)
 	case fleet.Busy:
 		if choice.AwaitsProbe {
 			return choice.CallsAllowedIn, r.deadline.Sub(now)
--- a/pkg/edge/endpointview.go
+++ b/pkg/edge/endpointview.go
@@ -11,6 +11,9 @@
 // applyAnnouncement applies an endpoint's announcement from the store, or from the relay named by from.
 func (s *Server) applyAnnouncement(a fleet.Announcement, revision int64, from string, now time.Time) {
 	change := s.deps.Fleet.Announce(a, now)
+	if change != fleet.Unchanged && change != fleet.Updated {
+		s.origins.requestCheck()
+	}
 	if change != fleet.Unchanged {
 		s.changeLog.endpoints.recordChange(a.ID, now)
 	}
--- a/pkg/edge/metrics.go
+++ b/pkg/edge/metrics.go
@@ -28,6 +28,8 @@
 	repeats tally.Counter
 	// resumed counts attempts to continue a stream at another endpoint.
 	resumed tally.Counter
+	// takeUps count streams that clients take up, by how their version is known.
+	takeUps takeUpMetrics
 	// responseTime is the time from a request's arrival to its end, firstEventTime from the send to the first event.
 	responseTime   tally.Histogram
 	firstEventTime tally.Histogram
@@ -74,6 +76,7 @@
 		sends:             scope.Counter("sends"),
 		repeats:           scope.Counter("repeated_sends"),
 		resumed:           scope.Counter("resumed_streams"),
+		takeUps:           newTakeUpMetrics(scope),
 		responseTime:      scope.Histogram("response_seconds", latencyBuckets),
 		firstEventTime:    scope.Histogram("first_event_seconds", latencyBuckets),
 		storeOutages:      scope.Counter("store_lost"),
@@ -116,3 +119,15 @@
 	}
 	counters[reason].Inc(int64(bytes))
 }
+
+// takeUpMetrics count take-ups whose version was known from a record, because there is only one, or not at all.
+type takeUpMetrics struct {
+	recorded, only, unknown tally.Counter
+}
+
+func newTakeUpMetrics(scope tally.Scope) takeUpMetrics {
+	counter := func(version string) tally.Counter {
+		return scope.Tagged(map[string]string{"version": version}).Counter("stream_take_ups")
+	}
+	return takeUpMetrics{recorded: counter("recorded"), only: counter("only"), unknown: counter("unknown")}
+}
--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -92,6 +92,7 @@
 	// quarantine holds the prompt parts that crash endpoints.
 	quarantine *quarantine.Tracker
 	quota      *quotaService
+	origins    *streamOrigins
 	// watchRequested requests an immediate watch from the store watcher.
 	watchRequested chan struct{}
 	// registrationRequested requests an immediate renewal of the registration.
@@ -151,6 +152,7 @@
 	})
 	server.placement = server.newController()
 	server.quota = newQuotaService(server, deps.Scope)
+	server.origins = newStreamOrigins(server, deps.Store)
 	var err error
 	server.exchange, err = exchange.Listen(exchange.Options{
 		Instance: s.InstanceID,
@@ -239,6 +241,7 @@
 	s.metrics.configVersion.Update(float64(config.Version))
 	s.metrics.access.recordConfig(config)
 	s.configChanged.signal()
+	s.origins.requestCheck()
 	s.log.Info("configuration in force", zap.Int64("version", config.Version), zap.Int64("revision", revision),
 		zap.String("from", from), zap.Int("routes", len(config.Routes)), zap.Int("services", len(config.Services)),
 		zap.Int("workspaces", len(config.Workspaces)))
@@ -372,6 +375,7 @@
 	tasks.Go(func() { s.placement.Run(ctx) })
 	tasks.Go(func() { s.exchange.Run(background) })
 	tasks.Go(func() { s.quota.run(background) })
+	tasks.Go(func() { s.origins.run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
 	tasks.Go(func() { s.reportClients(background) })
 	<-ctx.Done()
--- a/pkg/edge/storewatcher.go
+++ b/pkg/edge/storewatcher.go
@@ -219,6 +219,7 @@
 		w.server.lease.EndBefore(start)
 	}
 	w.server.requestRegistration()
+	w.server.origins.requestCheck()
 }
 
 // watchOnce applies the changes since the last watch. It returns false if the caller should pause before the next
@@ -339,6 +340,10 @@
 		w.putInstance(name, item)
 		return
 	}
+	if strings.HasPrefix(item.Key, originPrefix) {
+		w.server.origins.apply(item, time.Now())
+		return
+	}
 	if item.Key == placementKey {
 		holder, _, _ := strings.Cut(string(item.Value), " ")
 		w.server.instances.setHolder(holderTerm{holder, int64(item.CreateRevision)}, time.Now())
--- a/pkg/edge/stream.go
+++ b/pkg/edge/stream.go
@@ -40,6 +40,9 @@
 	state := &streamState{}
 	if r.route.Repeatable() {
 		state.events.ContinueAfter(r.request.LastEventID)
+		if r.request.LastEventID != "" && !r.bindToOrigin() {
+			return r.fail("version that began the stream is not known", 0, closeAfter)
+		}
 	}
 	reason, retryAfter := "no endpoint", minRetryAfter
 	for r.maySend(time.Now()) {
@@ -161,6 +164,7 @@
 			invalid = errEventTooLarge
 		}
 		if len(events) > 0 {
+			r.recordOrigin(a)
 			if failure := r.forwardEvents(resp, events, state, closeAfter); failure != nil {
 				a.call.End(fleet.Neutral, time.Now())
 				r.log.Info("client left", zap.Error(failure), zap.Duration("after", time.Since(r.arrivedAt)))
--- a/pkg/edge/wire.go
+++ b/pkg/edge/wire.go
@@ -28,6 +28,8 @@
 	Parts           []fleet.PromptPart
 	// LastEventID is the last event that the client has received; empty for a new stream.
 	LastEventID string
+	// Resumes is the ID of the attempt that brought the first event of a stream that is taken up; empty if it is not stated.
+	Resumes string
 	// Key is the API key; it must not be logged. KeyRepeated is set if the request has several.
 	Key         string
 	KeyRepeated bool
--- a/pkg/exchange/message.go
+++ b/pkg/exchange/message.go
@@ -118,6 +118,7 @@
 	Address    string `json:"a"`
 	DataCentre string `json:"d"`
 	Lifetime   int64  `json:"t"`
+	Software   string `json:"o,omitempty"`
 	Slots      int    `json:"n"`
 	Leaving    bool   `json:"g,omitempty"`
 	RemovalMs  int64  `json:"r,omitempty"`
@@ -130,7 +131,7 @@
 // EncodeEndpoint encodes an announcement.
 func EncodeEndpoint(a *fleet.Announcement) EndpointDoc {
 	return EndpointDoc{
-		ID: a.ID, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, Lifetime: a.Lifetime, Slots: a.Slots,
+		ID: a.ID, Service: a.Service, Address: a.Address, DataCentre: a.DataCentre, Lifetime: a.Lifetime, Software: a.Software, Slots: a.Slots,
 		Leaving: a.Leaving, RemovalMs: a.RemovalIn.Milliseconds(), Models: EncodeHeldModels(a.Models),
 	}
 }
@@ -138,7 +139,7 @@
 // Decode returns the announcement that EncodeEndpoint encoded.
 func (d *EndpointDoc) Decode() fleet.Announcement {
 	return fleet.Announcement{
-		ID: d.ID, Service: d.Service, Address: d.Address, DataCentre: d.DataCentre, Lifetime: d.Lifetime, Slots: d.Slots,
+		ID: d.ID, Service: d.Service, Address: d.Address, DataCentre: d.DataCentre, Lifetime: d.Lifetime, Software: d.Software, Slots: d.Slots,
 		Leaving: d.Leaving, RemovalIn: time.Duration(d.RemovalMs) * time.Millisecond, Models: DecodeHeldModels(d.Models),
 	}
 }
--- a/pkg/fleet/choose.go
+++ b/pkg/fleet/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -35,6 +36,8 @@
 	Random func() float64
 	// Exclude lists endpoints to which the request has already been sent.
 	Exclude []string
+	// Software lists the versions of the software of endpoints that may run the request; nil means all.
+	Software []string
 }
 
 // Distance is the added cost of an endpoint in another data centre.
@@ -92,6 +95,7 @@
 	Address    string
 	DataCentre string
 	Lifetime   int64
+	Software   string
 	Obstacle   Obstacle
 	// FirstToken is the cost by which endpoints are compared: the expected time to the first token, or to the response
 	// of a plain service, and penalties.
@@ -141,6 +145,9 @@
 	if e.Leaving || e.graceEnded(now) || now.Before(e.withheldUntil) {
 		return
 	}
+	if demand.Software != nil && !slices.Contains(demand.Software, e.Software) {
+		return
+	}
 	if excluded(e.ID, demand.Exclude) {
 		if e.Holds(demand.Model, demand.Adapter) {
 			choice.noteBusy(e, now)
@@ -201,7 +208,7 @@
 		return
 	}
 	choice.RunnerUp, choice.RunnerUpFirstToken = choice.ID, choice.FirstToken
-	choice.ID, choice.Address, choice.DataCentre, choice.Lifetime = e.ID, e.Address, e.DataCentre, e.Lifetime
+	choice.ID, choice.Address, choice.DataCentre, choice.Lifetime, choice.Software = e.ID, e.Address, e.DataCentre, e.Lifetime, e.Software
 	choice.FirstToken, choice.AtEndpoint, choice.Latency = cost, expected, distance.Latency
 	choice.Work, choice.KeptTokens = work, keptTokens
 }
--- a/pkg/fleet/endpoint.go
+++ b/pkg/fleet/endpoint.go
@@ -15,6 +15,9 @@
 	DataCentre string
 	// Lifetime identifies one run of the endpoint: an endpoint that restarts under the same id has another lifetime.
 	Lifetime int64
+	// Software is the version of the endpoint's software, which says nothing about the versions of its models; empty if it is
+	// not known.
+	Software string
 	Slots    int
 	Leaving  bool
 	// RemovalIn is the time left until a leaving endpoint is removed, even if it still runs requests; zero means
--- a/pkg/fleet/registry.go
+++ b/pkg/fleet/registry.go
@@ -131,7 +131,9 @@
 	capacity     map[string]*limit.Capacity
 	latency      map[string]*limit.Track
 	limitChanges []LimitChange
-	changed      chan struct{}
+	// software has the versions of the software of each service's endpoints, in order; nil after a change of the endpoints.
+	software map[string][]string
+	changed  chan struct{}
 }
 
 // NewRegistry returns a registry without endpoints.
@@ -169,6 +171,7 @@
 func (r *Registry) remove(id string, now time.Time) {
 	e := r.endpoints[id]
 	delete(r.endpoints, id)
+	r.software = nil
 	if e != nil {
 		maps.DeleteFunc(r.departed, func(_ endpointRun, d departure) bool { return now.Sub(d.at) >= statementRetention })
 		r.departed[endpointRun{id, e.Lifetime}] = departure{at: now, announced: e.announcedLeaving}
@@ -242,6 +245,9 @@
 		a.Models = existing.Models
 	}
 	existing.Announcement = a
+	if change != Unchanged {
+		r.software = nil
+	}
 	r.expectStatedLoad(existing)
 	existing.RemovalAt = time.Time{}
 	if a.RemovalIn > 0 {
@@ -263,7 +269,7 @@
 		return StartedLeaving
 	case !a.Leaving && existing.Leaving:
 		return StoppedLeaving
-	case a.Slots != existing.Slots || a.RemovalIn > 0 || !slices.EqualFunc(a.Models, existing.announcedModels, sameModel):
+	case a.Slots != existing.Slots || a.Software != existing.Software || a.RemovalIn > 0 || !slices.EqualFunc(a.Models, existing.announcedModels, sameModel):
 		return Updated
 	default:
 		return Unchanged
@@ -349,6 +355,32 @@
 	return all
 }
 
+// Software returns the versions of the software of a service's endpoints, in order, also of those that are leaving. The caller
+// must not change them.
+func (r *Registry) Software(service string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.software == nil {
+		r.software = make(map[string][]string)
+		for _, e := range r.endpoints {
+			if versions := r.software[e.Service]; e.Software != "" && !slices.Contains(versions, e.Software) {
+				r.software[e.Service] = append(versions, e.Software)
+			}
+		}
+		for _, versions := range r.software {
+			slices.Sort(versions)
+		}
+	}
+	return r.software[service]
+}
+
+// Wake wakes those who wait for a change of the endpoints.
+func (r *Registry) Wake() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.signalChange()
+}
+
 // Usable returns the number of endpoints that are not leaving.
 func (r *Registry) Usable() int {
 	r.mu.Lock()
