Streams that are continued come before new ones

Cause: a take-up is bound to the endpoints of one version, often one that holds the model, and was refused when this had work enough for new prompts, as it has in a burst after all instances have ended: new streams can choose.

A stream that is continued, in the same response or by a take-up, is planned for half of the time left instead of the target for the first event, which it has had, and for 1.5 times of what prompts may take of an engine's time. It never ranks as late.

TestStreamsThatAreContinuedComeBeforeNewOnes fails before.

--- a/pkg/edge/clientrequest.go
+++ b/pkg/edge/clientrequest.go
@@ -193,6 +193,13 @@
 		return demand
 	}
 	demand.Spread = r.server.spread(r.service.Name, demand.PromptTokens)
+	if r.continuesStream() {
+		// A client that has a part of its stream comes before those that have none: where several versions serve, few
+		// endpoints can continue it. Its first event has come, so that only the time left bounds the next one.
+		demand.TargetLatency = time.Duration(float64(r.deadline.Sub(now)) * continuedDeadlineShare)
+		demand.MaxPrefillShare = continuedPrefillShare
+		return demand
+	}
 	demand.TargetLatency, demand.MaxPrefillShare = r.timeToTarget(now), prefillShare
 	if demand.TargetLatency < minAttemptTime {
 		r.markLate(demand, now)
@@ -215,9 +222,14 @@
 	// latePrefillShare is the fraction for requests that are late anyway. It is lower, so that late requests do not
 	// delay other requests beyond their target.
 	latePrefillShare = 0.85
+	// continuedPrefillShare is the fraction for streams that are continued. It lets a burst of them wait in the engine.
+	continuedPrefillShare = 1.5
 	// plannedTargetShare is the fraction of the time left until the target that is planned for, because estimates are
 	// slightly inaccurate.
 	plannedTargetShare = 0.85
+	// continuedDeadlineShare is the fraction of the time left until the deadline that is planned for the next event of a
+	// stream that is continued.
+	continuedDeadlineShare = 0.5
 	// loadedTokenTime is the time per generated token at an engine that reads prompts most of the time.
 	loadedTokenTime = 40 * time.Millisecond
 	// plannedDeadlineShare is the fraction of the time left until the deadline that is planned for a late first token.
--- a/pkg/edge/decisions_test.go
+++ b/pkg/edge/decisions_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"reflect"
 	"slices"
@@ -15,6 +16,8 @@
 	"github.com/mulberryglade/mulberryglade/pkg/exchange"
 	"github.com/mulberryglade/mulberryglade/pkg/fleet"
 	"github.com/mulberryglade/mulberryglade/pkg/residency"
+	"github.com/mulberryglade/mulberryglade/pkg/routing"
+	"github.com/mulberryglade/mulberryglade/pkg/streamorigin"
 )
 
 // Guards against lost events, and against joining parts of two events, when a stream breaks off within an event.
@@ -232,6 +235,46 @@
 	}
 }
 
+// All instances end while two versions serve, and their clients take their streams up again. Guards against refusing these
+// while new streams begin, because the one engine that can continue them is at the limit for new prompts.
+func TestStreamsThatAreContinuedComeBeforeNewOnes(t *testing.T) {
+	s, err := New(Settings{InstanceID: "edge-1", ExchangeAddress: "127.0.0.1:0"}, Dependencies{}, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	for id, version := range map[string]string{"e1": "v1", "e2": "v2"} {
+		s.deps.Fleet.Announce(fleet.Announcement{
+			ID: id, Service: "s", Address: id + ":1", Software: version, Slots: 48, Models: []fleet.HeldModel{{Name: "m"}},
+		}, now)
+	}
+	perSecond := s.deps.Fleet.ServiceSpeed("s", now).PrefillPerMs * 1000
+	busy := fleet.Work{Running: 20, PrefillRate: int(1.2 * perSecond)}
+	s.deps.Fleet.SetRemoteWork("edge-2", map[fleet.EndpointKey]fleet.Work{fleet.EndpointKeyOf("e1"): busy, fleet.EndpointKeyOf("e2"): busy}, now)
+	table := routing.NewTable(&routing.Config{Version: 1})
+	reserve := func(lastEventID, resumes string) (string, bool) {
+		r := &clientRequest{
+			table: table, checkedTable: table,
+			server: s, ctx: context.Background(), arrivedAt: now, deadline: now.Add(5 * time.Second), log: zap.NewNop(),
+			request: Request{ID: "a", Model: "m", PromptTokens: 2000, OutputTokens: 20, LastEventID: lastEventID, Resumes: resumes},
+			route:   &routing.Route{Kind: routing.Streaming, Resumable: true, Timeout: 5 * time.Second, TargetLatency: time.Second, MaxAttempts: 2},
+			service: &routing.Service{Name: "s", Engine: &routing.Engine{}},
+		}
+		if lastEventID != "" && !r.bindToOrigin() {
+			t.Fatal("the origin of the stream is not known")
+		}
+		choice, call := r.reserve(r.fleetDemand(now), now)
+		return choice.ID, call != nil
+	}
+	if id, sent := reserve("", ""); sent {
+		t.Fatalf("a new stream is sent to %s, which is at the limit", id)
+	}
+	s.origins.begin("first", streamorigin.Origin{Service: "s", Version: "v2"}, now.Add(5*time.Second))
+	if id, sent := reserve("3", "first"); !sent || id != "e2" {
+		t.Fatalf("a stream that is taken up is sent to %q: %v", id, sent)
+	}
+}
+
 // A bound over a time window, such as that of retries, is divided by the number of instances. Guards against counting
 // fewer instances, and so enlarging each one's share, when registrations expire during an outage of the store.
 func TestInstanceCountKeepsRecentPeak(t *testing.T) {
--- a/pkg/edge/endpointchoice.go
+++ b/pkg/edge/endpointchoice.go
@@ -63,7 +63,7 @@
 // client than a refusal and another attempt, and it only takes engine time that requests in time leave.
 func (r *clientRequest) reserve(demand *fleet.Demand, now time.Time) (fleet.Choice, *fleet.Call) {
 	choice, call := r.reserveWithinLimit(demand, now)
-	if choice.Obstacle != fleet.Saturated || demand.Late {
+	if choice.Obstacle != fleet.Saturated || demand.Late || r.continuesStream() {
 		return choice, call
 	}
 	targetLatency := demand.TargetLatency
--- a/pkg/edge/streamorigins.go
+++ b/pkg/edge/streamorigins.go
@@ -528,6 +528,11 @@
 	return r.software != nil
 }
 
+// continuesStream reports whether the client has received a part of the stream, in this response or before.
+func (r *clientRequest) continuesStream() bool {
+	return r.boundToSoftware() || r.route.Repeatable() && r.route.Kind == routing.Streaming && r.request.LastEventID != ""
+}
+
 // allowedSoftware returns the versions that may run the request; nil means all.
 func (r *clientRequest) allowedSoftware() []string {
 	if r.boundToSoftware() || r.route.Kind != routing.Streaming || !r.route.Resumable {
