--- a/pkg/edge/server.go
+++ b/pkg/edge/server.go
@@ -375,7 +375,8 @@
 	tasks.Go(func() { s.placement.Run(ctx) })
 	tasks.Go(func() { s.exchange.Run(background) })
 	tasks.Go(func() { s.quota.run(background) })
-	tasks.Go(func() { s.origins.run(background) })
+	originWriter := newOriginWriter(s)
+	tasks.Go(func() { originWriter.run(background) })
 	tasks.Go(func() { s.accept(serving, clients) })
 	tasks.Go(func() { s.reportClients(background) })
 	<-ctx.Done()
@@ -389,6 +390,7 @@
 	tasks.Wait()
 	s.controlListeners.Wait()
 	s.queueWatchers.Wait()
+	s.origins.reads.Wait()
 	s.log.Info("stopped")
 	return nil
 }
